--- /dev/null
+++ b/packages/cli/src/sassafrasridge_cli/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' command line."""
--- /dev/null
+++ b/packages/core/src/sassafrasridge_core/__init__.py
@@ -0,0 +1,1 @@
+"""Decision modules of the proxy; they perform no I/O."""
--- /dev/null
+++ b/packages/core/src/sassafrasridge_core/model.py
@@ -0,0 +1,127 @@
+"""Types that several modules share."""
+
+import functools
+
+
+@functools.total_ordering
+class Position:
+    """Hold a place in a group's log; orders by term, then index.
+
+    >>> Position(1, 9) < Position(2, 3)
+    True
+    """
+
+    __slots__ = ('term', 'index')
+
+    def __init__(self, term: int, index: int) -> None:
+        self.term = term
+        self.index = index
+
+    def __eq__(self, other: object) -> bool:
+        if not isinstance(other, Position):
+            return NotImplemented
+        return (self.term, self.index) == (other.term, other.index)
+
+    def __lt__(self, other: 'Position') -> bool:
+        return (self.term, self.index) < (other.term, other.index)
+
+    def __hash__(self) -> int:
+        return hash((self.term, self.index))
+
+    def __repr__(self) -> str:
+        return f'Position({self.term}, {self.index})'
+
+
+class Refusal:
+    """Stand for a refused request: a sentinel value with a reason."""
+
+    __slots__ = ('reason',)
+
+    def __init__(self, reason: str) -> None:
+        self.reason = reason
+
+    def __bool__(self) -> bool:
+        return False
+
+    def __repr__(self) -> str:
+        return f'Refusal({self.reason!r})'
+
+
+NO_LEASE = Refusal('no_lease')
+QUEUE_FULL = Refusal('queue_full')
+DEADLINE = Refusal('deadline')
+NO_TARGET = Refusal('no_target')
+RATE_LIMITED = Refusal('rate_limited')
+DRAINING = Refusal('draining')
+
+
+class TargetInfo:
+    """Describe a target as it last announced itself."""
+
+    __slots__ = (
+        'server',
+        'group',
+        'zone',
+        'address',
+        'role',
+        'term',
+        'position',
+        'slots',
+        'connections',
+        'leaving',
+    )
+
+    def __init__(
+        self,
+        server: str,
+        group: str,
+        zone: str,
+        address: str,
+        role: str,
+        term: int,
+        position: int,
+        slots: int,
+        connections: int,
+        leaving: bool = False,
+    ) -> None:
+        self.server = server
+        self.group = group
+        self.zone = zone
+        self.address = address
+        self.role = role
+        self.term = term
+        self.position = position
+        self.slots = slots
+        self.connections = connections
+        self.leaving = leaving
+
+
+class GroupView:
+    """Hold the primary, the term and the members of a database group.
+
+    ``primary`` is None while no primary may serve. ``starts`` maps a term to
+    the log index at which it began. ``changing`` is true from the decision to
+    replace a primary until the next one is chosen.
+    """
+
+    __slots__ = ('group', 'term', 'primary', 'members', 'starts', 'changing')
+
+    def __init__(
+        self,
+        group: str,
+        term: int = 0,
+        primary: str | None = None,
+        members: dict[str, str] | None = None,
+        starts: dict[int, int] | None = None,
+        changing: bool = False,
+    ) -> None:
+        self.group = group
+        self.term = term
+        self.primary = primary
+        self.members = dict(members or {})
+        self.starts = dict(starts or {})
+        self.changing = changing
+
+    def majority(self) -> int:
+        """Return how many members make a majority."""
+        return len(self.members) // 2 + 1
--- /dev/null
+++ b/packages/node/src/sassafrasridge_node/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon: adapters, tasks and the composition root."""
--- /dev/null
+++ b/packages/testkit/src/sassafrasridge_testkit/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-in database group, fault-injecting proxy, process harness."""
