--- /dev/null
+++ b/packages/node/src/sassafrasridge_node/ridge.thrift
@@ -0,0 +1,146 @@
+// Messages between the daemons of one deployment.
+// Times are durations in seconds; no clock reading crosses the network.
+
+struct Holding {
+  1: string account,
+  2: double rate,
+  3: double capacity,
+  4: double tokens,
+}
+
+// An entry process's report on one client account.
+struct AccountReport {
+  1: string account,
+  2: double rate,
+  3: double capacity,
+  4: double tokens,
+  5: double demand_rate,    // statements/s asked for recently
+  6: double wanted_tokens,  // tokens that requests are waiting for
+}
+
+// An entry process's report on one target.
+struct Observation {
+  1: string group,
+  2: string server,
+  3: string zone,
+  4: string address,
+  5: string role,
+  6: i64 term,
+  7: i64 position,
+  8: i32 slots,
+  9: i32 connections,
+  10: bool leaving,
+  11: double announcement_age_s,
+  12: double success_age_s,
+  13: double demand,        // mean statements in flight or queued
+  14: i32 open_connections, // connections held or being opened
+}
+
+struct MemberAddress {
+  1: string server,
+  2: string address,
+}
+
+struct TermStart {
+  1: i64 term,
+  2: i64 index,
+}
+
+struct GroupRecord {
+  1: string group,
+  2: i64 term,
+  3: string primary,        // empty when no primary may serve
+  4: list<MemberAddress> members,
+  5: list<TermStart> starts,
+  6: bool changing,
+}
+
+struct ConnectionGrant {
+  1: string group,
+  2: string server,
+  3: i32 connections,
+  4: i32 in_flight,
+}
+
+struct EntryAddress {
+  1: string entry,
+  2: string zone,
+  3: string address,        // thrift address for relayed statements
+}
+
+struct RenewRequest {
+  1: string entry,
+  2: i64 incarnation,
+  3: string zone,
+  4: string address,
+  5: i64 revision,
+  6: i64 view_revision,
+  7: bool draining,
+  8: list<AccountReport> accounts,
+  9: list<Observation> observations,
+  10: i64 sequence,
+}
+
+struct RenewReply {
+  1: bool granted,
+  2: string reason,
+  3: i64 leader_term,
+  4: i64 revision,
+  5: list<binary> deltas,       // encoded configuration changes, in order
+  6: binary full,               // encoded configuration, when deltas are gone
+  7: i64 view_revision,
+  8: list<GroupRecord> groups,  // changed since the reported view_revision
+  9: list<Holding> holdings,    // replace the holder's, after its own returns
+  10: list<ConnectionGrant> connections,
+  11: list<EntryAddress> entries,
+  12: i64 entries_revision,
+  13: i64 sequence,
+}
+
+struct RenewBatch {
+  1: string member,
+  2: list<RenewRequest> requests,
+}
+
+struct RenewBatchReply {
+  1: list<RenewReply> replies,
+}
+
+// A message of the replicated log, encoded by the log's own codec.
+struct LogMessage {
+  1: string sender,
+  2: string recipient,
+  3: binary body,
+}
+
+struct CommandReply {
+  1: bool ok,
+  2: string leader,         // thrift address of the leader when not ok
+  3: binary body,           // JSON answer
+  4: i32 status,
+}
+
+struct StatementCall {
+  1: string kind,           // statements, begin, execute, commit, rollback
+  2: binary body,           // JSON request
+  3: double deadline_s,     // time left
+  4: i32 hops,
+}
+
+struct StatementReply {
+  1: i32 status,
+  2: binary body,           // JSON answer
+  3: string session_token,
+  4: double retry_after_s,
+}
+
+service Control {
+  RenewReply renew(1: RenewRequest req),
+  RenewBatchReply renew_batch(1: RenewBatch batch),
+  oneway void log_message(1: LogMessage message),
+  CommandReply command(1: string kind, 2: binary body, 3: double deadline_s),
+}
+
+service Entry {
+  StatementReply relay(1: StatementCall call),
+}
--- /dev/null
+++ b/tests/node/test_rpc.py
@@ -0,0 +1,115 @@
+"""Tests of the framed thrift calls."""
+
+import asyncio
+import struct
+
+import pytest
+
+from sassafrasridge_node import rpc
+
+
+SECRET = b'test secret'
+
+
+class _Handler:
+    async def renew(self, req):
+        await asyncio.sleep(0.02 if req.entry == 'slow' else 0)
+        return rpc.idl.RenewReply(granted=True, reason=req.entry)
+
+    async def command(self, kind, body, deadline_s):
+        await asyncio.sleep(10)
+
+
+async def _started():
+    server = rpc.Server(rpc.idl.Control, _Handler(), SECRET)
+    await server.start('127.0.0.1', 0)
+    return server, rpc.Client(rpc.idl.Control, server.address, SECRET)
+
+
+class TestClient:
+    def test_answers_are_paired_with_their_calls(self):
+        """Guards against giving a caller the answer of a faster call."""
+
+        async def run():
+            server, client = await _started()
+            replies = await asyncio.gather(
+                *(
+                    client.call(
+                        'renew', rpc.idl.RenewRequest(entry=name), timeout_s=2
+                    )
+                    for name in ('slow', 'a', 'b')
+                )
+            )
+            client.close()
+            await server.stop()
+            return [reply.reason for reply in replies]
+
+        assert asyncio.run(run()) == ['slow', 'a', 'b']
+
+    def test_time_out_is_reported_as_sent(self):
+        """Guards against taking a call without an answer for not sent."""
+
+        async def run():
+            server, client = await _started()
+            with pytest.raises(rpc.RpcError) as info:
+                await client.call('command', 'x', b'{}', 0.1, timeout_s=0.1)
+            await server.stop()
+            return info.value.sent
+
+        assert asyncio.run(run()) is True
+
+    def test_refused_connection_is_reported_as_not_sent(self):
+        """Guards against reporting a call that never left as in doubt."""
+
+        async def run():
+            server, client = await _started()
+            await server.stop()
+            with pytest.raises(rpc.RpcError) as info:
+                await client.call('command', 'x', b'{}', 0.1, timeout_s=0.5)
+            return info.value.sent
+
+        assert asyncio.run(run()) is False
+
+
+class TestServer:
+    def test_unknown_method_is_an_error_of_the_call(self):
+        """Guards against a crash by a call of a newer release."""
+
+        async def run():
+            server, client = await _started()
+            relay = rpc.Client(rpc.idl.Entry, server.address, SECRET)
+            with pytest.raises(rpc.RemoteCallError):
+                await relay.call('relay', rpc.idl.StatementCall(), timeout_s=2)
+            relay.close()
+            client.close()
+            await server.stop()
+
+        asyncio.run(run())
+
+    @pytest.mark.parametrize(
+        'data',
+        [
+            struct.pack('>I', 0xFFFFFFFF),
+            struct.pack('>I', 8) + b'\xff' * 8,
+            struct.pack('>I', 20) + b'\x80\x01\x00\x01\x7f\xff\xff\xff' * 3,
+        ],
+    )
+    def test_malformed_frame_is_counted_and_others_are_served(self, data):
+        """Guards against a crash or huge allocation by a malformed frame."""
+
+        async def run():
+            server, client = await _started()
+            before = rpc.MALFORMED_FRAMES._value.get()
+            reader, writer = await asyncio.open_connection(
+                *server.address.split(':')
+            )
+            writer.write(data)
+            assert await asyncio.wait_for(reader.read(), 2) == b''
+            reply = await client.call(
+                'renew', rpc.idl.RenewRequest(entry='a'), timeout_s=2
+            )
+            client.close()
+            await server.stop()
+            return reply.granted, rpc.MALFORMED_FRAMES._value.get() - before
+
+        assert asyncio.run(run()) == (True, 1)
