Split the replicated log and test it on a simulated network

Change: votes, follower and leader sides are modules of their own; a simulated cluster with clocks, cuts, loss, pauses, crashes and lost disks checks one log, one leader per term and one leading member at a time, by named cases and by a hypothesis state machine. Ruled out: mixins, because they share all attributes. Partial: the mechanisms are not yet switched off one by one. Conclusion: the interface is unchanged.

--- a/packages/core/src/sassafrasridge_core/raft.py
+++ b/packages/core/src/sassafrasridge_core/raft.py
@@ -7,13 +7,16 @@
 it until it returns nothing. When persisting fails, the caller must stop.
 """
 
-import dataclasses
 import typing
 
 from sassafrasridge_core import errors
+from sassafrasridge_core import raftfollower
 from sassafrasridge_core import raftlog
 from sassafrasridge_core import raftmembers
 from sassafrasridge_core import raftmessages
+from sassafrasridge_core.raftelection import Candidacy
+from sassafrasridge_core.raftelection import Uniform
+from sassafrasridge_core.raftelection import Voter
 from sassafrasridge_core.raftleader import Leadership
 from sassafrasridge_core.raftleader import RaftConfig
 from sassafrasridge_core.raftlog import Entry
@@ -21,10 +24,14 @@
 from sassafrasridge_core.raftlog import Snapshot
 from sassafrasridge_core.raftmembers import AddLearner
 from sassafrasridge_core.raftmembers import Member
+from sassafrasridge_core.raftmembers import MembershipError
 from sassafrasridge_core.raftmembers import Promote
 from sassafrasridge_core.raftmembers import Remove
 from sassafrasridge_core.raftmessages import MalformedMessageError
 from sassafrasridge_core.raftmessages import Message
+from sassafrasridge_core.raftready import NotLeaderError
+from sassafrasridge_core.raftready import Ready
+from sassafrasridge_core.raftready import Stored
 
 __all__ = [
     'AddLearner',
@@ -32,6 +39,7 @@
     'HardState',
     'MalformedMessageError',
     'Member',
+    'MembershipError',
     'Message',
     'NotLeaderError',
     'Promote',
@@ -49,87 +57,15 @@
 LEARNER = 'learner'
 
 
-class NotLeaderError(errors.UnavailableError):
-    """Report a proposal to a member that is not the leader.
-
-    ``leader`` is the name of the leader, None when it isn't known.
-    """
-
-    kind = 'not_leader'
-    remedy = 'Send it to the leader, or again after an election.'
-
-    def __init__(self, leader: str | None) -> None:
-        super().__init__(f'the leader is {leader or "unknown"}')
-        self.leader = leader
-
-
-class Uniform(typing.Protocol):
-    """Stand for a random source such as ``random.Random``."""
-
-    def uniform(self, a: float, b: float) -> float:
-        """Return a number between ``a`` and ``b``."""
-
-
-@dataclasses.dataclass(slots=True)
-class Stored:
-    """Hold what a member has persisted.
-
-    ``members`` is the membership at the first start; a snapshot or an entry
-    of kind 'members' replaces it.
-    """
-
-    disk_id: str = ''
-    members: raftmembers.Members = dataclasses.field(default_factory=dict)
-    hard_state: HardState = HardState()
-    snapshot: Snapshot | None = None
-    entries: list[Entry] = dataclasses.field(default_factory=list)
-
-    @classmethod
-    def empty(
-        cls, members: raftmembers.Bootstrap, disk_id: str = ''
-    ) -> 'Stored':
-        """Return the state for the first start of a cluster.
-
-        ``members`` maps names to disk ids, or to None when not known yet; all
-        members must then take part in the first election. It is empty for a
-        member that joins later.
-        """
-        return cls(disk_id, raftmembers.bootstrap(members))
-
-
-@dataclasses.dataclass(slots=True)
-class Ready:
-    """List what to persist, then what to send and to apply.
+class Raft:
+    """Take part in the replicated log as one member.
 
-    ``truncate_from`` is the first index of persisted entries to drop.
-    ``restore`` says that ``snapshot`` came from the leader and replaces the
-    caller's state before ``committed`` is applied.
+    ``leader`` is the name of the known leader or None. ``unlisted`` maps
+    names to disk ids that contacted this member without being listed;
+    ``refused`` tells that another member answered that this disk is not
+    listed.
     """
 
-    hard_state: HardState | None = None
-    snapshot: Snapshot | None = None
-    restore: bool = False
-    truncate_from: int | None = None
-    entries: list[Entry] = dataclasses.field(default_factory=list)
-    messages: list[Message] = dataclasses.field(default_factory=list)
-    committed: list[Entry] = dataclasses.field(default_factory=list)
-
-    def must_persist(self) -> bool:
-        """Tell whether anything is to be persisted."""
-        return bool(
-            self.hard_state
-            or self.snapshot
-            or self.entries
-            or self.truncate_from is not None
-        )
-
-    def __bool__(self) -> bool:
-        return bool(self.must_persist() or self.messages or self.committed)
-
-
-class Raft:
-    """Take part in the replicated log as one member."""
-
     def __init__(
         self,
         name: str,
@@ -142,10 +78,7 @@
         self.name = name
         self.disk_id = disk_id
         self.leader: str | None = None
-        self.commit_index = 0
-        # Disks that contacted this member without being listed, by name.
         self.unlisted: dict[str, str] = {}
-        # Another member answered that this disk is not listed.
         self.refused = False
         self._cfg = cfg
         self._rng = rng
@@ -153,20 +86,23 @@
         self._log = raftlog.Log(
             stored.members, stored.snapshot, stored.entries
         )
-        self._hard = self._saved = stored.hard_state
-        self._state = FOLLOWER
-        self._prevoting = False
-        self._ballots: dict[str, str] = {}
+        self._voter = Voter(
+            name,
+            disk_id,
+            self._log,
+            stored.hard_state,
+            cfg.election_min_s,
+            now,
+        )
+        self._receiver = raftfollower.Receiver(
+            self._log, cfg.max_snapshot_bytes
+        )
+        self._candidacy: Candidacy | None = None
         self._leadership: Leadership | None = None
-        self._pending_bytes = 0
-        self._incoming: tuple[Message, bytearray] | None = None
+        self._saved = stored.hard_state
         self._saved_snapshot = stored.snapshot
-        self._restore = False
+        self._applied = self._log.commit
         self._messages: list[Message] = []
-        self.commit_index = self._applied = self._log.base_index
-        # Before the restart this member may have confirmed a leader, whose
-        # lease counts on its refusing votes; term 0 proves that it has not.
-        self._heard_at = now if self.term else None
         self._deadline = now
         if raftmembers.voters(self.members) != [name]:
             self._wait(now)
@@ -174,20 +110,27 @@
     @property
     def term(self) -> int:
         """Return the current term."""
-        return self._hard.term
+        return self._voter.hard.term
 
     @property
     def role(self) -> str:
         """Return 'follower', 'candidate', 'leader' or 'learner'."""
-        if self._state == FOLLOWER and not self._is_voter():
-            return LEARNER
-        return self._state
+        if self._leadership is not None:
+            return LEADER
+        if self._candidacy is not None:
+            return CANDIDATE
+        return FOLLOWER if self._voter.is_voter() else LEARNER
 
     @property
     def members(self) -> raftmembers.Members:
         """Return the newest membership in the log."""
         return self._log.members
 
+    @property
+    def commit_index(self) -> int:
+        """Return the index of the last entry known to be committed."""
+        return self._log.commit
+
     @property
     def last_index(self) -> int:
         """Return the index of the last entry, persisted or not."""
@@ -203,10 +146,10 @@
         self._now = now
         if self._leadership is not None:
             if self._leadership.has_quorum(now):
-                self._leadership.tick(now, self.commit_index)
+                self._leadership.tick(now)
             else:
-                self._become_follower(now, self.term)
-        elif now >= self._deadline and self._is_voter():
+                self._follow(now, self.term)
+        elif now >= self._deadline and self._voter.is_voter():
             self._campaign(now)
 
     def leads(self, now: float) -> bool:
@@ -256,6 +199,8 @@
                 retry_after_s=self._cfg.heartbeat_s,
             )
         changed = raftmembers.changed(self.members, change)
+        if isinstance(change, AddLearner) and change.name == self.name:
+            raise MembershipError(f'{self.name!r} leads with its own disk')
         if isinstance(change, Promote) and not self.caught_up(change.name):
             raise errors.UnavailableError(
                 f'{change.name!r} has not caught up yet',
@@ -283,7 +228,7 @@
     def progress(self) -> dict[str, tuple[int, float]]:
         """Return (index held, time of the last answer) per other member."""
         result = {}
-        for name in self._others():
+        for name in self.members:
             found = self._leadership and self._leadership.progress(name)
             if found:
                 result[name] = (found.match, found.acked_at)
@@ -293,14 +238,15 @@
         """Return what to persist, send and apply; see the module."""
         self._log.stable = self._log.handed
         if self._leadership is not None:
-            self._advance_commit(self._now)
+            self._advance_commit(self._now, self._leadership)
         ready = Ready(messages=self._messages)
         self._messages = []
-        if self._hard != self._saved:
-            ready.hard_state = self._saved = self._hard
+        if self._voter.hard != self._saved:
+            ready.hard_state = self._saved = self._voter.hard
         if self._log.snapshot is not self._saved_snapshot:
             ready.snapshot = self._saved_snapshot = self._log.snapshot
-            ready.restore, self._restore = self._restore, False
+            ready.restore = self._receiver.restored
+            self._receiver.restored = False
         ready.truncate_from, ready.entries = self._log.hand_out()
         self._applied = max(self._applied, self._log.base_index)
         ready.committed = self._log.between(
@@ -336,50 +282,38 @@
 
     # Elections
 
-    def _others(self) -> list[str]:
-        return [name for name in self.members if name != self.name]
-
-    def _is_voter(self) -> bool:
-        return raftmembers.votes(self.members, self.name, self.disk_id)
-
     def _wait(self, now: float) -> None:
         self._deadline = now + self._rng.uniform(
             self._cfg.election_min_s, self._cfg.election_max_s
         )
 
-    def _set_hard(self, term: int, vote: str) -> None:
-        self._hard = HardState(term, vote)
-
-    def _become_follower(self, now: float, term: int) -> None:
+    def _follow(self, now: float, term: int) -> None:
+        """Become a follower, of ``term`` when it is a later one."""
         if term > self.term:
-            self._set_hard(term, '')
+            self._voter.hard = HardState(term)
             self.leader = None
-        if self._state == LEADER:
+        if self._leadership is not None:
             self.leader = None
             self._wait(now)
-        self._state = FOLLOWER
         self._leadership = None
-        self._ballots = {}
+        self._candidacy = None
 
     def _campaign(self, now: float) -> None:
         """Ask whether an election could be won before raising the term."""
         self.leader = None
-        self._state = CANDIDATE
-        self._prevoting = True
-        self._ballots = {self.name: self.disk_id}
+        self._candidacy = Candidacy(self._log, self._voter, prevoting=True)
         self._deadline = now + self._rng.uniform(
             self._cfg.prevote_retry_min_s, self._cfg.prevote_retry_max_s
         )
         self._ask(raftmessages.PREVOTE, self.term + 1)
-        self._count(now)
+        self._count(now, self._candidacy)
 
     def _elect(self, now: float) -> None:
-        self._prevoting = False
-        self._set_hard(self.term + 1, _identity(self.name, self.disk_id))
-        self._ballots = {self.name: self.disk_id}
+        self._voter.vote_for_itself()
+        self._candidacy = Candidacy(self._log, self._voter, prevoting=False)
         self._wait(now)
         self._ask(raftmessages.VOTE, self.term)
-        self._count(now)
+        self._count(now, self._candidacy)
 
     def _ask(self, kind: str, term: int) -> None:
         log_term, index = self._log.last
@@ -389,77 +323,45 @@
                     kind, name, term=term, index=index, log_term=log_term
                 )
 
-    def _count(self, now: float) -> None:
-        if len(self._ballots) < raftmembers.quorum(self.members):
+    def _count(self, now: float, candidacy: Candidacy) -> None:
+        if not candidacy.won():
             return
-        if self._prevoting:
+        if candidacy.prevoting:
             self._elect(now)
         else:
-            self._lead(now)
+            self._lead(now, candidacy)
 
-    def _lead(self, now: float) -> None:
-        self._state = LEADER
+    def _lead(self, now: float, candidacy: Candidacy) -> None:
+        self._candidacy = None
         self.leader = self.name
         self.refused = False
         self._leadership = Leadership(
-            self.name,
-            self._log,
-            self._cfg,
-            self._send,
-            now,
-            self.commit_index,
-        )
-        self._pending_bytes = sum(
-            len(entry.payload)
-            for entry in self._log.between(
-                self.commit_index + 1, self._log.last_index
-            )
+            self.name, self._log, self._cfg, self._send, now
         )
         if self._log.last_index == 0:
             # The first entry records the membership and binds the disks.
-            members = raftmembers.bind(self.members, self._ballots)
+            members = raftmembers.bind(self.members, candidacy.ballots)
             payload = raftmembers.encode(members)
             self._append(now, raftlog.MEMBERS, payload)
         else:
             self._append(now, raftlog.NOOP, b'')
-        self._leadership.heartbeat(now, self.commit_index)
-
-    def _hears_leader(self, now: float) -> bool:
-        if self._leadership is not None:
-            return self._leadership.has_lease(now)
-        return (
-            self._heard_at is not None
-            and now < self._heard_at + self._cfg.election_min_s
-        )
+        self._leadership.heartbeat(now)
 
     def _on_vote(self, now: float, message: Message) -> None:
-        # Only a candidate with entries that this member lacks may know of a
-        # membership that this member does not know.
-        ahead = (message.log_term, message.index) > self._log.last
-        if not ahead and not raftmembers.votes(
-            self.members, message.sender, message.disk_id
-        ):
+        if not self._voter.knows(message):
             self._note_unlisted(message)
             self._send(raftmessages.UNLISTED, message.sender)
             return
-        if self._hears_leader(now):
+        if self._leadership is not None:
+            if self._leadership.has_lease(now):
+                return
+        elif self._voter.hears_leader(now):
             return
         prevote = message.kind == raftmessages.PREVOTE
         if not prevote and message.term > self.term:
-            self._become_follower(now, message.term)
-        voter = _identity(message.sender, message.disk_id)
-        granted = (
-            (message.log_term, message.index) >= self._log.last
-            and (ahead or self._is_voter())
-            and (
-                message.term > self.term
-                if prevote
-                else message.term == self.term
-                and self._hard.vote in ('', voter)
-            )
-        )
+            self._follow(now, message.term)
+        granted = self._voter.grant(message)
         if granted and not prevote:
-            self._set_hard(self.term, voter)
             self._wait(now)
         self._send(
             raftmessages.PREVOTE_ACK if prevote else raftmessages.VOTE_ACK,
@@ -468,21 +370,6 @@
             granted=granted,
         )
 
-    def _on_ballot(self, now: float, message: Message) -> None:
-        prevote = message.kind == raftmessages.PREVOTE_ACK
-        asked = self.term + 1 if prevote else self.term
-        if (
-            message.granted
-            and self._state == CANDIDATE
-            and self._prevoting == prevote
-            and message.term == asked
-            and raftmembers.votes(
-                self.members, message.sender, message.disk_id
-            )
-        ):
-            self._ballots[message.sender] = message.disk_id
-            self._count(now)
-
     def _note_unlisted(self, message: Message) -> None:
         known = message.sender in self.unlisted
         if known or len(self.unlisted) < raftmembers.MAX_MEMBERS:
@@ -493,25 +380,27 @@
     def _on_answer(self, now: float, message: Message) -> None:
         prevoted = message.kind == raftmessages.PREVOTE_ACK and message.granted
         if message.term > self.term and not prevoted:
-            self._become_follower(now, message.term)
+            self._follow(now, message.term)
         elif message.kind in (
             raftmessages.PREVOTE_ACK,
             raftmessages.VOTE_ACK,
         ):
-            self._on_ballot(now, message)
+            if self._candidacy is not None:
+                self._candidacy.count(message, self.term)
+                self._count(now, self._candidacy)
         elif message.term == self.term and self._leadership is not None:
             self._leadership.acknowledged(now, message)
-            self._advance_commit(now)
+            self._advance_commit(now, self._leadership)
 
     def _append(
         self, now: float, kind: str, payload: bytes
     ) -> tuple[int, int]:
         if self._leadership is None:
             raise NotLeaderError(self.leader)
-        pending = self._log.last_index - self.commit_index
+        pending = self._log.last_index - self._log.commit
         if kind == raftlog.COMMAND and (
             pending >= self._cfg.max_pending_entries
-            or self._pending_bytes >= self._cfg.max_pending_bytes
+            or self._log.pending_bytes >= self._cfg.max_pending_bytes
         ):
             raise errors.UnavailableError(
                 f'{pending} changes wait for a majority of control members',
@@ -520,32 +409,22 @@
             )
         index = self._log.last_index + 1
         self._log.append(Entry(index, self.term, kind, payload))
-        self._pending_bytes += len(payload)
         if kind == raftlog.MEMBERS or index == self._leadership.first_index:
             self._leadership.sync_members()
         self._leadership.replicate(now)
         return self.term, index
 
-    def _advance_commit(self, now: float) -> None:
-        leadership = self._leadership
-        assert leadership is not None
+    def _advance_commit(self, now: float, leadership: Leadership) -> None:
         index = leadership.quorum_index()
         # An entry of an older term may still be replaced although a majority
         # holds it; an entry of this term on top of it makes it safe.
-        if index <= self.commit_index or self._log.term_at(index) != self.term:
+        if index <= self._log.commit or self._log.term_at(index) != self.term:
             return
-        self._commit_to(index)
-        leadership.heartbeat(now, self.commit_index)
-        listed = self._log.members_at(self.commit_index)
+        self._log.commit_to(index)
+        leadership.heartbeat(now)
+        listed = self._log.members_at(index)
         if not raftmembers.votes(listed, self.name, self.disk_id):
-            self._become_follower(now, self.term)
-
-    def _commit_to(self, index: int) -> None:
-        index = min(index, self._log.last_index)
-        if index > self.commit_index:
-            for entry in self._log.between(self.commit_index + 1, index):
-                self._pending_bytes -= len(entry.payload)
-            self.commit_index = index
+            self._follow(now, self.term)
 
     # Follower
 
@@ -554,121 +433,33 @@
             # The answer's term makes a leader of an older term step down.
             self._send(raftmessages.HEARTBEAT_ACK, message.sender)
             return
-        if message.term == self.term and self._state == LEADER:
+        if message.term == self.term and self._leadership is not None:
             return
-        self._become_follower(now, message.term)
+        self._follow(now, message.term)
         self.leader = message.sender
-        self._heard_at = now
+        self._voter.heard_at = now
         self._wait(now)
+        self._answer(message)
+        if self._voter.is_voter():
+            self.refused = False
+
+    def _answer(self, message: Message) -> None:
+        fields: raftfollower.Fields | None
         if message.kind == raftmessages.APPEND:
-            self._on_append(message)
+            kind = raftmessages.APPEND_ACK
+            fields = self._receiver.append(message)
         elif message.kind == raftmessages.SNAPSHOT:
-            self._on_snapshot(message)
+            kind = raftmessages.SNAPSHOT_ACK
+            fields = self._receiver.snapshot(message)
         else:
-            self._commit_to(message.commit)
-            self._answer(raftmessages.HEARTBEAT_ACK, message)
-        if self._is_voter():
-            self.refused = False
-
-    def _on_append(self, message: Message) -> None:
-        before = message.index
-        if (
-            before > self.commit_index
-            and self._log.term_at(before) != message.log_term
-        ):
-            index = min(self._log.last_index, before)
-            while index > self.commit_index:
-                if (self._log.term_at(index) or 0) <= message.log_term:
-                    break
-                index -= 1
-            self._answer(
-                raftmessages.APPEND_ACK,
-                message,
-                index=index,
-                log_term=self._log.term_at(index) or 0,
-                offset=before,
-            )
-            return
-        for entry in message.entries:
-            if (
-                entry.index > self.commit_index
-                and self._log.term_at(entry.index) != entry.term
-            ):
-                self._log.append(entry)
-        matched = before + len(message.entries)
-        self._commit_to(min(message.commit, matched))
-        self._answer(
-            raftmessages.APPEND_ACK,
-            message,
-            index=max(matched, self.commit_index),
-            granted=True,
-        )
-
-    def _on_snapshot(self, message: Message) -> None:
-        if message.total > self._cfg.max_snapshot_bytes:
-            return
-        if message.index > self.commit_index:
-            part = self._collect(message)
-            if len(part) < message.total:
-                self._answer(
-                    raftmessages.SNAPSHOT_ACK,
-                    message,
-                    index=message.index,
-                    offset=len(part),
-                )
-                return
-            self._install(message, bytes(part))
-        self._answer(
-            raftmessages.SNAPSHOT_ACK,
-            message,
-            index=self.commit_index,
-            granted=True,
-        )
-
-    def _collect(self, message: Message) -> bytearray:
-        key = _snapshot_key(message)
-        if self._incoming is None or _snapshot_key(self._incoming[0]) != key:
-            self._incoming = (message, bytearray())
-        part = self._incoming[1]
-        if (
-            message.offset == len(part)
-            and len(part) + len(message.data) <= message.total
-        ):
-            part += message.data
-        return part
-
-    def _install(self, message: Message, data: bytes) -> None:
-        self._incoming = None
-        members = message.members or {}
-        self._log.restore(
-            Snapshot(message.index, message.log_term, members, data)
-        )
-        self.commit_index = message.index
-        self._restore = True
-
-    # Messages
+            kind = raftmessages.HEARTBEAT_ACK
+            self._log.commit_to(message.commit)
+            fields = {}
+        if fields is not None:
+            self._send(kind, message.sender, sent_at=message.sent_at, **fields)
 
     def _send(self, kind: str, recipient: str, **fields: typing.Any) -> None:
         term = fields.pop('term', self.term)
         self._messages.append(
             Message(kind, self.name, self.disk_id, recipient, term, **fields)
         )
-
-    def _answer(
-        self, kind: str, message: Message, **fields: typing.Any
-    ) -> None:
-        self._send(kind, message.sender, sent_at=message.sent_at, **fields)
-
-
-def _identity(name: str, disk_id: str) -> str:
-    return f'{name}/{disk_id}'
-
-
-def _snapshot_key(message: Message) -> tuple[str, int, int, int, int]:
-    return (
-        message.sender,
-        message.term,
-        message.index,
-        message.log_term,
-        message.total,
-    )
--- a/packages/core/src/sassafrasridge_core/raftleader.py
+++ b/packages/core/src/sassafrasridge_core/raftleader.py
@@ -109,7 +109,6 @@
         '_elected_at',
         '_heartbeat_at',
         '_progress',
-        '_commit',
     )
 
     def __init__(
@@ -119,7 +118,6 @@
         cfg: RaftConfig,
         send: Send,
         now: float,
-        commit: int,
     ) -> None:
         self.first_index = log.last_index + 1
         self._name = name
@@ -129,7 +127,6 @@
         self._elected_at = now
         self._heartbeat_at = now
         self._progress: dict[str, Progress] = {}
-        self._commit = commit
 
     def sync_members(self) -> None:
         """Track exactly the other members; a new disk starts afresh."""
@@ -181,22 +178,21 @@
         values.sort(reverse=True)
         return values[raftmembers.quorum(members) - 1]
 
-    def heartbeat(self, now: float, commit: int) -> None:
+    def heartbeat(self, now: float) -> None:
         """Tell all members the commit index and ask them to confirm."""
         self._heartbeat_at = now
-        self._commit = commit
         for name, progress in self._progress.items():
             self._send(
                 raftmessages.HEARTBEAT,
                 name,
-                commit=min(commit, progress.match),
+                commit=min(self._log.commit, progress.match),
                 sent_at=now,
             )
 
-    def tick(self, now: float, commit: int) -> None:
+    def tick(self, now: float) -> None:
         """Send heartbeats when due and repeat what got no answer."""
         if now >= self._heartbeat_at + self._cfg.heartbeat_s:
-            self.heartbeat(now, commit)
+            self.heartbeat(now)
         for progress in self._progress.values():
             since = progress.waiting_since
             if since is not None and now - since >= self._cfg.resend_s:
@@ -294,7 +290,7 @@
             name,
             index=before,
             log_term=log_term,
-            commit=self._commit,
+            commit=self._log.commit,
             entries=entries,
             sent_at=now,
         )
--- a/packages/core/src/sassafrasridge_core/raftlog.py
+++ b/packages/core/src/sassafrasridge_core/raftlog.py
@@ -43,13 +43,16 @@
     """Keep the entries after the snapshot and know which are persisted.
 
     ``stable`` is the last index known to be persisted, ``handed`` the last
-    index that was given to the storage.
+    index that was given to the storage, ``commit`` the last committed index,
+    ``pending_bytes`` the size of the payloads after it.
     """
 
     __slots__ = (
         'snapshot',
         'stable',
         'handed',
+        'commit',
+        'pending_bytes',
         '_base',
         '_entries',
         '_truncated',
@@ -68,9 +71,11 @@
         if snapshot is not None:
             self._base = (snapshot.index, snapshot.term)
             members = snapshot.members
+        self.commit = self._base[0]
+        self.pending_bytes = 0
         self._configs = [(self._base[0], members)]
         for entry in self._entries:
-            self._note_members(entry)
+            self._note(entry)
         self.stable = self.handed = self.last_index
         self._truncated: int | None = None
 
@@ -138,7 +143,14 @@
         if entry.index <= self.last_index:
             self._truncate(entry.index)
         self._entries.append(entry)
-        self._note_members(entry)
+        self._note(entry)
+
+    def commit_to(self, index: int) -> None:
+        """Raise the commit index, at most to the last entry."""
+        index = min(index, self.last_index)
+        for entry in self.between(self.commit + 1, index):
+            self.pending_bytes -= len(entry.payload)
+        self.commit = max(self.commit, index)
 
     def compact(self, snapshot: Snapshot) -> None:
         """Replace the entries up to the snapshot's index by it."""
@@ -153,12 +165,15 @@
     def restore(self, snapshot: Snapshot) -> None:
         """Take a snapshot of the leader; keep a suffix that continues it."""
         if self.term_at(snapshot.index) == snapshot.term:
+            self.commit_to(snapshot.index)
             self.compact(snapshot)
         else:
             self._entries = []
             self._base = (snapshot.index, snapshot.term)
             self._configs = [(snapshot.index, snapshot.members)]
             self.snapshot = snapshot
+            self.commit = snapshot.index
+            self.pending_bytes = 0
             self._truncated = snapshot.index + 1
             self.stable = self.handed = snapshot.index
         self.stable = max(self.stable, snapshot.index)
@@ -172,6 +187,8 @@
         return truncated, entries
 
     def _truncate(self, index: int) -> None:
+        for entry in self.between(index, self.last_index):
+            self.pending_bytes -= len(entry.payload)
         del self._entries[index - self._base[0] - 1 :]
         while len(self._configs) > 1 and self._configs[-1][0] >= index:
             self._configs.pop()
@@ -180,7 +197,8 @@
         self.handed = min(self.handed, index - 1)
         self.stable = min(self.stable, index - 1)
 
-    def _note_members(self, entry: Entry) -> None:
+    def _note(self, entry: Entry) -> None:
+        self.pending_bytes += len(entry.payload)
         if entry.kind == MEMBERS:
             members = raftmembers.decode(entry.payload)
             self._configs.append((entry.index, members))
--- a/packages/core/src/sassafrasridge_core/raftmembers.py
+++ b/packages/core/src/sassafrasridge_core/raftmembers.py
@@ -125,6 +125,8 @@
             del result[change.name]
         elif members[change.name].voter:
             raise MembershipError(f'{change.name!r} is a voter already')
+        elif not members[change.name].disk_id:
+            raise MembershipError(f'the disk of {change.name!r} is not known')
         else:
             result[change.name] = dataclasses.replace(
                 members[change.name], voter=True
--- /dev/null
+++ b/tests/core/test_raft.py
@@ -0,0 +1,883 @@
+"""Tests of the replicated log, on members that share a simulated network."""
+
+import os
+import random
+
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies as st
+import orjson
+import pytest
+from sassafrasridge_core import errors
+from sassafrasridge_core import raft
+from sassafrasridge_core import raftmembers
+from sassafrasridge_core import raftmessages
+
+STEP_S = 0.02
+# Two clocks that run 1% fast and 1% slow differ by the 2% of the margin.
+RATES = (1.0, 1.01, 0.99, 1.0, 0.995)
+CFG = raft.RaftConfig(snapshot_part_bytes=64)
+# Within this time a healthy cluster elects a leader, also after split votes.
+ELECTION_S = 8.0
+
+
+class Disk:
+    """Keep in memory what a member persisted."""
+
+    def __init__(self, disk_id, members):
+        self.stored = raft.Stored.empty(members, disk_id)
+
+    def persist(self, ready):
+        stored = self.stored
+        if ready.hard_state is not None:
+            stored.hard_state = ready.hard_state
+        if ready.snapshot is not None:
+            base = ready.snapshot.index
+            same = [item for item in stored.entries if item.index == base]
+            keeps = not same or same[0].term == ready.snapshot.term
+            stored.snapshot = ready.snapshot
+            stored.entries = [
+                item for item in stored.entries if keeps and item.index > base
+            ]
+        if ready.truncate_from is not None:
+            stored.entries = [
+                item
+                for item in stored.entries
+                if item.index < ready.truncate_from
+            ]
+        stored.entries.extend(ready.entries)
+
+    def copy(self):
+        stored = self.stored
+        return raft.Stored(
+            stored.disk_id,
+            stored.members,
+            stored.hard_state,
+            stored.snapshot,
+            list(stored.entries),
+        )
+
+
+class Node:
+    """Run one member and apply what it commits to a list of texts."""
+
+    def __init__(self, name, disk, rate):
+        self.name = name
+        self.disk = disk
+        self.rate = rate
+        self.raft = None
+        self.paused = False
+
+    def start(self, now, seed):
+        stored = self.disk.copy()
+        self.state = []
+        if stored.snapshot is not None:
+            self.state = orjson.loads(stored.snapshot.data)
+        self.commit = 0
+        self.raft = raft.Raft(
+            self.name,
+            stored.disk_id,
+            stored,
+            CFG,
+            now * self.rate,
+            random.Random(f'{self.name}{seed}'),
+        )
+
+
+class Cluster:
+    """Simulate members, clocks and a network, and check what must hold."""
+
+    def __init__(self, names, known=True, seed=0):
+        self.now = 100.0
+        self.random = random.Random(seed)
+        self.known = known
+        self.names = list(names)
+        self.disks = 0
+        self.bootstrap = {
+            name: f'{name}0' if known else None for name in names
+        }
+        self.nodes = {}
+        self.queue = []
+        self.cut = set()
+        self.loss = self.duplicates = self.delays = 0.0
+        self.log = {}
+        self.leaders = {}
+        self.sent = 0
+        for name in names:
+            self.add(name, f'{name}0', self.bootstrap)
+
+    def add(self, name, disk_id, members):
+        disk = Disk(disk_id, members)
+        rate = RATES[len(self.nodes) % len(RATES)]
+        self.nodes[name] = Node(name, disk, rate)
+        self.start(name)
+
+    def start(self, name):
+        self.nodes[name].start(self.now, self.random.random())
+
+    def crash(self, name, persisted=False):
+        """Stop a member; its last output may be persisted but not sent."""
+        node = self.nodes[name]
+        if node.raft is not None and persisted:
+            node.disk.persist(node.raft.ready())
+        node.raft = None
+
+    def lose_disk(self, name, members=None):
+        """Replace the disk by an empty one and start the member."""
+        self.crash(name)
+        self.disks += 1
+        disk_id = f'{name}{self.disks}'
+        if members is None:
+            members = self.bootstrap
+        self.nodes[name].disk = Disk(disk_id, members)
+        self.start(name)
+        return disk_id
+
+    def isolate(self, *names):
+        """Cut the links between these members and the others."""
+        self.cut = {
+            (one, other)
+            for one in self.nodes
+            for other in self.nodes
+            if (one in names) != (other in names)
+        }
+
+    def running(self):
+        return [
+            node
+            for node in self.nodes.values()
+            if node.raft is not None and not node.paused
+        ]
+
+    def clock(self, node):
+        return self.now * node.rate
+
+    def leader(self):
+        for node in self.running():
+            if node.raft.leads(self.clock(node)):
+                return node
+        return None
+
+    def step(self):
+        self.now += STEP_S
+        for node in self.running():
+            node.raft.tick(self.clock(node))
+        self.pump()
+
+    def pump(self):
+        """Exchange messages until no member has anything to do."""
+        for _ in range(1000):
+            busy = [self._process(node) for node in self.running()]
+            if not any(busy) and not self._deliver():
+                break
+        else:
+            raise AssertionError('members exchange messages without end')
+        self.check()
+
+    def _process(self, node):
+        ready = node.raft.ready()
+        if not ready:
+            return False
+        node.disk.persist(ready)
+        if ready.restore:
+            node.state = orjson.loads(ready.snapshot.data)
+            assert node.state == self.state_at(ready.snapshot.index)
+        for entry in ready.committed:
+            assert self.log.setdefault(entry.index, entry) == entry
+            if entry.kind == 'command':
+                node.state.append(entry.payload.decode())
+        for message in ready.messages:
+            self.sent += 1
+            self.queue.append(message.encode())
+            if self.random.random() < self.duplicates:
+                self.queue.append(message.encode())
+        return True
+
+    def _deliver(self):
+        queue, self.queue = self.queue, []
+        if self.delays:
+            self.random.shuffle(queue)
+        delivered = False
+        for data in queue:
+            if self.delays and self.random.random() < self.delays:
+                self.queue.append(data)
+                continue
+            if self.random.random() < self.loss:
+                continue
+            message = raft.Message.decode(data)
+            node = self.nodes.get(message.recipient)
+            if node is None or node.raft is None:
+                continue
+            if (message.sender, message.recipient) in self.cut:
+                continue
+            if node.paused:
+                self.queue.append(data)
+                continue
+            node.raft.receive(self.clock(node), message)
+            delivered = True
+        return delivered
+
+    def state_at(self, index):
+        return [
+            self.log[position].payload.decode()
+            for position in range(1, index + 1)
+            if self.log[position].kind == 'command'
+        ]
+
+    def check(self):
+        """Check the oracle: one log, one leader per term and per moment."""
+        leading = []
+        for node in self.nodes.values():
+            if node.raft is None:
+                continue
+            assert node.raft.commit_index >= node.commit
+            node.commit = node.raft.commit_index
+            if node.raft.role == 'leader':
+                identity = (node.name, node.raft.disk_id)
+                term = node.raft.term
+                assert self.leaders.setdefault(term, identity) == identity
+            # A paused member counts: it could resume at this moment.
+            if node.raft.leads(self.clock(node)):
+                leading.append(node)
+        assert len(leading) <= 1
+        for node in leading:
+            assert node.raft.commit_index >= max(self.log, default=0)
+
+    def run(self, seconds, until=None):
+        """Let time pass; tell whether ``until`` came true."""
+        end = self.now + seconds
+        while self.now < end:
+            if until is not None and until():
+                return True
+            self.step()
+        return until is not None and until()
+
+    def elect(self):
+        assert self.run(ELECTION_S, self.leader), 'no leader was elected'
+        return self.leader()
+
+    def propose(self, text):
+        """Propose on the leader and wait until all running have it."""
+        node = self.elect()
+        node.raft.propose(self.clock(node), text.encode())
+        self.pump()
+
+    def write(self, text):
+        self.propose(text)
+        assert self.run(ELECTION_S, lambda: self.committed(text)), text
+
+    def committed(self, text):
+        return any(
+            item.payload == text.encode() and item.kind == 'command'
+            for item in self.log.values()
+        )
+
+    def change(self, change):
+        """Make one change of members and wait until it is committed."""
+
+        def attempt():
+            node = self.leader()
+            try:
+                if node is not None:
+                    found = node.raft.change_members(self.clock(node), change)
+                    indexes.append(found[1])
+            except errors.UnavailableError:
+                pass
+            return bool(indexes)
+
+        indexes = []
+        assert self.run(ELECTION_S, attempt), f'{change} is refused'
+        assert self.run(ELECTION_S, lambda: indexes[0] in self.log)
+
+    def replace(self, name, disk_id):
+        self.change(raft.AddLearner(name, disk_id))
+        self.change(raft.Promote(name))
+
+    def converge(self):
+        """Check that all running members reach the same state."""
+
+        def equal():
+            commits = {node.raft.commit_index for node in self.running()}
+            return len(commits) == 1 and commits == {max(self.log)}
+
+        assert self.run(ELECTION_S, equal)
+        expected = self.state_at(max(self.log))
+        for node in self.running():
+            assert node.state == expected
+
+    def compact(self, name):
+        node = self.nodes[name]
+        index = node.raft.commit_index
+        if index > node.raft.snapshot_index:
+            node.raft.compact(index, orjson.dumps(node.state))
+
+    def others(self, name):
+        return [other for other in self.nodes if other != name]
+
+
+def make(names='abc', **options):
+    cluster = Cluster(names, **options)
+    cluster.write('first')
+    cluster.converge()
+    return cluster
+
+
+class TestElection:
+    def test_isolated_member_returns_without_disturbing_the_leader(self):
+        """Guards against a term that rises while a member is isolated."""
+        cluster = make()
+        leader = cluster.leader()
+        term = leader.raft.term
+        cluster.isolate(cluster.others(leader.name)[0])
+        cluster.run(120)
+        cluster.write('meanwhile')
+        cluster.cut = set()
+        for _ in range(100):
+            cluster.step()
+            assert cluster.leader() is leader
+        assert leader.raft.term == term
+        cluster.converge()
+
+    def test_member_that_hears_the_leader_refuses_its_vote(self):
+        """Guards against an election while the leader's lease is valid."""
+        cluster = make()
+        leader = cluster.leader()
+        deaf, other = cluster.others(leader.name)
+        cluster.cut = {(leader.name, deaf)}
+        for _ in range(500):
+            cluster.step()
+            assert cluster.leader() is leader
+        assert cluster.nodes[other].raft.term == leader.raft.term
+
+    def test_restarted_member_refuses_its_vote_for_one_timeout(self):
+        """Guards against a vote that ends a lease confirmed before a crash."""
+        cluster = make()
+        leader = cluster.leader()
+        voter, candidate = cluster.others(leader.name)
+        cluster.isolate(leader.name)
+        cluster.crash(voter)
+        cluster.start(voter)
+        node = cluster.nodes[voter]
+        last = node.raft.last_index
+        for later, granted in ((0.1, False), (0.6, True)):
+            node.raft.receive(
+                cluster.clock(node) + later,
+                raft.Message(
+                    'vote', candidate, f'{candidate}0', voter, 9, last, 9
+                ),
+            )
+            answers = node.raft.ready().messages
+            assert any(item.granted for item in answers) == granted
+
+    def test_vote_survives_a_restart(self):
+        """Guards against two votes in one term."""
+        cluster = Cluster('abc')
+        node = cluster.nodes['a']
+        for sender, granted in (('b', True), ('c', False)):
+            message = raft.Message('vote', sender, f'{sender}0', 'a', 5)
+            node.raft.receive(cluster.now * 2, message)
+            ready = node.raft.ready()
+            assert ready.messages[0].granted == granted
+            node.disk.persist(ready)
+            cluster.crash('a')
+            cluster.start('a')
+
+    def test_leader_without_a_majority_steps_down(self):
+        """Guards against a leader that accepts changes it can't commit."""
+        cluster = make()
+        leader = cluster.leader()
+        cluster.isolate(leader.name)
+        cluster.run(CFG.election_max_s + 0.2)
+        assert leader.raft.role != 'leader'
+        with pytest.raises(raft.NotLeaderError):
+            leader.raft.propose(cluster.clock(leader), b'lost')
+
+    def test_resumed_leader_knows_that_its_lease_has_run_out(self):
+        """Guards against reads from a replaced leader after a pause."""
+        cluster = make()
+        leader = cluster.leader()
+        leader.paused = True
+        cluster.run(0.45)
+        assert leader.raft.leads(cluster.clock(leader))
+        cluster.run(0.1)
+        assert not leader.raft.leads(cluster.clock(leader))
+        cluster.write('by another leader')
+        leader.paused = False
+        cluster.converge()
+
+    def test_leader_commits_older_terms_only_below_an_own_entry(self):
+        """Guards against a commit that a later leader can replace."""
+        entries = [
+            raft.Entry(1, 1, 'noop', b''),
+            raft.Entry(2, 2, 'command', b'old'),
+        ]
+        stored = raft.Stored.empty({'a': 'a0', 'b': 'b0', 'c': 'c0'}, 'a0')
+        stored.hard_state = raft.HardState(3)
+        stored.entries = entries
+        member = raft.Raft('a', 'a0', stored, CFG, 0.0, random.Random(1))
+        member.tick(2.0)
+        for kind, term in (('prevote_ack', 4), ('vote_ack', 4)):
+            answer = raft.Message(kind, 'b', 'b0', 'a', term, granted=True)
+            member.receive(2.0, answer)
+        assert member.role == 'leader'
+        for index, commit in ((2, 0), (3, 3)):
+            member.ready()
+            member.receive(
+                2.1,
+                raft.Message(
+                    'append_ack', 'b', 'b0', 'a', 4, index, granted=True
+                ),
+            )
+            assert member.commit_index == commit
+
+
+class TestReplication:
+    def test_single_member_commits_once_persisted(self):
+        """Guards against a commit of an entry that is on no disk."""
+        cluster = make('a')
+        member = cluster.nodes['a'].raft
+        _, index = member.propose(cluster.now, b'x')
+        ready = member.ready()
+        assert [item.index for item in ready.entries] == [index]
+        assert not ready.committed
+        assert [item.index for item in member.ready().committed] == [index]
+
+    def test_proposal_commits_without_a_tick(self):
+        """Guards against waiting for the next tick with each change."""
+        cluster = make()
+        cluster.propose('now')
+        assert cluster.committed('now')
+
+    def test_lost_messages_are_sent_again(self):
+        """Guards against a member that stays behind after losses."""
+        cluster = make()
+        cluster.loss = 0.3
+        for count in range(20):
+            node = cluster.leader()
+            if node is not None:
+                text = f'n{count}'.encode()
+                node.raft.propose(cluster.clock(node), text)
+            cluster.run(0.2)
+        cluster.loss = 0.0
+        cluster.write('last')
+        cluster.converge()
+
+    def test_diverged_log_is_replaced_in_few_messages(self):
+        """Guards against backing off by one entry per message."""
+        cluster = make()
+        leader = cluster.leader()
+        cluster.isolate(leader.name)
+        for count in range(300):
+            leader.raft.propose(cluster.clock(leader), b'lost%d' % count)
+        cluster.pump()
+        cluster.run(3)
+        for count in range(300):
+            cluster.propose(f'kept{count}')
+        cluster.cut = set()
+        cluster.sent = 0
+        cluster.run(0.5)
+        cluster.converge()
+        assert cluster.sent < 100
+        assert not cluster.committed('lost0')
+
+    def test_member_far_behind_gets_the_snapshot_in_parts(self):
+        """Guards against a member that can't catch up after compaction."""
+        cluster = make()
+        behind = cluster.others(cluster.leader().name)[0]
+        cluster.isolate(behind)
+        for count in range(60):
+            cluster.write(f'{count}')
+        for name in cluster.others(behind):
+            cluster.compact(name)
+        cluster.pump()
+        cluster.cut = set()
+        cluster.loss = 0.2
+        cluster.run(5)
+        cluster.loss = 0.0
+        cluster.write('last')
+        cluster.converge()
+        node = cluster.nodes[behind]
+        assert len(node.disk.stored.snapshot.data) > 2 * 64
+        cluster.crash(behind)
+        cluster.start(behind)
+        cluster.converge()
+
+    def test_messages_and_what_is_in_flight_are_bounded(self):
+        """Guards against frames over the transport's limit of 4 MiB."""
+        cluster = make()
+        leader = cluster.leader()
+        node, silent = cluster.others(leader.name)
+        cluster.isolate(silent)
+        payload = bytes(CFG.max_entry_bytes)
+        for _ in range(12):
+            leader.raft.propose(cluster.clock(leader), payload)
+            ready = leader.raft.ready()
+            leader.disk.persist(ready)
+            for message in ready.messages:
+                assert len(message.encode()) < 4 * 1024 * 1024
+                if message.recipient == node:
+                    cluster.queue.append(message.encode())
+        progress = leader.raft._leadership.progress(silent)
+        assert len(progress.in_flight) <= CFG.max_in_flight
+        cluster.cut = set()
+        cluster.converge()
+
+    def test_proposals_that_cannot_commit_are_refused_at_a_bound(self):
+        """Guards against memory that grows while a majority is away."""
+        cluster = make()
+        leader = cluster.leader()
+        cluster.isolate(leader.name)
+        with pytest.raises(errors.UnavailableError, match='wait'):
+            for _ in range(CFG.max_pending_entries + 1):
+                leader.raft.propose(cluster.clock(leader), b'x')
+        with pytest.raises(errors.TooLargeError):
+            leader.raft.propose(
+                cluster.clock(leader), bytes(CFG.max_entry_bytes + 1)
+            )
+
+
+class TestMembers:
+    def lose_follower(self, cluster):
+        """Return (leader, lost, other, new disk id)."""
+        leader = cluster.leader()
+        lost, other = cluster.others(leader.name)
+        return leader, lost, other, cluster.lose_disk(lost)
+
+    @pytest.mark.parametrize('known', [True, False])
+    def test_empty_disk_never_votes_under_the_former_identity(self, known):
+        """Guards against losing a commit that the lost disk had confirmed."""
+        cluster = make(known=known)
+        leader = cluster.leader()
+        lost, behind = cluster.others(leader.name)
+        cluster.isolate(behind)
+        cluster.write('on the leader and the lost disk')
+        cluster.lose_disk(lost)
+        cluster.isolate(leader.name)
+        cluster.run(10)
+        assert cluster.leader() is None
+        assert cluster.nodes[lost].raft.role != 'leader'
+        assert cluster.nodes[lost].raft.refused or known
+        cluster.cut = set()
+        cluster.write('after')
+
+    def test_lost_right_after_the_repair_is_complete(self):
+        """Guards against a new voter that lacks committed entries."""
+        cluster = make()
+        leader, lost, other, disk_id = self.lose_follower(cluster)
+        cluster.write('before')
+        cluster.replace(lost, disk_id)
+        assert cluster.run(5, lambda: leader.raft.caught_up(lost))
+        cluster.lose_disk(leader.name)
+        cluster.write('after')
+        assert cluster.leader().state == ['first', 'before', 'after']
+
+    def test_lost_right_before_the_repair_is_complete(self):
+        """Guards against a learner that counts as a voter."""
+        cluster = make()
+        leader, lost, other, disk_id = self.lose_follower(cluster)
+        cluster.change(raft.AddLearner(lost, disk_id))
+        assert cluster.run(5, lambda: leader.raft.caught_up(lost))
+        cluster.crash(leader.name)
+        cluster.run(10)
+        assert cluster.leader() is None
+        cluster.start(leader.name)
+        cluster.change(raft.Promote(lost))
+        cluster.converge()
+
+    def test_promoted_member_votes_before_it_knows_of_its_promotion(self):
+        """Guards against a lost leader that takes the new vote with it."""
+        cluster = make()
+        leader, lost, other, disk_id = self.lose_follower(cluster)
+        cluster.change(raft.AddLearner(lost, disk_id))
+        assert cluster.run(5, lambda: leader.raft.caught_up(lost))
+        cluster.isolate(lost)
+        leader.raft.change_members(cluster.clock(leader), raft.Promote(lost))
+        cluster.pump()
+        assert not cluster.nodes[lost].raft.members[lost].voter
+        cluster.crash(leader.name)
+        cluster.cut = set()
+        cluster.write('by the two others')
+
+    def test_learner_does_not_count_for_a_commit(self):
+        """Guards against a commit without a majority of voters."""
+        cluster = make('ab')
+        cluster.add('c', 'c0', {})
+        cluster.change(raft.AddLearner('c', 'c0'))
+        leader = cluster.leader()
+        voter = 'b' if leader.name == 'a' else 'a'
+        cluster.crash(voter)
+        cluster.propose('waits')
+        cluster.run(0.5)
+        assert not cluster.committed('waits')
+        assert cluster.nodes['c'].raft.role == 'learner'
+
+    def test_second_change_waits_for_the_first(self):
+        """Guards against majorities that don't overlap."""
+        cluster = make()
+        leader = cluster.leader()
+        cluster.isolate(leader.name)
+        now = cluster.clock(leader)
+        leader.raft.change_members(now, raft.AddLearner('d', 'd0'))
+        with pytest.raises(errors.UnavailableError, match='committed'):
+            leader.raft.change_members(now, raft.AddLearner('e', 'e0'))
+
+    def test_learner_is_promoted_only_when_caught_up(self):
+        """Guards against a majority that depends on an absent member."""
+        cluster = make()
+        cluster.change(raft.AddLearner('d', 'd0'))
+        leader = cluster.leader()
+        now = cluster.clock(leader)
+        with pytest.raises(errors.UnavailableError, match='caught up'):
+            leader.raft.change_members(now, raft.Promote('d'))
+        for change in (raft.Promote('x'), raft.AddLearner('a', 'a0')):
+            with pytest.raises(raftmembers.MembershipError):
+                leader.raft.change_members(now, change)
+
+    def test_removed_leader_steps_down_and_disturbs_nobody(self):
+        """Guards against a removed member that goes on leading."""
+        cluster = make()
+        leader = cluster.leader()
+        cluster.change(raft.Remove(leader.name))
+        assert leader.raft.role == 'learner'
+        cluster.write('without it')
+        term = cluster.leader().raft.term
+        cluster.run(10)
+        assert cluster.leader().raft.term == term
+
+    def test_first_election_without_known_disks_needs_all_members(self):
+        """Guards against two memberships from one set of names."""
+        cluster = Cluster('abc', known=False)
+        cluster.isolate('c')
+        cluster.run(10)
+        assert cluster.leader() is None
+        cluster.cut = set()
+        cluster.write('all')
+        disks = {
+            name: member.disk_id
+            for name, member in cluster.leader().raft.members.items()
+        }
+        assert disks == {'a': 'a0', 'b': 'b0', 'c': 'c0'}
+
+    def test_disk_lost_while_the_first_entry_binds_it(self):
+        """Guards against an empty disk that founds a second cluster."""
+        cluster = Cluster('abc', known=False)
+
+        def bound():
+            return [
+                node.name for node in cluster.running() if node.raft.last_index
+            ]
+
+        cluster.run(ELECTION_S, bound)
+        leader = bound()[0]
+        lost, behind = cluster.others(leader)
+        cluster.isolate(behind)
+        cluster.run(0.2)
+        cluster.lose_disk(lost)
+        cluster.isolate(leader)
+        cluster.run(10)
+        assert cluster.leader() is None
+        cluster.cut = set()
+        cluster.write('the first cluster goes on')
+
+
+class RaftMachine(stateful.RuleBasedStateMachine):
+    """Let hypothesis order the faults; the cluster checks the oracle."""
+
+    names = st.integers(0, 4)
+
+    @stateful.initialize(
+        size=st.integers(3, 5), known=st.booleans(), seed=st.integers(0, 999)
+    )
+    def begin(self, size, known, seed):
+        self.cluster = Cluster('abcde'[:size], known, seed)
+        self.texts = 0
+        self.cluster.run(3)
+
+    def node(self, number):
+        names = sorted(self.cluster.nodes)
+        return self.cluster.nodes[names[number % len(names)]]
+
+    @stateful.rule(steps=st.integers(1, 60))
+    def wait(self, steps):
+        for _ in range(steps):
+            self.cluster.step()
+
+    @stateful.rule(number=names, count=st.integers(1, 3))
+    def propose(self, number, count):
+        node = self.node(number)
+        for _ in range(count):
+            self.texts += 1
+            try:
+                node.raft.propose(self.cluster.clock(node), b'%d' % self.texts)
+            except (AttributeError, errors.UnavailableError):
+                continue
+        self.cluster.pump()
+
+    @stateful.rule(
+        loss=st.sampled_from([0.0, 0.1, 0.4]),
+        duplicates=st.sampled_from([0.0, 0.3]),
+        delays=st.sampled_from([0.0, 0.3, 0.9]),
+    )
+    def disturb(self, loss, duplicates, delays):
+        self.cluster.loss = loss
+        self.cluster.duplicates = duplicates
+        self.cluster.delays = delays
+
+    @stateful.rule(chosen=st.sets(names, max_size=2), oneway=st.booleans())
+    def partition(self, chosen, oneway):
+        names = [self.node(number).name for number in chosen]
+        self.cluster.isolate(*names)
+        if oneway:
+            self.cluster.cut = {
+                link for link in self.cluster.cut if link[0] in names
+            }
+
+    @stateful.rule(number=names, persisted=st.booleans())
+    def crash(self, number, persisted):
+        self.cluster.crash(self.node(number).name, persisted)
+
+    @stateful.rule(number=names)
+    def restart(self, number):
+        node = self.node(number)
+        self.cluster.crash(node.name)
+        node.paused = False
+        self.cluster.start(node.name)
+
+    @stateful.rule(number=names)
+    def pause(self, number):
+        node = self.node(number)
+        node.paused = not node.paused
+
+    @stateful.rule(number=names, blank=st.booleans())
+    def lose_disk(self, number, blank):
+        # A cluster that began without known disks could begin a second time
+        # if every disk with its first entry were lost.
+        node = self.node(number)
+        holders = [
+            other
+            for other in self.cluster.nodes.values()
+            if other is not node
+            and (other.disk.stored.entries or other.disk.stored.snapshot)
+        ]
+        if self.cluster.known or holders or not self.cluster.log:
+            self.cluster.lose_disk(node.name, {} if blank else None)
+
+    @stateful.rule(
+        number=names,
+        kind=st.sampled_from(['replace', 'promote', 'promote', 'remove']),
+    )
+    def change(self, number, kind):
+        leader = self.cluster.leader()
+        if leader is None:
+            return
+        node = self.node(number)
+        changes = {
+            'replace': raft.AddLearner(
+                node.name, node.disk.stored.disk_id or 'x'
+            ),
+            'promote': raft.Promote(node.name),
+            'remove': raft.Remove(node.name),
+        }
+        try:
+            leader.raft.change_members(
+                self.cluster.clock(leader), changes[kind]
+            )
+        except (errors.UnavailableError, errors.ConflictError):
+            return
+        self.cluster.pump()
+
+    @stateful.rule(number=names)
+    def compact(self, number):
+        node = self.node(number)
+        if node.raft is not None:
+            self.cluster.compact(node.name)
+
+    def teardown(self):
+        """Heal everything; a cluster with a majority must go on."""
+        if not hasattr(self, 'cluster'):
+            return
+        cluster = self.cluster
+        cluster.cut = set()
+        cluster.loss = cluster.duplicates = cluster.delays = 0.0
+        for node in cluster.nodes.values():
+            node.paused = False
+            if node.raft is None:
+                cluster.start(node.name)
+        cluster.step()
+        for holder in cluster.nodes.values():
+            members = holder.raft.members
+            intact = sum(
+                raftmembers.votes(members, name, item.disk.stored.disk_id)
+                for name, item in cluster.nodes.items()
+            )
+            if intact < raftmembers.quorum(members):
+                return
+        cluster.write('last')
+
+
+hypothesis.settings.register_profile(
+    'ci',
+    derandomize=True,
+    deadline=None,
+    max_examples=int(os.environ.get('N', '300')),
+    stateful_step_count=30,
+    suppress_health_check=list(hypothesis.HealthCheck),
+)
+hypothesis.settings.register_profile(
+    'long',
+    deadline=None,
+    max_examples=2000,
+    stateful_step_count=80,
+    suppress_health_check=list(hypothesis.HealthCheck),
+)
+TestRaftMachine = RaftMachine.TestCase
+PROFILE = os.environ.get('SASSAFRASRIDGE_FUZZ', 'ci')
+TestRaftMachine.settings = hypothesis.settings.get_profile(PROFILE)
+if PROFILE == 'long':
+    TestRaftMachine = pytest.mark.timeout(3600)(TestRaftMachine)
+
+
+class TestMessages:
+    def test_message_survives_encoding(self):
+        """Guards against fields that get lost between members."""
+        message = raft.Message(
+            'append',
+            'a',
+            'a0',
+            'b',
+            4,
+            7,
+            3,
+            5,
+            sent_at=1.5,
+            entries=[
+                raft.Entry(8, 4, 'command', b'\x00\xff'),
+                raft.Entry(9, 4, 'noop', b''),
+            ],
+            members={'a': raft.Member('a0', False, '127.0.0.1:1')},
+            data=b'part',
+        )
+        assert raft.Message.decode(message.encode()) == message
+
+    @hypothesis.settings(derandomize=True, max_examples=300)
+    @hypothesis.given(st.data())
+    def test_damaged_bytes_raise_one_error(self, data):
+        """Guards against a peer that stops the task by malformed bytes."""
+        whole = raft.Message(
+            'append',
+            'a',
+            'a0',
+            'b',
+            4,
+            entries=[raft.Entry(1, 4, 'members', b'{"a":["d",true,""]}')],
+        ).encode()
+        position = data.draw(st.integers(0, len(whole) - 1))
+        damaged = bytearray(whole[: data.draw(st.integers(0, len(whole)))])
+        if position < len(damaged):
+            damaged[position] = data.draw(st.integers(0, 255))
+        noise = data.draw(st.binary(max_size=40))
+        for candidate in (bytes(damaged), noise, whole + noise):
+            try:
+                raftmessages.decode(candidate)
+            except raft.MalformedMessageError:
+                pass
