--- a/packages/node/src/sassafrasridge_node/storage.py
+++ b/packages/node/src/sassafrasridge_node/storage.py
@@ -152,28 +152,13 @@
         ``members`` is recorded on first use and ignored later, see
         ``raft.Stored.empty``.
         """
-        for path in self._folder.glob('*' + _TEMPORARY):
-            path.unlink()
-        if not (self._folder / META).exists():
-            self._prepare(members or {})
-        stored = self._read_meta()
-        snapshot = self._read_snapshot()
-        contents = self._scan()
-        self._hard_state = stored.hard_state = contents.hard_state
-        stored.snapshot = snapshot
-        stored.entries = contents.entries
-        if snapshot is not None:
-            if contents.base != (snapshot.index, snapshot.term):
-                self._check_base(contents, snapshot)
-                # The process stopped between saving the snapshot and
-                # cutting the log.
-                self._cut(snapshot, contents)
-            stored.entries = contents.after(snapshot)
-        elif contents.base != (0, 0):
-            raise self._damage(SNAPSHOT, 0, 'the file is missing')
-        if self._log is None:
-            self._open_log(contents.size)
-        return stored
+        try:
+            return self._load(members or {})
+        except OSError as exc:
+            raise errors.StorageError(
+                f'{self._folder} cannot be read: {exc}',
+                remedy='Check the disk and the permissions of the folder.',
+            )
 
     def persist(self, ready: raft.Ready) -> None:
         """Make the state in ``ready`` durable before it returns."""
@@ -243,6 +228,30 @@
         path = self._folder / name
         return errors.StorageError(f'{path} at offset {offset}: {problem}')
 
+    def _load(self, members: raftmembers.Bootstrap) -> raft.Stored:
+        for path in self._folder.glob('*' + _TEMPORARY):
+            path.unlink()
+        if not (self._folder / META).exists():
+            self._prepare(members)
+        stored = self._read_meta()
+        snapshot = self._read_snapshot()
+        contents = self._scan()
+        self._hard_state = stored.hard_state = contents.hard_state
+        stored.snapshot = snapshot
+        stored.entries = contents.entries
+        if snapshot is not None:
+            if contents.base != (snapshot.index, snapshot.term):
+                self._check_base(contents, snapshot)
+                # The process stopped between saving the snapshot and
+                # cutting the log.
+                self._cut(snapshot, contents)
+            stored.entries = contents.after(snapshot)
+        elif contents.base != (0, 0):
+            raise self._damage(SNAPSHOT, 0, 'the file is missing')
+        if self._log is None:
+            self._open_log(contents.size)
+        return stored
+
     # First use
 
     def _prepare(self, members: raftmembers.Bootstrap) -> None:
