--- a/packages/core/src/sassafrasridge_core/raftleader.py
+++ b/packages/core/src/sassafrasridge_core/raftleader.py
@@ -197,10 +197,20 @@
             since = progress.waiting_since
             if since is not None and now - since >= self._cfg.resend_s:
                 if progress.snapshot is None:
-                    progress.probe(progress.match + 1)
+                    self._probe_again(progress)
                 progress.waiting_since = None
         self.replicate(now)
 
+    def _probe_again(self, progress: Progress) -> None:
+        if progress.probing:
+            progress.probe(progress.next)
+        elif progress.match:
+            progress.probe(progress.match + 1)
+        else:
+            # Nothing is known yet: the member's refusal says where to look.
+            # Starting at entry 1 would send it everything once more.
+            progress.probe(self.first_index)
+
     def replicate(self, now: float) -> None:
         """Send every member what it lacks, within the bounds."""
         for name in self._progress:
--- a/packages/core/src/sassafrasridge_core/raftmessages.py
+++ b/packages/core/src/sassafrasridge_core/raftmessages.py
@@ -123,7 +123,6 @@
         ValueError,
         TypeError,
         KeyError,
-        AttributeError,
         errors.BadRequestError,
     ) as exc:
         raise MalformedMessageError(f'a message is malformed: {exc}')
