Make the test of a lagging log see what is sent twice

Change: the test restarts all members. Conclusion: the probe at the end of the log is needed, and is tested.

--- a/tests/core/test_raft.py
+++ b/tests/core/test_raft.py
@@ -593,7 +593,7 @@
             if count == 300:
                 cluster.isolate(behind)
             cluster.propose(f'{count}')
-        for name in cluster.others(behind):
+        for name in cluster.names:
             cluster.crash(name)
             cluster.start(name)
         cluster.elect()
