Let a voter campaign until its removal is committed

A leader that removes itself and is cut off before the entry commits held the longest log, so it refused its vote to the others, and as no voter of its newest membership it never campaigned. Change: a voter of the last committed membership may campaign; it does not count its own vote, leads only to commit the entry and then steps down. Ruled out: refusing to remove the leader, because operators would have to stop it first. Conclusion: an interrupted removal is finished by the member that holds it.

--- a/packages/core/src/sassafrasridge_core/raft.py
+++ b/packages/core/src/sassafrasridge_core/raft.py
@@ -149,7 +149,7 @@
                 self._leadership.tick(now)
             else:
                 self._follow(now, self.term)
-        elif now >= self._deadline and self._voter.is_voter():
+        elif now >= self._deadline and self._voter.may_campaign():
             self._campaign(now)
 
     def leads(self, now: float) -> bool:
--- a/packages/core/src/sassafrasridge_core/raftelection.py
+++ b/packages/core/src/sassafrasridge_core/raftelection.py
@@ -44,6 +44,17 @@
         """Tell whether the newest membership lists this disk as a voter."""
         return raftmembers.votes(self._log.members, self.name, self.disk_id)
 
+    def may_campaign(self) -> bool:
+        """Tell whether this member may ask for votes.
+
+        A voter whose removal is not known to be committed still may: when it
+        alone holds that entry, no member without the entry gets its vote.
+        """
+        committed = self._log.members_at(self._log.commit)
+        return self.is_voter() or raftmembers.votes(
+            committed, self.name, self.disk_id
+        )
+
     def hears_leader(self, now: float) -> bool:
         """Tell whether a leader may still count on this member."""
         return (
@@ -103,7 +114,9 @@
         self, log: raftlog.Log, voter: Voter, prevoting: bool
     ) -> None:
         self.prevoting = prevoting
-        self.ballots = {voter.name: voter.disk_id}
+        self.ballots: dict[str, str] = {}
+        if voter.is_voter():
+            self.ballots[voter.name] = voter.disk_id
         self._log = log
 
     def count(self, message: raftmessages.Message, term: int) -> None:
--- a/tests/core/test_raft.py
+++ b/tests/core/test_raft.py
@@ -783,6 +783,19 @@
         cluster.run(10)
         assert cluster.leader().raft.term == term
 
+    def test_interrupted_removal_of_the_leader_is_finished(self):
+        """Guards against two members that wait for each other's vote."""
+        cluster = make('ab')
+        leader = cluster.leader()
+        cluster.isolate(leader.name)
+        leader.raft.change_members(
+            cluster.clock(leader), raft.Remove(leader.name)
+        )
+        cluster.run(3)
+        cluster.cut = set()
+        cluster.write('after')
+        assert leader.raft.role == 'learner'
+
     def test_first_election_without_known_disks_needs_all_members(self):
         """Guards against two memberships from one set of names."""
         cluster = Cluster('abc', known=False)
