--- a/tests/node/test_rpc.py
+++ b/tests/node/test_rpc.py
@@ -4,8 +4,10 @@
 import struct
 
 import pytest
+
 from sassafrasridge_node import rpc
 
+
 SECRET = b'test secret'
 
 
