--- /dev/null
+++ b/packages/node/src/sassafrasridge_node/backends.py
@@ -0,0 +1,396 @@
+"""Targets as an entry process sees them: pool, queue, circuit, position."""
+
+import asyncio
+import collections
+import collections.abc
+import typing
+
+from sassafrasridge_core import circuits
+from sassafrasridge_core import errors
+from sassafrasridge_core import model
+from sassafrasridge_core import queueing
+from sassafrasridge_core import slots
+from sassafrasridge_node import clocks
+from sassafrasridge_node import connections
+from sassafrasridge_node import metrics
+
+PROBE_TIMEOUT_S = 0.3
+"""A probe that takes longer counts as failed."""
+
+SPARE_CONNECTIONS = 1
+"""Idle connections kept open, so that requests don't wait for opening."""
+
+OPEN_RETRY_S = 0.1
+
+LEAVING_TTL_S = 3.0
+"""An announcement expires; a target may come back after it left."""
+
+
+class Ticket:
+    """Stand for a request that waits for a connection."""
+
+    __slots__ = ('fut', 'account')
+
+    def __init__(
+        self, fut: 'asyncio.Future[connections.TargetConnection]', account: str
+    ) -> None:
+        self.fut = fut
+        self.account = account
+
+
+class Pool:
+    """Own the connections to one target, within a leased limit."""
+
+    def __init__(
+        self,
+        address: str,
+        on_change: collections.abc.Callable[[], None],
+        counters: metrics.Metrics,
+    ) -> None:
+        self.address = address
+        self._metrics = counters
+        self.limit = 0
+        self._on_change = on_change
+        self._idle: collections.deque[connections.TargetConnection] = (
+            collections.deque()
+        )
+        self._all: set[connections.TargetConnection] = set()
+        self._opening = 0
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._suspect_before = float('-inf')
+        self._retry_at = float('-inf')
+
+    @property
+    def held(self) -> int:
+        """Return how many connections are open or being opened."""
+        return len(self._all) + self._opening
+
+    @property
+    def idle(self) -> int:
+        """Return how many connections are idle."""
+        return len(self._idle)
+
+    def take(self) -> connections.TargetConnection | None:
+        """Return an idle connection, the one used last first."""
+        while self._idle:
+            conn = self._idle.pop()
+            if conn.closed:
+                continue
+            if conn.last_answer_at < self._suspect_before:
+                conn.close()
+                continue
+            return conn
+        return None
+
+    def give_back(self, conn: connections.TargetConnection) -> None:
+        """Take back a connection whose state is known to be clean."""
+        if conn.closed or conn not in self._all:
+            return
+        if len(self._all) > self.limit:
+            conn.close()
+        else:
+            self._idle.append(conn)
+            self._on_change()
+
+    def fill(self, wanted: int) -> None:
+        """Open connections in the background up to a number wanted."""
+        now = clocks.boottime()
+        if now < self._retry_at:
+            return
+        missing = min(wanted, self.limit) - len(self._all) - self._opening
+        for _ in range(missing):
+            self._opening += 1
+            task = asyncio.ensure_future(self._open())
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+
+    def shrink(self) -> None:
+        """Close idle connections above the limit."""
+        while self._idle and len(self._all) + self._opening > self.limit:
+            self._idle.popleft().close()
+
+    def suspect_all(self, before: float) -> None:
+        """Close every connection without an answer since a time.
+
+        A device between the two ends that lost track of connections loses
+        them all at once, so one silent connection casts doubt on the rest.
+        """
+        self._suspect_before = max(self._suspect_before, before)
+        for conn in list(self._all):
+            if conn.last_answer_at < before:
+                conn.fail(f'connections to {self.address} went silent')
+
+    def close(self) -> None:
+        """Close all connections."""
+        self.limit = 0
+        for conn in list(self._all):
+            conn.close()
+        for task in self._tasks:
+            task.cancel()
+
+    async def _open(self) -> None:
+        try:
+            conn = await connections.TargetConnection.open(self.address)
+            # The first answer comes once the target has finished opening.
+            answer = await conn.call(
+                '/status', {}, connections.CONNECT_TIMEOUT_S
+            )
+            if answer.status != 200:
+                conn.close()
+                raise connections.ConnectionLostError(
+                    'connection refused', sent=False
+                )
+        except connections.ConnectionLostError:
+            self._retry_at = clocks.boottime() + OPEN_RETRY_S
+            self._metrics.connection_failures.inc()
+            return
+        finally:
+            self._opening -= 1
+        self._all.add(conn)
+        conn.lost.add_done_callback(lambda _: self._forget(conn))
+        self._idle.append(conn)
+        self._on_change()
+
+    def _forget(self, conn: connections.TargetConnection) -> None:
+        self._all.discard(conn)
+        if conn in self._idle:
+            self._idle.remove(conn)
+        self._on_change()
+
+
+class Backend:
+    """Own one target: its pool, its fair queue and what is known of it."""
+
+    def __init__(
+        self, info: model.TargetInfo, counters: metrics.Metrics
+    ) -> None:
+        self.info = info
+        self._metrics = counters
+        self.pool = Pool(info.address, self._pump, counters)
+        self.queue: queueing.Queue = queueing.FairQueue()
+        self.circuit = circuits.Circuit()
+        self.in_flight = 0
+        self.limit = slots.VersionedLimit()
+        self.announced_at = float('-inf')
+        self.success_at = float('-inf')
+        self.role = info.role
+        # The term that the server accepts calls for. It is ahead of the term
+        # of its log while the server is fenced.
+        self.term = info.term
+        self.log_term = 0
+        self.applied = 0
+        self._probing = False
+
+    async def connection(
+        self, account: str, deadline: float
+    ) -> connections.TargetConnection:
+        """Wait in the fair queue for a connection and a place in flight.
+
+        Raises UnavailableError, not run, when the queue is full or the
+        deadline can't be met.
+        """
+        now = clocks.boottime()
+        fut: asyncio.Future[connections.TargetConnection] = (
+            asyncio.get_running_loop().create_future()
+        )
+        ticket = Ticket(fut, account)
+        refusal = self.queue.push(now, account, ticket, 1.0, deadline)
+        if refusal is not None:
+            raise refused(refusal)
+        self._pump()
+        try:
+            async with asyncio.timeout(max(0.0, deadline - now)):
+                return await fut
+        except TimeoutError:
+            self._abandon(fut)
+            raise refused(model.DEADLINE)
+        except asyncio.CancelledError:
+            self._abandon(fut)
+            raise
+
+    def _abandon(
+        self, fut: 'asyncio.Future[connections.TargetConnection]'
+    ) -> None:
+        # The connection may have been handed over in the same step in which
+        # the waiting task was cancelled.
+        if fut.done() and not fut.cancelled() and fut.exception() is None:
+            self.release(fut.result(), clean=True)
+        else:
+            fut.cancel()
+
+    def release(
+        self, conn: connections.TargetConnection, *, clean: bool
+    ) -> None:
+        """Give back a connection and its place in flight."""
+        self.in_flight -= 1
+        if clean:
+            self.pool.give_back(conn)
+        else:
+            conn.close()
+        self._pump()
+
+    def take_grant(self, grant: typing.Any) -> None:
+        """Apply leased limits of connections and statements in flight."""
+        if self.limit.replace(
+            grant.version, grant.connections, grant.in_flight
+        ):
+            self.pool.limit = grant.connections
+            self.pool.shrink()
+            self._pump()
+
+    def demand(self) -> float:
+        """Return the statements in flight or waiting."""
+        return float(self.in_flight + len(self.queue))
+
+    def heard_at(self) -> float:
+        """Return when the target last answered or announced itself."""
+        return max(self.announced_at, self.success_at)
+
+    def leaving(self, now: float) -> bool:
+        """Return whether the target takes no new work."""
+        return self.info.leaving and now - self.announced_at < LEAVING_TTL_S
+
+    def info_now(self) -> model.TargetInfo:
+        """Return the last announcement with what answers told since."""
+        info = self.info
+        return model.TargetInfo(
+            info.server,
+            info.group,
+            info.zone,
+            info.address,
+            self.role,
+            self.term,
+            self.applied,
+            info.slots,
+            info.connections,
+            info.leaving,
+        )
+
+    def learn_announcement(self, info: model.TargetInfo) -> None:
+        """Record what a target announced of itself."""
+        self.announced_at = clocks.boottime()
+        self.info = info
+        if info.term >= self.term:
+            self.term = info.term
+            self.role = info.role
+
+    def learn_status(self, body: dict[str, typing.Any]) -> None:
+        """Record the body of a status."""
+        self.success_at = clocks.boottime()
+        self.term = int(body['term'])
+        self.role = str(body['role'])
+        self._learn_position(int(body['last_term']), int(body['applied']))
+
+    def learn_answer(self, answer: connections.Answer) -> None:
+        """Record the position that an answer tells."""
+        self.success_at = clocks.boottime()
+        if answer.status == 200:
+            body = answer.body
+            self._learn_position(int(body['term']), int(body['position']))
+
+    def _learn_position(self, term: int, applied: int) -> None:
+        if term > self.log_term:
+            self.log_term, self.applied = term, applied
+        elif term == self.log_term:
+            self.applied = max(self.applied, applied)
+
+    def detach(self) -> None:
+        """Free the place in flight of a connection that stays in use."""
+        self.in_flight -= 1
+        self._pump()
+
+    def give_back(self, conn: connections.TargetConnection) -> None:
+        """Take back a connection that was detached."""
+        self.pool.give_back(conn)
+        self._pump()
+
+    def _pump(self) -> None:
+        now = clocks.boottime()
+        for ticket in self.queue.expire(now):
+            if not ticket.fut.done():
+                ticket.fut.set_exception(refused(model.DEADLINE))
+        while len(self.queue) and self.in_flight < self.limit.in_flight:
+            conn = self.pool.take()
+            if conn is None:
+                break
+            ticket = self._next_ticket(now)
+            if ticket is None:
+                self.pool._idle.append(conn)
+                break
+            self.in_flight += 1
+            ticket.fut.set_result(conn)
+        self.pool.fill(
+            self.pool.held
+            - self.pool.idle
+            + len(self.queue)
+            + SPARE_CONNECTIONS
+        )
+
+    def _next_ticket(self, now: float) -> Ticket | None:
+        while True:
+            ticket = self.queue.pop(now)
+            if ticket is None:
+                return None
+            if not ticket.fut.done():
+                return typing.cast(Ticket, ticket)
+
+    async def probe(self) -> bool:
+        """Ask for the status; return whether the target answered.
+
+        Detects connections that are silent while new ones work.
+        """
+        if self._probing:
+            return False
+        self._probing = True
+        try:
+            return await self._probe()
+        finally:
+            self._probing = False
+
+    async def _probe(self) -> bool:
+        started = clocks.boottime()
+        conn = self.pool.take()
+        if conn is None:
+            return await self._probe_new(None)
+        try:
+            answer = await conn.call('/status', {}, PROBE_TIMEOUT_S)
+        except connections.ConnectionLostError:
+            return await self._probe_new(started)
+        self.learn_status(answer.body)
+        self.pool.give_back(conn)
+        return True
+
+    async def _probe_new(self, silent_since: float | None) -> bool:
+        try:
+            conn = await connections.TargetConnection.open(
+                self.info.address, PROBE_TIMEOUT_S
+            )
+        except connections.ConnectionLostError:
+            return False
+        try:
+            answer = await conn.call('/status', {}, PROBE_TIMEOUT_S)
+        except connections.ConnectionLostError:
+            return False
+        finally:
+            conn.close()
+        self.learn_status(answer.body)
+        if silent_since is not None:
+            self._metrics.silent_batches.inc()
+            self.pool.suspect_all(silent_since)
+        return True
+
+
+def refused(refusal: model.Refusal) -> errors.UnavailableError:
+    """Return the error for a refused request."""
+    messages = {
+        'queue_full': 'the queue of the target is full',
+        'deadline': 'the deadline passed before the request was sent',
+        'no_lease': 'this process has no valid lease',
+        'no_target': 'no target can serve the request',
+        'draining': 'this process is shutting down',
+    }
+    return errors.UnavailableError(
+        messages.get(refusal.reason, refusal.reason),
+        kind=refusal.reason,
+        retry_after_s=1.0,
+    )
--- /dev/null
+++ b/packages/node/src/sassafrasridge_node/codec.py
@@ -0,0 +1,112 @@
+"""Conversions between thrift structures and the types of core."""
+
+import typing
+
+from sassafrasridge_core import model
+from sassafrasridge_core import promotion
+from sassafrasridge_core import shares
+from sassafrasridge_core import slots
+from sassafrasridge_node import rpc
+
+
+def group_to_wire(view: model.GroupView) -> typing.Any:
+    """Return the thrift record of a group view."""
+    return rpc.idl.GroupRecord(
+        group=view.group,
+        term=view.term,
+        primary=view.primary or '',
+        members=[
+            rpc.idl.MemberAddress(server=server, address=address)
+            for server, address in view.members.items()
+        ],
+        starts=[
+            rpc.idl.TermStart(term=term, index=index)
+            for term, index in view.starts.items()
+        ],
+        changing=view.changing,
+    )
+
+
+def group_from_wire(record: typing.Any) -> model.GroupView:
+    """Return the group view of a thrift record."""
+    return model.GroupView(
+        record.group,
+        record.term,
+        record.primary or None,
+        {m.server: m.address for m in record.members},
+        {s.term: s.index for s in record.starts},
+        record.changing,
+    )
+
+
+def observation_to_wire(
+    info: model.TargetInfo,
+    announcement_age_s: float,
+    success_age_s: float,
+    demand: float,
+    limit: slots.VersionedLimit,
+) -> typing.Any:
+    """Return the thrift report on a target."""
+    return rpc.idl.Observation(
+        group=info.group,
+        server=info.server,
+        zone=info.zone,
+        address=info.address,
+        role=info.role,
+        term=info.term,
+        position=info.position,
+        slots=info.slots,
+        connections=info.connections,
+        leaving=info.leaving,
+        announcement_age_s=announcement_age_s,
+        success_age_s=success_age_s,
+        demand=demand,
+        limit_version=limit.version,
+        limit=limit.connections,
+    )
+
+
+def sighting_from_wire(now: float, obs: typing.Any) -> promotion.Sighting:
+    """Return the sighting that a thrift report tells of."""
+    info = model.TargetInfo(
+        obs.server,
+        obs.group,
+        obs.zone,
+        obs.address,
+        obs.role,
+        obs.term,
+        obs.position,
+        obs.slots,
+        obs.connections,
+        obs.leaving,
+    )
+    return promotion.Sighting(
+        now, obs.announcement_age_s, obs.success_age_s, info
+    )
+
+
+def report_to_wire(report: shares.Report) -> typing.Any:
+    """Return the thrift report on a client account."""
+    return rpc.idl.AccountReport(
+        account=report.account,
+        version=report.version,
+        rate=report.rate,
+        capacity=report.capacity,
+        tokens=report.tokens,
+        returned=report.returned,
+        demand_rate=report.demand_rate,
+        wanted_tokens=report.wanted_tokens,
+    )
+
+
+def grant_to_wire(grant: shares.Grant) -> typing.Any:
+    """Return the thrift grant of a share."""
+    return rpc.idl.ShareGrant(
+        account=grant.account,
+        base=grant.base,
+        version=grant.version,
+        rate=grant.rate,
+        capacity=grant.capacity,
+        tokens=grant.tokens,
+        prompt=grant.prompt,
+    )
--- /dev/null
+++ b/packages/node/src/sassafrasridge_node/control.py
@@ -0,0 +1,417 @@
+"""The control member: replicated log, commands, leases.
+
+One task owns the log and the state. Remote calls and operators' commands
+reach it as coroutines on the same event loop.
+"""
+
+import asyncio
+import random
+import time
+import typing
+
+import orjson
+
+from sassafrasridge_core import errors
+from sassafrasridge_core import leases
+from sassafrasridge_core import model
+from sassafrasridge_core import raft
+from sassafrasridge_core import raftlog
+from sassafrasridge_core import raftmessages
+from sassafrasridge_core import state as core_state
+from sassafrasridge_node import clocks
+from sassafrasridge_node import groups
+from sassafrasridge_node import leadership
+from sassafrasridge_node import logs
+from sassafrasridge_node import metrics
+from sassafrasridge_node import relays
+from sassafrasridge_node import rpc
+from sassafrasridge_node import storage
+
+TICK_S = 0.02
+COMMIT_TIMEOUT_S = 3.0
+SNAPSHOT_EVERY = 1000
+"""Entries applied between two snapshots; bounds the time of a restart."""
+
+
+class LostLeadershipError(errors.RidgeError):
+    """Report a change whose outcome this member can't tell."""
+
+    kind = 'leader_changed'
+    status = 503
+    outcome = errors.Outcome.UNKNOWN
+    remedy = 'Send the same note again; its number makes that safe.'
+
+
+class NoLeaderError(errors.UnavailableError):
+    """Report that no control leader is known."""
+
+    kind = 'no_leader'
+    remedy = 'Wait for the election of a leader, or check the members.'
+
+
+class Waiter:
+    """Stand for a proposal that waits to be applied."""
+
+    __slots__ = ('term', 'fut')
+
+    def __init__(
+        self, term: int, fut: 'asyncio.Future[core_state.Reply]'
+    ) -> None:
+        self.term = term
+        self.fut = fut
+
+
+class ControlMember(groups.GroupStore):
+    """Own one member's log, state and, while it leads, its leadership."""
+
+    def __init__(
+        self,
+        name: str,
+        zone: str,
+        log: raft.Raft,
+        files: storage.Storage,
+        state: core_state.State,
+        peers: dict[str, str],
+        pool: rpc.ClientPool,
+        times: leases.LeaseTimes,
+        suspect_after_s: float,
+        policy: str,
+        counters: metrics.Metrics,
+    ) -> None:
+        self.name = name
+        self._metrics = counters
+        self.state = state
+        self.log = log
+        self.leadership: leadership.Leadership | None = None
+        self._zone = zone
+        self._files = files
+        self._peers = peers
+        self._pool = pool
+        self._times = times
+        self._suspect_after_s = suspect_after_s
+        self._policy = policy
+        self._waiters: dict[int, Waiter] = {}
+        self._wake = asyncio.Event()
+        self._applied = self._snapshot_index = log.snapshot_index
+        self._keeper: asyncio.Task[None] | None = None
+        self.keeper: groups.GroupKeeper | None = None
+        self._relay = relays.RenewalRelay(
+            name, self._leader_client, counters
+        )
+        self._announced: dict[
+            tuple[str, str], tuple[float, model.TargetInfo]
+        ] = {}
+        self._registering: set[str] = set()
+
+    # The task.
+
+    async def run(self) -> None:
+        """Drive the log until cancelled."""
+        try:
+            while True:
+                self._wake.clear()
+                self.log.tick(clocks.boottime())
+                self._drain()
+                self._update_leadership()
+                try:
+                    async with asyncio.timeout(TICK_S):
+                        await self._wake.wait()
+                except TimeoutError:
+                    continue
+        finally:
+            self._end_leadership()
+
+    def _drain(self) -> None:
+        while True:
+            ready = self.log.ready()
+            if not ready:
+                return
+            self._files.persist(ready)
+            if ready.restore and ready.snapshot is not None:
+                self._restore(ready.snapshot)
+            for message in ready.messages:
+                self._send(message)
+            for entry in ready.committed:
+                self._apply(entry)
+            self._maybe_snapshot()
+
+    def _send(self, message: raft.Message) -> None:
+        address = self._peers.get(message.recipient)
+        if address is None:
+            return
+        wire = rpc.idl.LogMessage(
+            sender=message.sender,
+            recipient=message.recipient,
+            body=message.encode(),
+        )
+        client = self._pool.get(address)
+        asyncio.ensure_future(client.notify('log_message', wire))
+
+    def _restore(self, snapshot: raft.Snapshot) -> None:
+        self.state = core_state.State.decode(snapshot.data)
+        self._applied = self._snapshot_index = snapshot.index
+        self._fail_waiters()
+
+    def _apply(self, entry: raft.Entry) -> None:
+        self._applied = entry.index
+        reply = None
+        if entry.kind == raftlog.COMMAND:
+            reply = self.state.apply(entry.index, entry.payload)
+            self._metrics.revision.set(self.state.revision)
+        waiter = self._waiters.pop(entry.index, None)
+        if waiter is None or waiter.fut.done():
+            return
+        if waiter.term == entry.term and reply is not None:
+            waiter.fut.set_result(reply)
+        else:
+            waiter.fut.set_exception(_lost())
+
+    def _maybe_snapshot(self) -> None:
+        if self._applied - self._snapshot_index >= SNAPSHOT_EVERY:
+            self.log.compact(self._applied, self.state.encode())
+            self._snapshot_index = self._applied
+
+    def _fail_waiters(self) -> None:
+        for waiter in self._waiters.values():
+            if not waiter.fut.done():
+                waiter.fut.set_exception(_lost())
+        self._waiters.clear()
+
+    # Leadership.
+
+    def _update_leadership(self) -> None:
+        now = clocks.boottime()
+        leads = self.log.leads(now)
+        current = self.leadership
+        if current is not None and (
+            not leads or current.term != self.log.term
+        ):
+            self._end_leadership()
+        if leads and self.leadership is None:
+            self._begin_leadership(now)
+
+    def _begin_leadership(self, now: float) -> None:
+        self.leadership = leadership.Leadership(
+            self.state,
+            self._times,
+            self._suspect_after_s,
+            self.log.term,
+            now,
+            self._policy,
+            self._metrics,
+        )
+        self.keeper = groups.GroupKeeper(
+            self,
+            self.leadership.detector,
+            self.leadership.table,
+            self._zone,
+            self._metrics,
+        )
+        self._keeper = asyncio.ensure_future(self.keeper.run())
+        self._metrics.is_leader.set(1)
+        logs.change('leadership_began', term=self.log.term)
+        if not self.state.session_secret:
+            asyncio.ensure_future(self._initialise())
+
+    def _end_leadership(self) -> None:
+        if self.leadership is None:
+            return
+        logs.change('leadership_ended', term=self.leadership.term)
+        self._metrics.is_leader.set(0)
+        self.leadership = None
+        self.keeper = None
+        if self._keeper is not None:
+            self._keeper.cancel()
+        self._fail_waiters()
+
+    async def _initialise(self) -> None:
+        secret = random.SystemRandom().randbytes(32).hex()
+        await self.propose({'type': 'init', 'session_secret': secret})
+
+    # Proposals.
+
+    async def propose(self, command: dict[str, typing.Any]) -> core_state.Reply:
+        """Commit and apply a command.
+
+        Raises NoLeaderError when nothing was proposed and
+        LostLeadershipError when the outcome is not known.
+        """
+        try:
+            term, index = self.log.propose(
+                clocks.boottime(), orjson.dumps(command)
+            )
+        except raft.NotLeaderError:
+            raise NoLeaderError('this member is not the control leader')
+        fut: asyncio.Future[core_state.Reply] = (
+            asyncio.get_running_loop().create_future()
+        )
+        self._waiters[index] = Waiter(term, fut)
+        self._wake.set()
+        try:
+            async with asyncio.timeout(COMMIT_TIMEOUT_S):
+                return await fut
+        except TimeoutError:
+            raise _lost()
+        finally:
+            self._waiters.pop(index, None)
+
+    # Port of the group keeper.
+
+    def view(self, group: str) -> model.GroupView | None:
+        """Return the committed view of a group."""
+        return self.state.groups.get(group)
+
+    def revision(self) -> int:
+        """Return the revision of all group views."""
+        return self.state.groups_revision
+
+    def names(self) -> list[str]:
+        """Return the names of all groups."""
+        return list(self.state.groups)
+
+    async def commit(self, view: model.GroupView) -> None:
+        """Commit the view of a group."""
+        reply = await self.propose(
+            {'type': 'group', 'group': core_state.group_as_json(view)}
+        )
+        if not reply.ok:
+            raise errors.ConflictError(f'group {view.group!r}: {reply.body}')
+
+    # Remote calls.
+
+    async def log_message(self, message: typing.Any) -> None:
+        """Take a message of the replicated log."""
+        try:
+            decoded = raftmessages.decode(message.body)
+        except raft.MalformedMessageError:
+            rpc.MALFORMED_FRAMES.inc()
+            return
+        self.log.receive(clocks.boottime(), decoded)
+        self._wake.set()
+
+    async def renew(self, req: typing.Any) -> typing.Any:
+        """Renew a lease, here or through the leader."""
+        if self.leadership is not None:
+            return await self._renew_here(req)
+        reply = await self._relay.renew(req)
+        if reply.granted and reply.revision > req.revision:
+            self._add_full_copy(reply)
+        return reply
+
+    async def renew_batch(self, batch: typing.Any) -> typing.Any:
+        """Renew the leases that another member collected."""
+        replies = [await self._renew_here(req) for req in batch.requests]
+        return rpc.idl.RenewBatchReply(replies=replies)
+
+    async def _renew_here(self, req: typing.Any) -> typing.Any:
+        now = clocks.boottime()
+        current = self.leadership
+        if current is None or not self.log.leads(now):
+            return relays.refusal(req, 'no_leader')
+        if req.draining and not req.accounts and not req.observations:
+            current.release(now, req)
+            return relays.refusal(req, 'released')
+        if req.entry not in self.state.entries:
+            await self._register(req)
+            return relays.refusal(req, 'registering')
+        for at, info in self._announced.values():
+            current.announced(at, info)
+        return current.renew(now, req)
+
+    async def _register(self, req: typing.Any) -> None:
+        if req.entry in self._registering:
+            return
+        self._registering.add(req.entry)
+        try:
+            await self.propose(
+                {
+                    'type': 'entry',
+                    'action': 'register',
+                    'entry': req.entry,
+                    'zone': req.zone,
+                    'address': req.address,
+                    'time': time.time(),
+                }
+            )
+        except errors.RidgeError:
+            return
+        finally:
+            self._registering.discard(req.entry)
+
+    def _add_full_copy(self, reply: typing.Any) -> None:
+        # The leader sends no full copy to a relay, to spare its own link.
+        if not reply.deltas and not reply.full:
+            if self.state.revision >= reply.revision:
+                reply.full = self.state.full()
+                reply.revision = self.state.revision
+
+    def _leader_client(self) -> rpc.Client | None:
+        leader = self.log.leader
+        if leader is None or leader == self.name:
+            return None
+        address = self._peers.get(leader)
+        return None if address is None else self._pool.get(address)
+
+    # Announcements.
+
+    def announced(self, now: float, info: model.TargetInfo) -> None:
+        """Record the announcement of a target."""
+        self._announced[info.group, info.server] = (now, info)
+
+    # Commands.
+
+    async def command(
+        self, kind: str, body: bytes, deadline_s: float
+    ) -> typing.Any:
+        """Carry out an operator's command, here or at the leader."""
+        if self.leadership is None:
+            return await self._forward(kind, body, deadline_s)
+        handler = COMMANDS.get(kind)
+        if handler is None:
+            return _command_error(
+                errors.BadRequestError(f'command {kind!r} does not exist')
+            )
+        try:
+            reply = await handler(self, orjson.loads(body))
+        except errors.RidgeError as exc:
+            return _command_error(exc)
+        return rpc.idl.CommandReply(
+            ok=reply.ok,
+            leader=self.name,
+            body=orjson.dumps(reply.body),
+            status=reply.status,
+        )
+
+    async def _forward(
+        self, kind: str, body: bytes, deadline_s: float
+    ) -> typing.Any:
+        client = self._leader_client()
+        if client is None:
+            return _command_error(NoLeaderError('no control leader is known'))
+        try:
+            return await client.call(
+                'command', kind, body, deadline_s, timeout_s=deadline_s
+            )
+        except rpc.RpcError as exc:
+            error: errors.RidgeError = (
+                _lost() if exc.sent else NoLeaderError(exc.message)
+            )
+            return _command_error(error)
+
+
+def _lost() -> LostLeadershipError:
+    return LostLeadershipError(
+        'leadership changed before the command was applied'
+    )
+
+
+def _command_error(exc: errors.RidgeError) -> typing.Any:
+    return rpc.idl.CommandReply(
+        ok=False,
+        leader='',
+        body=orjson.dumps(exc.as_json()),
+        status=exc.status,
+    )
+
+
+COMMANDS: dict[str, typing.Any] = {}
--- /dev/null
+++ b/packages/node/src/sassafrasridge_node/entry.py
@@ -0,0 +1,179 @@
+"""State of an entry process, owned by the engine's event loop."""
+
+import asyncio
+import collections.abc
+import typing
+
+from sassafrasridge_core import freshness
+from sassafrasridge_core import leases
+from sassafrasridge_core import model
+from sassafrasridge_core import placement
+from sassafrasridge_core import sessions
+from sassafrasridge_core import shares
+from sassafrasridge_core import state as core_state
+from sassafrasridge_node import backends
+from sassafrasridge_node import clocks
+from sassafrasridge_node import codec
+from sassafrasridge_node import metrics
+
+ANNOUNCEMENT_TTL_S = 3.0
+
+
+class EntryState:
+    """Hold configuration, lease, views of groups, shares and backends."""
+
+    def __init__(
+        self,
+        name: str,
+        zone: str,
+        times: leases.LeaseTimes,
+        counters: metrics.Metrics,
+    ) -> None:
+        self.metrics = counters
+        self.name = name
+        self.zone = zone
+        self.times = times
+        self.lease = leases.HolderLease(times)
+        self.config = core_state.ConfigView()
+        self.groups: dict[str, model.GroupView] = {}
+        self.view_revision = 0
+        self.view_changed = asyncio.Event()
+        self.config_changed: list[collections.abc.Callable[[], None]] = []
+        self.backends: dict[tuple[str, str], backends.Backend] = {}
+        self.timelines: dict[str, freshness.PrimaryTimeline] = {}
+        self.shares = shares.BucketSet(times.config_ttl_s)
+        self.entries: dict[str, str] = {}
+        self.draining = False
+        self.renew_now: collections.abc.Callable[[], None] = lambda: None
+        self._signer: sessions.TokenSigner | None = None
+
+    # What holds now.
+
+    def lease_valid(self) -> bool:
+        """Return whether writes may be served and acknowledged."""
+        return self.lease.valid(clocks.boottime())
+
+    def config_valid(self) -> bool:
+        """Return whether keyed reads may be served."""
+        return self.lease.config_valid(clocks.boottime())
+
+    def signer(self) -> sessions.TokenSigner:
+        """Return the signer of session tokens."""
+        if self._signer is None:
+            self._signer = sessions.TokenSigner(self.config.session_secret)
+        return self._signer
+
+    def primary(self, group: str) -> backends.Backend | None:
+        """Return the backend of a group's primary, if one may serve."""
+        view = self.groups.get(group)
+        if view is None or view.changing or view.primary is None:
+            return None
+        return self.backends.get((group, view.primary))
+
+    def members(self, group: str) -> list[backends.Backend]:
+        """Return the backends of a group."""
+        return [b for (g, _), b in self.backends.items() if g == group]
+
+    def near_zones(self) -> list[str]:
+        """Return the other availability zones of targets, nearest first.
+
+        Distances are not known, so it is the order of their names.
+        """
+        zones = {b.info.zone for b in self.backends.values()}
+        return sorted(zones - {self.zone})
+
+    def serves(self, group: str) -> bool:
+        """Return whether this process keeps connections to the group."""
+        names = [*self.entries, self.name]
+        return self.name in placement.serving_set(group, sorted(set(names)))
+
+    def timeline(self, group: str) -> freshness.PrimaryTimeline:
+        """Return the timeline of a group's primary."""
+        return self.timelines.setdefault(
+            group, freshness.PrimaryTimeline()
+        )
+
+    def bucket(self, account: str) -> shares.Bucket:
+        """Return the bucket of a client account."""
+        return self.shares.bucket(account)
+
+    def _backend(self, info: model.TargetInfo) -> backends.Backend:
+        return backends.Backend(info, self.metrics)
+
+    def sample_primary(
+        self, group: str, server: str, sent_at: float
+    ) -> None:
+        """Record a position of the primary, for the age of replicas.
+
+        It proves something only while no other primary can acknowledge
+        writes, which the lease ensures.
+        """
+        view = self.groups.get(group)
+        backend = self.backends.get((group, server))
+        if view is None or backend is None or not self.lease_valid():
+            return
+        if view.primary == server and backend.log_term == view.term:
+            self.timeline(group).sample(
+                sent_at, backend.log_term, backend.applied
+            )
+
+    # Changes.
+
+    def announced(self, info: model.TargetInfo) -> None:
+        """Record the announcement of a target."""
+        key = (info.group, info.server)
+        backend = self.backends.get(key)
+        if backend is not None and backend.info.address != info.address:
+            backend.pool.close()
+            backend = None
+        if backend is None:
+            backend = self.backends[key] = self._backend(info)
+        backend.learn_announcement(info)
+
+    def apply_config(self, reply: typing.Any) -> bool:
+        """Apply configuration of a renewal; return whether it is current."""
+        before = self.config.revision
+        if reply.full:
+            self.config.load(reply.full)
+        for delta in reply.deltas or []:
+            self.config.apply(delta)
+        if self.config.revision != before:
+            self._signer = None
+            self.metrics.revision.set(self.config.revision)
+            for callback in self.config_changed:
+                callback()
+        return self.config.revision >= reply.revision
+
+    def apply_groups(self, reply: typing.Any) -> None:
+        """Apply views of groups; an older view never replaces a newer."""
+        for record in reply.groups or []:
+            view = codec.group_from_wire(record)
+            known = self.groups.get(view.group)
+            if known is None or view.term >= known.term:
+                self.groups[view.group] = view
+                self._follow_view(view)
+        if reply.view_revision > self.view_revision:
+            self.view_revision = reply.view_revision
+            changed, self.view_changed = self.view_changed, asyncio.Event()
+            changed.set()
+
+    def _follow_view(self, view: model.GroupView) -> None:
+        for server, address in view.members.items():
+            key = (view.group, server)
+            if key not in self.backends:
+                self.backends[key] = self._backend(
+                    model.TargetInfo(
+                        server, view.group, '', address, '', 0, 0, 1, 1
+                    )
+                )
+
+    def apply_connections(self, grants: typing.Any) -> None:
+        """Apply leased limits of connections."""
+        for grant in grants or []:
+            backend = self.backends.get((grant.group, grant.server))
+            if backend is not None:
+                backend.take_grant(grant)
+
+    def apply_entries(self, entries: typing.Any) -> None:
+        """Record the live entry processes."""
+        self.entries = {e.entry: e.address for e in entries or []}
--- /dev/null
+++ b/packages/node/src/sassafrasridge_node/leadership.py
@@ -0,0 +1,187 @@
+"""What only the control leader knows: leases, shares, observations.
+
+None of it is stored. A new leader builds it from what holders present, and
+waits out the leases of earlier leaders before it gives anything away.
+"""
+
+import typing
+
+from sassafrasridge_core import leases
+from sassafrasridge_core import model
+from sassafrasridge_core import promotion
+from sassafrasridge_core import shares
+from sassafrasridge_core import slots
+from sassafrasridge_core import state as core_state
+from sassafrasridge_node import codec
+from sassafrasridge_node import metrics
+from sassafrasridge_node import rpc
+
+CONTROL_OBSERVER = 'control'
+"""Observer name of announcements that control processes got themselves."""
+
+
+class Leadership:
+    """Own the state of one term of leadership."""
+
+    def __init__(
+        self,
+        state: core_state.State,
+        times: leases.LeaseTimes,
+        suspect_after_s: float,
+        term: int,
+        now: float,
+        policy: str,
+        counters: metrics.Metrics,
+    ) -> None:
+        self.term = term
+        self.table = leases.LeaseTable(times, now)
+        self.detector = promotion.Detector(suspect_after_s)
+        self._metrics = counters
+        self._state = state
+        self._times = times
+        self._started_at = now
+        self._allocator = shares.allocator(
+            policy, now, term, times.config_ttl_s
+        )
+        self._ledgers: dict[tuple[str, str], slots.ConnectionLedger] = {}
+        self._config_revision = -1
+        self._known_accounts: set[str] = set()
+
+    def renew(self, now: float, req: typing.Any) -> typing.Any:
+        """Grant a renewal and return its reply."""
+        self.expire(now)
+        name = holder_name(req)
+        holder = self.table.grant(now, name, req.entry)
+        holder.zone = req.zone
+        holder.address = req.address
+        holder.revision = req.revision
+        holder.view_revision = req.view_revision
+        holder.draining = req.draining
+        reply = rpc.idl.RenewReply(
+            granted=True,
+            reason='',
+            leader_term=self.term,
+            sequence=req.sequence,
+        )
+        self._add_config(reply, req)
+        reply.shares = [
+            codec.grant_to_wire(grant)
+            for grant in self._allocator.renew(
+                now, req.entry, req.accounts or [], req.incarnation, req.sequence
+            )
+        ]
+        reply.connections = [
+            self._observe(now, name, req, obs)
+            for obs in req.observations or []
+        ]
+        reply.entries = self._entries(now)
+        self._metrics.renewals.labels('granted').inc()
+        return reply
+
+    def release(self, now: float, req: typing.Any) -> None:
+        """Take back everything from a holder that shuts down."""
+        name = holder_name(req)
+        self._allocator.release(now, req.entry, req.incarnation)
+        for ledger in self._ledgers.values():
+            ledger.release(req.entry, req.incarnation)
+        self.detector.forget(name)
+        self.table.release(name)
+
+    def expire(self, now: float) -> None:
+        """Forget holders whose lease is over, and follow the accounts."""
+        for holder in self.table.expire(now):
+            self.detector.forget(holder.name)
+        self._allocator.tick(now)
+        if self._config_revision != self._state.revision:
+            self._sync_accounts(now)
+
+    def announced(self, at: float, info: model.TargetInfo) -> None:
+        """Record an announcement to a control process."""
+        self.detector.report(
+            CONTROL_OBSERVER,
+            info.group,
+            info.server,
+            promotion.Sighting(at, 0.0, float('inf'), info),
+        )
+
+    def _sync_accounts(self, now: float) -> None:
+        self._config_revision = self._state.revision
+        accounts = {a.name: a for a in self._state.accounts()}
+        for name in self._known_accounts - set(accounts):
+            self._allocator.withdraw_account(now, name)
+        for account in accounts.values():
+            self._allocator.set_account(
+                now, account.name, account.rate, account.burst
+            )
+        self._known_accounts = set(accounts)
+
+    def _observe(
+        self, now: float, name: str, req: typing.Any, obs: typing.Any
+    ) -> typing.Any:
+        self.detector.report(
+            name, obs.group, obs.server, codec.sighting_from_wire(now, obs)
+        )
+        key = (obs.group, obs.server)
+        ledger = self._ledgers.get(key)
+        if ledger is None:
+            ledger = self._ledgers[key] = slots.ConnectionLedger(
+                self._started_at, self.term, self._times.lease_s
+            )
+        budget, running = self._budget(obs)
+        limit = ledger.renew(
+            now,
+            req.entry,
+            req.incarnation,
+            obs.limit_version,
+            obs.limit,
+            obs.demand,
+            budget,
+            running,
+        )
+        return rpc.idl.ConnectionGrant(
+            group=obs.group,
+            server=obs.server,
+            version=limit.version,
+            connections=limit.connections,
+            in_flight=limit.in_flight,
+        )
+
+    def _budget(self, obs: typing.Any) -> tuple[int, int]:
+        """Return connections and slots; the service's settings go first."""
+        connections, running = obs.connections, obs.slots
+        for service in self._state.services():
+            if service.group == obs.group:
+                connections = service.connections or connections
+                running = service.slots or running
+        return connections, running
+
+    def _add_config(self, reply: typing.Any, req: typing.Any) -> None:
+        reply.revision = self._state.revision
+        reply.deltas = []
+        if req.revision < self._state.revision:
+            deltas = None
+            if req.revision > 0:
+                deltas = self._state.deltas_since(req.revision)
+            if deltas is None:
+                reply.full = self._state.full()
+            else:
+                reply.deltas = deltas
+        reply.view_revision = self._state.groups_revision
+        reply.groups = [
+            codec.group_to_wire(view)
+            for view in self._state.groups_since(req.view_revision)
+        ]
+
+    def _entries(self, now: float) -> list[typing.Any]:
+        return [
+            rpc.idl.EntryAddress(
+                entry=h.entry, zone=h.zone, address=h.address
+            )
+            for h in self.table.live(now)
+            if not h.draining
+        ]
+
+
+def holder_name(req: typing.Any) -> str:
+    """Return the name of a holder: one incarnation of an entry process."""
+    return f'{req.entry}#{req.incarnation}'
--- /dev/null
+++ b/packages/node/src/sassafrasridge_node/reads.py
@@ -0,0 +1,259 @@
+"""Serves reads from replicas, or from the primary as the fall-back."""
+
+import random
+import typing
+
+from sassafrasridge_core import model
+from sassafrasridge_core import retries
+from sassafrasridge_core import routing
+from sassafrasridge_core import sessions
+from sassafrasridge_node import admission
+from sassafrasridge_node import answers
+from sassafrasridge_node import backends
+from sassafrasridge_node import clocks
+from sassafrasridge_node import connections
+from sassafrasridge_node import entry
+from sassafrasridge_node import front
+from sassafrasridge_node import metrics
+
+SESSION_MAX_AGE_S = 5.0
+"""Highest age of data for a session read that states none. A session without
+a token would otherwise accept data of any age."""
+
+TRY_TIMEOUT_S = 1.0
+"""A read is repeatable, so it is tried elsewhere when an answer is late."""
+
+
+class AnyTarget(routing.Need):
+    """Admit every candidate; those that do not fit were left out before."""
+
+    def admits(self, candidate: routing.Candidate) -> bool:
+        """Return true."""
+        return True
+
+
+ANY = AnyTarget()
+
+
+class Need:
+    """Hold what a read accepts; ``max_age_s`` is in seconds."""
+
+    __slots__ = ('position', 'max_age_s', 'primary')
+
+    def __init__(
+        self,
+        position: model.Position | None,
+        max_age_s: float,
+        primary: bool,
+    ) -> None:
+        self.position = position
+        self.max_age_s = max_age_s
+        self.primary = primary
+
+
+class Reader:
+    """Route reads of one entry process."""
+
+    def __init__(
+        self,
+        state: entry.EntryState,
+        counters: metrics.Metrics,
+        rng: random.Random,
+    ) -> None:
+        self._state = state
+        self._metrics = counters
+        self._rng = rng
+        self._budgets: dict[str, retries.RetryBudget] = {}
+
+    async def read(
+        self,
+        req: front.DataRequest,
+        adm: admission.Admission,
+        tokens: dict[str, model.Position],
+    ) -> front.DataReply:
+        """Return the result of a read; raises RidgeError, not run."""
+        need = self._need(req, adm, tokens)
+        budget = self._budgets.setdefault(
+            adm.service.name, retries.RetryBudget()
+        )
+        budget.record(clocks.boottime())
+        tried: set[str] = set()
+        while True:
+            backend = self._choose(adm, need, tried)
+            body = await self._try(req, adm, need, backend)
+            if body is not None:
+                self._count(body)
+                return answers.done(
+                    self._state,
+                    adm.group,
+                    tokens,
+                    backend,
+                    body,
+                    clocks.boottime(),
+                )
+            tried.add(backend.info.server)
+            now = clocks.boottime()
+            if now >= req.deadline:
+                raise backends.refused(model.DEADLINE)
+            if not budget.allow(now):
+                raise backends.refused(model.Refusal('retry_budget'))
+            self._metrics.retries.inc()
+
+    def _need(
+        self,
+        req: front.DataRequest,
+        adm: admission.Admission,
+        tokens: dict[str, model.Position],
+    ) -> Need:
+        position = tokens.get(adm.group)
+        if req.consistency == 'primary':
+            return Need(position, 0.0, True)
+        if req.consistency == 'age':
+            return Need(position, req.max_age_s or 0.0, False)
+        unbounded = adm.partition_reads and not self._state.config_valid()
+        age = float('inf') if unbounded else SESSION_MAX_AGE_S
+        return Need(position, age, False)
+
+    def _choose(
+        self, adm: admission.Admission, need: Need, tried: set[str]
+    ) -> backends.Backend:
+        state = self._state
+        if need.primary:
+            return self._primary(adm.group)
+        now = clocks.boottime()
+        members = {b.info.server: b for b in state.members(adm.group)}
+        candidates = [
+            self._candidate(now, adm.group, need, backend)
+            for server, backend in members.items()
+            if server not in tried
+        ]
+        usable = [c for c in candidates if c is not None]
+        chosen = routing.choose(
+            usable, ANY, state.zone, state.near_zones(), self._rng
+        )
+        if isinstance(chosen, model.Refusal):
+            return self._primary(adm.group)
+        backend = members[chosen.server]
+        if not backend.circuit.allow(now, self._rng):
+            return self._choose(adm, need, {*tried, chosen.server})
+        return backend
+
+    def _primary(self, group: str) -> backends.Backend:
+        if not self._state.lease_valid():
+            raise admission.no_lease()
+        backend = self._state.primary(group)
+        if backend is None:
+            raise backends.refused(model.NO_TARGET)
+        return backend
+
+    def _candidate(
+        self,
+        now: float,
+        group: str,
+        need: Need,
+        backend: backends.Backend,
+    ) -> routing.Candidate | None:
+        if backend.leaving(now) or not self._fits(
+            now, group, need, backend.log_term, backend.applied
+        ):
+            return None
+        view = self._state.groups.get(group)
+        is_primary = view is not None and view.primary == backend.info.server
+        return routing.Candidate(
+            backend.info.server,
+            backend.info.zone,
+            'primary' if is_primary else 'replica',
+            backend.log_term,
+            backend.applied,
+            int(backend.demand()),
+            backend.circuit.ready(now),
+            backend.limit.in_flight,
+        )
+
+    def _fits(
+        self, now: float, group: str, need: Need, term: int, applied: int
+    ) -> bool:
+        view = self._state.groups.get(group)
+        if view is None:
+            return False
+        if need.position is not None and not sessions.covers(
+            need.position, term, applied, view.starts
+        ):
+            return False
+        if need.max_age_s == float('inf'):
+            return True
+        age = self._state.timeline(group).age(
+            now, term, applied, view.starts
+        )
+        return age <= need.max_age_s
+
+    async def _try(
+        self,
+        req: front.DataRequest,
+        adm: admission.Admission,
+        need: Need,
+        backend: backends.Backend,
+    ) -> dict[str, typing.Any] | None:
+        conn = await backend.connection(adm.account, req.deadline)
+        started = clocks.boottime()
+        body = {
+            'term': backend.term,
+            'access': 'read',
+            'statements': req.statements,
+            'tx': 'auto',
+        }
+        clean = True
+        try:
+            adm.recheck()
+            clean = False
+            answer = await conn.call(
+                '/execute',
+                body,
+                min(TRY_TIMEOUT_S, max(0.001, req.deadline - started)),
+            )
+            clean = True
+        except connections.ConnectionLostError:
+            backend.circuit.failure(clocks.boottime())
+            return None
+        finally:
+            backend.release(conn, clean=clean)
+        backend.learn_answer(answer)
+        answers.check(answer)
+        if answer.status != 200:
+            return None
+        self._state.sample_primary(
+            adm.group, backend.info.server, started
+        )
+        backend.circuit.success(
+            clocks.boottime(), clocks.boottime() - started
+        )
+        return self._checked(started, adm.group, need, answer.body)
+
+    def _checked(
+        self,
+        started: float,
+        group: str,
+        need: Need,
+        body: dict[str, typing.Any],
+    ) -> dict[str, typing.Any] | None:
+        view = self._state.groups.get(group)
+        term = int(body['term'])
+        if (
+            body.get('role') == 'primary'
+            and view is not None
+            and not view.changing
+            and term == view.term
+            and self._state.lease_valid()
+        ):
+            # The current primary has every acknowledged write.
+            return body
+        if need.primary:
+            return None
+        fits = self._fits(
+            started, group, need, term, int(body['position'])
+        )
+        return body if fits else None
+
+    def _count(self, body: dict[str, typing.Any]) -> None:
+        role = 'primary' if body.get('role') == 'primary' else 'replica'
+        self._metrics.reads[role].inc()
--- /dev/null
+++ b/packages/node/src/sassafrasridge_node/renewal.py
@@ -0,0 +1,212 @@
+"""Renews the lease of an entry process with control."""
+
+import asyncio
+import itertools
+import typing
+
+from sassafrasridge_core import model
+from sassafrasridge_node import clocks
+from sassafrasridge_node import codec
+from sassafrasridge_node import entry
+from sassafrasridge_node import logs
+from sassafrasridge_node import rpc
+
+URGENT_INTERVAL_S = 0.05
+URGENT_CHECK_S = 0.005
+"""Requests that find their bucket empty in this time share one renewal."""
+
+WATCH_INTERVAL_S = 0.1
+"""Renewal interval while a primary is silent or being replaced, so that
+control and this process learn of the change sooner."""
+
+CALL_TIMEOUT_S = 0.45
+"""Leaves time for another member within a lease of 1.2 s."""
+
+PROBE_INTERVAL_S = 0.2
+SILENT_AFTER_S = 0.4
+MAX_AGE_S = 1e6
+
+
+class Renewer:
+    """Keep the lease, and apply what control answers."""
+
+    def __init__(
+        self,
+        state: entry.EntryState,
+        pool: rpc.ClientPool,
+        members: list[str],
+        incarnation: int,
+        rpc_address: str,
+    ) -> None:
+        self._state = state
+        self._pool = pool
+        self._members = members
+        self._incarnation = incarnation
+        self._address = rpc_address
+        self._sequence = itertools.count(1)
+        self._current = 0
+        self._wake = asyncio.Event()
+        self._had_lease = False
+        state.renew_now = self._wake.set
+
+    async def run(self) -> None:
+        """Renew until cancelled."""
+        while True:
+            started = clocks.boottime()
+            await self._renew_once()
+            self._report_change()
+            await self._pause(started)
+
+    async def _pause(self, started: float) -> None:
+        """Wait for the next renewal, regular or urgent."""
+        while True:
+            self._wake.clear()
+            now = clocks.boottime()
+            rest = started + self._interval() - now
+            if rest <= 0 or self._state.shares.urgent(now):
+                return
+            try:
+                async with asyncio.timeout(min(rest, URGENT_INTERVAL_S)):
+                    await self._wake.wait()
+            except TimeoutError:
+                continue
+            await asyncio.sleep(URGENT_CHECK_S)
+
+    def _interval(self) -> float:
+        if not self._state.lease_valid():
+            return WATCH_INTERVAL_S
+        now = clocks.boottime()
+        for view in self._state.groups.values():
+            primary = self._state.primary(view.group)
+            if primary is None or now - primary.heard_at() > SILENT_AFTER_S:
+                return min(WATCH_INTERVAL_S, self._renew_interval())
+        return self._renew_interval()
+
+    def _renew_interval(self) -> float:
+        return self._state.times.renew_interval_s
+
+    async def _renew_once(self) -> None:
+        state = self._state
+        req = self._request()
+        now = clocks.boottime()
+        state.lease.sent(now, req.sequence)
+        req.accounts = [
+            codec.report_to_wire(report)
+            for report in state.shares.reports(now, req.sequence)
+        ]
+        client = self._pool.get(self._members[self._current])
+        try:
+            reply = await client.call(
+                'renew', req, timeout_s=CALL_TIMEOUT_S
+            )
+        except (rpc.RpcError, rpc.RemoteCallError):
+            reply = None
+        if reply is None or not reply.granted:
+            state.shares.answered(
+                clocks.boottime(), req.sequence, False, ()
+            )
+            state.metrics.renewals.labels('refused').inc()
+            if reply is None or reply.reason == 'no_leader':
+                self._current = (self._current + 1) % len(self._members)
+            return
+        self._apply(reply)
+
+    def _apply(self, reply: typing.Any) -> None:
+        state = self._state
+        state.apply_groups(reply)
+        state.apply_entries(reply.entries)
+        current = state.apply_config(reply)
+        state.shares.answered(
+            clocks.boottime(), reply.sequence, current, reply.shares or ()
+        )
+        if current:
+            state.lease.granted(reply.sequence)
+            state.apply_connections(reply.connections)
+
+    def _report_change(self) -> None:
+        valid = self._state.lease_valid()
+        if valid != self._had_lease:
+            self._had_lease = valid
+            self._state.metrics.lease_valid.set(int(valid))
+            logs.change(
+                'lease_gained' if valid else 'lease_lost',
+                entry=self._state.name,
+            )
+
+    def _request(self) -> typing.Any:
+        state = self._state
+        return rpc.idl.RenewRequest(
+            entry=state.name,
+            incarnation=self._incarnation,
+            zone=state.zone,
+            address=self._address,
+            revision=state.config.revision,
+            view_revision=state.view_revision,
+            draining=state.draining,
+            observations=self._observations(),
+            sequence=next(self._sequence),
+        )
+
+    def _observations(self) -> list[typing.Any]:
+        now = clocks.boottime()
+        return [
+            codec.observation_to_wire(
+                backend.info_now(),
+                min(MAX_AGE_S, now - backend.announced_at),
+                min(MAX_AGE_S, now - backend.success_at),
+                backend.demand(),
+                backend.limit,
+            )
+            for (group, _), backend in self._state.backends.items()
+            if self._state.serves(group)
+        ]
+
+    async def release(self) -> None:
+        """Give the lease back, at the end of a planned stop."""
+        self._state.lease.end()
+        req = rpc.idl.RenewRequest(
+            entry=self._state.name,
+            incarnation=self._incarnation,
+            draining=True,
+            accounts=[],
+            observations=[],
+            sequence=next(self._sequence),
+        )
+        client = self._pool.get(self._members[self._current])
+        try:
+            await client.call('renew', req, timeout_s=CALL_TIMEOUT_S)
+        except (rpc.RpcError, rpc.RemoteCallError):
+            return
+
+
+class Prober:
+    """Ask targets for their status when no answer told it lately."""
+
+    def __init__(self, state: entry.EntryState) -> None:
+        self._state = state
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def run(self) -> None:
+        """Probe until cancelled."""
+        while True:
+            for (group, server), backend in list(
+                self._state.backends.items()
+            ):
+                if self._state.serves(group):
+                    self._start(group, server, backend)
+            await asyncio.sleep(PROBE_INTERVAL_S)
+
+    def _start(self, group: str, server: str, backend: typing.Any) -> None:
+        now = clocks.boottime()
+        if now - backend.success_at < PROBE_INTERVAL_S:
+            return
+        task = asyncio.ensure_future(self._probe(group, server, backend))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _probe(
+        self, group: str, server: str, backend: typing.Any
+    ) -> None:
+        sent_at = clocks.boottime()
+        if await backend.probe():
+            self._state.sample_primary(group, server, sent_at)
--- a/packages/node/src/sassafrasridge_node/ridge.thrift
+++ b/packages/node/src/sassafrasridge_node/ridge.thrift
@@ -1,21 +1,27 @@
 // Messages between the daemons of one deployment.
 // Times are durations in seconds; no clock reading crosses the network.
 
-struct Holding {
+// A change of a holder's share of a client account's rate; see core.shares.
+struct ShareGrant {
   1: string account,
-  2: double rate,
-  3: double capacity,
-  4: double tokens,
+  2: i64 base,
+  3: i64 version,
+  4: double rate,
+  5: double capacity,
+  6: double tokens,
+  7: bool prompt,
 }
 
 // An entry process's report on one client account.
 struct AccountReport {
   1: string account,
-  2: double rate,
-  3: double capacity,
-  4: double tokens,
-  5: double demand_rate,    // statements/s asked for recently
-  6: double wanted_tokens,  // tokens that requests are waiting for
+  2: i64 version,
+  3: double rate,
+  4: double capacity,
+  5: double tokens,
+  6: double returned,       // tokens given up with the last reduction
+  7: double demand_rate,    // statements/s asked for recently
+  8: double wanted_tokens,  // tokens that requests are waiting for
 }
 
 // An entry process's report on one target.
@@ -33,7 +39,8 @@
   11: double announcement_age_s,
   12: double success_age_s,
   13: double demand,        // mean statements in flight or queued
-  14: i32 open_connections, // connections held or being opened
+  14: i64 limit_version,    // of the last ConnectionGrant taken
+  15: i32 limit,            // connections of that grant
 }
 
 struct MemberAddress {
@@ -58,8 +65,9 @@
 struct ConnectionGrant {
   1: string group,
   2: string server,
-  3: i32 connections,
-  4: i32 in_flight,
+  3: i64 version,
+  4: i32 connections,
+  5: i32 in_flight,
 }
 
 struct EntryAddress {
@@ -90,7 +98,7 @@
   6: binary full,               // encoded configuration, when deltas are gone
   7: i64 view_revision,
   8: list<GroupRecord> groups,  // changed since the reported view_revision
-  9: list<Holding> holdings,    // replace the holder's, after its own returns
+  9: list<ShareGrant> shares,
   10: list<ConnectionGrant> connections,
   11: list<EntryAddress> entries,
   12: i64 entries_revision,
