Add a stand-in database group and a process harness

Cause: other packages need targets with terms, positions, replication and request ids, as real processes. Ruled out: one shared in-memory database for readers and the writer, because its memdb locking refused a read while a write transaction was open; so a primary keeps a visible and a writable database.

--- /dev/null
+++ b/packages/testkit/src/sassafrasridge_testkit/database.py
@@ -0,0 +1,363 @@
+"""A stand-in for one server of a database group.
+
+Run it with ``python -m sassafrasridge_testkit.database --group g --server g1
+--zone z1 --port 0``. It prints one JSON line with its address when it accepts
+connections. A connection counts against the connection limit from its first
+``/execute``, so that control can always fence a server whose connections are
+used up.
+"""
+
+import argparse
+import asyncio
+import collections.abc
+import pathlib
+import signal
+import sys
+import typing
+
+import orjson
+
+from sassafrasridge_testkit import engine
+from sassafrasridge_testkit import faults
+from sassafrasridge_testkit import replication
+from sassafrasridge_testkit import sessions
+from sassafrasridge_testkit import txlog
+from sassafrasridge_testkit import webclient
+from sassafrasridge_testkit import webserver
+
+ANNOUNCE_INTERVAL_S = 0.25
+ANNOUNCE_TIMEOUT_S = 0.25
+
+Body = dict[str, typing.Any]
+Order = collections.abc.Callable[[Body], Body]
+
+
+class Settings:
+    """Who this server is and what it is told at start."""
+
+    __slots__ = (
+        'group',
+        'server',
+        'zone',
+        'host',
+        'port',
+        'advertise',
+        'announce',
+        'announce_token',
+        'members',
+        'primary',
+        'restart_role',
+        'data',
+        'apply_lag_s',
+        'record',
+        'limits',
+    )
+
+    def __init__(self, args: argparse.Namespace) -> None:
+        self.group: str = args.group
+        self.server: str = args.server
+        self.zone: str = args.zone
+        self.host: str = args.host
+        self.port: int = args.port
+        self.advertise: str | None = args.advertise
+        self.announce = [item for item in args.announce.split(',') if item]
+        self.announce_token: str | None = args.announce_token
+        self.members = _members(args.members)
+        self.primary: bool = args.primary
+        self.restart_role: str = args.restart_role
+        self.data = pathlib.Path(args.data) if args.data else None
+        self.apply_lag_s = args.apply_lag_ms / 1000
+        self.record: bool = args.record
+        self.limits = sessions.Limits()
+        self.limits.slots = args.slots
+        self.limits.connections = args.connections
+        self.limits.cost_s = args.cost_ms / 1000
+        self.limits.connect_cost_s = args.connect_cost_ms / 1000
+        self.limits.majority_timeout_s = args.majority_timeout_ms / 1000
+        self.limits.writer_wait_s = args.writer_wait_ms / 1000
+        self.limits.idle_transaction_s = args.idle_transaction_ms / 1000
+
+
+class Server:
+    """Answer requests, announce the server, and replicate."""
+
+    def __init__(self, settings: Settings) -> None:
+        self.address = ''
+        self._settings = settings
+        self._faults = faults.Faults()
+        self._faults.record = settings.record
+        self._observations = faults.Observations()
+        self._leaving = False
+        self._connections: set[webserver.Connection] = set()
+        log = txlog.Log(settings.data)
+        self._repl = replication.Replication(
+            settings.server, settings.group, log, self._faults, self._step_down
+        )
+        self._repl.apply_lag_s = settings.apply_lag_s
+        self._host = sessions.Host(
+            settings.limits, self._repl, self._faults, self._observations
+        )
+        self._tasks: list[asyncio.Task[None]] = []
+        self._orders: dict[str, Order] = {
+            '/status': self._status,
+            '/fence': self._fence,
+            '/promote': self._promote,
+            '/follow': self._follow,
+            '/replicate': self._replicate,
+            '/members': self._members,
+            '/faults': self._change_faults,
+            '/observations': self._observe,
+        }
+
+    async def start(self) -> None:
+        """Accept connections, then take the role."""
+        loop = asyncio.get_running_loop()
+        listener = await loop.create_server(
+            lambda: webserver.Connection(self._handle, self._connections),
+            self._settings.host,
+            self._settings.port,
+        )
+        host, port = listener.sockets[0].getsockname()[:2]
+        own = f'{host}:{port}'
+        self.address = self._settings.advertise or own
+        self._take_role()
+        for address in self._settings.announce:
+            self._tasks.append(loop.create_task(self._announce(address)))
+
+    def _take_role(self) -> None:
+        if self._repl.log.term:
+            self._repl.resume(self._settings.restart_role == 'primary')
+        elif self._settings.primary:
+            members = {
+                **self._settings.members,
+                self._settings.server: self.address,
+            }
+            self._repl.promote(1, 0, members)
+
+    async def _handle(
+        self, conn: webserver.Connection, req: webserver.Request
+    ) -> webserver.Answer | None:
+        self._observations.request(req, self._faults.record)
+        body: Body = {}
+        try:
+            body = _decode(req)
+            if body.get('group', self._settings.group) != self._settings.group:
+                raise replication.Refused('wrong_group', self._settings.group)
+            if req.path == '/execute':
+                return await self._execute(conn, body)
+            if req.path == '/status':
+                await self._open(conn)
+            order = self._orders.get(req.path)
+            if order is None:
+                raise replication.Refused('unknown_path', req.path, 404)
+            if req.path == '/faults' and 'stall_connections' in body:
+                self._stall(conn, body.pop('stall_connections'))
+            return webserver.Answer(200, {'id': body.get('id'), **order(body)})
+        except replication.Refused as exc:
+            return _refusal(body, exc.kind, str(exc), exc.status)
+        except engine.ReadOnlyViolation as exc:
+            return _refusal(body, exc.kind, str(exc), 409)
+        except engine.StatementFailed as exc:
+            return _refusal(body, exc.kind, str(exc), 400)
+        except (KeyError, TypeError, ValueError, AttributeError) as exc:
+            return _refusal(body, 'bad_request', repr(exc), 400)
+
+    async def _execute(
+        self, conn: webserver.Connection, body: Body
+    ) -> webserver.Answer | None:
+        if conn.session is None or conn.session not in self._host.open:
+            if len(self._host.open) >= self._settings.limits.connections:
+                answer = _refusal(
+                    body, 'too_many_connections', 'connection limit', 503
+                )
+                answer.close = True
+                return answer
+            await self._open(conn)
+            self._host.open.add(conn.session)
+        answer_or_none = await conn.session.execute(sessions.Call(body))
+        if answer_or_none is None:
+            return None
+        return self._faults.spoil(answer_or_none)
+
+    async def _open(self, conn: webserver.Connection) -> None:
+        """Spend the cost of opening a connection, once."""
+        if conn.session is None:
+            conn.session = sessions.Session(self._host)
+            if self._settings.limits.connect_cost_s:
+                await asyncio.sleep(self._settings.limits.connect_cost_s)
+
+    def _step_down(self) -> None:
+        self._host.step_down()
+
+    def _status(self, body: Body) -> Body:
+        log = self._repl.log
+        return {
+            'server': self._settings.server,
+            'group': self._settings.group,
+            'zone': self._settings.zone,
+            'role': log.role,
+            'term': log.term,
+            'last_term': log.last_term,
+            'received': len(log),
+            'applied': self._repl.applied,
+            'leaving': self._leaving,
+        }
+
+    def _fence(self, body: Body) -> Body:
+        self._repl.fence(int(body['term']))
+        return self._status(body)
+
+    def _promote(self, body: Body) -> Body:
+        self._repl.promote(
+            int(body['term']), int(body['start']), body.get('members')
+        )
+        return self._status(body)
+
+    def _follow(self, body: Body) -> Body:
+        self._repl.follow(int(body['term']), int(body['start']))
+        return self._status(body)
+
+    def _replicate(self, body: Body) -> Body:
+        if self._faults.refuse_replication:
+            raise replication.Refused('refused_by_fault', 'fault', 503)
+        return self._repl.replicate(body)
+
+    def _members(self, body: Body) -> Body:
+        self._repl.set_members(body['members'])
+        return self._status(body)
+
+    def _change_faults(self, body: Body) -> Body:
+        changes = {
+            name: value
+            for name, value in body.items()
+            if name not in ('id', 'group')
+        }
+        limits = self._settings.limits
+        if 'apply_lag_ms' in changes:
+            self._repl.apply_lag_s = changes.pop('apply_lag_ms') / 1000
+        if 'cost_ms' in changes:
+            limits.cost_s = changes.pop('cost_ms') / 1000
+        if 'leaving' in changes:
+            self._leaving = bool(changes.pop('leaving'))
+        if 'watch' in changes:
+            self._observations.watch(changes.pop('watch'))
+        self._faults.change(changes)
+        self._repl.apply_due()
+        return {'faults': self._faults.as_json()}
+
+    def _observe(self, body: Body) -> Body:
+        return {
+            **self._observations.as_json(),
+            'connections': len(self._host.open),
+        }
+
+    def _stall(self, caller: webserver.Connection, mode: str) -> None:
+        """Silence all open connections: 'drop' requests or 'run' them."""
+        if mode not in ('drop', 'run'):
+            raise ValueError(f'unknown mode {mode!r}')
+        for conn in self._connections:
+            if conn is not caller:
+                conn.stalled = mode
+
+    async def _announce(self, address: str) -> None:
+        client = webclient.Client(address)
+        loop = asyncio.get_running_loop()
+        while True:
+            began = loop.time()
+            if not self._faults.stop_announcing:
+                try:
+                    await client.post(
+                        '/v1/announce',
+                        self._announcement(),
+                        ANNOUNCE_TIMEOUT_S,
+                        self._settings.announce_token,
+                    )
+                except webclient.CallFailed:
+                    pass
+            left = ANNOUNCE_INTERVAL_S - (loop.time() - began)
+            await asyncio.sleep(max(0.0, left))
+
+    def _announcement(self) -> Body:
+        log = self._repl.log
+        return {
+            'group': self._settings.group,
+            'server': self._settings.server,
+            'role': log.role,
+            'term': log.term,
+            'last_term': log.last_term,
+            'position': self._repl.applied,
+            'address': self.address,
+            'zone': self._settings.zone,
+            'slots': self._settings.limits.slots,
+            'connections': self._settings.limits.connections,
+            'leaving': self._leaving,
+        }
+
+
+def _decode(req: webserver.Request) -> Body:
+    body = orjson.loads(req.body) if req.body else {}
+    if not isinstance(body, dict):
+        raise ValueError('the body is not an object')
+    return body
+
+
+def _refusal(
+    body: Body, kind: str, message: str, status: int
+) -> webserver.Answer:
+    return webserver.Answer(
+        status, webserver.error(body.get('id'), kind, message)
+    )
+
+
+def _members(text: str) -> dict[str, str]:
+    pairs = (item.split('=', 1) for item in text.split(',') if item)
+    return {name: address for name, address in pairs}
+
+
+def parse(argv: collections.abc.Sequence[str] | None = None) -> Settings:
+    """Return the settings of a command line."""
+    parser = argparse.ArgumentParser(description='Stand-in database server')
+    parser.add_argument('--group', required=True)
+    parser.add_argument('--server', required=True)
+    parser.add_argument('--zone', default='z1')
+    parser.add_argument('--host', default='127.0.0.1')
+    parser.add_argument('--port', type=int, default=0)
+    parser.add_argument(
+        '--advertise', help='address to announce, e.g. of a fault proxy'
+    )
+    parser.add_argument('--announce', default='', help='addr,addr')
+    parser.add_argument('--announce-token')
+    parser.add_argument('--members', default='', help='g1=addr,g2=addr')
+    parser.add_argument('--primary', action='store_true')
+    parser.add_argument(
+        '--restart-role', choices=('primary', 'replica'), default='primary'
+    )
+    parser.add_argument('--data', help='file that keeps the log')
+    parser.add_argument('--record', action='store_true')
+    parser.add_argument('--slots', type=int, default=5)
+    parser.add_argument('--connections', type=int, default=30)
+    parser.add_argument('--cost-ms', type=float, default=1.0)
+    parser.add_argument('--connect-cost-ms', type=float, default=0.0)
+    parser.add_argument('--apply-lag-ms', type=float, default=0.0)
+    parser.add_argument('--majority-timeout-ms', type=float, default=1000.0)
+    parser.add_argument('--writer-wait-ms', type=float, default=1000.0)
+    parser.add_argument('--idle-transaction-ms', type=float, default=5000.0)
+    return Settings(parser.parse_args(argv))
+
+
+async def run(settings: Settings) -> None:
+    """Serve until SIGTERM or SIGINT."""
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    server = Server(settings)
+    await server.start()
+    ready = {'server': settings.server, 'address': server.address}
+    sys.stdout.write(orjson.dumps(ready).decode() + '\n')
+    sys.stdout.flush()
+    await stop.wait()
+
+
+if __name__ == '__main__':
+    asyncio.run(run(parse()))
--- /dev/null
+++ b/packages/testkit/src/sassafrasridge_testkit/faults.py
@@ -0,0 +1,115 @@
+"""Faults that a test switches on in a stand-in server, and what it saw."""
+
+import collections
+import typing
+
+from sassafrasridge_testkit import webserver
+
+
+class Faults:
+    """Hold the faults in force.
+
+    ``drop_answers``, ``wrong_ids`` and ``cut_answers`` are numbers of coming
+    ``/execute`` answers that are spoiled: ``drop_answers`` counts only
+    answers to committed writes. ``delay_answers_ms`` delays each ``/execute``
+    answer. ``stop_replication`` is a bool or a list of member names.
+    """
+
+    __slots__ = (
+        'drop_answers',
+        'wrong_ids',
+        'cut_answers',
+        'delay_answers_ms',
+        'stop_replication',
+        'refuse_replication',
+        'stop_applying',
+        'stop_announcing',
+        'record',
+    )
+
+    def __init__(self) -> None:
+        self.drop_answers = 0
+        self.wrong_ids = 0
+        self.cut_answers = 0
+        self.delay_answers_ms = 0.0
+        self.stop_replication: bool | list[str] = False
+        self.refuse_replication = False
+        self.stop_applying = False
+        self.stop_announcing = False
+        self.record = False
+
+    def change(self, changes: dict[str, typing.Any]) -> None:
+        """Set faults by name; raises ValueError for an unknown name."""
+        for name, value in changes.items():
+            if name not in self.__slots__:
+                raise ValueError(f'unknown fault {name!r}')
+            setattr(self, name, value)
+
+    def as_json(self) -> dict[str, typing.Any]:
+        """Return all faults by name."""
+        return {name: getattr(self, name) for name in self.__slots__}
+
+    def replication_stopped(self, member: str) -> bool:
+        """Tell whether nothing may be sent to a member."""
+        if isinstance(self.stop_replication, bool):
+            return self.stop_replication
+        return member in self.stop_replication
+
+    def take(self, name: str) -> bool:
+        """Use up one of a number of spoiled answers."""
+        left = getattr(self, name)
+        if left:
+            setattr(self, name, left - 1)
+        return bool(left)
+
+    def spoil(self, answer: webserver.Answer) -> webserver.Answer:
+        """Apply the faults of answers to an answer of ``/execute``."""
+        answer.delay_s = self.delay_answers_ms / 1000
+        if self.take('wrong_ids'):
+            answer.body = {**answer.body, 'id': 'id-of-another-request'}
+        if self.take('cut_answers'):
+            answer.cut = True
+        return answer
+
+
+class Observations:
+    """Record what reached the server, so that a test can check it.
+
+    ``executions`` counts how often each statement ran for a caller, whether
+    or not its transaction committed; ``commits`` counts the commits of each
+    request id. ``watched`` counts the requests that contained a given text
+    anywhere in path, headers or body.
+    """
+
+    __slots__ = ('headers', 'executions', 'commits', 'watched')
+
+    def __init__(self) -> None:
+        self.headers: set[tuple[str, str]] = set()
+        self.executions: collections.Counter[str] = collections.Counter()
+        self.commits: collections.Counter[str] = collections.Counter()
+        self.watched: dict[str, int] = {}
+
+    def watch(self, texts: list[str]) -> None:
+        """Count requests that contain these texts from now on."""
+        self.watched = {text: 0 for text in texts}
+
+    def request(self, req: webserver.Request, record: bool) -> None:
+        """Record a received request."""
+        if record:
+            self.headers.update(req.headers)
+        for text in self.watched:
+            if (
+                text in req.path
+                or any(text in part for pair in req.headers for part in pair)
+                or text.encode() in req.body
+            ):
+                self.watched[text] += 1
+
+    def as_json(self) -> dict[str, typing.Any]:
+        """Return everything recorded."""
+        return {
+            'headers': sorted(self.headers),
+            'executions': self.executions,
+            'commits': self.commits,
+            'watched': self.watched,
+        }
--- /dev/null
+++ b/packages/testkit/src/sassafrasridge_testkit/harness.py
@@ -0,0 +1,237 @@
+"""Start database groups, fault proxies and daemons as real processes."""
+
+import collections.abc
+import contextlib
+import pathlib
+import sys
+import tempfile
+import types
+import typing
+
+from sassafrasridge_testkit import callers
+from sassafrasridge_testkit import processes
+
+# Re-exported, so that tests need one import.
+wait_until = processes.wait_until
+free_port = processes.free_port
+DeadlinePassed = processes.DeadlinePassed
+
+
+class DatabaseServer:
+    """A process of a database group.
+
+    ``address`` is the one that it announces and that other servers use.
+    """
+
+    def __init__(
+        self, name: str, zone: str, process: processes.Process
+    ) -> None:
+        self.name = name
+        self.zone = zone
+        self.process = process
+
+    @property
+    def address(self) -> str:
+        """Return the announced address."""
+        address: str = self.process.ready['address']
+        return address
+
+    def client(self, timeout_s: float = 10.0) -> callers.TargetClient:
+        """Return a new client with a connection of its own."""
+        return callers.TargetClient(self.address, timeout_s)
+
+    def status(self) -> callers.Json:
+        """Return the body of ``/status``."""
+        return self._ask('/status')
+
+    def faults(self, **changes: typing.Any) -> callers.Json:
+        """Switch faults on or off."""
+        return self._ask('/faults', **changes)
+
+    def observations(self) -> callers.Json:
+        """Return what the server recorded."""
+        return self._ask('/observations')
+
+    def order(self, path: str, **body: typing.Any) -> callers.Json:
+        """Send an order such as ``/fence`` with its fields."""
+        return self._ask(path, **body)
+
+    def restart(self) -> None:
+        """Start a killed server again on its port, with its data file."""
+        port = self.address.rsplit(':', 1)[1]
+        argv = self.process.argv
+        argv[argv.index('--port') + 1] = port
+        self.process.start()
+
+    def _ask(self, path: str, **body: typing.Any) -> callers.Json:
+        client = self.client()
+        with contextlib.closing(client):
+            answer: callers.Json = client.order(path, **body).body
+            return answer
+
+
+class DatabaseGroup:
+    """The servers of one group; the first one is primary of term 1."""
+
+    def __init__(self, name: str, servers: list[DatabaseServer]) -> None:
+        self.name = name
+        self.servers = {server.name: server for server in servers}
+
+    @property
+    def members(self) -> dict[str, str]:
+        """Return the address of each server."""
+        return {name: item.address for name, item in self.servers.items()}
+
+    def __getitem__(self, name: str) -> DatabaseServer:
+        return self.servers[name]
+
+    def primary(self) -> DatabaseServer | None:
+        """Return the running primary of the highest term, if any."""
+        best: tuple[int, DatabaseServer] | None = None
+        for server in self.servers.values():
+            with contextlib.suppress(callers.NoAnswer):
+                status = server.status()
+                if status['role'] == 'primary' and (
+                    best is None or status['term'] > best[0]
+                ):
+                    best = (status['term'], server)
+        return best[1] if best else None
+
+    def wait_replicated(self, timeout_s: float = 10.0) -> None:
+        """Wait until all servers applied the same position and term."""
+
+        def equal() -> bool:
+            seen = set()
+            for server in self.servers.values():
+                status = server.status()
+                seen.add((status['last_term'], status['received']))
+                seen.add((status['last_term'], status['applied']))
+            return len(seen) == 1
+
+        processes.wait_until(equal, timeout_s, f'replication of {self.name}')
+
+    def change_primary(
+        self, term: int, fence: collections.abc.Iterable[str]
+    ) -> DatabaseServer:
+        """Do what control does: fence, choose, promote, let others follow."""
+        fenced = {
+            name: self[name].order('/fence', term=term) for name in fence
+        }
+        chosen = max(
+            fenced,
+            key=lambda name: (
+                fenced[name]['last_term'],
+                fenced[name]['received'],
+            ),
+        )
+        start = fenced[chosen]['received']
+        self[chosen].order(
+            '/promote', term=term, start=start, members=self.members
+        )
+        for name in fenced:
+            if name != chosen:
+                self[name].order(
+                    '/follow',
+                    term=term,
+                    start=start,
+                    primary=self[chosen].address,
+                )
+        return self[chosen]
+
+
+class Harness:
+    """Own a temporary folder and every process started in it.
+
+    Use it as a context manager: leaving it ends all its processes.
+    """
+
+    def __init__(self, folder: pathlib.Path | None = None) -> None:
+        self._temporary: tempfile.TemporaryDirectory[str] | None = None
+        if folder is None:
+            self._temporary = tempfile.TemporaryDirectory(prefix='testkit-')
+            folder = pathlib.Path(self._temporary.name)
+        self.folder = folder
+        self.processes: list[processes.Process] = []
+
+    def __enter__(self) -> 'Harness':
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        exc: BaseException | None,
+        traceback: types.TracebackType | None,
+    ) -> None:
+        self.close()
+
+    def close(self) -> None:
+        """End all processes and remove a temporary folder."""
+        for process in reversed(self.processes):
+            process.kill()
+        if self._temporary is not None:
+            self._temporary.cleanup()
+
+    def prepare(
+        self, name: str, argv: collections.abc.Sequence[str]
+    ) -> processes.Process:
+        """Return a process that is not started yet."""
+        process = processes.Process(name, argv, self.folder)
+        self.processes.append(process)
+        return process
+
+    def start_module(
+        self, name: str, module: str, *args: str
+    ) -> processes.Process:
+        """Run a module of this Python and wait for its ready line."""
+        argv = [sys.executable, '-m', module, *args]
+        return self.prepare(name, argv).start()
+
+    def start_daemon(
+        self, ini_path: pathlib.Path, name: str | None = None
+    ) -> processes.Process:
+        """Start a daemon; ``ready`` has its ``http`` and ``rpc`` address."""
+        return self.start_module(
+            name or ini_path.stem,
+            'sassafrasridge_node.main',
+            '--settings',
+            str(ini_path),
+        )
+
+    def start_group(
+        self,
+        group: str = 'g',
+        zones: collections.abc.Sequence[str] = ('z1', 'z2', 'z3'),
+        announce: collections.abc.Iterable[str] = (),
+        announce_token: str | None = None,
+        durable: bool = True,
+        options: collections.abc.Sequence[str] = ('--record',),
+    ) -> DatabaseGroup:
+        """Start a server per zone, named ``{group}1``, ``{group}2``...
+
+        A durable server keeps its log in a file and may be restarted;
+        ``options`` are further arguments of every server.
+        """
+        servers = []
+        for number, zone in enumerate(zones, 1):
+            name = f'{group}{number}'
+            argv = [
+                sys.executable,
+                '-m',
+                'sassafrasridge_testkit.database',
+                *('--group', group, '--server', name, '--zone', zone),
+                *('--port', '0', '--announce', ','.join(announce)),
+                *options,
+            ]
+            if announce_token is not None:
+                argv += ['--announce-token', announce_token]
+            if durable:
+                argv += ['--data', str(self.folder / f'{name}.log')]
+            process = self.prepare(name, argv)
+            process.launch()
+            servers.append(DatabaseServer(name, zone, process))
+        for server in servers:
+            server.process.wait_ready()
+        result = DatabaseGroup(group, servers)
+        servers[0].order('/promote', term=1, start=0, members=result.members)
+        result.wait_replicated()
+        return result
--- /dev/null
+++ b/packages/testkit/src/sassafrasridge_testkit/sessions.py
@@ -0,0 +1,388 @@
+"""Statements and transactions of one database connection."""
+
+import asyncio
+import collections.abc
+import time
+import typing
+
+from sassafrasridge_testkit import engine
+from sassafrasridge_testkit import faults
+from sassafrasridge_testkit import replication
+from sassafrasridge_testkit import webserver
+
+Results = list[dict[str, typing.Any]]
+
+
+class Limits:
+    """Costs and bounds of a server, in seconds unless named otherwise."""
+
+    __slots__ = (
+        'slots',
+        'connections',
+        'cost_s',
+        'connect_cost_s',
+        'majority_timeout_s',
+        'writer_wait_s',
+        'idle_transaction_s',
+    )
+
+    def __init__(self) -> None:
+        self.slots = 5
+        self.connections = 30
+        self.cost_s = 0.001
+        self.connect_cost_s = 0.0
+        self.majority_timeout_s = 1.0
+        self.writer_wait_s = 1.0
+        self.idle_transaction_s = 5.0
+
+
+class Host:
+    """Share the server's parts among its sessions."""
+
+    __slots__ = (
+        'limits',
+        'replication',
+        'faults',
+        'observations',
+        'slots',
+        'writer',
+        'open',
+    )
+
+    def __init__(
+        self,
+        limits: Limits,
+        repl: replication.Replication,
+        switches: faults.Faults,
+        observations: faults.Observations,
+    ) -> None:
+        self.limits = limits
+        self.replication = repl
+        self.faults = switches
+        self.observations = observations
+        self.slots = asyncio.Semaphore(limits.slots)
+        self.writer = asyncio.Lock()
+        self.open: set[Session] = set()
+
+    def step_down(self) -> None:
+        """Roll back every write transaction."""
+        for session in self.open:
+            session.roll_back_write()
+
+
+class Call:
+    """A decoded body of ``/execute``."""
+
+    __slots__ = ('id', 'term', 'access', 'statements', 'tx', 'request')
+
+    def __init__(self, body: dict[str, typing.Any]) -> None:
+        try:
+            self.id = body['id']
+            self.term = int(body['term'])
+            self.access = body.get('access', 'write')
+            self.tx = body.get('tx', 'auto')
+            self.statements = [
+                engine.Statement(str(item['sql']), item.get('params') or [])
+                for item in body.get('statements') or []
+            ]
+            self.request = body.get('request')
+            if self.request is not None:
+                for name in ('account', 'id', 'digest'):
+                    self.request[name] = str(self.request[name])
+        except (KeyError, TypeError, ValueError, AttributeError) as exc:
+            raise replication.Refused('bad_request', repr(exc), 400)
+        if self.access not in ('read', 'write') or self.tx not in (
+            'auto',
+            'begin',
+            'in',
+            'commit',
+            'rollback',
+        ):
+            raise replication.Refused('bad_request', 'access or tx', 400)
+
+
+class _Transaction:
+    __slots__ = ('access', 'statements', 'request', 'timer')
+
+    def __init__(self, call: Call, timer: asyncio.TimerHandle) -> None:
+        self.access = call.access
+        self.statements: list[engine.Statement] = []
+        self.request = call.request
+        self.timer = timer
+
+
+class Session:
+    """Run the calls of one connection."""
+
+    def __init__(self, host: Host) -> None:
+        self._host = host
+        self._transaction: _Transaction | None = None
+        self._holds_writer = False
+
+    def close(self) -> None:
+        """Roll the open transaction back; the connection is gone."""
+        self._end_transaction()
+        self._host.open.discard(self)
+
+    def roll_back_write(self) -> None:
+        """Roll back an open write transaction; this server steps down."""
+        if self._transaction and self._transaction.access == 'write':
+            self._end_transaction()
+
+    async def execute(self, call: Call) -> webserver.Answer | None:
+        """Return the answer to a call; None closes without an answer."""
+        run: collections.abc.Callable[
+            [Call], collections.abc.Awaitable[webserver.Answer | None]
+        ] = getattr(self, f'_{call.tx}')
+        if call.tx != 'rollback':
+            self._check(call)
+        return await run(call)
+
+    async def _auto(self, call: Call) -> webserver.Answer | None:
+        if self._transaction is not None:
+            raise replication.Refused('transaction_open', 'end it first')
+        if call.access == 'read':
+            async with self._host.slots:
+                await self._spend(call)
+                self._check(call)
+                results = self._read(call)
+            return self._answer(call, results)
+        stored = self._stored(call.request)
+        if stored is not None:
+            return await self._replay(call, stored)
+        await self._lock_writer()
+        try:
+            self._check(call)
+            async with self._host.slots:
+                await self._spend(call)
+                self._check(call)
+                stored = self._stored(call.request)
+                if stored is None:
+                    results, index = self._run_and_commit(call)
+        finally:
+            self._unlock_writer()
+        if stored is not None:
+            return await self._replay(call, stored)
+        return await self._acknowledge(call, results, index)
+
+    async def _begin(self, call: Call) -> webserver.Answer | None:
+        if self._transaction is not None:
+            raise replication.Refused('transaction_open', 'end it first')
+        if call.access == 'write':
+            await self._lock_writer()
+            try:
+                self._check(call)
+                self._host.replication.engine.begin()
+            except BaseException:
+                self._unlock_writer()
+                raise
+        timer = asyncio.get_running_loop().call_later(
+            self._host.limits.idle_transaction_s, self._end_transaction
+        )
+        self._transaction = _Transaction(call, timer)
+        return await self._in(call)
+
+    async def _in(self, call: Call) -> webserver.Answer | None:
+        results = await self._run_in_transaction(call)
+        return self._answer(call, results)
+
+    async def _commit(self, call: Call) -> webserver.Answer | None:
+        tx = self._transaction
+        if tx is None:
+            stored = self._stored(call.request)
+            if stored is None:
+                raise replication.Refused('no_transaction', 'none is open')
+            return await self._replay(call, stored)
+        request = call.request or tx.request
+        try:
+            stored = self._stored(request)
+        except replication.Refused:
+            self._end_transaction()
+            raise
+        if stored is not None:
+            self._end_transaction()
+            return await self._replay(call, stored)
+        results = await self._run_in_transaction(call)
+        if tx.access == 'read' or not (tx.statements or request):
+            self._end_transaction()
+            return self._answer(call, results)
+        index = self._commit_write(tx.statements, request, results)
+        self._end_transaction()
+        return await self._acknowledge(call, results, index)
+
+    async def _rollback(self, call: Call) -> webserver.Answer | None:
+        self._end_transaction()
+        return self._answer(call, [])
+
+    async def _run_in_transaction(self, call: Call) -> Results:
+        tx = self._transaction
+        if tx is None:
+            raise replication.Refused('no_transaction', 'none is open')
+        self._postpone_idle_end(tx)
+        async with self._host.slots:
+            await self._spend(call)
+            if self._transaction is not tx:
+                raise replication.Refused('no_transaction', 'rolled back')
+            self._check(call)
+            if tx.access == 'read':
+                return self._read(call)
+            try:
+                results = self._host.replication.engine.run(
+                    call.statements, call.access == 'read'
+                )
+            except engine.StatementFailed:
+                self._end_transaction()
+                raise
+            self._count(call)
+            if call.access == 'write':
+                tx.statements += call.statements
+            return results
+
+    def _read(self, call: Call) -> Results:
+        self._count(call)
+        return self._host.replication.engine.read(call.statements)
+
+    def _run_and_commit(self, call: Call) -> tuple[Results, int]:
+        repl = self._host.replication
+        repl.engine.begin()
+        try:
+            results = repl.engine.run(call.statements)
+            self._count(call)
+            return results, self._commit_write(
+                call.statements, call.request, results
+            )
+        finally:
+            repl.engine.rollback()
+
+    def _commit_write(
+        self,
+        statements: list[engine.Statement],
+        request: dict[str, typing.Any] | None,
+        results: Results,
+    ) -> int:
+        row = None
+        if request is not None:
+            row = engine.RequestRow(
+                request['account'],
+                request['id'],
+                request['digest'],
+                engine.encode_answer(results, request.get('answer_limit')),
+                time.time(),
+            )
+        index = self._host.replication.commit(statements, row)
+        if row is not None:
+            self._host.observations.commits[f'{row.account}/{row.id}'] += 1
+        return index
+
+    async def _acknowledge(
+        self, call: Call, results: Results, index: int
+    ) -> webserver.Answer | None:
+        majority = await self._host.replication.wait_majority(
+            index, self._host.limits.majority_timeout_s
+        )
+        if self._host.faults.take('drop_answers'):
+            return None
+        return self._answer(call, results, index, majority)
+
+    async def _replay(
+        self, call: Call, stored: engine.RequestRow
+    ) -> webserver.Answer:
+        index = self._host.replication.log.request_index(
+            stored.account, stored.id
+        )
+        majority = await self._host.replication.wait_majority(
+            index, self._host.limits.majority_timeout_s
+        )
+        results = None
+        if stored.answer is not None:
+            results = engine.decode_answer(stored.answer)
+        return self._answer(call, results, index, majority, True)
+
+    def _answer(
+        self,
+        call: Call,
+        results: Results | None,
+        index: int | None = None,
+        majority: int | None = None,
+        replayed: bool = False,
+    ) -> webserver.Answer:
+        repl = self._host.replication
+        # The term is that of the log, so that (term, position) names a state
+        # even while the server is fenced and does not yet follow.
+        body = {
+            'id': call.id,
+            'term': call.term if index is not None else repl.log.last_term,
+            'position': repl.applied if index is None else index,
+            'role': repl.log.role,
+            'results': results,
+            'majority_position': repl.majority
+            if majority is None
+            else majority,
+            'replayed': replayed,
+        }
+        return webserver.Answer(200, body)
+
+    def _stored(
+        self, request: dict[str, typing.Any] | None
+    ) -> engine.RequestRow | None:
+        if request is None:
+            return None
+        row = self._host.replication.engine.stored_request(
+            request['account'], request['id']
+        )
+        if row is not None and row.digest != request['digest']:
+            raise replication.Refused(
+                'request_conflict', 'the id belongs to another request'
+            )
+        return row
+
+    def _check(self, call: Call) -> None:
+        log = self._host.replication.log
+        if call.term != log.term:
+            raise replication.Refused(
+                'wrong_term', f'this server is in term {log.term}'
+            )
+        if call.access == 'write' and log.role != 'primary':
+            raise replication.Refused('not_primary', f'role is {log.role}')
+        tx = self._transaction
+        if tx and call.tx == 'in' and call.access != tx.access == 'read':
+            raise replication.Refused('read_only', 'read transaction')
+
+    async def _spend(self, call: Call) -> None:
+        cost = self._host.limits.cost_s * len(call.statements)
+        if cost:
+            await asyncio.sleep(cost)
+
+    def _count(self, call: Call) -> None:
+        if self._host.faults.record:
+            for statement in call.statements:
+                self._host.observations.executions[statement.sql] += 1
+
+    async def _lock_writer(self) -> None:
+        try:
+            async with asyncio.timeout(self._host.limits.writer_wait_s):
+                await self._host.writer.acquire()
+        except TimeoutError:
+            raise replication.Refused('writer_busy', 'another transaction')
+        self._holds_writer = True
+
+    def _unlock_writer(self) -> None:
+        if self._holds_writer:
+            self._holds_writer = False
+            self._host.writer.release()
+
+    def _postpone_idle_end(self, tx: _Transaction) -> None:
+        tx.timer.cancel()
+        tx.timer = asyncio.get_running_loop().call_later(
+            self._host.limits.idle_transaction_s, self._end_transaction
+        )
+
+    def _end_transaction(self) -> None:
+        tx = self._transaction
+        if tx is None:
+            return
+        self._transaction = None
+        tx.timer.cancel()
+        if tx.access == 'write':
+            self._host.replication.engine.rollback()
+            self._unlock_writer()
--- /dev/null
+++ b/packages/testkit/src/sassafrasridge_testkit/webclient.py
@@ -0,0 +1,89 @@
+"""A small asyncio HTTP/1.1 client with one connection at a time."""
+
+import asyncio
+import typing
+
+import httptools
+import orjson
+
+
+class CallFailed(Exception):
+    """Report a call without a complete answer."""
+
+
+class _Collector:
+    def __init__(self) -> None:
+        self.body = b''
+        self.complete = False
+
+    def on_body(self, data: bytes) -> None:
+        self.body += data
+
+    def on_message_complete(self) -> None:
+        self.complete = True
+
+
+class Client:
+    """Send JSON over one keep-alive connection, opened when needed."""
+
+    def __init__(self, address: str) -> None:
+        self.address = address
+        self._reader: asyncio.StreamReader | None = None
+        self._writer: asyncio.StreamWriter | None = None
+
+    async def post(
+        self,
+        path: str,
+        body: dict[str, typing.Any],
+        timeout_s: float,
+        token: str | None = None,
+    ) -> tuple[int, dict[str, typing.Any]]:
+        """Return the status and the body of the answer.
+
+        After any failure the connection is closed, so that a late answer is
+        never taken for the next one. Raises CallFailed.
+        """
+        try:
+            async with asyncio.timeout(timeout_s):
+                return await self._post(path, body, token)
+        except (OSError, httptools.HttpParserError, ValueError) as exc:
+            self.close()
+            raise CallFailed(f'{self.address}{path}: {exc!r}') from exc
+        except asyncio.CancelledError:
+            self.close()
+            raise
+
+    async def _post(
+        self, path: str, body: dict[str, typing.Any], token: str | None
+    ) -> tuple[int, dict[str, typing.Any]]:
+        if self._writer is None or self._reader is None:
+            host, port = self.address.rsplit(':', 1)
+            self._reader, self._writer = await asyncio.open_connection(
+                host, int(port)
+            )
+        data = orjson.dumps(body)
+        auth = f'Authorization: Bearer {token}\r\n' if token else ''
+        self._writer.write(
+            (
+                f'POST {path} HTTP/1.1\r\nHost: {self.address}\r\n'
+                f'Content-Type: application/json\r\n{auth}'
+                f'Content-Length: {len(data)}\r\n\r\n'
+            ).encode()
+            + data
+        )
+        collector = _Collector()
+        parser = httptools.HttpResponseParser(collector)
+        while not collector.complete:
+            received = await self._reader.read(65536)
+            if not received:
+                raise ConnectionResetError('closed before the answer')
+            parser.feed_data(received)
+        if not parser.should_keep_alive():
+            self.close()
+        return parser.get_status_code(), orjson.loads(collector.body or b'{}')
+
+    def close(self) -> None:
+        """Close the connection."""
+        if self._writer is not None:
+            self._writer.close()
+        self._reader = self._writer = None
