Add release notes and the replicated state machine

Cause: configuration, groups and audit need one deterministic state that all control members share. Ruled out: copying the tables for each note, because its cost grows with the configuration.

--- /dev/null
+++ b/packages/core/src/sassafrasridge_core/configuration.py
@@ -0,0 +1,184 @@
+"""Accounts, keys, services, routes and grants that are in force."""
+
+from collections.abc import Iterable
+from typing import Any
+
+ACCOUNT = 'account'
+KEY = 'key'
+SERVICE = 'service'
+ROUTE = 'route'
+GRANT = 'grant'
+KINDS = (ACCOUNT, KEY, SERVICE, ROUTE, GRANT)
+
+
+class Account:
+    """Hold a client account; ``rate`` is in statements/s."""
+
+    __slots__ = ('name', 'rate', 'burst')
+
+    def __init__(self, name: str, rate: float, burst: float) -> None:
+        self.name = name
+        self.rate = rate
+        self.burst = burst
+
+
+class Key:
+    """Hold the SHA-256 hex digest of a secret; never the secret."""
+
+    __slots__ = ('id', 'account', 'digest')
+
+    def __init__(self, id: str, account: str, digest: str) -> None:
+        self.id = id
+        self.account = account
+        self.digest = digest
+
+
+class Service:
+    """Hold a service; ``slots`` and ``connections`` None mean announced."""
+
+    __slots__ = ('name', 'group', 'slots', 'connections', 'policy')
+
+    def __init__(
+        self,
+        name: str,
+        group: str,
+        slots: int | None,
+        connections: int | None,
+        policy: str,
+    ) -> None:
+        self.name = name
+        self.group = group
+        self.slots = slots
+        self.connections = connections
+        self.policy = policy
+
+
+class Route:
+    """Hold a route.
+
+    ``reads_ended`` is the revision that last set ``partition_reads`` from
+    true to false, 0 when there was none.
+    """
+
+    __slots__ = ('path', 'service', 'open', 'partition_reads', 'reads_ended')
+
+    def __init__(
+        self,
+        path: str,
+        service: str,
+        open: bool,
+        partition_reads: bool,
+        reads_ended: int = 0,
+    ) -> None:
+        self.path = path
+        self.service = service
+        self.open = open
+        self.partition_reads = partition_reads
+        self.reads_ended = reads_ended
+
+
+class Grant:
+    """Allow a client account to use a service."""
+
+    __slots__ = ('account', 'service')
+
+    def __init__(self, account: str, service: str) -> None:
+        self.account = account
+        self.service = service
+
+
+Record = Account | Key | Service | Route | Grant
+
+_CLASSES: dict[str, type[Any]] = {
+    ACCOUNT: Account,
+    KEY: Key,
+    SERVICE: Service,
+    ROUTE: Route,
+    GRANT: Grant,
+}
+
+
+def as_dict(record: Record) -> dict[str, Any]:
+    """Return the fields of a record as JSON-able values."""
+    return {name: getattr(record, name) for name in record.__slots__}
+
+
+class Change:
+    """Set one record, or remove it when ``values`` is None."""
+
+    __slots__ = ('kind', 'key', 'values')
+
+    def __init__(
+        self, kind: str, key: str, values: dict[str, Any] | None
+    ) -> None:
+        self.kind = kind
+        self.key = key
+        self.values = values
+
+    def as_list(self) -> list[Any]:
+        """Return the form that deltas carry."""
+        return [self.kind, self.key, self.values]
+
+
+class Tables:
+    """Hold the records of a configuration, by kind and key."""
+
+    __slots__ = ('_records', '_key_ids', '_grants')
+
+    def __init__(self) -> None:
+        self._records: dict[str, dict[str, Any]] = {k: {} for k in KINDS}
+        self._key_ids: dict[str, str] = {}
+        self._grants: set[tuple[str, str]] = set()
+
+    def get(self, kind: str, key: str) -> Any:
+        """Return a record or None."""
+        return self._records[kind].get(key)
+
+    def all(self, kind: str) -> Iterable[Any]:
+        """Return the records of a kind."""
+        return self._records[kind].values()
+
+    def items(self, kind: str) -> Iterable[tuple[str, Any]]:
+        """Return the keys and records of a kind."""
+        return self._records[kind].items()
+
+    def key_by_digest(self, digest: str) -> Key | None:
+        """Return the key with the digest of a secret."""
+        id = self._key_ids.get(digest)
+        return None if id is None else self._records[KEY].get(id)
+
+    def granted(self, account: str, service: str) -> bool:
+        """Return whether the account may use the service."""
+        return (account, service) in self._grants
+
+    def put(self, kind: str, key: str, values: dict[str, Any] | None) -> None:
+        """Set a record, or remove it when values is None."""
+        table = self._records[kind]
+        previous = table.pop(key, None)
+        if kind == KEY and previous is not None:
+            self._key_ids.pop(previous.digest, None)
+        if kind == GRANT and previous is not None:
+            self._grants.discard((previous.account, previous.service))
+        if values is None:
+            return
+        record = table[key] = _CLASSES[kind](**values)
+        if kind == KEY:
+            self._key_ids[record.digest] = key
+        if kind == GRANT:
+            self._grants.add((record.account, record.service))
+
+    def dump(self) -> dict[str, Any]:
+        """Return all records as JSON-able values in a fixed order."""
+        return {
+            kind: {key: as_dict(table[key]) for key in sorted(table)}
+            for kind, table in self._records.items()
+        }
+
+    @classmethod
+    def load(cls, data: dict[str, Any]) -> 'Tables':
+        """Return the tables that :meth:`dump` described."""
+        tables = cls()
+        for kind, records in data.items():
+            for key, values in records.items():
+                tables.put(kind, key, values)
+        return tables
--- /dev/null
+++ b/packages/core/src/sassafrasridge_core/notes.py
@@ -0,0 +1,662 @@
+"""Parse release notes and validate them against the configuration."""
+
+from collections.abc import Callable
+import hashlib
+import re
+from typing import Any
+
+import orjson
+
+from sassafrasridge_core import configuration
+from sassafrasridge_core import errors
+from sassafrasridge_core.configuration import ACCOUNT
+from sassafrasridge_core.configuration import GRANT
+from sassafrasridge_core.configuration import KEY
+from sassafrasridge_core.configuration import ROUTE
+from sassafrasridge_core.configuration import SERVICE
+
+# A delta of this many items stays far below the 4 MiB of a frame.
+MAX_ITEMS = 1000
+# Numbers stay exact in every JSON implementation.
+MAX_NUMBER = 2**53 - 1
+MAX_RATE = 1e9
+MAX_SLOTS = 10_000
+MAX_PATH = 256
+MAX_SHOWN = 80
+LISTS = ('added', 'changed', 'withdrawn')
+POLICIES = ('demand', 'static')
+
+_NAME = re.compile(r'[A-Za-z0-9][A-Za-z0-9._-]{0,63}')
+_DIGEST = re.compile(r'[0-9a-f]{64}')
+_SEGMENT = re.compile(r'[A-Za-z0-9_~-][A-Za-z0-9._~-]*')
+_REQUIRED = object()
+
+
+class Mistake:
+    """Describe one mistake: where, what was found, what is allowed."""
+
+    __slots__ = ('path', 'found', 'allowed')
+
+    def __init__(self, path: str, found: str, allowed: str) -> None:
+        self.path = path
+        self.found = found
+        self.allowed = allowed
+
+    def as_json(self) -> dict[str, str]:
+        """Return a JSON-able form."""
+        return {
+            'path': self.path,
+            'found': self.found,
+            'allowed': self.allowed,
+        }
+
+    def __str__(self) -> str:
+        return f'{self.path}: found {self.found}, allowed: {self.allowed}'
+
+
+class NoteError(errors.BadRequestError):
+    """Report every mistake of a release note."""
+
+    kind = 'bad_note'
+    remedy = 'Correct the listed mistakes and submit the note again.'
+
+    def __init__(self, mistakes: list[Mistake]) -> None:
+        count = len(mistakes)
+        noun = 'mistake' if count == 1 else 'mistakes'
+        listed = '; '.join(str(mistake) for mistake in mistakes)
+        super().__init__(f'the note has {count} {noun}: {listed}')
+        self.mistakes = mistakes
+
+    def as_json(self) -> dict[str, object]:
+        """Return the body of an HTTP error answer with all mistakes."""
+        body = super().as_json()
+        body['mistakes'] = [mistake.as_json() for mistake in self.mistakes]
+        return body
+
+
+class _Field:
+    __slots__ = ('accepts', 'allowed', 'default', 'private', 'convert')
+
+    def __init__(
+        self,
+        accepts: Callable[[Any], bool],
+        allowed: str,
+        default: Any = _REQUIRED,
+        private: bool = False,
+        convert: Callable[[Any], Any] | None = None,
+    ) -> None:
+        self.accepts = accepts
+        self.allowed = allowed
+        self.default = default
+        self.private = private
+        self.convert = convert
+
+
+class _Kind:
+    __slots__ = ('identity', 'fields', 'changeable')
+
+    def __init__(
+        self,
+        identity: tuple[str, ...],
+        fields: dict[str, _Field],
+        changeable: tuple[str, ...],
+    ) -> None:
+        self.identity = identity
+        self.fields = fields
+        self.changeable = changeable
+
+
+def _is_name(value: Any) -> bool:
+    return isinstance(value, str) and bool(_NAME.fullmatch(value))
+
+
+def _is_path(value: Any) -> bool:
+    return (
+        isinstance(value, str)
+        and len(value) <= MAX_PATH
+        and all(_SEGMENT.fullmatch(part) for part in value.split('/'))
+    )
+
+
+def _is_digest(value: Any) -> bool:
+    return isinstance(value, str) and bool(_DIGEST.fullmatch(value))
+
+
+def _is_bool(value: Any) -> bool:
+    return isinstance(value, bool)
+
+
+def _is_int(value: Any, low: int, high: int) -> bool:
+    return (
+        isinstance(value, int)
+        and not isinstance(value, bool)
+        and low <= value <= high
+    )
+
+
+def _is_rate(value: Any) -> bool:
+    return (
+        isinstance(value, int | float)
+        and not isinstance(value, bool)
+        and 0 < value <= MAX_RATE
+    )
+
+
+def _is_burst(value: Any) -> bool:
+    # A bucket that holds less than one token never admits a statement.
+    return _is_rate(value) and value >= 1
+
+
+def _is_slots(value: Any) -> bool:
+    return value is None or _is_int(value, 1, MAX_SLOTS)
+
+
+_NAME_TEXT = (
+    "1 to 64 letters, digits, '.', '_' or '-', starting with a letter or digit"
+)
+_NAME_FIELD = _Field(_is_name, _NAME_TEXT)
+_PATH_FIELD = _Field(
+    _is_path,
+    f"segments of letters, digits, '.', '_', '~' or '-' separated by '/', "
+    f"none starting with '.', at most {MAX_PATH} characters",
+)
+_SLOTS_FIELD = _Field(
+    _is_slots, f'an integer from 1 to {MAX_SLOTS}, or null', default=None
+)
+_FLAG_FIELD = _Field(_is_bool, 'true or false', default=False)
+
+_KINDS = {
+    ACCOUNT: _Kind(
+        ('name',),
+        {
+            'name': _NAME_FIELD,
+            'rate': _Field(
+                _is_rate,
+                f'statements/s above 0, at most {MAX_RATE:.0f}',
+                convert=float,
+            ),
+            'burst': _Field(
+                _is_burst,
+                f'statements from 1 to {MAX_RATE:.0f}',
+                convert=float,
+            ),
+        },
+        ('rate', 'burst'),
+    ),
+    KEY: _Kind(
+        ('id',),
+        {
+            'id': _NAME_FIELD,
+            'account': _NAME_FIELD,
+            'digest': _Field(
+                _is_digest,
+                'the SHA-256 of the secret as 64 lowercase hex digits',
+                private=True,
+            ),
+        },
+        (),
+    ),
+    SERVICE: _Kind(
+        ('name',),
+        {
+            'name': _NAME_FIELD,
+            'group': _NAME_FIELD,
+            'slots': _SLOTS_FIELD,
+            'connections': _SLOTS_FIELD,
+            'policy': _Field(
+                lambda value: value in POLICIES,
+                ' or '.join(repr(policy) for policy in POLICIES),
+                default=POLICIES[0],
+            ),
+        },
+        ('group', 'slots', 'connections', 'policy'),
+    ),
+    ROUTE: _Kind(
+        ('path',),
+        {
+            'path': _PATH_FIELD,
+            'service': _NAME_FIELD,
+            'open': _FLAG_FIELD,
+            'partition_reads': _FLAG_FIELD,
+        },
+        ('service', 'open', 'partition_reads'),
+    ),
+    GRANT: _Kind(
+        ('account', 'service'),
+        {'account': _NAME_FIELD, 'service': _NAME_FIELD},
+        (),
+    ),
+}
+
+
+class Item:
+    """Hold one item of a note; ``key`` identifies its record."""
+
+    __slots__ = ('path', 'kind', 'key', 'values')
+
+    def __init__(
+        self, path: str, kind: str, key: str, values: dict[str, Any]
+    ) -> None:
+        self.path = path
+        self.kind = kind
+        self.key = key
+        self.values = values
+
+
+class Note:
+    """Hold a note whose form is right."""
+
+    __slots__ = ('number', 'operator', 'added', 'changed', 'withdrawn')
+
+    def __init__(
+        self,
+        number: int,
+        operator: str,
+        added: list[Item],
+        changed: list[Item],
+        withdrawn: list[Item],
+    ) -> None:
+        self.number = number
+        self.operator = operator
+        self.added = added
+        self.changed = changed
+        self.withdrawn = withdrawn
+
+    def as_json(self) -> dict[str, Any]:
+        """Return the note with defaults filled in."""
+        body: dict[str, Any] = {
+            'number': self.number,
+            'operator': self.operator,
+        }
+        for name in LISTS:
+            body[name] = [
+                {'kind': item.kind, **item.values}
+                for item in getattr(self, name)
+            ]
+        return body
+
+    def digest(self) -> str:
+        """Return the SHA-256 hex digest of the note's content.
+
+        Notes that differ only in spacing, field order, omitted defaults or
+        the form of a number have the same digest.
+        """
+        return content_digest(self.as_json())
+
+    def summary(self, limit: int = 20) -> str:
+        """Return what the note does, without digests, for the audit trail."""
+        parts = [
+            f'{name} {item.kind} {item.key}'
+            for name in LISTS
+            for item in getattr(self, name)
+        ]
+        more = len(parts) - limit
+        if more > 0:
+            parts[limit:] = [f'{more} more']
+        return ', '.join(parts) or 'nothing'
+
+
+def content_digest(body: Any) -> str:
+    """Return the SHA-256 hex digest of a JSON value in canonical form."""
+    data = orjson.dumps(body, option=orjson.OPT_SORT_KEYS)
+    return hashlib.sha256(data).hexdigest()
+
+
+def show(value: Any) -> str:
+    """Return a found value as short text.
+
+    >>> show('a' * 100) == repr('a' * 80)[:-1] + "...'"
+    True
+    """
+    if value is None or isinstance(value, bool):
+        return {None: 'null', True: 'true', False: 'false'}[value]
+    if isinstance(value, str):
+        cut = value[:MAX_SHOWN]
+        return repr(cut if cut == value else cut + '...')
+    if isinstance(value, int | float):
+        return repr(value)[:MAX_SHOWN]
+    return 'a list' if isinstance(value, list) else 'an object'
+
+
+def _show_private(value: Any) -> str:
+    if isinstance(value, str):
+        return f'a string of {len(value)} characters'
+    return show(value) if value is None else 'a value that is not a string'
+
+
+def parse(body: Any, operator: str | None = None) -> Note:
+    """Return the note; raise NoteError with every mistake of its form.
+
+    ``operator`` is the authenticated operator: a note without the field gets
+    it, and a note that names another operator is a mistake.
+    """
+    return _Parser(operator).parse(body)
+
+
+class _Parser:
+    __slots__ = ('_operator', '_mistakes', '_seen')
+
+    def __init__(self, operator: str | None) -> None:
+        self._operator = operator
+        self._mistakes: list[Mistake] = []
+        self._seen: dict[tuple[str, str], str] = {}
+
+    def parse(self, body: Any) -> Note:
+        if not isinstance(body, dict):
+            raise NoteError([Mistake('note', show(body), 'an object')])
+        self._unknown('', body, ('number', 'operator', *LISTS))
+        number = body.get('number')
+        if not _is_int(number, 1, MAX_NUMBER):
+            found = show(number) if 'number' in body else 'nothing'
+            self._add('number', found, f'an integer from 1 to {MAX_NUMBER}')
+        operator = self._parse_operator(body)
+        lists = {name: self._parse_list(name, body) for name in LISTS}
+        if not self._mistakes and not any(lists.values()):
+            self._add('note', 'no items', f'1 to {MAX_ITEMS} items')
+        if self._mistakes:
+            raise NoteError(self._mistakes)
+        assert isinstance(number, int)
+        return Note(number, operator, **lists)
+
+    def _add(self, path: str, found: str, allowed: str) -> None:
+        self._mistakes.append(Mistake(path, found, allowed))
+
+    def _unknown(
+        self, prefix: str, body: dict[str, Any], known: tuple[str, ...]
+    ) -> None:
+        for name in body:
+            if name not in known:
+                allowed = 'only ' + ', '.join(known)
+                # The value may be a secret; only the name is shown.
+                self._add(prefix + name[:MAX_SHOWN], 'this field', allowed)
+
+    def _parse_operator(self, body: dict[str, Any]) -> str:
+        value = body.get('operator', self._operator)
+        if not _is_name(value):
+            found = show(value) if 'operator' in body else 'nothing'
+            self._add('operator', found, _NAME_TEXT)
+            return ''
+        if self._operator is not None and value != self._operator:
+            allowed = f'{self._operator!r}, whose token submits the note'
+            self._add('operator', show(value), allowed)
+        return str(value)
+
+    def _parse_list(self, name: str, body: dict[str, Any]) -> list[Item]:
+        raw = body.get(name, [])
+        if not isinstance(raw, list):
+            self._add(name, show(raw), 'a list of items')
+            return []
+        if len(raw) > MAX_ITEMS:
+            allowed = f'at most {MAX_ITEMS} items; use several notes'
+            self._add(name, f'{len(raw)} items', allowed)
+            return []
+        items = [
+            self._parse_item(name, f'{name}[{place}]', value)
+            for place, value in enumerate(raw)
+        ]
+        return [item for item in items if item is not None]
+
+    def _parse_item(self, name: str, path: str, raw: Any) -> Item | None:
+        if not isinstance(raw, dict):
+            self._add(path, show(raw), 'an object')
+            return None
+        value = raw.get('kind')
+        kind = _KINDS.get(value) if isinstance(value, str) else None
+        if name == 'changed' and kind is not None and not kind.changeable:
+            kind = None
+        if kind is None:
+            allowed = ', '.join(
+                key
+                for key, other in _KINDS.items()
+                if name != 'changed' or other.changeable
+            )
+            found = show(value) if 'kind' in raw else 'nothing'
+            self._add(f'{path}.kind', found, f'one of {allowed}')
+            return None
+        values = self._parse_fields(name, path, kind, raw)
+        if values is None:
+            return None
+        key = '/'.join(values[part] for part in kind.identity)
+        return self._once(Item(path, str(value), key, values))
+
+    def _parse_fields(
+        self, name: str, path: str, kind: _Kind, raw: dict[str, Any]
+    ) -> dict[str, Any] | None:
+        before = len(self._mistakes)
+        known = kind.identity if name == 'withdrawn' else tuple(kind.fields)
+        self._unknown(f'{path}.', raw, ('kind', *known))
+        values = {}
+        for field_name in known:
+            field = kind.fields[field_name]
+            optional = name == 'changed' and field_name in kind.changeable
+            if field_name not in raw:
+                if optional:
+                    continue
+                if field.default is not _REQUIRED:
+                    values[field_name] = field.default
+                    continue
+                self._add(f'{path}.{field_name}', 'nothing', field.allowed)
+                continue
+            value = raw[field_name]
+            if not field.accepts(value):
+                shown = _show_private(value) if field.private else show(value)
+                self._add(f'{path}.{field_name}', shown, field.allowed)
+                continue
+            values[field_name] = (
+                field.convert(value) if field.convert else value
+            )
+        if len(self._mistakes) > before:
+            return None
+        if name == 'changed' and len(values) == len(kind.identity):
+            allowed = 'at least one of ' + ', '.join(kind.changeable)
+            self._add(path, 'no change', allowed)
+            return None
+        return values
+
+    def _once(self, item: Item) -> Item:
+        first = self._seen.setdefault((item.kind, item.key), item.path)
+        if first != item.path:
+            found = f'{item.kind} {item.key!r} again'
+            allowed = f'each item once; it is also at {first}'
+            self._add(item.path, found, allowed)
+        return item
+
+
+class Validation:
+    """Hold what an accepted note changes, with what it withdraws in turn."""
+
+    __slots__ = ('changes', 'withdrawn_ids', 'withdrawn_digests')
+
+    def __init__(self) -> None:
+        self.changes: list[configuration.Change] = []
+        self.withdrawn_ids: set[str] = set()
+        self.withdrawn_digests: set[str] = set()
+
+
+class Validator:
+    """Validate a note against the configuration in force.
+
+    ``confirmed_revision`` is the revision that every registered entry
+    process has confirmed; ``revision`` is the one the note would get.
+    """
+
+    def __init__(
+        self,
+        tables: configuration.Tables,
+        withdrawn_ids: set[str],
+        withdrawn_digests: set[str],
+        revision: int,
+        confirmed_revision: int,
+    ) -> None:
+        self._tables = tables
+        self._withdrawn_ids = withdrawn_ids
+        self._withdrawn_digests = withdrawn_digests
+        self._revision = revision
+        self._confirmed = confirmed_revision
+        self._draft: dict[tuple[str, str], dict[str, Any] | None] = {}
+        self._new_digests: dict[str, str] = {}
+        self._mistakes: list[Mistake] = []
+        self._result = Validation()
+
+    def validate(self, note: Note) -> Validation:
+        """Return the changes; raise NoteError with every mistake."""
+        for item in note.withdrawn:
+            self._withdraw(item)
+        for item in note.changed:
+            self._change(item)
+        for item in note.added:
+            self._add(item)
+        for item in note.changed + note.added:
+            self._check_references(item)
+        for item in note.withdrawn:
+            self._check_referrers(item)
+        if self._mistakes:
+            raise NoteError(self._mistakes)
+        self._result.changes = [
+            configuration.Change(kind, key, values)
+            for (kind, key), values in self._draft.items()
+        ]
+        return self._result
+
+    def _mistake(self, path: str, found: str, allowed: str) -> None:
+        self._mistakes.append(Mistake(path, found, allowed))
+
+    def _get(self, kind: str, key: str) -> dict[str, Any] | None:
+        if (kind, key) in self._draft:
+            return self._draft[(kind, key)]
+        record = self._tables.get(kind, key)
+        return None if record is None else configuration.as_dict(record)
+
+    def _remove(self, kind: str, key: str) -> None:
+        if kind == KEY:
+            record = self._tables.get(KEY, key)
+            self._result.withdrawn_ids.add(key)
+            self._result.withdrawn_digests.add(record.digest)
+        self._draft[(kind, key)] = None
+
+    def _withdraw(self, item: Item) -> None:
+        record = self._tables.get(item.kind, item.key)
+        if record is None:
+            self._mistake(
+                item.path, repr(item.key), f'an existing {item.kind}'
+            )
+            return
+        if item.kind == ROUTE:
+            self._check_partition_reads(item.path, record)
+        self._remove(item.kind, item.key)
+        if item.kind in (ACCOUNT, SERVICE):
+            self._withdraw_dependents(item)
+
+    def _withdraw_dependents(self, item: Item) -> None:
+        for key, record in self._tables.items(GRANT):
+            if getattr(record, item.kind) == item.key:
+                self._remove(GRANT, key)
+        if item.kind == ACCOUNT:
+            for key, record in self._tables.items(KEY):
+                if record.account == item.key:
+                    self._remove(KEY, key)
+
+    def _change(self, item: Item) -> None:
+        record = self._tables.get(item.kind, item.key)
+        if record is None:
+            self._mistake(
+                item.path, repr(item.key), f'an existing {item.kind}'
+            )
+            return
+        values = {**configuration.as_dict(record), **item.values}
+        if item.kind == ROUTE:
+            if record.open != values['open'] and record.open:
+                self._check_partition_reads(f'{item.path}.open', record)
+            elif record.service != values['service']:
+                self._check_partition_reads(f'{item.path}.service', record)
+            if record.partition_reads and not values['partition_reads']:
+                values['reads_ended'] = self._revision
+        if item.kind == SERVICE and record.group != values['group']:
+            for route in self._tables.all(ROUTE):
+                if route.service == item.key:
+                    self._check_partition_reads(f'{item.path}.group', route)
+        self._draft[(item.kind, item.key)] = values
+
+    def _check_partition_reads(
+        self, path: str, route: configuration.Route
+    ) -> None:
+        # A partitioned entry process serves such a route for hours, so it
+        # must have confirmed the end of partition_reads first.
+        if route.partition_reads:
+            self._mistake(
+                path,
+                f'route {route.path!r} with partition_reads true',
+                'an earlier note that sets partition_reads to false and that '
+                'every registered entry process has confirmed',
+            )
+        elif route.reads_ended > self._confirmed:
+            self._mistake(
+                path,
+                f'route {route.path!r} whose partition_reads ended at '
+                f'revision {route.reads_ended}, confirmed everywhere is '
+                f'revision {self._confirmed}',
+                'this change once every registered entry process has '
+                'confirmed that revision',
+            )
+
+    def _add(self, item: Item) -> None:
+        if self._tables.get(item.kind, item.key) is not None:
+            allowed = f'a {item.kind} that does not exist; use changed'
+            self._mistake(item.path, repr(item.key), allowed)
+        if item.kind == KEY:
+            self._add_key(item)
+        self._draft[(item.kind, item.key)] = item.values
+
+    def _add_key(self, item: Item) -> None:
+        digest = item.values['digest']
+        if (
+            item.key in self._withdrawn_ids
+            or item.key in self._result.withdrawn_ids
+        ):
+            self._mistake(
+                f'{item.path}.id',
+                f'{item.key!r}, which was withdrawn',
+                'an id that was never used',
+            )
+        in_use = self._tables.key_by_digest(digest)
+        withdrawn = (
+            digest in self._withdrawn_digests
+            or digest in self._result.withdrawn_digests
+        )
+        first = self._new_digests.setdefault(digest, item.path)
+        if withdrawn or in_use is not None or first != item.path:
+            why = 'withdrawn' if withdrawn else 'already in use'
+            self._mistake(
+                f'{item.path}.digest',
+                f'a digest that is {why}',
+                'the digest of a secret that was never used',
+            )
+
+    def _check_references(self, item: Item) -> None:
+        values = self._draft.get((item.kind, item.key))
+        if values is None:
+            return
+        for kind in (ACCOUNT, SERVICE):
+            name = values.get(kind)
+            if name is not None and self._get(kind, name) is None:
+                noun = 'client account' if kind == ACCOUNT else kind
+                allowed = f'an existing {noun} that this note keeps'
+                self._mistake(f'{item.path}.{kind}', repr(name), allowed)
+        if values.get('partition_reads') and not values['open']:
+            self._mistake(
+                f'{item.path}.partition_reads',
+                'true on a route that is not open',
+                'true only with open true',
+            )
+
+    def _check_referrers(self, item: Item) -> None:
+        if item.kind != SERVICE:
+            return
+        for key, _ in self._tables.items(ROUTE):
+            route = self._get(ROUTE, key)
+            if route is not None and route['service'] == item.key:
+                self._mistake(
+                    item.path,
+                    f'service {item.key!r} of route {key!r}',
+                    'a service without routes; withdraw or change them too',
+                )
--- /dev/null
+++ b/packages/core/src/sassafrasridge_core/state.py
@@ -0,0 +1,623 @@
+"""The replicated state machine and the entry processes' copy of it."""
+
+import collections
+from collections.abc import Callable
+from collections.abc import Iterable
+from typing import Any
+
+import orjson
+
+from sassafrasridge_core import answers
+from sassafrasridge_core import audit
+from sassafrasridge_core import configuration
+from sassafrasridge_core import errors
+from sassafrasridge_core import model
+from sassafrasridge_core import notes
+
+# An entry process that misses more revisions gets a full copy.
+DELTA_LIMIT = 2_000
+SECRET_BYTES = 32
+FORMAT = 1
+
+_Command = dict[str, Any]
+
+
+class StaleNumberError(errors.ConflictError):
+    """Report a note number that is not above the last accepted one."""
+
+    kind = 'stale_number'
+    remedy = 'Submit the note with a number above the last accepted one.'
+
+
+class NumberTakenError(errors.ConflictError):
+    """Report a note number that another content has."""
+
+    kind = 'number_taken'
+    remedy = 'Read the accepted note, then submit yours with a higher number.'
+
+
+class StaleGroupError(errors.ConflictError):
+    """Report a group record that contradicts the stored one."""
+
+    kind = 'stale_group'
+    remedy = 'Read the group again and decide anew.'
+
+
+class RevisionGapError(errors.UnavailableError):
+    """Report a delta that does not follow the revision of the copy."""
+
+    kind = 'revision_gap'
+    remedy = 'Ask for a full copy.'
+
+
+class Reply:
+    """Hold the answer to a command; ``body`` is JSON-able."""
+
+    __slots__ = ('ok', 'status', 'body')
+
+    def __init__(self, ok: bool, status: int, body: dict[str, Any]) -> None:
+        self.ok = ok
+        self.status = status
+        self.body = body
+
+    @classmethod
+    def refused(cls, error: errors.RidgeError) -> 'Reply':
+        """Return the answer that reports an error."""
+        return cls(False, error.status, error.as_json())
+
+
+class EntryProcess:
+    """Hold a registered entry process.
+
+    ``revision`` is the configuration revision at its registration.
+    """
+
+    __slots__ = ('entry', 'zone', 'address', 'revision')
+
+    def __init__(
+        self, entry: str, zone: str, address: str, revision: int
+    ) -> None:
+        self.entry = entry
+        self.zone = zone
+        self.address = address
+        self.revision = revision
+
+    def as_json(self) -> dict[str, Any]:
+        """Return a JSON-able form."""
+        return {name: getattr(self, name) for name in self.__slots__}
+
+
+def group_as_json(view: model.GroupView) -> dict[str, Any]:
+    """Return a group record as JSON-able values."""
+    return {
+        'group': view.group,
+        'term': view.term,
+        'primary': view.primary,
+        'members': dict(sorted(view.members.items())),
+        'starts': {str(t): view.starts[t] for t in sorted(view.starts)},
+        'changing': view.changing,
+    }
+
+
+def group_from_json(data: dict[str, Any]) -> model.GroupView:
+    """Return the group record of JSON values; BadRequestError if wrong."""
+    try:
+        view = model.GroupView(
+            data['group'],
+            data['term'],
+            data['primary'],
+            data['members'],
+            {int(term): start for term, start in data['starts'].items()},
+            data['changing'],
+        )
+    except (KeyError, TypeError, ValueError, AttributeError) as exc:
+        raise errors.BadRequestError(f'malformed group record: {exc!r}')
+    right = (
+        isinstance(view.group, str)
+        and isinstance(view.term, int)
+        and (view.primary is None or isinstance(view.primary, str))
+        and all(isinstance(a, str) for a in view.members.values())
+        and all(isinstance(start, int) for start in view.starts.values())
+        and isinstance(view.changing, bool)
+    )
+    if not right:
+        raise errors.BadRequestError('a field of the group record is wrong')
+    return view
+
+
+class State:
+    """Apply committed commands; equal commands give equal bytes.
+
+    Attributes to read: ``index`` (last applied log index), ``revision`` (of
+    the configuration), ``groups``, ``groups_revision``, ``entries``,
+    ``entries_revision``, ``session_secret`` (hex, empty before ``init``),
+    ``tables``, ``answers`` and ``trail``.
+    """
+
+    def __init__(
+        self,
+        *,
+        answer_limit: int = answers.ANSWER_LIMIT,
+        audit_limit: int = audit.AUDIT_LIMIT,
+        delta_limit: int = DELTA_LIMIT,
+    ) -> None:
+        self.index = 0
+        self.revision = 0
+        self.session_secret = ''
+        self.tables = configuration.Tables()
+        self.withdrawn_ids: set[str] = set()
+        self.withdrawn_digests: set[str] = set()
+        self.groups: dict[str, model.GroupView] = {}
+        self.groups_revision = 0
+        self.group_revisions: dict[str, int] = {}
+        self.entries: dict[str, EntryProcess] = {}
+        self.entries_revision = 0
+        self.answers = answers.AnswerLog(answer_limit)
+        self.trail = audit.Trail(audit_limit)
+        self._deltas: collections.deque[bytes] = collections.deque(
+            maxlen=delta_limit
+        )
+        self._handlers: dict[str, Callable[[_Command], Reply]] = {
+            'init': self._init,
+            'note': self._note,
+            'refused_note': self._refused_note,
+            'group': self._group,
+            'entry': self._entry,
+            'audit': self._audit,
+        }
+
+    def apply(self, index: int, command: bytes) -> Reply:
+        """Apply the command of a log entry and return its answer.
+
+        An index that was applied already changes nothing. A command that is
+        malformed is refused and changes nothing but the index.
+        """
+        if index <= self.index:
+            message = f'log entry {index} was applied already'
+            return Reply.refused(errors.ConflictError(message))
+        self.index = index
+        try:
+            body = orjson.loads(command)
+            handler = self._handlers[body['type']]
+        except (ValueError, KeyError, TypeError):
+            error = errors.BadRequestError('unknown or malformed command')
+            return Reply.refused(error)
+        try:
+            return handler(body)
+        except errors.RidgeError as exc:
+            return Reply.refused(exc)
+
+    # Commands
+
+    def _init(self, body: _Command) -> Reply:
+        if self.session_secret:
+            return Reply(True, 200, {'created': False})
+        secret = _text(body, 'session_secret')
+        try:
+            long_enough = len(bytes.fromhex(secret)) >= SECRET_BYTES
+        except ValueError:
+            long_enough = False
+        if not long_enough:
+            message = f'the session secret is not {SECRET_BYTES} bytes in hex'
+            raise errors.BadRequestError(message)
+        self.session_secret = secret
+        self._commit([['session_secret', '', secret]])
+        self._record(body, 'init', True, 'created the session secret')
+        return Reply(True, 200, {'created': True})
+
+    def _note(self, body: _Command) -> Reply:
+        number = _number(body.get('note'))
+        try:
+            note = self._parse(body)
+            known = self._known(note)
+            if known is not None:
+                return Reply(True, 200, known.as_json())
+            validation = self._validate(note, body)
+        except errors.RidgeError as exc:
+            self._record(body, 'note', False, exc.message, number)
+            raise
+        self.withdrawn_ids |= validation.withdrawn_ids
+        self.withdrawn_digests |= validation.withdrawn_digests
+        for change in validation.changes:
+            self.tables.put(change.kind, change.key, change.values)
+        self._commit([change.as_list() for change in validation.changes])
+        answer = answers.Answer(
+            note.number,
+            self.revision,
+            _time(body),
+            note.operator,
+            note.digest(),
+        )
+        self.answers.append(answer)
+        self._record(body, 'note', True, note.summary(), number)
+        return Reply(True, 200, answer.as_json())
+
+    def check(
+        self, body: Any, operator: str | None, confirmed_revision: int
+    ) -> Reply:
+        """Return the answer that a note would get, without applying it."""
+        command = {
+            'note': body,
+            'operator': operator,
+            'confirmed_revision': confirmed_revision,
+        }
+        try:
+            note = self._parse(command)
+            known = self._known(note)
+            if known is not None:
+                return Reply(True, 200, known.as_json())
+            validation = self._validate(note, command)
+        except errors.RidgeError as exc:
+            return Reply.refused(exc)
+        changes = [f'{c.kind} {c.key}' for c in validation.changes]
+        answer = {'number': note.number, 'digest': note.digest()}
+        return Reply(True, 200, {**answer, 'changes': changes})
+
+    def _parse(self, body: _Command) -> notes.Note:
+        note = notes.parse(body.get('note'), body.get('operator'))
+        digest = body.get('digest')
+        if digest is not None and digest != note.digest():
+            raise errors.BadRequestError(
+                'the digest of the request differs from that of the note',
+                kind='digest_mismatch',
+            )
+        return note
+
+    def _known(self, note: notes.Note) -> answers.Answer | None:
+        last = self.answers.last()
+        if last is None or note.number > last.number:
+            return None
+        answer = self.answers.get(note.number)
+        if answer is None:
+            raise StaleNumberError(
+                f'note number {note.number} is not above {last.number}, the '
+                'last accepted one, and no kept answer has it'
+            )
+        if answer.digest != note.digest():
+            raise NumberTakenError(
+                f'note number {note.number} was accepted from '
+                f'{answer.operator!r} with other content, digest '
+                f'{answer.digest}'
+            )
+        return answer
+
+    def _validate(self, note: notes.Note, body: _Command) -> notes.Validation:
+        confirmed = body.get('confirmed_revision')
+        if not isinstance(confirmed, int):
+            confirmed = 0
+        # An entry process starts with the revision of its registration or a
+        # later one.
+        confirmed = min(
+            (max(confirmed, e.revision) for e in self.entries.values()),
+            default=self.revision,
+        )
+        validator = notes.Validator(
+            self.tables,
+            self.withdrawn_ids,
+            self.withdrawn_digests,
+            self.revision + 1,
+            confirmed,
+        )
+        return validator.validate(note)
+
+    def _refused_note(self, body: _Command) -> Reply:
+        what = _text(body, 'what')
+        number = body.get('number')
+        if not isinstance(number, int):
+            number = None
+        self._record(body, 'note', False, what, number)
+        return Reply(True, 200, {})
+
+    def _group(self, body: _Command) -> Reply:
+        view = group_from_json(body.get('group') or {})
+        previous = self.groups.get(view.group)
+        if previous is not None:
+            _check_successor(previous, view)
+            if group_as_json(previous) == group_as_json(view):
+                revision = self.groups_revision
+                return Reply(True, 200, {'groups_revision': revision})
+        self.groups_revision += 1
+        self.groups[view.group] = view
+        self.group_revisions[view.group] = self.groups_revision
+        what = (
+            f'group {view.group} term {view.term} primary '
+            f'{view.primary or "none"}{" changing" if view.changing else ""}'
+        )
+        self._record(body, 'group', True, what)
+        return Reply(True, 200, {'groups_revision': self.groups_revision})
+
+    def _entry(self, body: _Command) -> Reply:
+        entry = _text(body, 'entry')
+        action = body.get('action')
+        if action == 'register':
+            changed = self._register(entry, body)
+        elif action == 'remove':
+            changed = self.entries.pop(entry, None) is not None
+        else:
+            message = (
+                f"action {notes.show(action)} is not 'register' or 'remove'"
+            )
+            raise errors.BadRequestError(message)
+        if changed:
+            self.entries_revision += 1
+            self._record(body, 'entry', True, f'{action} {entry}')
+        return Reply(True, 200, {'entries_revision': self.entries_revision})
+
+    def _register(self, entry: str, body: _Command) -> bool:
+        zone = _text(body, 'zone')
+        address = _text(body, 'address')
+        previous = self.entries.get(entry)
+        if previous is not None:
+            if (previous.zone, previous.address) == (zone, address):
+                return False
+            previous.zone = zone
+            previous.address = address
+            return True
+        process = EntryProcess(entry, zone, address, self.revision)
+        self.entries[entry] = process
+        return True
+
+    def _audit(self, body: _Command) -> Reply:
+        accepted = body.get('accepted', True) is True
+        self._record(body, _text(body, 'kind'), accepted, _text(body, 'what'))
+        return Reply(True, 200, {})
+
+    def _record(
+        self,
+        body: _Command,
+        kind: str,
+        accepted: bool,
+        what: str,
+        number: int | None = None,
+    ) -> None:
+        self.trail.append(
+            time=_time(body),
+            who=str(body.get('operator') or 'system'),
+            address=str(body.get('address') or ''),
+            kind=kind,
+            accepted=accepted,
+            revision=self.revision,
+            what=what,
+            number=number,
+        )
+
+    def _commit(self, changes: list[list[Any]]) -> None:
+        self.revision += 1
+        delta = {'revision': self.revision, 'changes': changes}
+        self._deltas.append(orjson.dumps(delta))
+
+    # What members and entry processes read
+
+    def deltas_since(
+        self, revision: int, max_bytes: int | None = None
+    ) -> list[bytes] | None:
+        """Return the deltas after a revision; None: send a full copy.
+
+        With ``max_bytes`` only the first deltas that fit are returned, but at
+        least one. A revision ahead of this member's gives none.
+        """
+        missing = self.revision - revision
+        if missing <= 0:
+            return []
+        if missing > len(self._deltas):
+            return None
+        start = len(self._deltas) - missing
+        deltas = [self._deltas[i] for i in range(start, len(self._deltas))]
+        if max_bytes is None:
+            return deltas
+        size = 0
+        for place, delta in enumerate(deltas):
+            size += len(delta)
+            if size > max_bytes and place:
+                return deltas[:place]
+        return deltas
+
+    def full(self) -> bytes:
+        """Return a configuration copy for an entry process."""
+        return orjson.dumps(
+            {
+                'revision': self.revision,
+                'session_secret': self.session_secret,
+                'tables': self.tables.dump(),
+            }
+        )
+
+    def groups_since(self, groups_revision: int) -> list[model.GroupView]:
+        """Return the groups that changed after a groups revision."""
+        return [
+            self.groups[name]
+            for name, revision in self.group_revisions.items()
+            if revision > groups_revision
+        ]
+
+    def encode(self) -> bytes:
+        """Return the whole state; equal states give equal bytes."""
+        entries = [
+            self.entries[name].as_json() for name in sorted(self.entries)
+        ]
+        groups = [
+            group_as_json(self.groups[name]) for name in sorted(self.groups)
+        ]
+        return orjson.dumps(
+            {
+                'format': FORMAT,
+                'index': self.index,
+                'revision': self.revision,
+                'session_secret': self.session_secret,
+                'tables': self.tables.dump(),
+                'withdrawn_ids': sorted(self.withdrawn_ids),
+                'withdrawn_digests': sorted(self.withdrawn_digests),
+                'groups': groups,
+                'groups_revision': self.groups_revision,
+                'group_revisions': self.group_revisions,
+                'entries': entries,
+                'entries_revision': self.entries_revision,
+                'answers': self.answers.dump(),
+                'trail': self.trail.dump(),
+                'deltas': [orjson.Fragment(delta) for delta in self._deltas],
+            },
+            option=orjson.OPT_SORT_KEYS,
+        )
+
+    @classmethod
+    def decode(
+        cls,
+        data: bytes,
+        *,
+        answer_limit: int = answers.ANSWER_LIMIT,
+        audit_limit: int = audit.AUDIT_LIMIT,
+        delta_limit: int = DELTA_LIMIT,
+    ) -> 'State':
+        """Return the state of a snapshot; StorageError if it is damaged."""
+        state = cls(
+            answer_limit=answer_limit,
+            audit_limit=audit_limit,
+            delta_limit=delta_limit,
+        )
+        try:
+            state._load(orjson.loads(data), answer_limit, audit_limit)
+        except (ValueError, KeyError, TypeError, AttributeError) as exc:
+            raise errors.StorageError(f'the snapshot is damaged: {exc!r}')
+        return state
+
+    def _load(
+        self, body: dict[str, Any], answer_limit: int, audit_limit: int
+    ) -> None:
+        if body['format'] != FORMAT:
+            raise ValueError(f'format {body["format"]} is unknown')
+        self.index = body['index']
+        self.revision = body['revision']
+        self.session_secret = body['session_secret']
+        self.tables = configuration.Tables.load(body['tables'])
+        self.withdrawn_ids = set(body['withdrawn_ids'])
+        self.withdrawn_digests = set(body['withdrawn_digests'])
+        views = [group_from_json(group) for group in body['groups']]
+        self.groups = {view.group: view for view in views}
+        self.groups_revision = body['groups_revision']
+        self.group_revisions = body['group_revisions']
+        processes = [EntryProcess(**entry) for entry in body['entries']]
+        self.entries = {process.entry: process for process in processes}
+        self.entries_revision = body['entries_revision']
+        self.answers = answers.AnswerLog.load(body['answers'], answer_limit)
+        self.trail = audit.Trail.load(body['trail'], audit_limit)
+        self._deltas.extend(orjson.dumps(delta) for delta in body['deltas'])
+
+
+def _check_successor(previous: model.GroupView, view: model.GroupView) -> None:
+    """Refuse a record that would allow two primaries in one term."""
+    if view.term < previous.term:
+        raise StaleGroupError(
+            f'term {view.term} of group {view.group!r} is below the stored '
+            f'term {previous.term}'
+        )
+    for term, start in view.starts.items():
+        if previous.starts.get(term, start) != start:
+            raise StaleGroupError(
+                f'term {term} of group {view.group!r} started at '
+                f'{previous.starts[term]}, not at {start}'
+            )
+    same_term = view.term == previous.term
+    chosen = previous.primary is not None
+    if same_term and chosen and view.primary != previous.primary:
+        raise StaleGroupError(
+            f'term {view.term} of group {view.group!r} has the primary '
+            f'{previous.primary!r} already'
+        )
+
+
+def _number(note: Any) -> int | None:
+    number = note.get('number') if isinstance(note, dict) else None
+    right = isinstance(number, int) and abs(number) <= notes.MAX_NUMBER
+    return number if right else None
+
+
+def _text(body: _Command, name: str) -> str:
+    value = body.get(name)
+    if not isinstance(value, str):
+        message = f'field {name!r} of the command is not a string'
+        raise errors.BadRequestError(message)
+    return value
+
+
+def _time(body: _Command) -> float:
+    value = body.get('time')
+    return float(value) if isinstance(value, int | float) else 0.0
+
+
+class ConfigView:
+    """Hold the configuration copy of an entry process.
+
+    ``revision`` is 0 before the first copy. An older revision is never
+    applied.
+    """
+
+    def __init__(self) -> None:
+        self.revision = 0
+        self.session_secret = b''
+        self._tables = configuration.Tables()
+
+    def load(self, full: bytes) -> None:
+        """Replace the copy, unless the new one is older."""
+        body = orjson.loads(full)
+        if body['revision'] < self.revision:
+            return
+        self._tables = configuration.Tables.load(body['tables'])
+        self.session_secret = bytes.fromhex(body['session_secret'])
+        self.revision = body['revision']
+
+    def apply(self, delta: bytes) -> None:
+        """Apply the next delta; skip older ones; RevisionGapError on a gap."""
+        body = orjson.loads(delta)
+        if body['revision'] <= self.revision:
+            return
+        if body['revision'] != self.revision + 1:
+            raise RevisionGapError(
+                f'delta {body["revision"]} does not follow revision '
+                f'{self.revision}'
+            )
+        for kind, key, values in body['changes']:
+            if kind == 'session_secret':
+                self.session_secret = bytes.fromhex(values)
+            else:
+                self._tables.put(kind, key, values)
+        self.revision = body['revision']
+
+    def account_of(self, secret_digest: str) -> configuration.Account | None:
+        """Return the client account of a key's SHA-256 hex digest."""
+        key = self._tables.key_by_digest(secret_digest)
+        if key is None:
+            return None
+        return self.account(key.account)
+
+    def account(self, name: str) -> configuration.Account | None:
+        """Return a client account or None."""
+        account: configuration.Account | None = self._tables.get(
+            configuration.ACCOUNT, name
+        )
+        return account
+
+    def service(self, name: str) -> configuration.Service | None:
+        """Return a service or None."""
+        service: configuration.Service | None = self._tables.get(
+            configuration.SERVICE, name
+        )
+        return service
+
+    def route(self, path: str) -> configuration.Route | None:
+        """Return a route or None."""
+        route: configuration.Route | None = self._tables.get(
+            configuration.ROUTE, path
+        )
+        return route
+
+    def allowed(self, account: str, service: str) -> bool:
+        """Return whether the account may use the service."""
+        return self._tables.granted(account, service)
+
+    def accounts(self) -> Iterable[configuration.Account]:
+        """Return all client accounts."""
+        return self._tables.all(configuration.ACCOUNT)
+
+    def services(self) -> Iterable[configuration.Service]:
+        """Return all services."""
+        return self._tables.all(configuration.SERVICE)
