Check the INI settings and report every mistake

Cause: a daemon with wrong settings must say all that is wrong at once. Ruled out: the strict mode of configparser, because it stops at the first duplicate; a scan of the lines reports all duplicates instead. Conclusion: the daemon and the command line share one check.

--- a/packages/core/src/sassafrasridge_core/notes.py
+++ b/packages/core/src/sassafrasridge_core/notes.py
@@ -106,7 +106,7 @@
         self.changeable = changeable
 
 
-def _is_name(value: Any) -> bool:
+def is_name(value: Any) -> bool:
     return isinstance(value, str) and bool(_NAME.fullmatch(value))
 
 
@@ -118,7 +118,7 @@
     )
 
 
-def _is_digest(value: Any) -> bool:
+def is_digest(value: Any) -> bool:
     return isinstance(value, str) and bool(_DIGEST.fullmatch(value))
 
 
@@ -151,10 +151,10 @@
     return value is None or _is_int(value, 1, MAX_SLOTS)
 
 
-_NAME_TEXT = (
+NAME_TEXT = (
     "1 to 64 letters, digits, '.', '_' or '-', starting with a letter or digit"
 )
-_NAME_FIELD = _Field(_is_name, _NAME_TEXT)
+_NAME_FIELD = _Field(is_name, NAME_TEXT)
 _PATH_FIELD = _Field(
     _is_path,
     f"segments of letters, digits, '.', '_', '~' or '-' separated by '/', "
@@ -189,7 +189,7 @@
             'id': _NAME_FIELD,
             'account': _NAME_FIELD,
             'digest': _Field(
-                _is_digest,
+                is_digest,
                 'the SHA-256 of the secret as 64 lowercase hex digits',
                 private=True,
             ),
@@ -372,9 +372,9 @@
 
     def _parse_operator(self, body: dict[str, Any]) -> str:
         value = body.get('operator', self._operator)
-        if not _is_name(value):
+        if not is_name(value):
             found = show(value) if 'operator' in body else 'nothing'
-            self._add('operator', found, _NAME_TEXT)
+            self._add('operator', found, NAME_TEXT)
             return ''
         if self._operator is not None and value != self._operator:
             allowed = f'{self._operator!r}, whose token submits the note'
--- /dev/null
+++ b/packages/node/src/sassafrasridge_node/settings.py
@@ -0,0 +1,28 @@
+"""Load the INI settings of the daemon."""
+
+import pathlib
+
+from sassafrasridge_core import settings
+
+Settings = settings.Settings
+InvalidSettingsError = settings.InvalidSettingsError
+split_address = settings.split_address
+
+
+def load(path: str) -> Settings:
+    """Return the settings of a file.
+
+    InvalidSettingsError names every mistake, also an unreadable file.
+    """
+    file = pathlib.Path(path)
+    try:
+        text = file.read_text(encoding='utf-8')
+    except OSError as exc:
+        raise settings.unreadable(path, exc.strerror or 'unknown error')
+    except UnicodeDecodeError:
+        raise settings.unreadable(path, 'it is not UTF-8')
+    return settings.check(text, path, _read, str(file.parent))
+
+
+def _read(path: str) -> bytes:
+    return pathlib.Path(path).read_bytes()
