--- /dev/null
+++ b/packages/node/src/sassafrasridge_node/metrics.py
@@ -0,0 +1,156 @@
+"""Counters and gauges of the daemon.
+
+Label values come from fixed sets or from the configuration's services;
+client accounts, keys and texts from requests are never labels.
+"""
+
+from collections.abc import Callable
+
+import prometheus_client
+from prometheus_client import registry
+
+from sassafrasridge_node import logs
+
+# Kinds of errors that may be label values; all others count as 'other'.
+ERROR_KINDS = frozenset(
+    (
+        'accept_failed',
+        'bad_request',
+        'circuit_open',
+        'conflict',
+        'deadline',
+        'draining',
+        'forbidden',
+        'group_majority_lost',
+        'internal',
+        'no_lease',
+        'no_target',
+        'outcome_unknown',
+        'overloaded',
+        'queue_full',
+        'rate_limited',
+        'session_expired',
+        'session_forged',
+        'statement_failed',
+        'too_large',
+        'too_many_connections',
+        'transaction_lost',
+        'unauthorized',
+        'unavailable',
+        'unknown_service',
+        'unknown_transaction',
+    )
+)
+REQUEST_KINDS = ('statements', 'begin', 'in', 'commit', 'rollback')
+# Bounds of a request's time in seconds, from a local read to a failover.
+TIME_BUCKETS = (
+    0.001,
+    0.0025,
+    0.005,
+    0.01,
+    0.025,
+    0.05,
+    0.1,
+    0.25,
+    0.5,
+    1.0,
+    2.0,
+    8.0,
+)
+
+
+class Metrics:
+    """Hold all metrics of one daemon in a registry of its own."""
+
+    def __init__(self) -> None:
+        self.registry = registry.CollectorRegistry()
+        self._errors = self.counter(
+            'errors', 'Requests answered with an error, by kind', ('kind',)
+        )
+        self._error_children = {
+            kind: self._errors.labels(kind)
+            for kind in sorted(ERROR_KINDS | {'other'})
+        }
+        seconds = prometheus_client.Histogram(
+            'sassafrasridge_request_seconds',
+            'Time from the complete request to its result, by kind',
+            ('kind',),
+            buckets=TIME_BUCKETS,
+            registry=self.registry,
+        )
+        self.request_seconds = {k: seconds.labels(k) for k in REQUEST_KINDS}
+        self.undelivered = self.counter(
+            'undelivered_responses', 'Responses whose client had gone'
+        )
+        self._failures = self.counter(
+            'internal_failures', 'Unexpected exceptions'
+        )
+        self.announcements = self.counter(
+            'announcements', 'Announcements of targets'
+        )
+        self.operator_refusals = self.counter(
+            'operator_refusals', 'Operator requests without a valid token'
+        )
+        self._reads = self.counter(
+            'reads', 'Reads served, by the role of the target', ('role',)
+        )
+        self.reads = {
+            role: self._reads.labels(role) for role in ('primary', 'replica')
+        }
+        self.retries = self.counter('retries', 'Statements sent again')
+        self.replayed = self.counter(
+            'replayed', 'Responses from the table of request ids'
+        )
+        self.lease_valid = self.gauge(
+            'lease_valid', 'Whether the entry process holds its lease'
+        )
+        self.revision = self.gauge(
+            'config_revision', 'Configuration revision in force here'
+        )
+        self.queued = self.gauge('queued_requests', 'Requests in queues')
+        self.renewals = self.counter(
+            'lease_renewals', 'Renewals, by result', ('result',)
+        )
+        self.promotions = self.counter(
+            'promotions', 'Changes of a primary ordered here'
+        )
+
+    def counter(
+        self, name: str, text: str, labels: tuple[str, ...] = ()
+    ) -> prometheus_client.Counter:
+        """Add a counter; label values must come from a fixed set."""
+        return prometheus_client.Counter(
+            f'sassafrasridge_{name}', text, labels, registry=self.registry
+        )
+
+    def gauge(
+        self, name: str, text: str, labels: tuple[str, ...] = ()
+    ) -> prometheus_client.Gauge:
+        """Add a gauge; label values must come from a fixed set."""
+        return prometheus_client.Gauge(
+            f'sassafrasridge_{name}', text, labels, registry=self.registry
+        )
+
+    def watch(self, name: str, text: str, read: Callable[[], float]) -> None:
+        """Add a gauge that is read when the metrics are fetched."""
+        self.gauge(name, text).set_function(read)
+
+    def error(self, kind: str) -> None:
+        """Count an error.
+
+        >>> metrics = Metrics()
+        >>> metrics.error('made up by a caller')
+        >>> b'{kind="other"} 1.0' in metrics.render()
+        True
+        """
+        children = self._error_children
+        children.get(kind, children['other']).inc()
+
+    def failure(self, where: str) -> None:
+        """Count and log the exception that is being handled."""
+        self._failures.inc()
+        logs.failure(where)
+
+    def render(self) -> bytes:
+        """Return all metrics in the text format."""
+        return prometheus_client.generate_latest(self.registry)
--- /dev/null
+++ b/packages/node/src/sassafrasridge_node/operatorapi.py
@@ -0,0 +1,370 @@
+"""The operators', targets' and load balancers' HTTP interface."""
+
+import asyncio
+from collections.abc import Callable
+from collections.abc import Mapping
+import concurrent.futures
+import functools
+import hashlib
+import hmac
+import threading
+import typing
+
+import cherrypy
+import orjson
+from sassafrasridge_core import errors
+from sassafrasridge_core import model
+
+from sassafrasridge_node import front
+from sassafrasridge_node import httpserver
+from sassafrasridge_node import metrics as metrics_
+
+ANNOUNCE_PATH = '/v1/announce'
+# Names of the commands that an OperatorPort implements.
+COMMANDS = (
+    'submit_note',
+    'check_note',
+    'list_notes',
+    'show_note',
+    'status',
+    'audit',
+    'drain',
+    'list_members',
+    'change_members',
+)
+# A command holds a worker thread while it waits for the control members, so
+# only a few may run at a time.
+MAX_COMMANDS = 3
+COMMAND_TIMEOUT_S = 15.0
+BUSY_RETRY_S = 1.0
+MAX_FIELD_CHARS = 200
+
+_AUDIT_FILTERS = frozenset(('who', 'kind', 'since'))
+_JSON = 'application/json'
+
+
+class TokenTable:
+    """Authenticate bearer tokens by their SHA-256 digests.
+
+    >>> digest = hashlib.sha256(b'secret').hexdigest()
+    >>> table = TokenTable({'ann': digest})
+    >>> table.who('Bearer secret'), table.who('Bearer other'), table.who(None)
+    ('ann', None, None)
+    """
+
+    def __init__(self, digests: Mapping[str, str]) -> None:
+        self._digests = [
+            (name, digest.lower().encode()) for name, digest in digests.items()
+        ]
+
+    def __bool__(self) -> bool:
+        return bool(self._digests)
+
+    def who(self, header: str | None) -> str | None:
+        """Return the name that a header's token belongs to, or None."""
+        scheme, _, token = (header or '').partition(' ')
+        given = hashlib.sha256(token.encode('latin-1', 'replace')).hexdigest()
+        found = None
+        # Every digest is compared, so the time taken tells nothing.
+        for name, digest in self._digests:
+            if hmac.compare_digest(digest, given.encode()):
+                found = name
+        return found if scheme.lower() == 'bearer' else None
+
+
+class AnnounceApi:
+    """Take targets' announcements (WSGI, at ``ANNOUNCE_PATH``).
+
+    It bypasses CherryPy's handlers because every target announces itself
+    four times a second. ``digests`` maps a name to the SHA-256 hex digest of
+    an announce token; if it is empty, no token is needed.
+    """
+
+    def __init__(
+        self,
+        port: front.OperatorPort,
+        loop: asyncio.AbstractEventLoop,
+        metrics: metrics_.Metrics,
+        digests: Mapping[str, str] | None = None,
+    ) -> None:
+        self._port = port
+        self._loop = loop
+        self._metrics = metrics
+        self._tokens = TokenTable(digests or {})
+
+    def __call__(
+        self, environ: dict[str, typing.Any], _start: object
+    ) -> httpserver.Response:
+        try:
+            info = self._parse(environ)
+            self._loop.call_soon_threadsafe(self._port.announce, info)
+        except errors.RidgeError as exc:
+            self._metrics.error(exc.kind)
+            return httpserver.error_response(exc)
+        except RuntimeError:
+            exc = errors.UnavailableError('the process is stopping')
+            return httpserver.error_response(exc)
+        self._metrics.announcements.inc()
+        return httpserver.Response(200, b'{}', (('Content-Type', _JSON),))
+
+    def _parse(self, environ: dict[str, typing.Any]) -> model.TargetInfo:
+        header = environ.get('HTTP_AUTHORIZATION')
+        if self._tokens and self._tokens.who(header) is None:
+            self._metrics.operator_refusals.inc()
+            raise errors.UnauthorizedError('the announce token is not valid')
+        if environ['REQUEST_METHOD'] != 'POST' or environ['PATH_INFO']:
+            raise errors.BadRequestError('announcements are POSTed')
+        return parse_announcement(environ['wsgi.input'].read())
+
+
+def _load_object(raw: bytes) -> dict[str, typing.Any]:
+    try:
+        body = orjson.loads(raw)
+    except orjson.JSONDecodeError as exc:
+        raise errors.BadRequestError(
+            f'the body is not JSON (line {exc.lineno}, column {exc.colno})'
+        ) from None
+    if not isinstance(body, dict):
+        raise errors.BadRequestError('the body must be a JSON object')
+    return body
+
+
+def parse_announcement(raw: bytes) -> model.TargetInfo:
+    """Return the target that an announcement describes.
+
+    Unknown fields are ignored, so that targets may be newer than the proxy.
+    Raises BadRequestError.
+    """
+    body = _load_object(raw)
+    texts = {}
+    for field in ('group', 'server', 'role', 'address', 'zone'):
+        value = body.get(field)
+        if not isinstance(value, str) or not 0 < len(value) <= MAX_FIELD_CHARS:
+            raise errors.BadRequestError(f"'{field}' must be a text")
+        texts[field] = value
+    if texts['role'] not in ('primary', 'replica'):
+        raise errors.BadRequestError("'role' must be 'primary' or 'replica'")
+    numbers = {}
+    for field in ('term', 'position', 'slots', 'connections'):
+        number = body.get(field)
+        if type(number) is not int or not 0 <= number < 1 << 63:
+            raise errors.BadRequestError(f"'{field}' must be an integer")
+        numbers[field] = number
+    leaving = body.get('leaving', False)
+    if not isinstance(leaving, bool):
+        raise errors.BadRequestError("'leaving' must be true or false")
+    return model.TargetInfo(leaving=leaving, **texts, **numbers)
+
+
+class OperatorApi:
+    """Answer operators' commands in CherryPy handlers.
+
+    ``digests`` maps operators' names to SHA-256 hex digests of their tokens.
+    """
+
+    def __init__(
+        self,
+        port: front.OperatorPort,
+        loop: asyncio.AbstractEventLoop,
+        metrics: metrics_.Metrics,
+        digests: Mapping[str, str],
+        is_draining: Callable[[], bool] = lambda: False,
+        command_timeout_s: float = COMMAND_TIMEOUT_S,
+    ) -> None:
+        self.port = port
+        self.metrics = metrics
+        self.is_draining = is_draining
+        self._loop = loop
+        self._tokens = TokenTable(digests)
+        self._timeout_s = command_timeout_s
+        self._running = threading.BoundedSemaphore(MAX_COMMANDS)
+
+    def root(self) -> object:
+        """Return the object to mount at the root of CherryPy's tree."""
+        return _Root(self)
+
+    def config(self) -> dict[str, typing.Any]:
+        """Return the CherryPy configuration of the root."""
+        return {
+            '/': {
+                # Handlers read JSON themselves, within the server's limits.
+                'request.process_request_body': False,
+                'tools.trailing_slash.on': False,
+                'error_page.default': self._error_page,
+                'request.show_tracebacks': False,
+            }
+        }
+
+    def run(self, kind: str, body: dict[str, typing.Any]) -> bytes:
+        """Authenticate, execute a command and return its JSON body."""
+        header = cherrypy.request.headers.get('Authorization')
+        who = self._tokens.who(header)
+        if who is None:
+            self.metrics.operator_refusals.inc()
+            raise errors.UnauthorizedError(
+                'the operator token is missing or not valid',
+                remedy='Send a valid operator token as bearer token.',
+            )
+        reply = self._execute(kind, body, who, cherrypy.request.remote.ip)
+        cherrypy.response.status = reply.status
+        if reply.retry_after_s is not None:
+            _set_retry_after(reply.retry_after_s)
+        return orjson.dumps(reply.body)
+
+    def _execute(
+        self, kind: str, body: dict[str, typing.Any], who: str, address: str
+    ) -> front.OperatorReply:
+        if not self._running.acquire(blocking=False):
+            raise errors.UnavailableError(
+                'too many operator commands at a time',
+                kind='overloaded',
+                retry_after_s=BUSY_RETRY_S,
+            )
+        try:
+            fut = asyncio.run_coroutine_threadsafe(
+                self.port.command(kind, body, who, address), self._loop
+            )
+            return fut.result(self._timeout_s)
+        except (TimeoutError, concurrent.futures.CancelledError):
+            raise errors.OutcomeUnknownError(
+                f'the command {kind} did not finish in time',
+                remedy='Submit it again; a repeated note is applied once.',
+            ) from None
+        finally:
+            self._running.release()
+
+    def _error_page(self, status: str, message: str, **_: object) -> bytes:
+        # CherryPy's own errors, such as an unknown path.
+        cherrypy.response.headers['Content-Type'] = _JSON
+        code = int(status[:3])
+        exc: errors.RidgeError = errors.RidgeError('internal error')
+        if code == 404:
+            exc = errors.UnknownServiceError(
+                'no such path', kind='not_found', remedy='Check the path.'
+            )
+        elif code < 500:
+            exc = errors.BadRequestError(status)
+        self.metrics.error(exc.kind)
+        return orjson.dumps(exc.as_json())
+
+
+def _set_retry_after(seconds: float) -> None:
+    value = max(1, -int(-seconds // 1))
+    cherrypy.response.headers['Retry-After'] = str(value)
+
+
+def _page(
+    *methods: str,
+) -> Callable[[Callable[..., bytes]], Callable[..., bytes]]:
+    """Expose a handler for some methods and answer with typed errors."""
+
+    def decorate(handler: Callable[..., bytes]) -> Callable[..., bytes]:
+        @functools.wraps(handler)
+        def page(self: '_Pages', *args: str, **query: str) -> bytes:
+            cherrypy.response.headers['Content-Type'] = _JSON
+            try:
+                if cherrypy.request.method not in methods:
+                    raise cherrypy.HTTPError(405)
+                return handler(self, *args, **query)
+            except errors.RidgeError as exc:
+                return self.fail(exc)
+            except cherrypy.CherryPyException:
+                raise
+            except Exception:
+                self.api.metrics.failure('operator request')
+                return self.fail(errors.RidgeError('an internal error'))
+
+        page.exposed = True  # type: ignore[attr-defined]
+        return page
+
+    return decorate
+
+
+def _body() -> dict[str, typing.Any]:
+    raw = cherrypy.request.rfile.read()
+    return _load_object(raw) if raw else {}
+
+
+def _is_post() -> bool:
+    return bool(cherrypy.request.method == 'POST')
+
+
+class _Pages:
+    def __init__(self, api: OperatorApi) -> None:
+        self.api = api
+
+    def fail(self, exc: errors.RidgeError) -> bytes:
+        self.api.metrics.error(exc.kind)
+        cherrypy.response.status = exc.status
+        if exc.retry_after_s is not None:
+            _set_retry_after(exc.retry_after_s)
+        return orjson.dumps(exc.as_json())
+
+
+class _Root(_Pages):
+    # CherryPy would serve its own icon from the disk.
+    favicon_ico = None
+
+    def __init__(self, api: OperatorApi) -> None:
+        super().__init__(api)
+        self.v1 = _V1(api)
+
+    @_page('GET')
+    def metrics(self) -> bytes:
+        cherrypy.response.headers['Content-Type'] = (
+            'text/plain; version=0.0.4; charset=utf-8'
+        )
+        return self.api.metrics.render()
+
+    @_page('GET')
+    def healthz(self) -> bytes:
+        return b'{"healthy":true}'
+
+    @_page('GET')
+    def readyz(self) -> bytes:
+        draining = self.api.is_draining()
+        reason = 'draining' if draining else self.api.port.readiness()
+        if reason is None:
+            return b'{"ready":true}'
+        cherrypy.response.status = 503
+        return orjson.dumps({'ready': False, 'reason': reason})
+
+
+class _V1(_Pages):
+    @_page('GET', 'POST')
+    def notes(self, name: str | None = None, *rest: str) -> bytes:
+        if rest:
+            raise cherrypy.NotFound()
+        if _is_post():
+            if name not in (None, 'check'):
+                raise cherrypy.HTTPError(405)
+            kind = 'submit_note' if name is None else 'check_note'
+            return self.api.run(kind, _body())
+        if name is None:
+            return self.api.run('list_notes', {})
+        if not name.isascii() or not name.isdigit() or len(name) > 18:
+            raise errors.BadRequestError('a note is named by its number')
+        return self.api.run('show_note', {'number': int(name)})
+
+    @_page('GET')
+    def status(self) -> bytes:
+        return self.api.run('status', {})
+
+    @_page('GET')
+    def audit(self, **filters: str) -> bytes:
+        unknown = filters.keys() - _AUDIT_FILTERS
+        if unknown or not all(isinstance(v, str) for v in filters.values()):
+            raise errors.BadRequestError(
+                "the filters are 'who', 'kind' and 'since', each once"
+            )
+        return self.api.run('audit', dict(filters))
+
+    @_page('POST')
+    def drain(self) -> bytes:
+        return self.api.run('drain', _body())
+
+    @_page('GET', 'POST')
+    def members(self) -> bytes:
+        if _is_post():
+            return self.api.run('change_members', _body())
+        return self.api.run('list_members', {})
--- a/tests/node/test_rpc.py
+++ b/tests/node/test_rpc.py
@@ -4,10 +4,8 @@
 import struct
 
 import pytest
-
 from sassafrasridge_node import rpc
 
-
 SECRET = b'test secret'
 
 
