--- a/packages/core/src/sassafrasridge_core/state.py
+++ b/packages/core/src/sassafrasridge_core/state.py
@@ -388,6 +388,14 @@
 
     # What members and entry processes read
 
+    def accounts(self) -> Iterable[configuration.Account]:
+        """Return all client accounts."""
+        return self.tables.all(configuration.ACCOUNT)
+
+    def services(self) -> Iterable[configuration.Service]:
+        """Return all services."""
+        return self.tables.all(configuration.SERVICE)
+
     def deltas_since(
         self, revision: int, max_bytes: int | None = None
     ) -> list[bytes] | None:
--- /dev/null
+++ b/packages/node/src/sassafrasridge_node/commands.py
@@ -0,0 +1,310 @@
+"""Operators' commands at the control leader."""
+
+import asyncio
+import collections.abc
+import time
+import typing
+
+from sassafrasridge_core import errors
+from sassafrasridge_core import leases
+from sassafrasridge_core import raft
+from sassafrasridge_core import raftmembers
+from sassafrasridge_core import state as core_state
+from sassafrasridge_node import clocks
+from sassafrasridge_node import control
+
+MAX_LISTED = 1000
+CATCH_UP_TIMEOUT_S = 10.0
+CATCH_UP_POLL_S = 0.05
+
+Body = dict[str, typing.Any]
+Handler = collections.abc.Callable[
+    [control.ControlMember, Body],
+    collections.abc.Awaitable[core_state.Reply],
+]
+
+
+async def submit_note(
+    member: control.ControlMember, body: Body
+) -> core_state.Reply:
+    """Commit a release note."""
+    return await member.propose(
+        {
+            'type': 'note',
+            'note': body['note'],
+            'operator': body['who'],
+            'address': body['address'],
+            'time': time.time(),
+            'confirmed_revision': _confirmed_revision(member),
+        }
+    )
+
+
+async def check_note(
+    member: control.ControlMember, body: Body
+) -> core_state.Reply:
+    """Return what a release note would do."""
+    return member.state.check(
+        body['note'], body['who'], _confirmed_revision(member)
+    )
+
+
+def _holders(member: control.ControlMember) -> list[leases.Holder]:
+    current = member.leadership
+    if current is None:
+        raise control.NoLeaderError('this member is not the control leader')
+    return list(current.table.holders.values())
+
+
+def _confirmed_revision(member: control.ControlMember) -> int:
+    """Return the revision that every registered entry process has."""
+    confirmed: dict[str, int] = {}
+    for holder in _holders(member):
+        known = confirmed.get(holder.entry, holder.revision)
+        confirmed[holder.entry] = min(known, holder.revision)
+    return min(
+        (confirmed.get(entry, 0) for entry in member.state.entries),
+        default=member.state.revision,
+    )
+
+
+async def list_notes(
+    member: control.ControlMember, body: Body
+) -> core_state.Reply:
+    """Return the last accepted notes, newest first."""
+    log = member.state.answers
+    first = max(0, len(log) - MAX_LISTED)
+    notes = [log.at(place).as_json() for place in range(first, len(log))]
+    return _ok({'notes': notes[::-1]})
+
+
+async def show_note(
+    member: control.ControlMember, body: Body
+) -> core_state.Reply:
+    """Return a note's answer and where it is in force."""
+    answer = member.state.answers.get(int(body['number']))
+    if answer is None:
+        raise errors.UnknownServiceError(
+            f'note {body["number"]} was not accepted',
+            kind='unknown_note',
+            remedy='Check the number of the note.',
+        )
+    now = clocks.boottime()
+    reached, waiting = [], []
+    for holder in _holders(member):
+        place = {
+            'entry': holder.entry,
+            'zone': holder.zone,
+            'revision': holder.revision,
+            'seconds_since_renewal': round(now - holder.answered_at, 3),
+        }
+        behind = holder.revision < answer.revision
+        (waiting if behind else reached).append(place)
+    return _ok(
+        {
+            **answer.as_json(),
+            'in_force': not waiting,
+            'in_force_at': reached,
+            'not_in_force_at': waiting,
+        }
+    )
+
+
+async def status(
+    member: control.ControlMember, body: Body
+) -> core_state.Reply:
+    """Return members, entry processes, groups and accounts."""
+    now = clocks.boottime()
+    current = member.leadership
+    keeper = member.keeper
+    if current is None or keeper is None:
+        raise control.NoLeaderError('this member is not the control leader')
+    state = member.state
+    return _ok(
+        {
+            'leader': member.name,
+            'term': member.log.term,
+            'revision': state.revision,
+            'members': _members(member),
+            'nodes': [
+                {
+                    'entry': h.entry,
+                    'zone': h.zone,
+                    'address': h.address,
+                    'revision': h.revision,
+                    'lease': current.table.holds(now, h),
+                    'draining': h.draining,
+                }
+                for h in _holders(member)
+            ],
+            'groups': [
+                {
+                    **core_state.group_as_json(view),
+                    'group_majority_lost': view.group in keeper.majority_lost,
+                }
+                for view in state.groups.values()
+            ],
+            'targets': [
+                {
+                    'group': info.group,
+                    'server': info.server,
+                    'zone': info.zone,
+                    'address': info.address,
+                    'role': info.role,
+                    'term': info.term,
+                    'position': info.position,
+                    'leaving': info.leaving,
+                    'seconds_since_heard': round(
+                        current.detector.last_heard(
+                            now, info.group, info.server
+                        ),
+                        3,
+                    ),
+                }
+                for group in sorted(current.detector.groups())
+                for info in current.detector.targets(group)
+            ],
+            'accounts': [
+                {'name': a.name, 'rate': a.rate, 'burst': a.burst}
+                for a in state.accounts()
+            ],
+        }
+    )
+
+
+async def audit(member: control.ControlMember, body: Body) -> core_state.Reply:
+    """Return entries of the audit trail."""
+    since = body.get('since')
+    try:
+        start = None if since is None else float(since)
+    except ValueError:
+        raise errors.BadRequestError(f'since {since!r} is not a time in s')
+    entries = member.state.trail.select(
+        who=body.get('filter_who'),
+        kind=body.get('kind'),
+        since=start,
+        limit=MAX_LISTED,
+    )
+    return _ok({'entries': entries})
+
+
+async def list_members(
+    member: control.ControlMember, body: Body
+) -> core_state.Reply:
+    """Return the control members."""
+    return _ok({'leader': member.name, 'members': _members(member)})
+
+
+def _members(member: control.ControlMember) -> list[Body]:
+    progress = member.log.progress()
+    now = clocks.boottime()
+    found = []
+    for name, item in member.log.members.items():
+        index, acked_at = progress.get(name, (member.log.last_index, now))
+        found.append(
+            {
+                'name': name,
+                'disk_id': item.disk_id,
+                'voter': item.voter,
+                'address': member.peers.get(name, ''),
+                'index': index,
+                'seconds_since_answer': round(now - acked_at, 3),
+            }
+        )
+    for name, disk_id in member.log.unlisted.items():
+        found.append({'name': name, 'disk_id': disk_id, 'listed': False})
+    return found
+
+
+async def change_members(
+    member: control.ControlMember, body: Body
+) -> core_state.Reply:
+    """Add, remove or replace a control member.
+
+    Adding and replacing end only when the member is a voter that holds
+    everything committed, so that another member may be lost then.
+    """
+    action, name = body.get('action'), str(body.get('name', ''))
+    if action == 'remove':
+        await _change(member, raft.Remove(name))
+    elif action in ('add', 'replace'):
+        await _join(member, name)
+    else:
+        raise errors.BadRequestError(
+            f"action {action!r} is not 'add', 'replace' or 'remove'"
+        )
+    await member.propose(
+        {
+            'type': 'audit',
+            'kind': 'member',
+            'what': f'{action} {name}',
+            'operator': body['who'],
+            'address': body['address'],
+            'time': time.time(),
+        }
+    )
+    return _ok({'members': _members(member)})
+
+
+async def _join(member: control.ControlMember, name: str) -> None:
+    disk_id = await _wait_for(lambda: member.log.unlisted.get(name))
+    if disk_id is not None:
+        await _change(member, raft.AddLearner(name, disk_id))
+    listed = member.log.members.get(name)
+    if listed is None:
+        raise errors.UnavailableError(
+            f'member {name!r} has not contacted this cluster',
+            kind='unknown_member',
+            remedy='Start it with an empty data folder, then try again.',
+        )
+    if not listed.voter:
+        if not await _wait_for(lambda: member.log.caught_up(name)):
+            raise errors.UnavailableError(
+                f'member {name!r} has not caught up yet',
+                kind='membership_busy',
+                retry_after_s=1.0,
+            )
+        await _change(member, raft.Promote(name))
+    if not await _wait_for(lambda: member.log.caught_up(name)):
+        raise errors.UnavailableError(
+            f'member {name!r} does not hold everything committed',
+            kind='membership_busy',
+            retry_after_s=1.0,
+        )
+
+
+async def _change(
+    member: control.ControlMember, change: raftmembers.Change
+) -> None:
+    term, index = member.log.change_members(clocks.boottime(), change)
+    member.wake()
+    await _wait_for(lambda: member.applied >= index)
+    if member.log.term != term:
+        raise control.lost()
+
+
+async def _wait_for(
+    condition: collections.abc.Callable[[], typing.Any],
+) -> typing.Any:
+    end = clocks.boottime() + CATCH_UP_TIMEOUT_S
+    while True:
+        value = condition()
+        if value or clocks.boottime() > end:
+            return value
+        await asyncio.sleep(CATCH_UP_POLL_S)
+
+
+def _ok(body: Body) -> core_state.Reply:
+    return core_state.Reply(True, 200, body)
+
+
+COMMANDS: dict[str, Handler] = {
+    'submit_note': submit_note,
+    'check_note': check_note,
+    'list_notes': list_notes,
+    'show_note': show_note,
+    'status': status,
+    'audit': audit,
+    'list_members': list_members,
+    'change_members': change_members,
+}
--- a/packages/node/src/sassafrasridge_node/control.py
+++ b/packages/node/src/sassafrasridge_node/control.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import collections.abc
 import random
 import time
 import typing
@@ -85,26 +86,29 @@
         self.leadership: leadership.Leadership | None = None
         self._zone = zone
         self._files = files
-        self._peers = peers
+        self.peers = peers
         self._pool = pool
         self._times = times
         self._suspect_after_s = suspect_after_s
         self._policy = policy
         self._waiters: dict[int, Waiter] = {}
         self._wake = asyncio.Event()
-        self._applied = self._snapshot_index = log.snapshot_index
+        self.applied = self._snapshot_index = log.snapshot_index
         self._keeper: asyncio.Task[None] | None = None
         self.keeper: groups.GroupKeeper | None = None
-        self._relay = relays.RenewalRelay(
-            name, self._leader_client, counters
-        )
+        self._relay = relays.RenewalRelay(name, self._leader_client, counters)
         self._announced: dict[
             tuple[str, str], tuple[float, model.TargetInfo]
         ] = {}
         self._registering: set[str] = set()
+        self.commands: collections.abc.Mapping[str, typing.Any] = {}
 
     # The task.
 
+    def wake(self) -> None:
+        """Let the task act on a change at once."""
+        self._wake.set()
+
     async def run(self) -> None:
         """Drive the log until cancelled."""
         try:
@@ -136,7 +140,7 @@
             self._maybe_snapshot()
 
     def _send(self, message: raft.Message) -> None:
-        address = self._peers.get(message.recipient)
+        address = self.peers.get(message.recipient)
         if address is None:
             return
         wire = rpc.idl.LogMessage(
@@ -149,11 +153,11 @@
 
     def _restore(self, snapshot: raft.Snapshot) -> None:
         self.state = core_state.State.decode(snapshot.data)
-        self._applied = self._snapshot_index = snapshot.index
+        self.applied = self._snapshot_index = snapshot.index
         self._fail_waiters()
 
     def _apply(self, entry: raft.Entry) -> None:
-        self._applied = entry.index
+        self.applied = entry.index
         reply = None
         if entry.kind == raftlog.COMMAND:
             reply = self.state.apply(entry.index, entry.payload)
@@ -164,17 +168,17 @@
         if waiter.term == entry.term and reply is not None:
             waiter.fut.set_result(reply)
         else:
-            waiter.fut.set_exception(_lost())
+            waiter.fut.set_exception(lost())
 
     def _maybe_snapshot(self) -> None:
-        if self._applied - self._snapshot_index >= SNAPSHOT_EVERY:
-            self.log.compact(self._applied, self.state.encode())
-            self._snapshot_index = self._applied
+        if self.applied - self._snapshot_index >= SNAPSHOT_EVERY:
+            self.log.compact(self.applied, self.state.encode())
+            self._snapshot_index = self.applied
 
     def _fail_waiters(self) -> None:
         for waiter in self._waiters.values():
             if not waiter.fut.done():
-                waiter.fut.set_exception(_lost())
+                waiter.fut.set_exception(lost())
         self._waiters.clear()
 
     # Leadership.
@@ -230,7 +234,9 @@
 
     # Proposals.
 
-    async def propose(self, command: dict[str, typing.Any]) -> core_state.Reply:
+    async def propose(
+        self, command: dict[str, typing.Any]
+    ) -> core_state.Reply:
         """Commit and apply a command.
 
         Raises NoLeaderError when nothing was proposed and
@@ -251,7 +257,7 @@
             async with asyncio.timeout(COMMIT_TIMEOUT_S):
                 return await fut
         except TimeoutError:
-            raise _lost()
+            raise lost()
         finally:
             self._waiters.pop(index, None)
 
@@ -349,7 +355,7 @@
         leader = self.log.leader
         if leader is None or leader == self.name:
             return None
-        address = self._peers.get(leader)
+        address = self.peers.get(leader)
         return None if address is None else self._pool.get(address)
 
     # Announcements.
@@ -366,7 +372,7 @@
         """Carry out an operator's command, here or at the leader."""
         if self.leadership is None:
             return await self._forward(kind, body, deadline_s)
-        handler = COMMANDS.get(kind)
+        handler = self.commands.get(kind)
         if handler is None:
             return _command_error(
                 errors.BadRequestError(f'command {kind!r} does not exist')
@@ -394,12 +400,13 @@
             )
         except rpc.RpcError as exc:
             error: errors.RidgeError = (
-                _lost() if exc.sent else NoLeaderError(exc.message)
+                lost() if exc.sent else NoLeaderError(exc.message)
             )
             return _command_error(error)
 
 
-def _lost() -> LostLeadershipError:
+def lost() -> LostLeadershipError:
+    """Return the error of a change whose outcome is not known."""
     return LostLeadershipError(
         'leadership changed before the command was applied'
     )
@@ -412,6 +419,3 @@
         body=orjson.dumps(exc.as_json()),
         status=exc.status,
     )
-
-
-COMMANDS: dict[str, typing.Any] = {}
--- a/packages/node/src/sassafrasridge_node/dataapi.py
+++ b/packages/node/src/sassafrasridge_node/dataapi.py
@@ -8,8 +8,8 @@
 import typing
 
 import orjson
-from sassafrasridge_core import errors
 
+from sassafrasridge_core import errors
 from sassafrasridge_node import clocks
 from sassafrasridge_node import front
 from sassafrasridge_node import httpserver
--- a/packages/node/src/sassafrasridge_node/entry.py
+++ b/packages/node/src/sassafrasridge_node/entry.py
@@ -89,9 +89,7 @@
 
     def timeline(self, group: str) -> freshness.PrimaryTimeline:
         """Return the timeline of a group's primary."""
-        return self.timelines.setdefault(
-            group, freshness.PrimaryTimeline()
-        )
+        return self.timelines.setdefault(group, freshness.PrimaryTimeline())
 
     def bucket(self, account: str) -> shares.Bucket:
         """Return the bucket of a client account."""
@@ -100,9 +98,7 @@
     def _backend(self, info: model.TargetInfo) -> backends.Backend:
         return backends.Backend(info, self.metrics)
 
-    def sample_primary(
-        self, group: str, server: str, sent_at: float
-    ) -> None:
+    def sample_primary(self, group: str, server: str, sent_at: float) -> None:
         """Record a position of the primary, for the age of replicas.
 
         It proves something only while no other primary can acknowledge
--- a/packages/node/src/sassafrasridge_node/front.py
+++ b/packages/node/src/sassafrasridge_node/front.py
@@ -10,8 +10,8 @@
 import typing
 
 import cherrypy
-from sassafrasridge_core import model
 
+from sassafrasridge_core import model
 from sassafrasridge_node import httpserver
 from sassafrasridge_node import metrics as metrics_
 
--- /dev/null
+++ b/packages/node/src/sassafrasridge_node/gateway.py
@@ -0,0 +1,225 @@
+"""The data path of an entry process."""
+
+import random
+import time
+import typing
+
+import orjson
+
+from sassafrasridge_core import errors
+from sassafrasridge_core import model
+from sassafrasridge_core import placement
+from sassafrasridge_node import admission
+from sassafrasridge_node import backends
+from sassafrasridge_node import clocks
+from sassafrasridge_node import entry
+from sassafrasridge_node import front
+from sassafrasridge_node import reads
+from sassafrasridge_node import rpc
+from sassafrasridge_node import transactions
+from sassafrasridge_node import writes
+
+RELAYED_FIELDS = (
+    'kind',
+    'service',
+    'route',
+    'transaction',
+    'statements',
+    'access',
+    'consistency',
+    'max_age_s',
+    'idempotent',
+    'key_digest',
+    'session',
+    'request_id',
+    'digest',
+)
+IN_TRANSACTION = ('in', 'commit', 'rollback')
+UUID7_VERSION = '7'
+REQUEST_ID_TTL_S = 24 * 3600
+
+
+class ExpiredIdError(errors.ConflictError):
+    """Report an Idempotency-Key whose record may be gone already."""
+
+    kind = 'request_id_expired'
+    remedy = 'Find out what became of the request, then use a new key.'
+
+
+class Gateway(front.DataPort):
+    """Carry out callers' requests, here or through another entry process."""
+
+    def __init__(
+        self,
+        state: entry.EntryState,
+        pool: rpc.ClientPool,
+        rng: random.Random,
+    ) -> None:
+        self._state = state
+        self._pool = pool
+        self._rng = rng
+        self._admitter = admission.Admitter(state)
+        self._reader = reads.Reader(state, state.metrics, rng)
+        self._writer = writes.Writer(state, state.metrics, rng)
+        self.transactions = transactions.Transactions(state, self._writer)
+
+    async def call(self, req: front.DataRequest) -> front.DataReply:
+        """Execute a caller's request."""
+        adm = self._admitter.identify(req)
+        check_request_id(req.request_id, time.time())
+        if req.kind in ('statements', 'begin', 'in'):
+            await self._admitter.charge(adm, req)
+        owner = self._owner(req, adm)
+        if owner is not None:
+            return await self._relay(req, adm, owner)
+        return await self.execute(req, adm)
+
+    def _owner(
+        self, req: front.DataRequest, adm: admission.Admission
+    ) -> list[str] | None:
+        """Return who else must carry out a request, or None."""
+        state = self._state
+        if req.kind in IN_TRANSACTION:
+            owner = self.transactions.owner(req.transaction or '')
+            return None if owner == state.name else [owner]
+        if state.serves(adm.group):
+            return None
+        names = sorted({*state.entries, state.name})
+        return placement.serving_set(adm.group, names)
+
+    async def execute(
+        self, req: front.DataRequest, adm: admission.Admission
+    ) -> front.DataReply:
+        """Execute a request that was admitted and charged."""
+        tokens = self._tokens(req)
+        if req.kind == 'begin':
+            return await self.transactions.begin(req, adm)
+        if req.kind == 'in':
+            return await self.transactions.execute(req)
+        if req.kind == 'commit':
+            return await self.transactions.commit(req, adm, tokens)
+        if req.kind == 'rollback':
+            return await self.transactions.rollback(req)
+        if req.access == 'read':
+            return await self._reader.read(req, adm, tokens)
+        return await self._writer.write(req, adm, tokens)
+
+    def _tokens(self, req: front.DataRequest) -> dict[str, model.Position]:
+        if req.session is None:
+            return {}
+        return self._state.signer().load(req.session, time.time())
+
+    async def _relay(
+        self,
+        req: front.DataRequest,
+        adm: admission.Admission,
+        owners: list[str],
+    ) -> front.DataReply:
+        for owner in owners:
+            address = self._state.entries.get(owner)
+            if address is None:
+                continue
+            try:
+                return await self._relay_to(req, address)
+            except rpc.RpcError as exc:
+                if exc.sent and req.kind != 'commit':
+                    if not self._repeatable(req):
+                        raise errors.OutcomeUnknownError(exc.message)
+        if req.kind == 'commit':
+            # The owner is gone or silent; the target knows the outcome.
+            return await self.transactions.settle(
+                req,
+                adm,
+                transactions.commit_attempt(req, adm),
+                self._tokens(req),
+            )
+        if req.kind in IN_TRANSACTION:
+            raise transactions.lost(req.transaction or '')
+        raise backends.refused(model.NO_TARGET)
+
+    @staticmethod
+    def _repeatable(req: front.DataRequest) -> bool:
+        # A write with a request id runs at most once wherever it is sent.
+        return req.access == 'read' or req.request_id is not None
+
+    async def _relay_to(
+        self, req: front.DataRequest, address: str
+    ) -> front.DataReply:
+        left = max(0.001, req.deadline - clocks.boottime())
+        call = rpc.idl.StatementCall(
+            kind=req.kind,
+            body=orjson.dumps(
+                {name: getattr(req, name) for name in RELAYED_FIELDS}
+            ),
+            deadline_s=left,
+            hops=1,
+        )
+        reply = await self._pool.get(address).call(
+            'relay', call, timeout_s=left
+        )
+        if reply.status >= 400:
+            raise relayed_error(reply)
+        return front.DataReply(
+            reply.body,
+            session=reply.session_token or None,
+            status=reply.status,
+        )
+
+    async def relay(self, call: typing.Any) -> typing.Any:
+        """Carry out a request that another entry process passed on."""
+        try:
+            req = front.DataRequest(**orjson.loads(call.body))
+            req.received_at = clocks.boottime()
+            req.deadline = req.received_at + call.deadline_s
+            reply = await self.execute(req, self._admitter.identify(req))
+        except errors.RidgeError as exc:
+            return rpc.idl.StatementReply(
+                status=exc.status,
+                body=orjson.dumps(exc.as_json()),
+                session_token='',
+                retry_after_s=exc.retry_after_s or 0.0,
+            )
+        body = reply.body
+        if not isinstance(body, bytes):
+            body = orjson.dumps(body)
+        return rpc.idl.StatementReply(
+            status=reply.status,
+            body=body,
+            session_token=reply.session or '',
+            retry_after_s=0.0,
+        )
+
+
+def relayed_error(reply: typing.Any) -> errors.RidgeError:
+    """Return the error that another entry process reported."""
+    body = orjson.loads(reply.body)['error']
+    exc = errors.RidgeError(
+        body['message'],
+        kind=body['kind'],
+        remedy=body['remedy'],
+        outcome=errors.Outcome(body['outcome']),
+        retry_after_s=reply.retry_after_s or None,
+    )
+    exc.status = reply.status
+    return exc
+
+
+def check_request_id(request_id: str | None, now: float) -> None:
+    """Raise ExpiredIdError for a UUIDv7 older than its record is kept.
+
+    >>> check_request_id('0190163d-8694-739b-aea5-966c26f8ad91', 2e9)
+    Traceback (most recent call last):
+    ...
+    sassafrasridge_node.gateway.ExpiredIdError: the Idempotency-Key is too old
+    """
+    if request_id is None:
+        return
+    digits = request_id.replace('-', '')
+    if len(digits) != 32 or digits[12] != UUID7_VERSION:
+        return
+    try:
+        created = int(digits[:12], 16) / 1000
+    except ValueError:
+        return
+    if now - created > REQUEST_ID_TTL_S:
+        raise ExpiredIdError('the Idempotency-Key is too old')
--- a/packages/node/src/sassafrasridge_node/groups.py
+++ b/packages/node/src/sassafrasridge_node/groups.py
@@ -76,7 +76,9 @@
         """Check all groups until cancelled."""
         try:
             while True:
-                for group in set(self._store.names()) | self._detector.groups():
+                for group in (
+                    set(self._store.names()) | self._detector.groups()
+                ):
                     self._start_step(group)
                 await asyncio.sleep(STEP_INTERVAL_S)
         finally:
--- a/packages/node/src/sassafrasridge_node/httpserver.py
+++ b/packages/node/src/sassafrasridge_node/httpserver.py
@@ -26,8 +26,8 @@
 from cheroot import wsgi
 import cherrypy
 import orjson
-from sassafrasridge_core import errors
 
+from sassafrasridge_core import errors
 from sassafrasridge_node import metrics as metrics_
 
 RECV_BYTES = 16 * 1024
--- a/packages/node/src/sassafrasridge_node/leadership.py
+++ b/packages/node/src/sassafrasridge_node/leadership.py
@@ -67,7 +67,11 @@
         reply.shares = [
             codec.grant_to_wire(grant)
             for grant in self._allocator.renew(
-                now, req.entry, req.accounts or [], req.incarnation, req.sequence
+                now,
+                req.entry,
+                req.accounts or [],
+                req.incarnation,
+                req.sequence,
             )
         ]
         reply.connections = [
@@ -174,9 +178,7 @@
 
     def _entries(self, now: float) -> list[typing.Any]:
         return [
-            rpc.idl.EntryAddress(
-                entry=h.entry, zone=h.zone, address=h.address
-            )
+            rpc.idl.EntryAddress(entry=h.entry, zone=h.zone, address=h.address)
             for h in self.table.live(now)
             if not h.draining
         ]
--- /dev/null
+++ b/packages/node/src/sassafrasridge_node/main.py
@@ -0,0 +1,349 @@
+"""The daemon's entry point and composition root."""
+
+import argparse
+import asyncio
+import importlib.metadata
+import os
+import random
+import secrets
+import signal
+import sys
+import threading
+import typing
+
+import orjson
+
+from sassafrasridge_core import errors
+from sassafrasridge_core import leases
+from sassafrasridge_core import raft
+from sassafrasridge_core import state as core_state
+from sassafrasridge_node import clocks
+from sassafrasridge_node import commands
+from sassafrasridge_node import control
+from sassafrasridge_node import dataapi
+from sassafrasridge_node import entry
+from sassafrasridge_node import front
+from sassafrasridge_node import gateway
+from sassafrasridge_node import logs
+from sassafrasridge_node import metrics
+from sassafrasridge_node import operatorapi
+from sassafrasridge_node import operators
+from sassafrasridge_node import renewal
+from sassafrasridge_node import rpc
+from sassafrasridge_node import settings
+from sassafrasridge_node import storage
+
+READINESS_NOTICE_S = 1.0
+"""Time for the load balancer to see that the process is not ready, before
+its listener closes."""
+
+DRAIN_POLL_S = 0.02
+SHARE_POLICY = 'demand'
+
+
+class Handler:
+    """Answer the calls of other daemons: control, entry, or both."""
+
+    def __init__(
+        self,
+        member: control.ControlMember | None,
+        data: gateway.Gateway | None,
+    ) -> None:
+        if member is not None:
+            self.renew = member.renew
+            self.renew_batch = member.renew_batch
+            self.log_message = member.log_message
+            self.command = member.command
+        if data is not None:
+            self.relay = data.relay
+
+
+class Daemon:
+    """Own the parts of one process and their life cycle."""
+
+    def __init__(self, cfg: settings.Settings) -> None:
+        self.cfg = cfg
+        self.metrics = metrics.Metrics()
+        self.loop = asyncio.new_event_loop()
+        self.stopping = threading.Event()
+        self._rng = random.Random()  # noqa: S311
+        self._times = leases.LeaseTimes(
+            cfg.timing.renew_interval, cfg.timing.lease, cfg.timing.config_ttl
+        )
+        self._tasks: list[asyncio.Task[None]] = []
+        self._pools: list[rpc.ClientPool] = []
+        self.member: control.ControlMember | None = None
+        self.state: entry.EntryState | None = None
+        self.gateway: gateway.Gateway | None = None
+        self.renewer: renewal.Renewer | None = None
+        self._files: storage.Storage | None = None
+
+    # Start, on the engine's loop.
+
+    async def start(self) -> None:
+        """Create the parts and start their tasks."""
+        secret = self.cfg.node.cluster_secret
+        control_pool = rpc.ClientPool(rpc.idl.Control, secret)
+        entry_pool = rpc.ClientPool(rpc.idl.Entry, secret)
+        self._pools = [control_pool, entry_pool]
+        if self.cfg.control is not None:
+            self._start_member(control_pool)
+        if self.cfg.entry is not None:
+            self.state = entry.EntryState(
+                self.cfg.node.name,
+                self.cfg.node.zone,
+                self._times,
+                self.metrics,
+            )
+            self.gateway = gateway.Gateway(self.state, entry_pool, self._rng)
+        await self._serve_rpc(secret)
+        if self.state is not None and self.gateway is not None:
+            self._start_entry(control_pool)
+
+    async def _serve_rpc(self, secret: bytes) -> None:
+        handler = Handler(self.member, self.gateway)
+        self.rpc = rpc.Server(rpc.idl.Daemon, handler, secret)
+        host, port = settings.split_address(self.cfg.node.rpc)
+        await self.rpc.start(host, port)
+
+    def _start_member(self, pool: rpc.ClientPool) -> None:
+        cfg = self.cfg.control
+        if cfg is None:
+            return
+        name = self.cfg.node.name
+        self._files = storage.Storage(
+            self.cfg.node.data_folder, lambda: secrets.token_hex(8)
+        )
+        members = dict.fromkeys(cfg.members) if cfg.bootstrap else {}
+        stored = self._files.load(members)
+        state = core_state.State()
+        if stored.snapshot is not None:
+            state = core_state.State.decode(stored.snapshot.data)
+        log = raft.Raft(
+            name,
+            self._files.disk_id,
+            stored,
+            raft.RaftConfig(),
+            clocks.boottime(),
+            self._rng,
+        )
+        peers = {n: a for n, a in cfg.members.items() if n != name}
+        self.member = control.ControlMember(
+            name,
+            self.cfg.node.zone,
+            log,
+            self._files,
+            state,
+            peers,
+            pool,
+            self._times,
+            self.cfg.timing.suspect_after,
+            SHARE_POLICY,
+            self.metrics,
+        )
+        self.member.commands = commands.COMMANDS
+        self._spawn(self.member.run())
+
+    def _start_entry(self, pool: rpc.ClientPool) -> None:
+        if self.state is None or self.gateway is None:
+            return
+        self.renewer = renewal.Renewer(
+            self.state,
+            pool,
+            self.control_addresses(),
+            secrets.randbits(62),
+            self.rpc.address,
+        )
+        self._spawn(self.renewer.run())
+        self._spawn(renewal.Prober(self.state).run())
+        self._spawn(self.gateway.transactions.run())
+
+    def control_addresses(self) -> list[str]:
+        """Return the control members, those of the own zone first."""
+        if self.cfg.entry is None:
+            return []
+        zones = self.cfg.entry.control
+        order = sorted(zones, key=lambda zone: zone != self.cfg.node.zone)
+        return [address for zone in order for address in zones[zone]]
+
+    def _spawn(
+        self, coroutine: typing.Coroutine[typing.Any, typing.Any, None]
+    ) -> None:
+        task = self.loop.create_task(coroutine)
+        task.add_done_callback(self._task_done)
+        self._tasks.append(task)
+
+    def _task_done(self, task: asyncio.Task[None]) -> None:
+        if task.cancelled() or task.exception() is None:
+            return
+        # A daemon without one of its tasks is worse than one that restarts.
+        try:
+            task.result()
+        except errors.RidgeError as exc:
+            logs.change('task_failed', reason=exc.render())
+        except Exception:
+            self.metrics.failure('task')
+        self.stopping.set()
+
+    # Stop, on the engine's loop.
+
+    def drain(self) -> None:
+        """Begin a planned stop."""
+        if self.state is not None:
+            self.state.draining = True
+        self.loop.call_later(READINESS_NOTICE_S, self.stopping.set)
+
+    async def finish_transactions(self, timeout_s: float) -> None:
+        """Wait for open transactions, then roll the rest back."""
+        if self.gateway is None:
+            return
+        end = clocks.boottime() + timeout_s
+        open_transactions = self.gateway.transactions
+        while len(open_transactions) and clocks.boottime() < end:
+            await asyncio.sleep(DRAIN_POLL_S)
+        open_transactions.close_all()
+
+    async def stop(self) -> None:
+        """Give the lease back and end all tasks."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        if self.renewer is not None and self.state is not None:
+            for backend in self.state.backends.values():
+                backend.pool.close()
+            await self.renewer.release()
+        await self.rpc.stop()
+        for pool in self._pools:
+            pool.close()
+        if self._files is not None:
+            self._files.close()
+
+
+class Process:
+    """Run a daemon: the engine's loop in a thread, HTTP in others."""
+
+    def __init__(self, cfg: settings.Settings) -> None:
+        self.cfg = cfg
+        self.daemon = Daemon(cfg)
+        self._thread = threading.Thread(
+            target=self._run_loop, name='engine', daemon=True
+        )
+        self._front = self._make_front()
+
+    def _run_loop(self) -> None:
+        asyncio.set_event_loop(self.daemon.loop)
+        self.daemon.loop.run_forever()
+
+    def _call(
+        self, coroutine: typing.Coroutine[typing.Any, typing.Any, typing.Any]
+    ) -> typing.Any:
+        return asyncio.run_coroutine_threadsafe(
+            coroutine, self.daemon.loop
+        ).result()
+
+    def _make_front(self) -> front.Front:
+        host, port = settings.split_address(self.cfg.node.http)
+        cfg = front.FrontConfig(host, port)
+        if self.cfg.entry is not None:
+            cfg.threads = self.cfg.entry.worker_threads
+            cfg.max_connections = self.cfg.entry.max_connections
+            cfg.max_body = self.cfg.entry.max_body
+        return front.Front(cfg, self.daemon.loop, self.daemon.metrics)
+
+    def run(self) -> int:
+        """Serve until a signal or a command stops the process."""
+        for number in (signal.SIGTERM, signal.SIGINT):
+            signal.signal(number, self._on_signal)
+        self._thread.start()
+        self._call(self.daemon.start())
+        self._start_front()
+        self._report_ready()
+        self.daemon.stopping.wait()
+        return self._stop()
+
+    def _start_front(self) -> None:
+        daemon = self.daemon
+        port = operators.Operators(
+            daemon._pools[0],
+            daemon.control_addresses(),
+            daemon.state,
+            daemon.member,
+            daemon.drain,
+        )
+        digest = self.cfg.targets.announce_token_digest
+        api = operatorapi.OperatorApi(
+            port,
+            daemon.loop,
+            daemon.metrics,
+            self.cfg.operators,
+            lambda: self._front.draining,
+        )
+        grafts: dict[str, typing.Any] = {
+            operatorapi.ANNOUNCE_PATH: operatorapi.AnnounceApi(
+                port,
+                daemon.loop,
+                daemon.metrics,
+                {'target': digest} if digest else None,
+            )
+        }
+        if daemon.gateway is not None:
+            data = dataapi.DataApi(daemon.gateway, daemon.metrics)
+            grafts['/v1/services'] = data.services
+            grafts['/v1/routes'] = data.routes
+        self._front.start(grafts, api.root(), api.config())
+
+    def _report_ready(self) -> None:
+        line = {'http': self._front.address, 'rpc': self.daemon.rpc.address}
+        sys.stdout.write(orjson.dumps(line).decode() + '\n')
+        sys.stdout.flush()
+        logs.change('started', **line)
+
+    def _on_signal(self, number: int, frame: object) -> None:
+        self.daemon.loop.call_soon_threadsafe(self.daemon.drain)
+
+    def _stop(self) -> int:
+        timeout_s = 1.0
+        if self.cfg.entry is not None:
+            timeout_s = self.cfg.entry.drain_timeout
+        self._front.drain()
+        self._call(self.daemon.finish_transactions(timeout_s))
+        finished = self._front.stop(timeout_s)
+        self._call(self.daemon.stop())
+        logs.change('stopped', finished=finished)
+        return 0 if finished else 1
+
+
+def main(argv: list[str] | None = None) -> None:
+    """Run the daemon of a settings file."""
+    parser = argparse.ArgumentParser(
+        prog='sassafrasridged',
+        description='Run one process of the sassafrasridge database proxy.',
+        epilog='Example: sassafrasridged --settings /etc/sassafrasridge.ini',
+    )
+    parser.add_argument('--settings', required=True, help='the INI file')
+    parser.add_argument(
+        '--check', action='store_true', help='check the settings and exit'
+    )
+    parser.add_argument(
+        '--version',
+        action='version',
+        version=importlib.metadata.version('sassafrasridge-node'),
+    )
+    args = parser.parse_args(argv)
+    try:
+        cfg = settings.load(args.settings)
+        if args.check:
+            return
+        logs.LogSink(
+            cfg.log.file or None, node=cfg.node.name, zone=cfg.node.zone
+        )
+        code = Process(cfg).run()
+    except errors.RidgeError as exc:
+        sys.stderr.write(exc.render() + '\n')
+        sys.exit(exc.exit_code)
+    sys.stdout.flush()
+    os._exit(code)
+
+
+if __name__ == '__main__':
+    main()
--- a/packages/node/src/sassafrasridge_node/metrics.py
+++ b/packages/node/src/sassafrasridge_node/metrics.py
@@ -111,6 +111,18 @@
         self.renewals = self.counter(
             'lease_renewals', 'Renewals, by result', ('result',)
         )
+        self.renewal_batches = self.counter(
+            'renewal_batches', 'Batches of renewals passed to the leader'
+        )
+        self.connection_failures = self.counter(
+            'connection_failures', 'Connections to targets that failed to open'
+        )
+        self.silent_batches = self.counter(
+            'silent_batches', 'Times that connections went silent together'
+        )
+        self.is_leader = self.gauge(
+            'control_leader', 'Whether this member is the control leader'
+        )
         self.promotions = self.counter(
             'promotions', 'Changes of a primary ordered here'
         )
--- a/packages/node/src/sassafrasridge_node/operatorapi.py
+++ b/packages/node/src/sassafrasridge_node/operatorapi.py
@@ -12,9 +12,9 @@
 
 import cherrypy
 import orjson
+
 from sassafrasridge_core import errors
 from sassafrasridge_core import model
-
 from sassafrasridge_node import front
 from sassafrasridge_node import httpserver
 from sassafrasridge_node import metrics as metrics_
--- /dev/null
+++ b/packages/node/src/sassafrasridge_node/operators.py
@@ -0,0 +1,98 @@
+"""Operators' commands and announcements at any daemon."""
+
+import collections.abc
+import typing
+
+import orjson
+
+from sassafrasridge_core import errors
+from sassafrasridge_core import model
+from sassafrasridge_node import clocks
+from sassafrasridge_node import control
+from sassafrasridge_node import entry
+from sassafrasridge_node import front
+from sassafrasridge_node import rpc
+
+COMMAND_TIMEOUT_S = 4.0
+MEMBER_TIMEOUT_S = 14.0
+NOTE_COMMANDS = ('submit_note', 'check_note')
+
+
+class Operators(front.OperatorPort):
+    """Pass commands to a control member, and announcements to the tasks."""
+
+    def __init__(
+        self,
+        pool: rpc.ClientPool,
+        members: list[str],
+        state: entry.EntryState | None,
+        member: control.ControlMember | None,
+        drain: collections.abc.Callable[[], None],
+    ) -> None:
+        self._pool = pool
+        self._members = members
+        self._state = state
+        self._member = member
+        self._drain = drain
+
+    async def command(
+        self, kind: str, body: dict[str, typing.Any], who: str, address: str
+    ) -> front.OperatorReply:
+        """Execute a command at the control leader."""
+        if kind == 'drain':
+            self._drain()
+            return front.OperatorReply({'draining': True}, 202)
+        if kind in NOTE_COMMANDS:
+            body = {'note': body}
+        if 'who' in body:
+            body = {**body, 'filter_who': body['who']}
+        payload = orjson.dumps({**body, 'who': who, 'address': address})
+        limit = (
+            MEMBER_TIMEOUT_S if kind == 'change_members' else COMMAND_TIMEOUT_S
+        )
+        reply = await self._send(kind, payload, limit)
+        return front.OperatorReply(orjson.loads(reply.body), reply.status)
+
+    async def _send(
+        self, kind: str, payload: bytes, limit_s: float
+    ) -> typing.Any:
+        if self._member is not None:
+            return await self._member.command(kind, payload, limit_s)
+        failure: errors.RidgeError = errors.UnavailableError(
+            'no control member answers', kind='no_leader', retry_after_s=1.0
+        )
+        for address in self._members:
+            client = self._pool.get(address)
+            try:
+                reply = await client.call(
+                    'command', kind, payload, limit_s, timeout_s=limit_s
+                )
+            except rpc.RpcError as exc:
+                if exc.sent:
+                    raise control.lost()
+                continue
+            if reply.status != 503:
+                return reply
+            failure = errors.UnavailableError(
+                'no control leader is known',
+                kind='no_leader',
+                retry_after_s=1.0,
+            )
+        raise failure
+
+    def announce(self, info: model.TargetInfo) -> None:
+        """Take a target's announcement."""
+        if self._state is not None:
+            self._state.announced(info)
+        if self._member is not None:
+            self._member.announced(clocks.boottime(), info)
+
+    def readiness(self) -> str | None:
+        """Return why this process is not ready, or None."""
+        if self._state is None:
+            return None
+        if self._state.draining:
+            return 'draining'
+        if not self._state.config_valid():
+            return 'no_lease'
+        return None
--- a/packages/node/src/sassafrasridge_node/reads.py
+++ b/packages/node/src/sassafrasridge_node/reads.py
@@ -182,9 +182,7 @@
             return False
         if need.max_age_s == float('inf'):
             return True
-        age = self._state.timeline(group).age(
-            now, term, applied, view.starts
-        )
+        age = self._state.timeline(group).age(now, term, applied, view.starts)
         return age <= need.max_age_s
 
     async def _try(
@@ -221,12 +219,8 @@
         answers.check(answer)
         if answer.status != 200:
             return None
-        self._state.sample_primary(
-            adm.group, backend.info.server, started
-        )
-        backend.circuit.success(
-            clocks.boottime(), clocks.boottime() - started
-        )
+        self._state.sample_primary(adm.group, backend.info.server, started)
+        backend.circuit.success(clocks.boottime(), clocks.boottime() - started)
         return self._checked(started, adm.group, need, answer.body)
 
     def _checked(
@@ -249,9 +243,7 @@
             return body
         if need.primary:
             return None
-        fits = self._fits(
-            started, group, need, term, int(body['position'])
-        )
+        fits = self._fits(started, group, need, term, int(body['position']))
         return body if fits else None
 
     def _count(self, body: dict[str, typing.Any]) -> None:
--- a/packages/node/src/sassafrasridge_node/relays.py
+++ b/packages/node/src/sassafrasridge_node/relays.py
@@ -32,9 +32,7 @@
         self._metrics = counters
         self._member = member
         self._leader = leader
-        self._waiting: list[
-            tuple[typing.Any, asyncio.Future[typing.Any]]
-        ] = []
+        self._waiting: list[tuple[typing.Any, asyncio.Future[typing.Any]]] = []
         self._timer: asyncio.TimerHandle | None = None
 
     async def renew(self, req: typing.Any) -> typing.Any:
--- a/packages/node/src/sassafrasridge_node/renewal.py
+++ b/packages/node/src/sassafrasridge_node/renewal.py
@@ -4,7 +4,6 @@
 import itertools
 import typing
 
-from sassafrasridge_core import model
 from sassafrasridge_node import clocks
 from sassafrasridge_node import codec
 from sassafrasridge_node import entry
@@ -96,15 +95,11 @@
         ]
         client = self._pool.get(self._members[self._current])
         try:
-            reply = await client.call(
-                'renew', req, timeout_s=CALL_TIMEOUT_S
-            )
+            reply = await client.call('renew', req, timeout_s=CALL_TIMEOUT_S)
         except (rpc.RpcError, rpc.RemoteCallError):
             reply = None
         if reply is None or not reply.granted:
-            state.shares.answered(
-                clocks.boottime(), req.sequence, False, ()
-            )
+            state.shares.answered(clocks.boottime(), req.sequence, False, ())
             state.metrics.renewals.labels('refused').inc()
             if reply is None or reply.reason == 'no_leader':
                 self._current = (self._current + 1) % len(self._members)
@@ -189,9 +184,7 @@
     async def run(self) -> None:
         """Probe until cancelled."""
         while True:
-            for (group, server), backend in list(
-                self._state.backends.items()
-            ):
+            for (group, server), backend in list(self._state.backends.items()):
                 if self._state.serves(group):
                     self._start(group, server, backend)
             await asyncio.sleep(PROBE_INTERVAL_S)
--- a/packages/node/src/sassafrasridge_node/ridge.thrift
+++ b/packages/node/src/sassafrasridge_node/ridge.thrift
@@ -152,3 +152,12 @@
 service Entry {
   StatementReply relay(1: StatementCall call),
 }
+
+// What one daemon serves: all calls, whatever its roles.
+service Daemon {
+  RenewReply renew(1: RenewRequest req),
+  RenewBatchReply renew_batch(1: RenewBatch batch),
+  oneway void log_message(1: LogMessage message),
+  CommandReply command(1: string kind, 2: binary body, 3: double deadline_s),
+  StatementReply relay(1: StatementCall call),
+}
--- a/packages/node/src/sassafrasridge_node/rpc.py
+++ b/packages/node/src/sassafrasridge_node/rpc.py
@@ -18,12 +18,13 @@
 import typing
 
 import prometheus_client
-from sassafrasridge_core import errors
 import thriftpy2
 from thriftpy2 import thrift
 from thriftpy2.protocol import cybin
 from thriftpy2.transport import TCyMemoryBuffer
 
+from sassafrasridge_core import errors
+
 MAX_FRAME_BYTES = 4 * 1024 * 1024
 DIGEST_BYTES = 16
 CONNECT_TIMEOUT_S = 0.5
--- a/packages/node/src/sassafrasridge_node/storage.py
+++ b/packages/node/src/sassafrasridge_node/storage.py
@@ -16,11 +16,12 @@
 import struct
 
 import orjson
+import xxhash
+
 from sassafrasridge_core import errors
 from sassafrasridge_core import raft
 from sassafrasridge_core import raftlog
 from sassafrasridge_core import raftmembers
-import xxhash
 
 META = 'meta'
 LOG = 'log'
--- a/packages/node/src/sassafrasridge_node/transactions.py
+++ b/packages/node/src/sassafrasridge_node/transactions.py
@@ -318,4 +318,3 @@
     return answers.TransactionLostError(
         f'transaction {transaction!r} is not open; it was rolled back'
     )
-
--- a/packages/node/src/sassafrasridge_node/writes.py
+++ b/packages/node/src/sassafrasridge_node/writes.py
@@ -198,9 +198,7 @@
             backend.circuit.failure(clocks.boottime())
             return None
         backend.learn_answer(answer)
-        backend.circuit.success(
-            clocks.boottime(), clocks.boottime() - started
-        )
+        backend.circuit.success(clocks.boottime(), clocks.boottime() - started)
         return answer
 
     def judge(
--- /dev/null
+++ b/packages/testkit/src/sassafrasridge_testkit/deployments.py
@@ -0,0 +1,287 @@
+"""Starts whole deployments: control members, entry processes, targets."""
+
+import collections.abc
+import hashlib
+import pathlib
+import secrets
+import typing
+
+from sassafrasridge_testkit import callers
+from sassafrasridge_testkit import harness
+from sassafrasridge_testkit import processes
+
+OPERATOR = 'operator'
+START_TIMEOUT_S = 15.0
+CONTROL_INI = """
+[control]
+members = {members}
+bootstrap = {bootstrap}
+"""
+ENTRY_INI = """
+[entry]
+control =
+{control}
+drain_timeout = {drain_timeout}
+"""
+NODE_INI = """
+[node]
+name = {name}
+zone = {zone}
+region = {zone}
+http = 127.0.0.1:{http}
+rpc = 127.0.0.1:{rpc}
+data_folder = {folder}
+roles = {roles}
+cluster_secret_file = {secret_file}
+
+[operators]
+operator = {operator_digest}
+
+[timing]
+{timing}
+"""
+
+
+class Node:
+    """Hold one daemon of a deployment."""
+
+    def __init__(
+        self,
+        name: str,
+        zone: str,
+        http_port: int,
+        rpc_port: int,
+        ini: pathlib.Path,
+        process: processes.Process,
+    ) -> None:
+        self.name = name
+        self.zone = zone
+        self.http = f'127.0.0.1:{http_port}'
+        self.rpc = f'127.0.0.1:{rpc_port}'
+        self.ini = ini
+        self.process = process
+
+
+class Deployment:
+    """Own the daemons of one test; the harness owns the processes."""
+
+    def __init__(
+        self,
+        kit: harness.Harness,
+        control_zones: collections.abc.Sequence[str] = ('z1',),
+        entry_zones: collections.abc.Sequence[str] = ('z1', 'z2'),
+        timing: collections.abc.Mapping[str, str] | None = None,
+        drain_timeout: str = '10s',
+        control_addresses: collections.abc.Callable[[str, str], str]
+        | None = None,
+    ) -> None:
+        self.kit = kit
+        self.operator_token = secrets.token_hex(16)
+        self.control: dict[str, Node] = {}
+        self.entries: dict[str, Node] = {}
+        self._timing = dict(timing or {})
+        self._drain_timeout = drain_timeout
+        self._note_number = 0
+        # Maps (entry process, address of a control member) to the address to
+        # use, so that a test can put a fault-injecting proxy between them.
+        self._reach = control_addresses or (lambda entry, address: address)
+        self._secret_file = kit.folder / 'cluster-secret'
+        self._secret_file.write_text(secrets.token_hex(32))
+        for number, zone in enumerate(control_zones, 1):
+            self._add(f'c{number}', zone, self.control)
+        for number, zone in enumerate(entry_zones, 1):
+            self._add(f'e{number}', zone, self.entries)
+
+    def _add(self, name: str, zone: str, nodes: dict[str, Node]) -> None:
+        ini = self.kit.folder / f'{name}.ini'
+        process = self.kit.prepare(
+            name,
+            [
+                processes.sys.executable,
+                '-m',
+                'sassafrasridge_node.main',
+                '--settings',
+                str(ini),
+            ],
+        )
+        nodes[name] = Node(
+            name,
+            zone,
+            processes.free_port(),
+            processes.free_port(),
+            ini,
+            process,
+        )
+
+    # Settings.
+
+    def write_settings(self, node: Node, bootstrap: bool = True) -> None:
+        """Write the INI file of a daemon."""
+        is_control = node.name in self.control
+        digest = hashlib.sha256(self.operator_token.encode()).hexdigest()
+        text = NODE_INI.format(
+            name=node.name,
+            zone=node.zone,
+            http=node.http.rsplit(':', 1)[1],
+            rpc=node.rpc.rsplit(':', 1)[1],
+            folder=self.kit.folder / f'{node.name}.data',
+            roles='control' if is_control else 'entry',
+            secret_file=self._secret_file,
+            operator_digest=digest,
+            timing='\n'.join(f'{k} = {v}' for k, v in self._timing.items()),
+        )
+        if is_control:
+            text += CONTROL_INI.format(
+                members=', '.join(
+                    f'{n.name}={n.rpc}' for n in self.control.values()
+                ),
+                bootstrap='true' if bootstrap else 'false',
+            )
+        else:
+            text += ENTRY_INI.format(
+                control=self._control_lines(node),
+                drain_timeout=self._drain_timeout,
+            )
+        node.ini.write_text(text)
+
+    def _control_lines(self, entry: Node) -> str:
+        zones: dict[str, list[str]] = {}
+        for node in self.control.values():
+            address = self._reach(entry.name, node.rpc)
+            zones.setdefault(node.zone, []).append(address)
+        return '\n'.join(
+            f'    {zone} = {", ".join(addresses)}'
+            for zone, addresses in zones.items()
+        )
+
+    # Life cycle.
+
+    def start(self) -> 'Deployment':
+        """Start all daemons and wait until the entry processes are ready."""
+        nodes = [*self.control.values(), *self.entries.values()]
+        for node in nodes:
+            self.write_settings(node)
+            node.process.launch()
+        for node in nodes:
+            node.process.wait_ready()
+        for node in self.entries.values():
+            self.wait_ready(node)
+        return self
+
+    def wait_ready(
+        self, node: Node, timeout_s: float = START_TIMEOUT_S
+    ) -> None:
+        """Wait until a daemon reports that it is ready."""
+        processes.wait_until(
+            lambda: self.is_ready(node), timeout_s, f'readiness of {node.name}'
+        )
+
+    def is_ready(self, node: Node) -> bool:
+        """Return whether a daemon reports that it is ready."""
+        client = callers.HttpClient(node.http, 2.0)
+        try:
+            return client.get('/readyz').status == 200
+        except callers.NoAnswer:
+            return False
+        finally:
+            client.close()
+
+    @property
+    def announce_addresses(self) -> list[str]:
+        """Return where targets announce themselves."""
+        return [node.http for node in self.entries.values()]
+
+    # Operators.
+
+    def operator(self, node: Node | None = None) -> 'Operator':
+        """Return an operator's client of a daemon, the first by default."""
+        node = node or next(iter(self.control.values()))
+        return Operator(node.http, self.operator_token)
+
+    def note(
+        self,
+        added: collections.abc.Sequence[typing.Any] = (),
+        changed: collections.abc.Sequence[typing.Any] = (),
+        withdrawn: collections.abc.Sequence[typing.Any] = (),
+        node: Node | None = None,
+    ) -> callers.Answer:
+        """Submit the next release note; fail when it is refused."""
+        self._note_number += 1
+        answer = self.operator(node).submit(
+            {
+                'number': self._note_number,
+                'operator': OPERATOR,
+                'added': list(added),
+                'changed': list(changed),
+                'withdrawn': list(withdrawn),
+            }
+        )
+        if answer.status != 200:
+            raise AssertionError(f'note refused: {answer}')
+        return answer
+
+    def wait_in_force(self, number: int | None = None) -> None:
+        """Wait until a note is in force at every entry process."""
+        wanted = number or self._note_number
+        operator = self.operator()
+
+        def in_force() -> bool:
+            body = operator.get(f'/v1/notes/{wanted}').body
+            places = body.get('in_force_at', [])
+            return bool(
+                body.get('in_force') and len(places) >= len(self.entries)
+            )
+
+        processes.wait_until(in_force, START_TIMEOUT_S, f'note {wanted}')
+
+    def caller(
+        self, node: Node, key: str | None, service: str = 'orders'
+    ) -> callers.Caller:
+        """Return a caller's client of an entry process."""
+        return callers.Caller(node.http, key, service)
+
+
+class Operator(callers.HttpClient):
+    """Call the operators' interface."""
+
+    def __init__(self, address: str, token: str) -> None:
+        super().__init__(address, 15.0)
+        self._headers = {'Authorization': f'Bearer {token}'}
+
+    def submit(self, note: callers.Json) -> callers.Answer:
+        """Submit a release note."""
+        return self.post('/v1/notes', note, self._headers)
+
+    def get(
+        self, path: str, headers: dict[str, str] | None = None
+    ) -> callers.Answer:
+        """Send a GET request with the operator's token."""
+        return super().get(path, {**self._headers, **(headers or {})})
+
+    def command(self, path: str, body: callers.Json) -> callers.Answer:
+        """Send a POST request with the operator's token."""
+        return self.post(path, body, self._headers)
+
+
+def account(
+    name: str,
+    key: str,
+    services: collections.abc.Iterable[str],
+    **limits: float,
+) -> list[dict[str, typing.Any]]:
+    """Return the items that add a client account with a key and grants."""
+    values = {'rate': 1000.0, 'burst': 1000.0, **limits}
+    digest = hashlib.sha256(key.encode()).hexdigest()
+    return [
+        {'kind': 'account', 'name': name, **values},
+        {'kind': 'key', 'id': f'{name}-1', 'account': name, 'digest': digest},
+        *(
+            {'kind': 'grant', 'account': name, 'service': service}
+            for service in services
+        ),
+    ]
+
+
+def service(name: str, group: str) -> dict[str, typing.Any]:
+    """Return the item that adds a service."""
+    return {'kind': 'service', 'name': name, 'group': group}
--- /dev/null
+++ b/tests/integration/test_path.py
@@ -0,0 +1,74 @@
+"""The whole path with real processes."""
+
+import pytest
+
+from sassafrasridge_testkit import deployments
+from sassafrasridge_testkit import harness
+
+KEY = 'caller-key-1'
+
+
+@pytest.fixture(scope='module')
+def system():
+    with harness.Harness() as kit:
+        deployment = deployments.Deployment(kit).start()
+        group = kit.start_group(
+            'orders-db', announce=deployment.announce_addresses
+        )
+        deployment.note(
+            added=[
+                deployments.service('orders', 'orders-db'),
+                *deployments.account('shop', KEY, ['orders']),
+            ]
+        )
+        deployment.wait_in_force()
+        yield deployment, group
+
+
+class TestPath:
+    def test_a_roaming_session_reads_its_own_write(self, system):
+        """Guards against a session that loses its write on roaming."""
+        deployment, _ = system
+        first, second = deployment.entries.values()
+        one = deployment.caller(first, KEY)
+        answer = one.statements('CREATE TABLE t (a INTEGER)', deadline_ms=8000)
+        assert answer.status == 200, answer
+        two = deployment.caller(second, KEY)
+        for value in range(20):
+            answer = one.statements(('INSERT INTO t VALUES (?)', [value]))
+            assert answer.status == 200, answer
+            two.token = one.token
+            answer = two.read('SELECT max(a) FROM t')
+            assert answer.status == 200, answer
+            assert answer.rows == [[value]]
+
+    def test_a_transaction_commits_through_another_entry_process(self, system):
+        """Guards against a transaction call that the balancer misroutes."""
+        deployment, _ = system
+        first, second = deployment.entries.values()
+        caller = deployment.caller(first, KEY)
+        tx = caller.begin()
+        assert tx.opened.status == 201, tx.opened
+        answer = tx.statements('CREATE TABLE u (a INTEGER)')
+        assert answer.status == 200, answer
+        tx._caller = deployment.caller(second, KEY)
+        assert tx.statements('INSERT INTO u VALUES (7)').status == 200
+        answer = tx.commit()
+        assert answer.status == 200, answer
+        answer = tx._caller.read('SELECT a FROM u')
+        assert answer.rows == [[7]]
+
+    def test_unknown_key_is_refused(self, system):
+        """Guards against serving a request without a valid key."""
+        deployment, _ = system
+        first = next(iter(deployment.entries.values()))
+        for key in (None, 'wrong'):
+            answer = deployment.caller(first, key).read('SELECT 1')
+            assert answer.status == 401
+            assert answer.body['error']['outcome'] == 'not_run'
+
+    def test_no_target_sees_a_key(self, system):
+        """Guards against passing a caller's key on."""
+        _, group = system
+        for server in group.servers.values():
+            assert KEY not in str(server.observations())
--- a/tests/node/test_rpc.py
+++ b/tests/node/test_rpc.py
@@ -4,6 +4,7 @@
 import struct
 
 import pytest
+
 from sassafrasridge_node import rpc
 
 SECRET = b'test secret'
