--- a/packages/core/src/sassafrasridge_core/shares.py
+++ b/packages/core/src/sassafrasridge_core/shares.py
@@ -628,6 +628,13 @@
         self._sequences: dict[tuple[str, int], int] = {}
         self._lost: set[tuple[str, int]] = set()
 
+    def open_at_once(self, now: float) -> None:
+        """Skip the wait for holders of earlier leaders.
+
+        Allowed only when no earlier leader had any account to share.
+        """
+        self._open_at = now
+
     @abc.abstractmethod
     def target(
         self, now: float, pool: Pool, record: _Record
--- a/packages/node/src/sassafrasridge_node/answers.py
+++ b/packages/node/src/sassafrasridge_node/answers.py
@@ -1,5 +1,6 @@
 """Results for callers, and errors for answers of targets."""
 
+import time
 import typing
 
 from sassafrasridge_core import errors
@@ -57,7 +58,6 @@
     tokens: dict[str, model.Position],
     backend: backends.Backend,
     body: dict[str, typing.Any],
-    now: float,
 ) -> front.DataReply:
     """Return the result for a request that was carried out."""
     term, index = int(body['term']), int(body['position'])
@@ -76,5 +76,5 @@
                 'position': index,
             },
         },
-        session=state.signer().dump(tokens, now),
+        session=state.signer().dump(tokens, time.time()),
     )
--- a/packages/node/src/sassafrasridge_node/leadership.py
+++ b/packages/node/src/sassafrasridge_node/leadership.py
@@ -46,6 +46,8 @@
         self._ledgers: dict[tuple[str, str], slots.ConnectionLedger] = {}
         self._config_revision = -1
         self._known_accounts: set[str] = set()
+        if not len(state.answers):
+            self._allocator.open_at_once(now)
 
     def renew(self, now: float, req: typing.Any) -> typing.Any:
         """Grant a renewal and return its reply."""
@@ -109,13 +111,21 @@
         )
 
     def _sync_accounts(self, now: float) -> None:
+        first = self._config_revision < 0
         self._config_revision = self._state.revision
         accounts = {a.name: a for a in self._state.accounts()}
         for name in self._known_accounts - set(accounts):
             self._allocator.withdraw_account(now, name)
         for account in accounts.values():
+            # An account that was added while this leader leads starts with a
+            # full burst; for any other, the burst may have been used already.
+            is_new = not first and account.name not in self._known_accounts
             self._allocator.set_account(
-                now, account.name, account.rate, account.burst
+                now,
+                account.name,
+                account.rate,
+                account.burst,
+                account.burst if is_new else 0.0,
             )
         self._known_accounts = set(accounts)
 
--- a/packages/node/src/sassafrasridge_node/reads.py
+++ b/packages/node/src/sassafrasridge_node/reads.py
@@ -84,12 +84,7 @@
             if body is not None:
                 self._count(body)
                 return answers.done(
-                    self._state,
-                    adm.group,
-                    tokens,
-                    backend,
-                    body,
-                    clocks.boottime(),
+                    self._state, adm.group, tokens, backend, body
                 )
             tried.add(backend.info.server)
             now = clocks.boottime()
--- a/packages/node/src/sassafrasridge_node/transactions.py
+++ b/packages/node/src/sassafrasridge_node/transactions.py
@@ -193,12 +193,7 @@
             body = self._writer.judge(adm.group, attempt, tx.term, answer)
             if body is not None:
                 return answers.done(
-                    self._state,
-                    adm.group,
-                    tokens,
-                    tx.backend,
-                    body,
-                    clocks.boottime(),
+                    self._state, adm.group, tokens, tx.backend, body
                 )
         return await self.settle(req, adm, attempt, tokens)
 
@@ -231,9 +226,7 @@
         backend, body = await self._writer.run(
             adm.group, attempt, req.deadline, adm.recheck
         )
-        return answers.done(
-            self._state, adm.group, tokens, backend, body, clocks.boottime()
-        )
+        return answers.done(self._state, adm.group, tokens, backend, body)
 
     def _finish(self, tx: Transaction, *, clean: bool) -> None:
         self._open.pop(tx.id, None)
--- a/packages/node/src/sassafrasridge_node/writes.py
+++ b/packages/node/src/sassafrasridge_node/writes.py
@@ -90,9 +90,7 @@
         backend, body = await self.run(
             adm.group, attempt, req.deadline, adm.recheck
         )
-        return answers.done(
-            self._state, adm.group, tokens, backend, body, clocks.boottime()
-        )
+        return answers.done(self._state, adm.group, tokens, backend, body)
 
     async def run(
         self,
