Add make demo

Cause: a newcomer needs one command that shows the main job. Change: a deployment on the loopback that writes, roams and commits a transaction.

--- a/Makefile
+++ b/Makefile
@@ -26,3 +26,6 @@
 format: install
 	$(BIN)/ruff format .
 	$(BIN)/ruff check --fix .
+
+demo: install
+	$(BIN)/python -m sassafrasridge_testkit.demo
