Move waiting work off a replaced primary at once

Cause: after a primary was killed, control had replaced it within 1.2 s, but a write came back only after 5.2 s, because it waited in the queue of the old target until the queue's limit. Ruled out: detection and promotion, whose log lines show 1.0 s and 0.15 s. Change: a new view fails the tickets and the calls at the former primary; writes are settled at the new one by request id.

--- a/packages/node/src/sassafrasridge_node/backends.py
+++ b/packages/node/src/sassafrasridge_node/backends.py
@@ -26,16 +26,25 @@
 """An announcement expires; a target may come back after it left."""
 
 
+class ReplacedError(Exception):
+    """Report that the target stopped being primary while a request waited."""
+
+
 class Ticket:
-    """Stand for a request that waits for a connection."""
+    """Stand for a request that waits for a connection.
+
+    ``primary`` tells that it needs the primary.
+    """
 
-    __slots__ = ('fut', 'account')
+    __slots__ = ('fut', 'primary')
 
     def __init__(
-        self, fut: 'asyncio.Future[connections.TargetConnection]', account: str
+        self,
+        fut: 'asyncio.Future[connections.TargetConnection]',
+        primary: bool,
     ) -> None:
         self.fut = fut
-        self.account = account
+        self.primary = primary
 
 
 class Pool:
@@ -120,6 +129,11 @@
             if conn.last_answer_at < before:
                 conn.fail(f'connections to {self.address} went silent')
 
+    def fail_all(self, reason: str) -> None:
+        """Close all connections and fail the calls on them."""
+        for conn in list(self._all):
+            conn.fail(reason)
+
     def close(self) -> None:
         """Close all connections."""
         self.limit = 0
@@ -182,18 +196,19 @@
         self._probing = False
 
     async def connection(
-        self, account: str, deadline: float
+        self, account: str, deadline: float, *, primary: bool = False
     ) -> connections.TargetConnection:
         """Wait in the fair queue for a connection and a place in flight.
 
         Raises UnavailableError, not run, when the queue is full or the
-        deadline can't be met.
+        deadline can't be met, and ReplacedError when ``primary`` is set and
+        another target became primary meanwhile.
         """
         now = clocks.boottime()
         fut: asyncio.Future[connections.TargetConnection] = (
             asyncio.get_running_loop().create_future()
         )
-        ticket = Ticket(fut, account)
+        ticket = Ticket(fut, primary)
         refusal = self.queue.push(now, account, ticket, 1.0, deadline)
         if refusal is not None:
             raise refused(refusal)
@@ -294,6 +309,17 @@
         elif term == self.log_term:
             self.applied = max(self.applied, applied)
 
+    def replaced(self) -> None:
+        """Drop all work: another target became primary.
+
+        What waits goes elsewhere at once, and what was sent is settled at
+        the new primary, which holds every acknowledged write.
+        """
+        for ticket in self.queue.cancel(lambda item: item.primary):
+            if not ticket.fut.done():
+                ticket.fut.set_exception(ReplacedError())
+        self.pool.fail_all('the primary was replaced')
+
     def detach(self) -> None:
         """Free the place in flight of a connection that stays in use."""
         self.in_flight -= 1
--- a/packages/node/src/sassafrasridge_node/entry.py
+++ b/packages/node/src/sassafrasridge_node/entry.py
@@ -148,11 +148,20 @@
             if known is None or view.term >= known.term:
                 self.groups[view.group] = view
                 self._follow_view(view)
+                if known is not None and known.primary is not None:
+                    self._leave_primary(known, view)
         if reply.view_revision > self.view_revision:
             self.view_revision = reply.view_revision
             changed, self.view_changed = self.view_changed, asyncio.Event()
             changed.set()
 
+    def _leave_primary(
+        self, known: model.GroupView, view: model.GroupView
+    ) -> None:
+        backend = self.backends.get((view.group, known.primary or ''))
+        if backend is not None and view.term > known.term:
+            backend.replaced()
+
     def _follow_view(self, view: model.GroupView) -> None:
         for server, address in view.members.items():
             key = (view.group, server)
--- a/packages/node/src/sassafrasridge_node/transactions.py
+++ b/packages/node/src/sassafrasridge_node/transactions.py
@@ -118,7 +118,12 @@
         if backend is None or not self._state.lease_valid():
             return None
         term = self._state.groups[adm.group].term
-        conn = await backend.connection(adm.account, req.deadline)
+        try:
+            conn = await backend.connection(
+                adm.account, req.deadline, primary=True
+            )
+        except backends.ReplacedError:
+            return None
         kept = False
         try:
             adm.recheck()
--- a/packages/node/src/sassafrasridge_node/writes.py
+++ b/packages/node/src/sassafrasridge_node/writes.py
@@ -154,7 +154,11 @@
         recheck: typing.Callable[[], None],
     ) -> dict[str, typing.Any] | None:
         try:
-            conn = await backend.connection(attempt.account, deadline)
+            conn = await backend.connection(
+                attempt.account, deadline, primary=True
+            )
+        except backends.ReplacedError:
+            return None
         except errors.UnavailableError as exc:
             if attempt.in_doubt:
                 raise answers.unknown(exc.message)
