Add the fault proxy and harden the stand-in database

Cause: tests need network faults per link, and bad statements could end transactions, block the event loop or differ between replicas.

--- a/packages/testkit/src/sassafrasridge_testkit/database.py
+++ b/packages/testkit/src/sassafrasridge_testkit/database.py
@@ -60,7 +60,11 @@
         self.host: str = args.host
         self.port: int = args.port
         self.advertise: str | None = args.advertise
-        self.announce = [item for item in args.announce.split(',') if item]
+        self.announce = [
+            (item.partition('@')[0], item.partition('@')[2])
+            for item in args.announce.split(',')
+            if item
+        ]
         self.announce_token: str | None = args.announce_token
         self.members = _members(args.members)
         self.primary: bool = args.primary
@@ -83,6 +87,7 @@
 
     def __init__(self, settings: Settings) -> None:
         self.address = ''
+        self.listen = ''
         self._settings = settings
         self._faults = faults.Faults()
         self._faults.record = settings.record
@@ -119,10 +124,15 @@
         )
         host, port = listener.sockets[0].getsockname()[:2]
         own = f'{host}:{port}'
+        self.listen = own
         self.address = self._settings.advertise or own
         self._take_role()
-        for address in self._settings.announce:
-            self._tasks.append(loop.create_task(self._announce(address)))
+        for address, advertised in self._settings.announce:
+            self._tasks.append(
+                loop.create_task(
+                    self._announce(address, advertised or self.address)
+                )
+            )
 
     def _take_role(self) -> None:
         if self._repl.log.term:
@@ -172,17 +182,22 @@
                 )
                 answer.close = True
                 return answer
-            await self._open(conn)
-            self._host.open.add(conn.session)
+            await self._open(conn, counted=True)
         answer_or_none = await conn.session.execute(sessions.Call(body))
         if answer_or_none is None:
             return None
         return self._faults.spoil(answer_or_none)
 
-    async def _open(self, conn: webserver.Connection) -> None:
+    async def _open(
+        self, conn: webserver.Connection, counted: bool = False
+    ) -> None:
         """Spend the cost of opening a connection, once."""
-        if conn.session is None:
+        first = conn.session is None
+        if first:
             conn.session = sessions.Session(self._host)
+        if counted:
+            self._host.open.add(conn.session)
+        if first:
             if self._settings.limits.connect_cost_s:
                 await asyncio.sleep(self._settings.limits.connect_cost_s)
 
@@ -259,7 +274,7 @@
             if conn is not caller:
                 conn.stalled = mode
 
-    async def _announce(self, address: str) -> None:
+    async def _announce(self, address: str, advertised: str) -> None:
         client = webclient.Client(address)
         loop = asyncio.get_running_loop()
         while True:
@@ -268,7 +283,7 @@
                 try:
                     await client.post(
                         '/v1/announce',
-                        self._announcement(),
+                        self._announcement(advertised),
                         ANNOUNCE_TIMEOUT_S,
                         self._settings.announce_token,
                     )
@@ -277,7 +292,7 @@
             left = ANNOUNCE_INTERVAL_S - (loop.time() - began)
             await asyncio.sleep(max(0.0, left))
 
-    def _announcement(self) -> Body:
+    def _announcement(self, advertised: str) -> Body:
         log = self._repl.log
         return {
             'group': self._settings.group,
@@ -286,7 +301,7 @@
             'term': log.term,
             'last_term': log.last_term,
             'position': self._repl.applied,
-            'address': self.address,
+            'address': advertised,
             'zone': self._settings.zone,
             'slots': self._settings.limits.slots,
             'connections': self._settings.limits.connections,
@@ -325,7 +340,11 @@
     parser.add_argument(
         '--advertise', help='address to announce, e.g. of a fault proxy'
     )
-    parser.add_argument('--announce', default='', help='addr,addr')
+    parser.add_argument(
+        '--announce',
+        default='',
+        help='addr,addr; addr@own announces the address own to addr',
+    )
     parser.add_argument('--announce-token')
     parser.add_argument('--members', default='', help='g1=addr,g2=addr')
     parser.add_argument('--primary', action='store_true')
@@ -353,7 +372,11 @@
         loop.add_signal_handler(number, stop.set)
     server = Server(settings)
     await server.start()
-    ready = {'server': settings.server, 'address': server.address}
+    ready = {
+        'server': settings.server,
+        'address': server.address,
+        'listen': server.listen,
+    }
     sys.stdout.write(orjson.dumps(ready).decode() + '\n')
     sys.stdout.flush()
     await stop.wait()
--- a/packages/testkit/src/sassafrasridge_testkit/engine.py
+++ b/packages/testkit/src/sassafrasridge_testkit/engine.py
@@ -9,7 +9,9 @@
 """
 
 import collections.abc
+import math
 import sqlite3
+import time
 import typing
 
 import orjson
@@ -27,8 +29,26 @@
         sqlite3.SQLITE_ATTACH,
         sqlite3.SQLITE_DETACH,
         sqlite3.SQLITE_PRAGMA,
+        # query_only does not cover temporary tables.
+        sqlite3.SQLITE_CREATE_TEMP_TABLE,
+        sqlite3.SQLITE_CREATE_TEMP_VIEW,
+        sqlite3.SQLITE_CREATE_TEMP_TRIGGER,
+        sqlite3.SQLITE_CREATE_TEMP_INDEX,
     )
 )
+# Replicas would compute other values for them.
+_DENIED_FUNCTIONS = frozenset(
+    (
+        'random',
+        'randomblob',
+        'current_date',
+        'current_time',
+        'current_timestamp',
+    )
+)
+# Keeps a statement without an end from blocking the server's event loop.
+STATEMENT_LIMIT_S = 0.5
+_PROGRESS_STEPS = 100_000
 # Faults of a statement that sqlite3 reports by exceptions of other classes:
 # integers over 64 bits and embedded null characters.
 _STATEMENT_FAULTS = (sqlite3.Error, sqlite3.Warning, OverflowError, ValueError)
@@ -66,21 +86,33 @@
 class _Connection:
     """One sqlite connection whose statements can't control transactions."""
 
-    __slots__ = ('_db', '_internal')
+    __slots__ = ('_db', '_internal', '_writes', '_deadline')
 
-    def __init__(self) -> None:
+    def __init__(self, writes: bool = False) -> None:
         # Cached statements would bypass the authorizer.
         self._db = sqlite3.connect(
             ':memory:', isolation_level=None, cached_statements=0
         )
         self._internal = False
+        self._writes = writes
+        self._deadline = math.inf
         self._db.set_authorizer(self._authorize)
+        self._db.set_progress_handler(self._late, _PROGRESS_STEPS)
 
-    def _authorize(self, action: int, *args: object) -> int:
+    def _authorize(self, action: int, *args: str | None) -> int:
         if action in _DENIED_ACTIONS and not self._internal:
             return sqlite3.SQLITE_DENY
+        if (
+            self._writes
+            and action == sqlite3.SQLITE_FUNCTION
+            and args[1] in _DENIED_FUNCTIONS
+        ):
+            return sqlite3.SQLITE_DENY
         return sqlite3.SQLITE_OK
 
+    def _late(self) -> bool:
+        return time.monotonic() > self._deadline
+
     def control(self, sql: str) -> None:
         """Run a statement of the engine itself."""
         self._internal = True
@@ -89,8 +121,11 @@
         finally:
             self._internal = False
 
-    def run(self, statement: Statement) -> dict[str, typing.Any]:
+    def run(
+        self, statement: Statement, limit_s: float = STATEMENT_LIMIT_S
+    ) -> dict[str, typing.Any]:
         """Run a caller's statement and return its columns and rows."""
+        self._deadline = time.monotonic() + limit_s
         try:
             cursor = self._db.execute(statement.sql, statement.params)
             rows = cursor.fetchall()
@@ -99,6 +134,8 @@
             if name.startswith('SQLITE_READONLY'):
                 raise ReadOnlyViolation(str(exc)) from exc
             raise StatementFailed(str(exc)) from exc
+        finally:
+            self._deadline = math.inf
         columns = [item[0] for item in cursor.description or ()]
         return {'columns': columns, 'rows': rows}
 
@@ -147,7 +184,7 @@
     def begin_writing(self) -> None:
         """Prepare for write transactions, on a copy of the visible state."""
         self.end_writing()
-        self._writable = _Connection()
+        self._writable = _Connection(writes=True)
         self._visible.copy_to(self._writable)
 
     def end_writing(self) -> None:
@@ -195,7 +232,7 @@
         """Apply a committed transaction to the visible state."""
         self._visible.control('BEGIN IMMEDIATE')
         for statement in statements:
-            self._visible.run(statement)
+            self._visible.run(statement, math.inf)
         if row is not None:
             self._visible.insert_request(row)
         self._visible.control('COMMIT')
--- a/packages/testkit/src/sassafrasridge_testkit/harness.py
+++ b/packages/testkit/src/sassafrasridge_testkit/harness.py
@@ -32,13 +32,19 @@
 
     @property
     def address(self) -> str:
-        """Return the announced address."""
+        """Return the announced address, of the fault proxy if there is one."""
         address: str = self.process.ready['address']
         return address
 
+    @property
+    def listen(self) -> str:
+        """Return the address of the process itself."""
+        address: str = self.process.ready['listen']
+        return address
+
     def client(self, timeout_s: float = 10.0) -> callers.TargetClient:
-        """Return a new client with a connection of its own."""
-        return callers.TargetClient(self.address, timeout_s)
+        """Return a new client, connected past any fault proxy."""
+        return callers.TargetClient(self.listen, timeout_s)
 
     def status(self) -> callers.Json:
         """Return the body of ``/status``."""
@@ -58,7 +64,7 @@
 
     def restart(self) -> None:
         """Start a killed server again on its port, with its data file."""
-        port = self.address.rsplit(':', 1)[1]
+        port = self.listen.rsplit(':', 1)[1]
         argv = self.process.argv
         argv[argv.index('--port') + 1] = port
         self.process.start()
@@ -139,6 +145,44 @@
         return self[chosen]
 
 
+class FaultProxy:
+    """A process of the fault proxy and its control connection."""
+
+    def __init__(self, process: processes.Process) -> None:
+        self.process = process
+        self._client = callers.HttpClient(process.ready['control'])
+
+    def add_link(self, name: str, target: str = '') -> str:
+        """Add a link, or set its target, and return its address."""
+        body = self._post('/links', name=name, target=target)
+        address: str = body['address']
+        return address
+
+    def rules(self, *links: str, **rules: typing.Any) -> None:
+        """Change rules of links, of all links when none is named."""
+        self._post('/rules', links=links or None, **rules)
+
+    def silence(self, *links: str) -> None:
+        """Silence the open connections of links; new ones work."""
+        self._post('/actions', links=links or None, action='silence')
+
+    def reset(self, *links: str) -> None:
+        """Reset the open connections of links."""
+        self._post('/actions', links=links or None, action='reset')
+
+    def status(self) -> callers.Json:
+        """Return the state of each link by name."""
+        links: callers.Json = self._post('/status')['links']
+        return links
+
+    def _post(self, path: str, **body: typing.Any) -> callers.Json:
+        answer = self._client.post(path, body)
+        if answer.status != 200:
+            raise ValueError(str(answer))
+        decoded: callers.Json = answer.body
+        return decoded
+
+
 class Harness:
     """Own a temporary folder and every process started in it.
 
@@ -197,6 +241,16 @@
             str(ini_path),
         )
 
+    def start_proxy(self, name: str = 'proxy', seed: int = 0) -> FaultProxy:
+        """Start a fault proxy without links."""
+        return FaultProxy(
+            self.start_module(
+                name,
+                'sassafrasridge_testkit.faultproxy',
+                *('--seed', str(seed)),
+            )
+        )
+
     def start_group(
         self,
         group: str = 'g',
@@ -205,11 +259,13 @@
         announce_token: str | None = None,
         durable: bool = True,
         options: collections.abc.Sequence[str] = ('--record',),
+        proxy: FaultProxy | None = None,
     ) -> DatabaseGroup:
         """Start a server per zone, named ``{group}1``, ``{group}2``...
 
         A durable server keeps its log in a file and may be restarted;
-        ``options`` are further arguments of every server.
+        ``options`` are further arguments of every server. With a proxy, each
+        server announces a link of it that has the server's name.
         """
         servers = []
         for number, zone in enumerate(zones, 1):
@@ -226,11 +282,15 @@
                 argv += ['--announce-token', announce_token]
             if durable:
                 argv += ['--data', str(self.folder / f'{name}.log')]
+            if proxy is not None:
+                argv += ['--advertise', proxy.add_link(name)]
             process = self.prepare(name, argv)
             process.launch()
             servers.append(DatabaseServer(name, zone, process))
         for server in servers:
             server.process.wait_ready()
+            if proxy is not None:
+                proxy.add_link(server.name, server.listen)
         result = DatabaseGroup(group, servers)
         servers[0].order('/promote', term=1, start=0, members=result.members)
         result.wait_replicated()
--- a/packages/testkit/src/sassafrasridge_testkit/replication.py
+++ b/packages/testkit/src/sassafrasridge_testkit/replication.py
@@ -71,6 +71,7 @@
             self._lead()
         else:
             self.log.role = 'replica'
+            self.log.save_state()
 
     # Orders of control.
 
@@ -92,6 +93,9 @@
                     f'term {term} started at {self.log.start}',
                 )
             return
+        if term == self.log.last_term:
+            # Its entries may be acknowledged, so the term can't start again.
+            raise Refused('already_started', f'term {term} has entries here')
         if len(self.log) < start:
             raise Refused(
                 'position_missing',
@@ -335,7 +339,7 @@
             except webclient.CallFailed:
                 await asyncio.sleep(RETRY_S)
                 continue
-            if status != 200:
+            if status != 200 or 'matches' not in body:
                 await asyncio.sleep(HEARTBEAT_S)
                 continue
             self._take(body)
--- a/packages/testkit/src/sassafrasridge_testkit/sessions.py
+++ b/packages/testkit/src/sassafrasridge_testkit/sessions.py
@@ -82,7 +82,7 @@
             self.access = body.get('access', 'write')
             self.tx = body.get('tx', 'auto')
             self.statements = [
-                engine.Statement(str(item['sql']), item.get('params') or [])
+                engine.Statement(str(item['sql']), _params(item))
                 for item in body.get('statements') or []
             ]
             self.request = body.get('request')
@@ -101,6 +101,13 @@
             raise replication.Refused('bad_request', 'access or tx', 400)
 
 
+def _params(item: dict[str, typing.Any]) -> list[typing.Any]:
+    params = item.get('params') or []
+    if not isinstance(params, list):
+        raise TypeError('params is not a list')
+    return params
+
+
 class _Transaction:
     __slots__ = ('access', 'statements', 'request', 'timer')
 
@@ -180,7 +187,12 @@
             self._host.limits.idle_transaction_s, self._end_transaction
         )
         self._transaction = _Transaction(call, timer)
-        return await self._in(call)
+        try:
+            return await self._in(call)
+        except replication.Refused:
+            # A refused call ran nothing, so it leaves nothing open.
+            self._end_transaction()
+            raise
 
     async def _in(self, call: Call) -> webserver.Answer | None:
         results = await self._run_in_transaction(call)
@@ -224,9 +236,9 @@
             if self._transaction is not tx:
                 raise replication.Refused('no_transaction', 'rolled back')
             self._check(call)
-            if tx.access == 'read':
-                return self._read(call)
             try:
+                if tx.access == 'read':
+                    return self._read(call)
                 results = self._host.replication.engine.run(
                     call.statements, call.access == 'read'
                 )
@@ -342,9 +354,10 @@
             raise replication.Refused(
                 'wrong_term', f'this server is in term {log.term}'
             )
-        if call.access == 'write' and log.role != 'primary':
-            raise replication.Refused('not_primary', f'role is {log.role}')
         tx = self._transaction
+        reads = call.access == 'read' or (tx and tx.access == 'read')
+        if not reads and log.role != 'primary':
+            raise replication.Refused('not_primary', f'role is {log.role}')
         if tx and call.tx == 'in' and call.access != tx.access == 'read':
             raise replication.Refused('read_only', 'read transaction')
 
--- a/packages/testkit/src/sassafrasridge_testkit/webserver.py
+++ b/packages/testkit/src/sassafrasridge_testkit/webserver.py
@@ -4,6 +4,7 @@
 import collections
 import collections.abc
 import http
+import traceback
 import typing
 
 import httptools
@@ -17,12 +18,13 @@
 class Request:
     """A request with its raw body."""
 
-    __slots__ = ('method', 'path', 'headers', 'body', 'keep_alive')
+    __slots__ = ('method', 'path', 'headers', 'parts', 'body', 'keep_alive')
 
     def __init__(self) -> None:
         self.method = ''
         self.path = ''
         self.headers: list[tuple[str, str]] = []
+        self.parts: list[bytes] = []
         self.body = b''
         self.keep_alive = True
 
@@ -64,6 +66,7 @@
         self._current = Request()
         self._task: asyncio.Task[None] | None = None
         self._transport: typing.Any = None
+        self._size = 0
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Register the connection."""
@@ -90,6 +93,7 @@
 
     def on_message_begin(self) -> None:
         """Start a request."""
+        self._size = 0
         self._current = Request()
 
     def on_url(self, url: bytes) -> None:
@@ -104,13 +108,19 @@
 
     def on_body(self, data: bytes) -> None:
         """Take a part of the body."""
-        self._current.body += data
-        if len(self._current.body) > MAX_BODY_BYTES:
+        if self._transport.is_closing():
+            return
+        self._current.parts.append(data)
+        self._size += len(data)
+        if self._size > MAX_BODY_BYTES:
             self._write(Answer(413, error(None, 'too_large', 'body')))
             self.close()
 
     def on_message_complete(self) -> None:
         """Queue the request."""
+        if self._transport.is_closing():
+            return
+        self._current.body = b''.join(self._current.parts)
         self._current.method = self._parser.get_method().decode('latin-1')
         self._current.keep_alive = self._parser.should_keep_alive()
         self._requests.append(self._current)
@@ -124,7 +134,11 @@
     async def _run(self) -> None:
         while self._requests:
             req = self._requests.popleft()
-            answer = await self._handler(self, req)
+            try:
+                answer = await self._handler(self, req)
+            except Exception:
+                traceback.print_exc()
+                answer = Answer(500, error(None, 'internal', 'see log'), True)
             if answer is None:
                 self._transport.abort()
                 return
