--- a/packages/testkit/src/sassafrasridge_testkit/harness.py
+++ b/packages/testkit/src/sassafrasridge_testkit/harness.py
@@ -16,6 +16,8 @@
 free_port = processes.free_port
 DeadlinePassed = processes.DeadlinePassed
 
+DAEMON = 'sassafrasridge_node.main'
+
 
 class DatabaseServer:
     """A process of a database group.
@@ -230,16 +232,18 @@
         argv = [sys.executable, '-m', module, *args]
         return self.prepare(name, argv).start()
 
+    def prepare_daemon(
+        self, ini_path: pathlib.Path, name: str | None = None
+    ) -> processes.Process:
+        """Return the process of a daemon that is not started yet."""
+        argv = [sys.executable, '-m', DAEMON, '--settings', str(ini_path)]
+        return self.prepare(name or ini_path.stem, argv)
+
     def start_daemon(
         self, ini_path: pathlib.Path, name: str | None = None
     ) -> processes.Process:
         """Start a daemon; ``ready`` has its ``http`` and ``rpc`` address."""
-        return self.start_module(
-            name or ini_path.stem,
-            'sassafrasridge_node.main',
-            '--settings',
-            str(ini_path),
-        )
+        return self.prepare_daemon(ini_path, name).start()
 
     def start_proxy(self, name: str = 'proxy', seed: int = 0) -> FaultProxy:
         """Start a fault proxy without links."""
