--- a/packages/core/src/sassafrasridge_core/shares.py
+++ b/packages/core/src/sassafrasridge_core/shares.py
@@ -424,43 +424,92 @@
 
 
 class _Record:
-    """Hold what the leader knows of one holder's share of an account."""
+    """Hold what the leader knows of one holder's share of an account.
+
+    ``grants`` are the grants whose fate is unknown; each starts from the
+    version of the one before it, the first from ``version``.
+    """
 
     __slots__ = (
         'version',
         'rate',
         'capacity',
-        'grant',
+        'grants',
+        'ceiling_rate',
+        'ceiling_capacity',
         'demand',
         'wanted',
         'waiting_since',
         'granted_at',
+        'counted',
     )
 
     def __init__(self, version: int, rate: float, capacity: float) -> None:
         self.version = version
         self.rate = rate
         self.capacity = capacity
-        self.grant: Grant | None = None
+        self.grants: list[Grant] = []
+        # Set when operators lower the limits; Pool.lower_to explains it.
+        self.ceiling_rate = math.inf
+        self.ceiling_capacity = math.inf
         self.demand = 0.0
         self.wanted = 0.0
         self.waiting_since = math.inf
         self.granted_at = -math.inf
+        self.counted = _Counts()
 
-    def most_rate(self) -> float:
-        """Return the highest rate that may be in effect."""
-        return max(self.rate, self.grant.rate) if self.grant else self.rate
+    def last(self) -> tuple[float, float]:
+        """Return rate and capacity once all grants are applied."""
+        if self.grants:
+            return self.grants[-1].rate, self.grants[-1].capacity
+        return self.rate, self.capacity
 
     def most_capacity(self) -> float:
         """Return the highest capacity that may be in effect."""
-        if self.grant:
-            return max(self.capacity, self.grant.capacity)
-        return self.capacity
+        return max([self.capacity, *(g.capacity for g in self.grants)])
 
     def need(self) -> float:
         """Return the rate that serves the demand and clears the waiting."""
         return self.demand + self.wanted / DEMAND_DECAY_S
 
+    def desire(self) -> float:
+        """Return the capacity that the holder makes use of.
+
+        It covers what waits and one second of its demand, so that the rest
+        stays in the pool, where any other holder can fetch it in one
+        exchange.
+        """
+        if self.need() <= 0:
+            return 0.0
+        return max(1.0, self.wanted) + self.demand
+
+    def counts(self) -> '_Counts':
+        """Return what the record adds to the sums of its pool."""
+        rate, capacity = self.last()
+        return _Counts(
+            held_rate=max([self.rate, *(g.rate for g in self.grants)]),
+            held_capacity=self.most_capacity(),
+            planned_rate=min(rate, self.ceiling_rate),
+            planned_capacity=min(capacity, self.ceiling_capacity),
+            need=self.need(),
+            wanted=self.wanted,
+            desire=self.desire(),
+            active=float(self.need() > 0),
+        )
+
+
+class _Counts(typing.NamedTuple):
+    """Sum over the records of a pool, or the part of one record."""
+
+    held_rate: float = 0.0
+    held_capacity: float = 0.0
+    planned_rate: float = 0.0
+    planned_capacity: float = 0.0
+    need: float = 0.0
+    wanted: float = 0.0
+    desire: float = 0.0
+    active: float = 0.0
+
 
 class Pool:
     """Account for one client account at the leader."""
@@ -471,46 +520,42 @@
         'burst',
         'tokens',
         'records',
-        'held_rate',
-        'held_capacity',
-        'need',
-        'wanted',
-        'desire',
-        'active',
+        'sums',
         '_at',
         '_open_at',
         '_freed_rate',
         '_freed_capacity',
+        '_changes',
     )
 
+    # Sums are kept up to date by differences; they are added up anew after
+    # so many changes, so that rounding errors do not build up.
+    RECOUNT_CHANGES = 1000
+
     def __init__(self, name: str, now: float, open_at: float) -> None:
         self.name = name
         self.rate = 0.0
         self.burst = 0.0
         self.tokens = 0.0
-        self.records: dict[tuple[str, int], _Record] = {}
-        self.held_rate = 0.0
-        self.held_capacity = 0.0
-        self.need = 0.0
-        self.wanted = 0.0
-        self.desire = 0.0
-        self.active = 0
+        self.records: dict[Key, _Record] = {}
+        self.sums = _Counts()
         self._at = now
         # Before this time only what holders gave back may be given away.
         self._open_at = open_at
         self._freed_rate = 0.0
         self._freed_capacity = 0.0
+        self._changes = 0
 
     def free_rate(self, now: float) -> float:
         """Return the rate that nobody holds."""
-        free = self.rate - self.held_rate
+        free = self.rate - self.sums.held_rate
         if now < self._open_at:
             free = min(free, self._freed_rate)
         return max(0.0, free)
 
     def free_capacity(self, now: float) -> float:
         """Return the capacity that nobody holds."""
-        free = self.burst - self.held_capacity
+        free = self.burst - self.sums.held_capacity
         if now < self._open_at:
             free = min(free, self._freed_capacity)
         return max(0.0, free)
@@ -522,60 +567,124 @@
         self._refill(now)
 
     def _refill(self, now: float) -> None:
-        # The amounts free before ``now`` were free since the last change.
+        # What is free at the last change was free all the time since then.
         passed = max(0.0, now - self._at)
         grown = self.tokens + self.free_rate(self._at) * passed
         self.tokens = min(self.free_capacity(self._at), grown)
         self._at = max(self._at, now)
 
+    def count(self, now: float, record: _Record) -> None:
+        """Take a changed record into the sums."""
+        new = record.counts()
+        self.sums = _Counts(
+            *(
+                total + after - before
+                for total, after, before in zip(
+                    self.sums, new, record.counted, strict=True
+                )
+            )
+        )
+        record.counted = new
+        self._changes += 1
+        if self._changes >= self.RECOUNT_CHANGES:
+            self._recount()
+        self.clamp(now)
+
+    def _recount(self) -> None:
+        self._changes = 0
+        parts = [record.counted for record in self.records.values()]
+        self.sums = _Counts(*map(math.fsum, zip(*parts, strict=True)))
+
     def clamp(self, now: float) -> None:
         """Drop tokens above the free capacity."""
         self.tokens = min(self.tokens, self.free_capacity(now))
 
-    def recount(self) -> None:
-        """Add up the records."""
-        records = self.records.values()
-        self.held_rate = sum(r.most_rate() for r in records)
-        self.held_capacity = sum(r.most_capacity() for r in records)
-        self.need = sum(r.need() for r in records)
-        self.wanted = sum(r.wanted for r in records)
-        self.desire = sum(desire(r) for r in records)
-        self.active = sum(r.need() > 0 for r in records)
+    def lower_to(self, now: float, rate: float, burst: float) -> None:
+        """Give each holder a ceiling when the limits are lowered.
+
+        The ceilings add up to the new limits, so that the holders can be
+        reduced in any order and independently of their later demand.
+        """
+        held = self.sums
+        for record in self.records.values():
+            own = record.counted
+            if rate < held.held_rate:
+                ceiling = own.held_rate * rate / held.held_rate
+                record.ceiling_rate = min(record.ceiling_rate, ceiling)
+            if burst < held.held_capacity:
+                ceiling = own.held_capacity * burst / held.held_capacity
+                record.ceiling_capacity = min(record.ceiling_capacity, ceiling)
+            self.count(now, record)
+
+    def room(self, record: _Record) -> tuple[float, float]:
+        """Return the most that a holder may keep within the limits."""
+        own = record.counted
+        rate = self.rate - (self.sums.planned_rate - own.planned_rate)
+        capacity = self.burst - (
+            self.sums.planned_capacity - own.planned_capacity
+        )
+        return (
+            max(0.0, min(rate, record.ceiling_rate)),
+            max(0.0, min(capacity, record.ceiling_capacity)),
+        )
 
     def issue(self, now: float, record: _Record, grant: Grant) -> None:
         """Count a grant's increases as held."""
-        self._freed_rate -= max(0.0, grant.rate - record.rate)
-        self._freed_capacity -= max(0.0, grant.capacity - record.capacity)
+        rate, capacity = record.last()
+        self._freed_rate -= max(0.0, grant.rate - rate)
+        self._freed_capacity -= max(0.0, grant.capacity - capacity)
         self.tokens -= grant.tokens
-        record.grant = grant
-        self.recount()
-        self.clamp(now)
+        record.grants.append(grant)
+        self.count(now, record)
 
     def learn(self, now: float, record: _Record, report: ReportLike) -> None:
         """Take what a report shows of the holding; ignore an older one."""
-        grant = record.grant
         if report.version <= record.version:
             return
-        if grant is not None and report.version == grant.version:
-            self._freed_rate += max(0.0, record.rate - grant.rate)
-            self._freed_capacity += max(0.0, record.capacity - grant.capacity)
+        versions = [grant.version for grant in record.grants]
+        applied = 0
+        if report.version & ~1 in versions:
+            applied = versions.index(report.version & ~1) + 1
+        returned = 0.0
+        if applied and report.version % 2 == 0:
             returned = report.returned
-        elif grant is not None and report.version != grant.version | 1:
-            # The holder passed the grant's base by another way: the grant
-            # can no longer be applied.
-            self._freed_rate += max(0.0, grant.rate - record.rate)
-            self._freed_capacity += max(0.0, grant.capacity - record.capacity)
-            returned = grant.tokens
+        self._confirm(record, applied)
+        if report.version % 2 == 0 and applied:
+            del record.grants[:applied]
         else:
-            returned = 0.0
-        record.grant = None
+            # The holder is past the base of the others by another way, so
+            # they can no longer be applied.
+            returned += self._cancel(record, applied)
         record.version = report.version
         record.rate = report.rate
         record.capacity = report.capacity
-        self.recount()
+        if record.rate <= record.ceiling_rate:
+            record.ceiling_rate = math.inf
+        if record.capacity <= record.ceiling_capacity:
+            record.ceiling_capacity = math.inf
+        self.count(now, record)
         self.tokens += max(0.0, returned)
         self.clamp(now)
 
+    def _confirm(self, record: _Record, applied: int) -> None:
+        """Count the reductions of applied grants as free."""
+        rate, capacity = record.rate, record.capacity
+        for grant in record.grants[:applied]:
+            self._freed_rate += max(0.0, rate - grant.rate)
+            self._freed_capacity += max(0.0, capacity - grant.capacity)
+            rate, capacity = grant.rate, grant.capacity
+
+    def _cancel(self, record: _Record, applied: int) -> float:
+        """Take back grants that were not applied; return their tokens."""
+        void = record.grants[applied:]
+        record.grants = []
+        if applied or not void:
+            return 0.0
+        # Only the first of a chain can be an increase.
+        self._freed_rate += max(0.0, void[0].rate - record.rate)
+        self._freed_capacity += max(0.0, void[0].capacity - record.capacity)
+        return sum(grant.tokens for grant in void)
+
     def note_demand(
         self, now: float, record: _Record, demand: float, wanted: float
     ) -> None:
@@ -586,25 +695,29 @@
             record.waiting_since = math.inf
         elif record.waiting_since == math.inf:
             record.waiting_since = now
-        self.recount()
+        self.count(now, record)
 
-    def forget(self, now: float, key: tuple[str, int]) -> None:
+    def forget(self, now: float, key: 'Key') -> None:
         """Take back the share of a holder that can no longer use it."""
-        if key in self.records:
-            del self.records[key]
-            self.recount()
-            self.clamp(now)
+        del self.records[key]
+        self._recount()
+        self.clamp(now)
 
 
-def desire(record: _Record) -> float:
-    """Return the capacity that a holder makes use of.
+# Entry process and incarnation.
+Key = tuple[str, int]
 
-    It covers what waits and one second of its demand, so that the rest stays
-    in the pool, where any other holder can fetch it in one exchange.
-    """
-    if record.need() <= 0:
-        return 0.0
-    return max(1.0, record.wanted) + record.demand
+
+class _Holder:
+    """Hold what the leader knows of one incarnation of an entry process."""
+
+    __slots__ = ('renewed_at', 'sequence', 'lost', 'pools')
+
+    def __init__(self) -> None:
+        self.renewed_at = -math.inf
+        self.sequence = 0
+        self.lost = False
+        self.pools: dict[str, Pool] = {}
 
 
 class Allocator(abc.ABC):
@@ -621,12 +734,11 @@
         self._open_at = now + self._reclaim_s
         self._version = term << TERM_SHIFT
         self._pools: dict[str, Pool] = {}
-        # (entry, incarnation) to the time of the last answer, oldest first.
-        self._holders: collections.OrderedDict[tuple[str, int], float] = (
+        # Ordered by the time of the last answer.
+        self._holders: collections.OrderedDict[Key, _Holder] = (
             collections.OrderedDict()
         )
-        self._sequences: dict[tuple[str, int], int] = {}
-        self._lost: set[tuple[str, int]] = set()
+        self._lost = 0
 
     @abc.abstractmethod
     def target(
@@ -655,27 +767,29 @@
         known = name in self._pools
         pool = self._pool(now, name)
         pool.settle(now)
+        pool.lower_to(now, rate, burst)
         pool.rate = rate
         pool.burst = burst
         if not known:
-            pool.tokens = tokens
-        pool.clamp(now)
+            pool.tokens = min(tokens, burst)
+        else:
+            pool.clamp(now)
 
     def withdraw_account(self, now: float, name: str) -> None:
         """Take back all shares of an account as holders renew."""
         self.set_account(now, name, 0.0, 0.0)
 
     def accounts(self) -> list[str]:
-        """Return the names of the accounts with a rate or with holders."""
+        """Return the names of the accounts with a burst or with holders."""
         return [
             name
             for name, pool in self._pools.items()
-            if pool.burst or pool.held_capacity or pool.held_rate
+            if pool.burst or pool.sums.held_capacity > EPSILON
         ]
 
     def live(self) -> int:
         """Return the number of holders that are not known as lost."""
-        return max(1, len(self._holders) - len(self._lost))
+        return max(1, len(self._holders) - self._lost)
 
     def _pool(self, now: float, name: str) -> Pool:
         if name not in self._pools:
@@ -693,53 +807,103 @@
         """Answer a renewal with the changes of its holdings.
 
         To be called only while this control member leads. Sequences rise per
-        incarnation; a renewal that was overtaken changes nothing.
+        incarnation. The grants are to be applied in order.
         """
         self.tick(now)
+        holder = self._seen(now, entry, incarnation)
+        overtaken = sequence < holder.sequence
+        holder.sequence = max(holder.sequence, sequence)
+        by_account = {report.account: report for report in reports}
         key = (entry, incarnation)
-        self._holders[key] = now
-        self._holders.move_to_end(key)
-        if sequence < self._sequences.get(key, 0):
-            return []
-        self._sequences[key] = sequence
-        self._lost.discard(key)
-        grants = []
-        seen = set()
-        for report in reports:
-            seen.add(report.account)
-            grant = self._renew_account(now, key, report)
-            if grant is not None:
-                grants.append(grant)
-        self._note_absent(now, key, seen)
+        grants: list[Grant] = []
+        for name in [*by_account, *(holder.pools.keys() - by_account.keys())]:
+            pool = holder.pools.get(name) or self._pool(now, name)
+            holder.pools[name] = pool
+            pool.settle(now)
+            report = None if overtaken else by_account.get(name)
+            record = pool.records.get(key)
+            if record is None:
+                record = self._presented(now, by_account[name])
+                pool.records[key] = record
+                pool.count(now, record)
+            if report is not None:
+                pool.learn(now, record, report)
+            if not overtaken:
+                demand = report.demand_rate if report else 0.0
+                wanted = report.wanted_tokens if report else 0.0
+                pool.note_demand(now, record, demand, wanted)
+            self._decide(now, pool, record, fresh=report is not None)
+            grants += record.grants
         return grants
 
-    def _renew_account(
-        self, now: float, key: tuple[str, int], report: ReportLike
-    ) -> Grant | None:
-        pool = self._pool(now, report.account)
-        pool.settle(now)
-        record = pool.records.get(key)
-        if record is None:
-            record = _Record(report.version, report.rate, report.capacity)
-            pool.records[key] = record
-        pool.learn(now, record, report)
-        pool.note_demand(now, record, report.demand_rate, report.wanted_tokens)
-        if report.version < record.version:
-            return None
-        if record.grant is None:
-            self._decide(now, pool, record)
-        return record.grant
-
-    def _note_absent(
-        self, now: float, key: tuple[str, int], seen: set[str]
+    def _seen(self, now: float, entry: str, incarnation: int) -> _Holder:
+        key = (entry, incarnation)
+        if key not in self._holders:
+            self._holders[key] = _Holder()
+            for other in self._holders:
+                if other[0] == entry and other[1] < incarnation:
+                    self._lose(now, other)
+        holder = self._holders[key]
+        holder.renewed_at = now
+        self._holders.move_to_end(key)
+        self._lost -= holder.lost
+        holder.lost = False
+        return holder
+
+    def _presented(self, now: float, report: ReportLike) -> _Record:
+        """Return a record of what an unknown holder presents.
+
+        Later than one time to live after the start, what this leader does
+        not know of has lapsed: the report was delayed for that long.
+        """
+        if now < self._open_at:
+            return _Record(report.version, report.rate, report.capacity)
+        return _Record(report.version, 0.0, 0.0)
+
+    def _decide(
+        self, now: float, pool: Pool, record: _Record, fresh: bool
     ) -> None:
-        """Set the demand for accounts without a report to zero."""
-        for name, pool in self._pools.items():
-            record = pool.records.get(key)
-            if record is not None and name not in seen:
-                pool.note_demand(now, record, 0.0, 0.0)
+        """Issue a grant when the share is to change.
+
+        While the fate of a grant is unknown, and without a fresh report, the
+        only further change is a reduction that lowered limits require. Each
+        answer carries it, so a holder has it or gets no longer validity.
+        """
+        old_rate, old_capacity = record.last()
+        rate, capacity = old_rate, old_capacity
+        if fresh and not record.grants:
+            rate, capacity = self._wish(now, pool, record)
+        most_rate, most_capacity = pool.room(record)
+        if rate > most_rate + EPSILON:
+            rate = most_rate
+        if capacity > most_capacity + EPSILON:
+            capacity = most_capacity
+        if capacity < EPSILON:
+            rate = capacity = 0.0
+        if rate == old_rate and capacity == old_capacity:
+            return
+        if capacity > old_capacity:
+            record.granted_at = now
+            if record.wanted:
+                record.waiting_since = now
+        fewer = capacity < old_capacity or rate < 0.75 * old_rate
+        others_wait = pool.sums.wanted - record.wanted > EPSILON
+        self._version += 2
+        grant = Grant(
+            pool.name,
+            record.grants[-1].version if record.grants else record.version,
+            self._version,
+            rate,
+            capacity,
+            _tokens_for(now, pool, record, capacity - old_capacity),
+            prompt=(fewer and others_wait) or pool.burst < 2 * self.live(),
+        )
+        pool.issue(now, record, grant)
 
-    def _decide(self, now: float, pool: Pool, record: _Record) -> None:
+    def _wish(
+        self, now: float, pool: Pool, record: _Record
+    ) -> tuple[float, float]:
+        """Return the target as far as it is worthwhile and free."""
         rate, capacity = self.target(now, pool, record)
         waits = record.wanted > 0
         if not _differs(rate, record.rate, waits):
@@ -752,36 +916,13 @@
         if record.capacity < capacity < 1 - EPSILON and pool.burst >= 1:
             # Less than a whole token serves no request.
             capacity = record.capacity
-        if capacity < EPSILON:
-            rate = capacity = 0.0
-        if rate == record.rate and capacity == record.capacity:
-            return
-        others_wait = pool.wanted - record.wanted > EPSILON
-        fewer = capacity < record.capacity or rate < 0.75 * record.rate
-        grant = Grant(
-            pool.name,
-            record.version,
-            self._next_version(),
-            rate,
-            capacity,
-            _tokens_for(pool, record, capacity, free),
-            prompt=(fewer and others_wait) or pool.burst < 2 * self.live(),
-        )
-        if capacity > record.capacity:
-            record.granted_at = now
-            if waits:
-                record.waiting_since = now
-        pool.issue(now, record, grant)
-
-    def _next_version(self) -> int:
-        self._version += 2
-        return self._version
+        return rate, capacity
 
     def tick(self, now: float) -> None:
         """Take back what holders without renewal can no longer use."""
         while self._holders:
-            key, renewed_at = next(iter(self._holders.items()))
-            if now < renewed_at + self._reclaim_s:
+            key, holder = next(iter(self._holders.items()))
+            if now < holder.renewed_at + self._reclaim_s:
                 break
             self._forget(now, key)
 
@@ -793,22 +934,28 @@
         """
         for key in self._holders:
             if key[0] == entry:
-                self._lost.add(key)
-                self._note_absent(now, key, set())
+                self._lose(now, key)
         self.tick(now)
 
+    def _lose(self, now: float, key: Key) -> None:
+        holder = self._holders[key]
+        self._lost += not holder.lost
+        holder.lost = True
+        for pool in holder.pools.values():
+            pool.settle(now)
+            pool.note_demand(now, pool.records[key], 0.0, 0.0)
+
     def release(self, now: float, entry: str, incarnation: int = 0) -> None:
         """Take back the share of a holder that stopped using it for good."""
-        self._forget(now, (entry, incarnation))
+        if (entry, incarnation) in self._holders:
+            self._forget(now, (entry, incarnation))
 
-    def _forget(self, now: float, key: tuple[str, int]) -> None:
-        self._holders.pop(key, None)
-        self._sequences.pop(key, None)
-        self._lost.discard(key)
-        for pool in self._pools.values():
-            if key in pool.records:
-                pool.settle(now)
-                pool.forget(now, key)
+    def _forget(self, now: float, key: Key) -> None:
+        holder = self._holders.pop(key)
+        self._lost -= holder.lost
+        for pool in holder.pools.values():
+            pool.settle(now)
+            pool.forget(now, key)
 
 
 def _differs(target: float, held: float, waits: bool) -> bool:
@@ -822,17 +969,15 @@
     return abs(target - held) > limit * max(target, held)
 
 
-def _tokens_for(
-    pool: Pool, record: _Record, capacity: float, free: float
-) -> float:
+def _tokens_for(now: float, pool: Pool, record: _Record, more: float) -> float:
     """Return the tokens that go along with an increase of the capacity.
 
     Never more than the increase: tokens given into capacity that the holder
     had before would let it use that capacity twice.
     """
-    more = capacity - record.capacity
     if more <= 0:
         return 0.0
+    free = pool.free_capacity(now)
     even = pool.tokens * more / free
     left_over = pool.tokens - (free - more)
     wish = max(even, left_over, record.wanted)
@@ -857,26 +1002,26 @@
     ) -> tuple[float, float]:
         """Return a share in proportion to the need."""
         floor = 1.0 if pool.burst >= 4 * self.live() else 0.0
-        spare = pool.burst - pool.desire - floor * self.live()
+        spare = pool.burst - pool.sums.desire - floor * self.live()
         if spare >= 0:
-            capacity = max(desire(record), floor)
+            capacity = max(record.desire(), floor)
             return self._rate(pool, record, spare, floor), capacity
-        if pool.burst >= 2 * pool.active:
+        if pool.burst >= 2 * pool.sums.active:
             return self._shared(pool, record)
         return self._ranked(now, pool, record)
 
     def _rate(
         self, pool: Pool, record: _Record, spare: float, floor: float
     ) -> float:
-        need = pool.need
-        if need >= pool.rate:
+        need = pool.sums.need
+        if EPSILON < need >= pool.rate:
             return pool.rate * record.need() / need
         surplus = pool.rate - need
         # The pool keeps a part when it has capacity to collect tokens.
         if spare >= 1:
             surplus *= 0.75
         equal = 0.2 * surplus / self.live() if floor else 0.0
-        if need <= 0:
+        if need <= EPSILON:
             return equal
         rest = 0.8 * surplus if floor else surplus
         return record.need() + rest * record.need() / need + equal
@@ -885,10 +1030,10 @@
         """Give one token to each in need and the rest by desire."""
         if record.need() <= 0:
             return 0.0, 0.0
-        rate = pool.rate * record.need() / pool.need
-        rest = pool.burst - pool.active
-        above = max(EPSILON, pool.desire - pool.active)
-        return rate, 1.0 + rest * (desire(record) - 1.0) / above
+        rate = pool.rate * record.need() / pool.sums.need
+        rest = pool.burst - pool.sums.active
+        above = max(EPSILON, pool.sums.desire - pool.sums.active)
+        return rate, 1.0 + rest * (record.desire() - 1.0) / above
 
     def _ranked(
         self, now: float, pool: Pool, record: _Record
