Add session tokens, freshness, routing and placement

Cause: reads may go to any target that provably has what the caller needs, and nothing else decides that.

Change: sessions signs positions with itsdangerous' Signer and keeps the time of issue in the payload, because core reads no clock; freshness keeps samples of the primary at three densities; routing prefers replicas, room, the nearest zone and the less loaded of two; placement ranks entry processes by xxh3 and can give each zone one place first.

Ruled out: TimedSerializer (reads the clock), one dense ring of samples (reaches back two seconds at 500 samples a second), power of two choices over all zones (ignores distance).

Circuits, replicas first, two choices, primary's term, room: the test of that name in test_routing. Zones and group in the hash: test_placement.

--- /dev/null
+++ b/packages/core/src/sassafrasridge_core/freshness.py
@@ -0,0 +1,113 @@
+"""Age of the data that a replica serves, proven by the primary."""
+
+import bisect
+from collections.abc import Mapping
+import math
+
+from sassafrasridge_core import model
+from sassafrasridge_core import sessions
+
+# The levels of a timeline: seconds between samples, number of samples. The
+# fine one decides about fresh replicas; the coarse ones reach back ten
+# minutes for callers that accept old data, at a bounded memory.
+LEVELS = ((0.01, 128), (0.25, 128), (5.0, 120))
+
+
+class _Sample:
+    __slots__ = ('sent_at', 'position')
+
+    def __init__(self, sent_at: float, position: model.Position) -> None:
+        self.sent_at = sent_at
+        self.position = position
+
+
+class _Level:
+    """A bounded list of samples, ascending in time and in position."""
+
+    __slots__ = ('samples', '_spacing_s', '_size')
+
+    def __init__(self, spacing_s: float, size: int) -> None:
+        self.samples: list[_Sample] = []
+        self._spacing_s = spacing_s
+        self._size = size
+
+    def add(self, sample: _Sample) -> _Sample | None:
+        """Add the newest sample; return the oldest if it no longer fits."""
+        samples = self.samples
+        while samples and samples[-1].position >= sample.position:
+            # Older and demanding more: it can't prove a lower age.
+            samples.pop()
+        if (
+            len(samples) > 1
+            and sample.sent_at - samples[-2].sent_at < self._spacing_s
+        ):
+            samples[-1] = sample
+        else:
+            samples.append(sample)
+        return samples.pop(0) if len(samples) > self._size else None
+
+
+class PrimaryTimeline:
+    """Remember when a group's primary was known to be at which position.
+
+    A sample says: every write acknowledged before ``sent_at`` is at or below
+    the position that the primary answered with. So a server that has applied
+    that position serves data at most ``now - sent_at`` seconds old.
+
+    >>> timeline = PrimaryTimeline()
+    >>> timeline.sample(10.0, term=1, index=5)
+    >>> timeline.age(10.25, term=1, applied=5)
+    0.25
+    >>> timeline.age(10.25, term=1, applied=4)
+    inf
+    """
+
+    def __init__(self) -> None:
+        self._levels = [_Level(spacing, size) for spacing, size in LEVELS]
+        self._newest = _Sample(-math.inf, model.Position(0, 0))
+
+    def sample(self, sent_at: float, term: int, index: int) -> None:
+        """Add the position in a response to a request sent at ``sent_at``.
+
+        The response must come from the primary, and the caller must hold a
+        valid lease with ``term`` in its view when it arrives: a primary that
+        has been replaced knows nothing of later writes.
+        """
+        position = model.Position(term, index)
+        newest = self._newest
+        if sent_at < newest.sent_at or term < newest.position.term:
+            return
+        sample: _Sample | None = _Sample(sent_at, position)
+        assert sample is not None  # noqa: S101
+        self._newest = sample
+        for level in self._levels:
+            sample = level.add(sample)
+            if sample is None:
+                return
+
+    def age(
+        self,
+        now: float,
+        term: int,
+        applied: int,
+        starts: Mapping[int, int] | None = None,
+    ) -> float:
+        """Return an upper bound of the age in seconds of a server's data.
+
+        The result is infinite if no sample proves any age. ``starts`` are
+        the starts of terms as in ``sessions.covers``; without them a server
+        of a term later than a sample needs the sample's full index.
+        """
+        known = starts or {}
+
+        def lacks(sample: _Sample) -> bool:
+            return not sessions.covers(sample.position, term, applied, known)
+
+        for level in self._levels:
+            # Samples ascend, so the covered ones come first. The search ends
+            # next to a sample that it has found covered, which proves the
+            # age even if unknown starts break the order.
+            end = bisect.bisect_left(level.samples, True, key=lacks)
+            if end:
+                return max(0.0, now - level.samples[end - 1].sent_at)
+        return math.inf
--- /dev/null
+++ b/tests/core/test_placement.py
@@ -0,0 +1,39 @@
+"""Tests of the serving set of a group."""
+
+import collections
+
+from sassafrasridge_core import placement
+
+ENTRIES = [f'entry-{n}' for n in range(640)]
+GROUPS = [f'group-{n}' for n in range(1200)]
+
+
+class TestServingSet:
+    def test_groups_spread_evenly(self):
+        """Guards against a node with many times its share of groups."""
+        counts = collections.Counter(
+            entry
+            for group in GROUPS
+            for entry in placement.serving_set(group, ENTRIES)
+        )
+        # The mean is 1,200 * 7 / 640 = 13.1; a binomial tail of six standard
+        # deviations is 13.1 + 6 * 3.6.
+        assert max(counts.values()) <= 35
+        assert len(counts) == len(ENTRIES)
+
+    def test_a_lost_entry_changes_only_its_own_groups(self):
+        """Guards against moving connections of unrelated groups."""
+        rest = ENTRIES[1:40]
+        for group in GROUPS[:100]:
+            before = placement.serving_set(group, ENTRIES[:40])
+            after = placement.serving_set(group, rest)
+            kept = [entry for entry in before if entry != ENTRIES[0]]
+            assert after[: len(kept)] == kept
+
+    def test_every_zone_has_a_member(self):
+        """Guards against a partitioned zone without its own path."""
+        zones = {entry: f'z{n % 6}' for n, entry in enumerate(ENTRIES)}
+        for group in GROUPS[:50]:
+            chosen = placement.serving_set(group, ENTRIES, zones=zones)
+            assert len(set(chosen)) == 7
+            assert {zones[entry] for entry in chosen} == set(zones.values())
--- /dev/null
+++ b/tests/core/test_routing.py
@@ -0,0 +1,90 @@
+"""Tests of the choice of a target."""
+
+import random
+
+from sassafrasridge_core import model
+from sassafrasridge_core import routing
+
+
+def _candidates():
+    return [
+        routing.Candidate('p', 'z1', 'primary', 2, 100),
+        routing.Candidate('near', 'z1', 'replica', 2, 90),
+        routing.Candidate('far', 'z2', 'replica', 2, 95),
+        routing.Candidate('farther', 'z3', 'replica', 1, 99),
+    ]
+
+
+def _choose(candidates, need, **kwargs):
+    return routing.choose(
+        candidates, need, 'z1', ('z2', 'z3'), random.Random(1), **kwargs
+    )
+
+
+def _covers(term, index):
+    return routing.Covers(model.Position(term, index), {1: 0, 2: 80})
+
+
+class TestChoose:
+    def test_nearest_replica_that_covers_the_token(self):
+        """Guards against reads on the primary, far ones and stale ones."""
+        servers = _candidates()
+        assert _choose(servers, _covers(2, 85)).server == 'near'
+        assert _choose(servers, _covers(2, 92)).server == 'far'
+        assert _choose(servers, _covers(2, 99)).server == 'p'
+        assert _choose(servers, _covers(2, 101)) is routing.NOT_FRESH
+
+    def test_primary_need_takes_only_the_primary_of_the_term(self):
+        """Guards against a write to a primary of another term (G2)."""
+        assert _choose(_candidates(), routing.Primary(2)).server == 'p'
+        assert not _choose(_candidates(), routing.Primary(3))
+
+    def test_unproven_age_is_not_served(self):
+        """Guards against counting an unknown age as fresh."""
+        ages = {90: 0.4, 95: 0.1}
+
+        def age(term, applied):
+            return ages.get(applied, float('inf'))
+
+        near = _choose(_candidates(), routing.MaxAge(0.5, age))
+        assert near.server == 'near'
+        far = _choose(_candidates(), routing.MaxAge(0.2, age))
+        assert far.server == 'far'
+        none = _choose(_candidates(), routing.MaxAge(0.05, age))
+        assert none is routing.NOT_FRESH
+
+    def test_open_circuits_and_failed_servers_are_left_out(self):
+        """Guards against sending again to the server that just failed."""
+        servers = _candidates()
+        servers[1].allowed = False
+        assert _choose(servers, _covers(2, 85)).server == 'far'
+        got = _choose(servers, _covers(2, 85), exclude=('far',))
+        assert got.server == 'p'
+        for server in servers:
+            server.allowed = False
+        assert _choose(servers, _covers(2, 85)) is routing.CIRCUIT_OPEN
+        assert _choose([], _covers(2, 85)) is model.NO_TARGET
+
+    def test_full_replica_gives_way_to_a_farther_one(self):
+        """Guards against a queue while another replica is idle."""
+        servers = _candidates()
+        servers[1].limit = servers[1].in_flight = 2
+        assert _choose(servers, _covers(2, 85)).server == 'far'
+
+    def test_load_goes_to_the_less_loaded_of_two(self):
+        """Guards against herding and against a fixed favourite."""
+        rng = random.Random(3)
+        servers = [
+            routing.Candidate(str(n), 'z1', 'replica', 1, 9) for n in range(4)
+        ]
+        for _ in range(400):
+            got = routing.choose(servers, _covers(1, 5), 'z1', (), rng)
+            got.in_flight += 1
+        loads = [server.in_flight for server in servers]
+        assert max(loads) - min(loads) <= 4
+        servers[0].in_flight = 1000
+        picks = {
+            routing.choose(servers, _covers(1, 5), 'z1', (), rng).server
+            for _ in range(100)
+        }
+        assert picks == {'1', '2', '3'}
