Hold reads through outages, notice silent connections, try likely replicas

Cause: session reads right after a write went to the primary (197 of 200), reads were refused while a primary was replaced, and a call on a connection that had gone silent waited for its deadline. Ruled out: waiting for the replica's position before the read, which costs a round trip for each read. Log messages between control members are answered, so that silent connections between them are closed too. A token of an old term needs the lowest start of all later terms: with the first one alone, a session could wait for writes that a failed change of primary had lost.

--- a/packages/core/src/sassafrasridge_core/promotion.py
+++ b/packages/core/src/sassafrasridge_core/promotion.py
@@ -28,10 +28,13 @@
         self.success_age_s = success_age_s
         self.info = info
 
+    def heard_at(self) -> float:
+        """Return when this observer last heard of the target."""
+        return self.at - min(self.announcement_age_s, self.success_age_s)
+
     def silence(self, now: float) -> float:
         """Return seconds since this observer last heard of the target."""
-        elapsed = now - self.at
-        return elapsed + min(self.announcement_age_s, self.success_age_s)
+        return now - self.heard_at()
 
 
 class Detector:
@@ -60,10 +63,7 @@
         found = []
         for (name, _), sightings in self._sightings.items():
             if name == group and sightings:
-                latest = max(
-                    sightings.values(),
-                    key=lambda s: s.at - s.announcement_age_s,
-                )
+                latest = max(sightings.values(), key=Sighting.heard_at)
                 found.append(latest.info)
         return found
 
--- a/packages/core/src/sassafrasridge_core/sessions.py
+++ b/packages/core/src/sassafrasridge_core/sessions.py
@@ -122,8 +122,9 @@
     """Return whether a server has all that a position stands for.
 
     ``starts`` maps each term to the log index at which it began. Everything
-    acknowledged in a term lies at or below the start of the next one, so a
-    server of a later term needs no more of the old term than that. With an
+    acknowledged in a term lies at or below the start of every later one, so a
+    server of a later term needs no more of the old term than the lowest of
+    them. With an
     unknown start the full position is needed, which is never too little.
 
     >>> covers(model.Position(1, 90), 2, 85, {2: 80})
@@ -136,4 +137,4 @@
     if server_term <= position.term:
         return False
     following = [t for t in starts if position.term < t <= server_term]
-    return bool(following) and applied >= starts[min(following)]
+    return bool(following) and applied >= min(starts[t] for t in following)
--- a/packages/node/src/sassafrasridge_node/backends.py
+++ b/packages/node/src/sassafrasridge_node/backends.py
@@ -6,6 +6,7 @@
 import typing
 
 from sassafrasridge_core import circuits
+from sassafrasridge_core import coverage
 from sassafrasridge_core import errors
 from sassafrasridge_core import model
 from sassafrasridge_core import queueing
@@ -22,6 +23,14 @@
 
 OPEN_RETRY_S = 0.1
 
+STALL_S = 0.4
+"""A call without an answer for so long raises the question whether its
+connection is silent; most statements are far shorter."""
+
+SILENT_S = 1.5
+"""A call without an answer for so long is taken as lost when a new
+connection works and no older idle one is there to compare with."""
+
 LEAVING_TTL_S = 3.0
 """An announcement expires; a target may come back after it left."""
 
@@ -30,6 +39,10 @@
     """Report that the target stopped being primary while a request waited."""
 
 
+class UnreachableError(Exception):
+    """Report that no connection to the target can be opened."""
+
+
 class Ticket:
     """Stand for a request that waits for a connection.
 
@@ -54,10 +67,12 @@
         self,
         address: str,
         on_change: collections.abc.Callable[[], None],
+        on_failure: collections.abc.Callable[[], None],
         counters: metrics.Metrics,
     ) -> None:
         self.address = address
         self._metrics = counters
+        self._on_failure = on_failure
         self.limit = 0
         self._on_change = on_change
         self._idle: collections.deque[connections.TargetConnection] = (
@@ -74,6 +89,9 @@
         """Return how many connections are open or being opened."""
         return len(self._all) + self._opening
 
+    def __len__(self) -> int:
+        return len(self._all)
+
     @property
     def idle(self) -> int:
         """Return how many connections are idle."""
@@ -91,6 +109,14 @@
             return conn
         return None
 
+    def take_oldest(self) -> connections.TargetConnection | None:
+        """Return the idle connection that was not used for longest."""
+        while self._idle:
+            conn = self._idle.popleft()
+            if not conn.closed:
+                return conn
+        return None
+
     def give_back(self, conn: connections.TargetConnection) -> None:
         """Take back a connection whose state is known to be clean."""
         if conn.closed or conn not in self._all:
@@ -157,6 +183,7 @@
         except connections.ConnectionLostError:
             self._retry_at = clocks.boottime() + OPEN_RETRY_S
             self._metrics.connection_failures.inc()
+            self._on_failure()
             return
         finally:
             self._opening -= 1
@@ -180,9 +207,10 @@
     ) -> None:
         self.info = info
         self._metrics = counters
-        self.pool = Pool(info.address, self._pump, counters)
+        self.pool = Pool(info.address, self._pump, self._open_failed, counters)
         self.queue: queueing.Queue = queueing.FairQueue()
         self.circuit = circuits.Circuit()
+        self.coverage = coverage.CoverageHistory()
         self.in_flight = 0
         self.limit = slots.VersionedLimit()
         self.announced_at = float('-inf')
@@ -194,6 +222,7 @@
         self.log_term = 0
         self.applied = 0
         self._probing = False
+        self._checks: set[asyncio.Task[None]] = set()
 
     async def connection(
         self, account: str, deadline: float, *, primary: bool = False
@@ -263,7 +292,7 @@
 
     def leaving(self, now: float) -> bool:
         """Return whether the target takes no new work."""
-        return self.info.leaving and now - self.announced_at < LEAVING_TTL_S
+        return self.info.leaving and now - self.heard_at() < LEAVING_TTL_S
 
     def info_now(self) -> model.TargetInfo:
         """Return the last announcement with what answers told since."""
@@ -294,6 +323,7 @@
         self.success_at = clocks.boottime()
         self.term = int(body['term'])
         self.role = str(body['role'])
+        self.info.leaving = bool(body.get('leaving', False))
         self._learn_position(int(body['last_term']), int(body['applied']))
 
     def learn_answer(self, answer: connections.Answer) -> None:
@@ -309,6 +339,51 @@
         elif term == self.log_term:
             self.applied = max(self.applied, applied)
 
+    def _open_failed(self) -> None:
+        now = clocks.boottime()
+        self.circuit.failure(now)
+        if len(self.pool) or now - self.heard_at() < STALL_S:
+            return
+        # A read may be served elsewhere; a write has only this target.
+        for ticket in self.queue.cancel(lambda item: not item.primary):
+            if not ticket.fut.done():
+                ticket.fut.set_exception(UnreachableError())
+
+    async def call(
+        self,
+        conn: connections.TargetConnection,
+        body: dict[str, typing.Any],
+        timeout_s: float,
+    ) -> connections.Answer:
+        """Send statements; notice when the connection has gone silent.
+
+        Raises ConnectionLostError.
+        """
+        loop = asyncio.get_running_loop()
+        timer = loop.call_later(STALL_S, self._stalled, conn)
+        try:
+            return await conn.call('/execute', body, timeout_s)
+        finally:
+            timer.cancel()
+
+    def _stalled(self, conn: connections.TargetConnection) -> None:
+        task = asyncio.ensure_future(self._check_silence(conn))
+        self._checks.add(task)
+        task.add_done_callback(self._checks.discard)
+
+    async def _check_silence(self, conn: connections.TargetConnection) -> None:
+        started = clocks.boottime()
+        last_answer_at = conn.last_answer_at
+        idle = self.pool.take_oldest()
+        if idle is not None:
+            await self._probe_idle(idle, started)
+            return
+        if not await self._probe_new(None):
+            return
+        await asyncio.sleep(SILENT_S - STALL_S)
+        if not conn.closed and conn.last_answer_at == last_answer_at:
+            conn.fail(f'a connection to {self.info.address} went silent')
+
     def replaced(self) -> None:
         """Drop all work: another target became primary.
 
@@ -372,12 +447,18 @@
             return await self._probe()
         finally:
             self._probing = False
+        self._checks: set[asyncio.Task[None]] = set()
 
     async def _probe(self) -> bool:
         started = clocks.boottime()
-        conn = self.pool.take()
+        conn = self.pool.take_oldest()
         if conn is None:
             return await self._probe_new(None)
+        return await self._probe_idle(conn, started)
+
+    async def _probe_idle(
+        self, conn: connections.TargetConnection, started: float
+    ) -> bool:
         try:
             answer = await conn.call('/status', {}, PROBE_TIMEOUT_S)
         except connections.ConnectionLostError:
--- a/packages/node/src/sassafrasridge_node/control.py
+++ b/packages/node/src/sassafrasridge_node/control.py
@@ -30,6 +30,10 @@
 
 TICK_S = 0.02
 COMMIT_TIMEOUT_S = 3.0
+MESSAGE_TIMEOUT_S = 0.3
+"""Shorter than the shortest election timeout, so that a connection that went
+silent is replaced before a follower starts an election."""
+
 SNAPSHOT_EVERY = 1000
 """Entries applied between two snapshots; bounds the time of a restart."""
 
@@ -101,6 +105,7 @@
             tuple[str, str], tuple[float, model.TargetInfo]
         ] = {}
         self._registering: set[str] = set()
+        self._sending: set[asyncio.Task[None]] = set()
         self.commands: collections.abc.Mapping[str, typing.Any] = {}
 
     # The task.
@@ -148,8 +153,18 @@
             recipient=message.recipient,
             body=message.encode(),
         )
-        client = self._pool.get(address)
-        asyncio.ensure_future(client.notify('log_message', wire))
+        task = asyncio.ensure_future(self._deliver(address, wire))
+        self._sending.add(task)
+        task.add_done_callback(self._sending.discard)
+
+    async def _deliver(self, address: str, wire: typing.Any) -> None:
+        # The log repeats what is lost, so a failure is not an error here.
+        try:
+            await self._pool.get(address).call(
+                'log_message', wire, timeout_s=MESSAGE_TIMEOUT_S
+            )
+        except (rpc.RpcError, rpc.RemoteCallError):
+            return
 
     def _restore(self, snapshot: raft.Snapshot) -> None:
         self.state = core_state.State.decode(snapshot.data)
@@ -285,15 +300,16 @@
 
     # Remote calls.
 
-    async def log_message(self, message: typing.Any) -> None:
+    async def log_message(self, message: typing.Any) -> bool:
         """Take a message of the replicated log."""
         try:
             decoded = raftmessages.decode(message.body)
         except raft.MalformedMessageError:
             rpc.MALFORMED_FRAMES.inc()
-            return
+            return False
         self.log.receive(clocks.boottime(), decoded)
         self._wake.set()
+        return True
 
     async def renew(self, req: typing.Any) -> typing.Any:
         """Renew a lease, here or through the leader."""
--- a/packages/node/src/sassafrasridge_node/entry.py
+++ b/packages/node/src/sassafrasridge_node/entry.py
@@ -129,10 +129,15 @@
     def apply_config(self, reply: typing.Any) -> bool:
         """Apply configuration of a renewal; return whether it is current."""
         before = self.config.revision
-        if reply.full:
-            self.config.load(reply.full)
-        for delta in reply.deltas or []:
-            self.config.apply(delta)
+        try:
+            if reply.full:
+                self.config.load(reply.full)
+            for delta in reply.deltas or []:
+                self.config.apply(delta)
+        except core_state.RevisionGapError:
+            # The next renewal names the revision in force here, and control
+            # sends what follows it.
+            self.metrics.error('revision_gap')
         if self.config.revision != before:
             self._signer = None
             self.metrics.revision.set(self.config.revision)
--- a/packages/node/src/sassafrasridge_node/reads.py
+++ b/packages/node/src/sassafrasridge_node/reads.py
@@ -1,8 +1,10 @@
 """Serves reads from replicas, or from the primary as the fall-back."""
 
+import asyncio
 import random
 import typing
 
+from sassafrasridge_core import errors
 from sassafrasridge_core import model
 from sassafrasridge_core import retries
 from sassafrasridge_core import routing
@@ -20,6 +22,11 @@
 """Highest age of data for a session read that states none. A session without
 a token would otherwise accept data of any age."""
 
+HOLD_POLL_S = 0.05
+SLOW_RETRY_S = 0.2
+HEARD_WITHIN_S = 1.0
+"""A target that was not heard of for longer is tried last."""
+
 TRY_TIMEOUT_S = 1.0
 """A read is repeatable, so it is tried elsewhere when an answer is late."""
 
@@ -79,7 +86,7 @@
         budget.record(clocks.boottime())
         tried: set[str] = set()
         while True:
-            backend = self._choose(adm, need, tried)
+            backend = await self._wait_for_target(req, adm, need, tried)
             body = await self._try(req, adm, need, backend)
             if body is not None:
                 self._count(body)
@@ -87,12 +94,44 @@
                     self._state, adm.group, tokens, backend, body
                 )
             tried.add(backend.info.server)
-            now = clocks.boottime()
-            if now >= req.deadline:
-                raise backends.refused(model.DEADLINE)
-            if not budget.allow(now):
-                raise backends.refused(model.Refusal('retry_budget'))
-            self._metrics.retries.inc()
+            await self._before_retry(req, budget)
+
+    async def _before_retry(
+        self, req: front.DataRequest, budget: retries.RetryBudget
+    ) -> None:
+        now = clocks.boottime()
+        if now >= req.deadline:
+            raise backends.refused(model.DEADLINE)
+        self._metrics.retries.inc()
+        if not budget.allow(now):
+            # Over the budget a read is not refused but slowed down.
+            await asyncio.sleep(SLOW_RETRY_S * (0.5 + self._rng.random()))
+
+    async def _wait_for_target(
+        self,
+        req: front.DataRequest,
+        adm: admission.Admission,
+        need: Need,
+        tried: set[str],
+    ) -> backends.Backend:
+        """Return a target; hold the read while there is none."""
+        while True:
+            changed = self._state.view_changed
+            try:
+                return self._choose(adm, need, tried)
+            except errors.UnavailableError:
+                # Without a lease nothing changes for the better soon, and
+                # another entry process may serve the read.
+                if not self._state.lease_valid():
+                    raise
+                if clocks.boottime() >= req.deadline:
+                    raise
+            tried.clear()
+            try:
+                async with asyncio.timeout(HOLD_POLL_S):
+                    await changed.wait()
+            except TimeoutError:
+                continue
 
     def _need(
         self,
@@ -148,9 +187,9 @@
         need: Need,
         backend: backends.Backend,
     ) -> routing.Candidate | None:
-        if backend.leaving(now) or not self._fits(
-            now, group, need, backend.log_term, backend.applied
-        ):
+        if backend.leaving(now) or now - backend.heard_at() > HEARD_WITHIN_S:
+            return None
+        if not self._may_fit(now, group, need, backend):
             return None
         view = self._state.groups.get(group)
         is_primary = view is not None and view.primary == backend.info.server
@@ -165,6 +204,22 @@
             backend.limit.in_flight,
         )
 
+    def _may_fit(
+        self, now: float, group: str, need: Need, backend: backends.Backend
+    ) -> bool:
+        term, applied = backend.log_term, backend.applied
+        if self._fits(now, group, need, term, applied):
+            return True
+        # The age of what a replica has is not guessed, because a wrong guess
+        # about a lagging replica costs the read a round trip each time.
+        known = Need(None, need.max_age_s, False)
+        return (
+            need.position is not None
+            and term == need.position.term
+            and self._fits(now, group, known, term, applied)
+            and backend.coverage.likely(self._rng)
+        )
+
     def _fits(
         self, now: float, group: str, need: Need, term: int, applied: int
     ) -> bool:
@@ -187,7 +242,10 @@
         need: Need,
         backend: backends.Backend,
     ) -> dict[str, typing.Any] | None:
-        conn = await backend.connection(adm.account, req.deadline)
+        try:
+            conn = await backend.connection(adm.account, req.deadline)
+        except (backends.UnreachableError, backends.ReplacedError):
+            return None
         started = clocks.boottime()
         body = {
             'term': backend.term,
@@ -199,8 +257,8 @@
         try:
             adm.recheck()
             clean = False
-            answer = await conn.call(
-                '/execute',
+            answer = await backend.call(
+                conn,
                 body,
                 min(TRY_TIMEOUT_S, max(0.001, req.deadline - started)),
             )
@@ -216,13 +274,14 @@
             return None
         self._state.sample_primary(adm.group, backend.info.server, started)
         backend.circuit.success(clocks.boottime(), clocks.boottime() - started)
-        return self._checked(started, adm.group, need, answer.body)
+        return self._checked(started, adm.group, need, backend, answer.body)
 
     def _checked(
         self,
         started: float,
         group: str,
         need: Need,
+        backend: backends.Backend,
         body: dict[str, typing.Any],
     ) -> dict[str, typing.Any] | None:
         view = self._state.groups.get(group)
--- a/packages/node/src/sassafrasridge_node/ridge.thrift
+++ b/packages/node/src/sassafrasridge_node/ridge.thrift
@@ -145,7 +145,8 @@
 service Control {
   RenewReply renew(1: RenewRequest req),
   RenewBatchReply renew_batch(1: RenewBatch batch),
-  oneway void log_message(1: LogMessage message),
+  // Answered, so that a connection that is silent is noticed and closed.
+  bool log_message(1: LogMessage message),
   CommandReply command(1: string kind, 2: binary body, 3: double deadline_s),
 }
 
@@ -157,7 +158,8 @@
 service Daemon {
   RenewReply renew(1: RenewRequest req),
   RenewBatchReply renew_batch(1: RenewBatch batch),
-  oneway void log_message(1: LogMessage message),
+  // Answered, so that a connection that is silent is noticed and closed.
+  bool log_message(1: LogMessage message),
   CommandReply command(1: string kind, 2: binary body, 3: double deadline_s),
   StatementReply relay(1: StatementCall call),
 }
--- a/packages/node/src/sassafrasridge_node/rpc.py
+++ b/packages/node/src/sassafrasridge_node/rpc.py
@@ -241,15 +241,6 @@
         finally:
             self._pending.pop(seqid, None)
 
-    async def notify(self, api: str, *args: typing.Any) -> None:
-        """Send a oneway call; losing it is not an error."""
-        try:
-            async with asyncio.timeout(CONNECT_TIMEOUT_S):
-                writer = await self._connected()
-            writer.write(self._framing.pack(self._encode_call(api, 0, args)))
-        except OSError:
-            self.close()
-
     def close(self) -> None:
         """Close the connection and fail the calls in progress."""
         if self._writer is not None:
--- a/packages/node/src/sassafrasridge_node/transactions.py
+++ b/packages/node/src/sassafrasridge_node/transactions.py
@@ -127,8 +127,8 @@
         kept = False
         try:
             adm.recheck()
-            answer = await conn.call(
-                '/execute',
+            answer = await backend.call(
+                conn,
                 {
                     'term': term,
                     'access': req.access,
@@ -271,8 +271,8 @@
         if attempt is not None:
             body['request'] = attempt.body(tx.term)['request']
         try:
-            return await tx.conn.call(
-                '/execute',
+            return await tx.backend.call(
+                tx.conn,
                 body,
                 max(0.001, req.deadline - clocks.boottime()),
             )
--- a/packages/node/src/sassafrasridge_node/writes.py
+++ b/packages/node/src/sassafrasridge_node/writes.py
@@ -192,8 +192,8 @@
     ) -> connections.Answer | None:
         started = clocks.boottime()
         try:
-            answer = await conn.call(
-                '/execute', body, max(0.001, deadline - started)
+            answer = await backend.call(
+                conn, body, max(0.001, deadline - started)
             )
         except connections.ConnectionLostError as exc:
             attempt.in_doubt = attempt.in_doubt or exc.sent
--- a/tests/core/test_raft.py
+++ b/tests/core/test_raft.py
@@ -8,6 +8,7 @@
 from hypothesis import strategies as st
 import orjson
 import pytest
+
 from sassafrasridge_core import errors
 from sassafrasridge_core import raft
 from sassafrasridge_core import raftmembers
--- a/tests/core/test_sessions.py
+++ b/tests/core/test_sessions.py
@@ -4,6 +4,7 @@
 from hypothesis import stateful
 from hypothesis import strategies as st
 import pytest
+
 from sassafrasridge_core import errors
 from sassafrasridge_core import model
 from sassafrasridge_core import sessions
--- a/tests/core/test_shares.py
+++ b/tests/core/test_shares.py
@@ -12,7 +12,6 @@
 from hypothesis import strategies as st
 import pytest
 
-from sassafrasridge_core import errors
 from sassafrasridge_core import shares
 
 RECLAIM_S = shares.CONFIG_TTL_S * (1 + shares.CLOCK_DRIFT) + (
@@ -365,9 +364,7 @@
 class TestSimulation:
     """Guards against overruns and refusals within the rate."""
 
-    @pytest.mark.parametrize(
-        'load', [balanced, unbalanced, moving, fivefold]
-    )
+    @pytest.mark.parametrize('load', [balanced, unbalanced, moving, fivefold])
     def test_demand_shares(self, load, record_property):
         rows = {}
         for policy in ('static', 'demand'):
@@ -384,5 +381,10 @@
             )
             rows[policy] = (ratio, worst, overrun, goodput, fleet.renewals)
             record_property(policy, rows[policy])
-            print(load.__name__, policy, rows[policy], {n: fleet.wrongful(n) for n in ACCOUNTS})
+            print(
+                load.__name__,
+                policy,
+                rows[policy],
+                {n: fleet.wrongful(n) for n in ACCOUNTS},
+            )
             assert overrun <= 1e-6
