--- a/packages/core/src/sassafrasridge_core/configuration.py
+++ b/packages/core/src/sassafrasridge_core/configuration.py
@@ -135,12 +135,16 @@
         return self._records[kind].get(key)
 
     def all(self, kind: str) -> Iterable[Any]:
-        """Return the records of a kind."""
-        return self._records[kind].values()
+        """Return the records of a kind, ordered by key."""
+        return [record for _, record in self.items(kind)]
 
     def items(self, kind: str) -> Iterable[tuple[str, Any]]:
-        """Return the keys and records of a kind."""
-        return self._records[kind].items()
+        """Return the keys and records of a kind, ordered by key.
+
+        A snapshot loses the order of insertion, so no command may depend on
+        it.
+        """
+        return sorted(self._records[kind].items())
 
     def key_by_digest(self, digest: str) -> Key | None:
         """Return the key with the digest of a secret."""
--- a/packages/core/src/sassafrasridge_core/notes.py
+++ b/packages/core/src/sassafrasridge_core/notes.py
@@ -609,20 +609,14 @@
 
     def _add_key(self, item: Item) -> None:
         digest = item.values['digest']
-        if (
-            item.key in self._withdrawn_ids
-            or item.key in self._result.withdrawn_ids
-        ):
+        if item.key in self._withdrawn_ids:
             self._mistake(
                 f'{item.path}.id',
                 f'{item.key!r}, which was withdrawn',
                 'an id that was never used',
             )
         in_use = self._tables.key_by_digest(digest)
-        withdrawn = (
-            digest in self._withdrawn_digests
-            or digest in self._result.withdrawn_digests
-        )
+        withdrawn = digest in self._withdrawn_digests
         first = self._new_digests.setdefault(digest, item.path)
         if withdrawn or in_use is not None or first != item.path:
             why = 'withdrawn' if withdrawn else 'already in use'
--- a/packages/core/src/sassafrasridge_core/state.py
+++ b/packages/core/src/sassafrasridge_core/state.py
@@ -426,7 +426,7 @@
         """Return the groups that changed after a groups revision."""
         return [
             self.groups[name]
-            for name, revision in self.group_revisions.items()
+            for name, revision in sorted(self.group_revisions.items())
             if revision > groups_revision
         ]
 
--- /dev/null
+++ b/tests/core/test_settings.py
@@ -0,0 +1,127 @@
+"""Tests of the settings check."""
+
+import pathlib
+
+import pytest
+
+from sassafrasridge_core import settings
+
+EXAMPLES = pathlib.Path(__file__).parents[2] / 'examples'
+GOOD = (EXAMPLES / 'both.ini').read_text()
+
+
+def check(text):
+    return settings.check(text, 'x.ini', lambda path: b's' * 32, '/etc/x')
+
+
+def mistakes_of(text, read=lambda path: b's' * 32):
+    with pytest.raises(settings.InvalidSettingsError) as caught:
+        settings.check(text, 'x.ini', read)
+    return {(m.section, m.key): m for m in caught.value.mistakes}
+
+
+class TestCheck:
+    @pytest.mark.parametrize('role', ['entry', 'control', 'both'])
+    def test_examples_are_right(self, role):
+        """Guards against examples that the daemon refuses."""
+        result = check((EXAMPLES / f'{role}.ini').read_text())
+        assert (result.control is not None) == (role != 'entry')
+        assert (result.entry is not None) == (role != 'control')
+
+    def test_values(self):
+        """Guards against wrong units and wrong folders."""
+        text = GOOD.replace('[log]', '[timing]\nlease = 900ms\n[log]')
+        result = check(text)
+        assert result.node.data_folder == '/etc/x/data'
+        assert result.node.roles == {'entry', 'control'}
+        assert result.node.cluster_secret == b's' * 32
+        assert result.entry.control == {'zone1': ['127.0.0.1:7001']}
+        assert result.entry.max_body == 1024 * 1024
+        assert result.control.members == {'node1': '127.0.0.1:7001'}
+        assert result.timing.lease == 0.9
+        assert result.timing.renew_interval == 0.3
+
+    def test_every_mistake_is_reported(self):
+        """Guards against settings that need one start for each mistake."""
+        found = mistakes_of(
+            'stray\n'
+            '[node]\nname = a b\nhttp = localhost:80\nrpc = 127.0.0.1:70000\n'
+            'roles = entry, boss\ncolour = red\nname = c\nwhat\n'
+            '[entry]\ncontrol = 127.0.0.1:1\nworker_threads = 2s\n'
+            '[timing]\nlease = 300\nrenew_interval = 1h\n[extra]\n'
+            '[log]\nlevel = loud\n[log]\n'
+        )
+        assert set(found) == {
+            ('', ''),
+            ('node', 'name'),
+            ('node', 'zone'),
+            ('node', 'region'),
+            ('node', 'http'),
+            ('node', 'rpc'),
+            ('node', 'roles'),
+            ('node', 'cluster_secret_file'),
+            ('node', 'colour'),
+            ('entry', 'control'),
+            ('entry', 'worker_threads'),
+            ('timing', 'lease'),
+            ('timing', 'renew_interval'),
+            ('extra', ''),
+            ('log', ''),
+            ('log', 'level'),
+        }
+        lease = str(found['timing', 'lease'])
+        assert lease.startswith(
+            "x.ini: [timing] lease: found '300', allowed: "
+        )
+        assert '300ms' in lease
+
+    def test_no_secret_in_a_mistake(self):
+        """Guards against tokens and secrets in logs and on screens."""
+
+        def read(path):
+            raise FileNotFoundError(2, 'No such file')
+
+        text = GOOD.replace('cluster-secret', 'hunter2')
+        text = text.replace('ana = ', 'ana = hunter3')
+        text += '[targets]\nannounce_token_digest = hunter4\ntoken = hunter5\n'
+        found = mistakes_of(text, read)
+        assert set(found) == {
+            ('node', 'cluster_secret_file'),
+            ('operators', 'ana'),
+            ('targets', 'announce_token_digest'),
+            ('targets', 'token'),
+        }
+        assert 'hunter' not in ' '.join(map(str, found.values()))
+
+    @pytest.mark.parametrize(
+        ('old', 'new', 'place'),
+        [
+            ('node1=127.0.0.1:7001', 'node1=127.0.0.1:7', 'members'),
+            ('node1=127.0.0.1:7001', 'b=127.0.0.1:7', 'members'),
+            ('data_folder = data', '', 'data_folder'),
+            ('roles = entry, control', 'roles = control', ''),
+            ('[log]', '[timing]\nlease = 500ms\n[log]', 'lease'),
+            ('[log]', '[timing]\nconfig_ttl = 1s\n[log]', 'config_ttl'),
+            ('[log]', '[timing]\nconfig_ttl = 8s\n[log]', 'config_ttl'),
+            ('[log]', f'bob = {"0" * 63}1\n[log]', 'bob'),
+        ],
+    )
+    def test_settings_that_contradict_each_other(self, old, new, place):
+        """Guards against leases, members and roles that can't work."""
+        found = mistakes_of(GOOD.replace(old, new))
+        assert {key for _, key in found} == {place}
+
+    def test_short_secret(self):
+        """Guards against a cluster secret that can be guessed."""
+        found = mistakes_of(GOOD, lambda path: b' short\n')
+        assert set(found) == {('node', 'cluster_secret_file')}
+
+
+class TestUnits:
+    @pytest.mark.parametrize(
+        ('text', 'seconds'),
+        [('300ms', 0.3), ('1.2s', 1.2), ('1min', 60.0)],
+    )
+    def test_durations(self, text, seconds):
+        """Guards against milliseconds read as seconds."""
+        assert settings.parse_duration(text, 0.0, 60.0) == seconds
