--- a/tests/node/test_rpc.py
+++ b/tests/node/test_rpc.py
@@ -7,7 +7,6 @@
 
 from sassafrasridge_node import rpc
 
-
 SECRET = b'test secret'
 
 
