Bind outgoing connections to the VM's own address

Cause: on a VM with several networks the source of a connection decides which network carries it, and tests of partitions need to tell the zones apart. Change: a dialer with the address that the daemon listens on; rpc clients bind to the same.

--- a/packages/node/src/sassafrasridge_node/backends.py
+++ b/packages/node/src/sassafrasridge_node/backends.py
@@ -66,11 +66,13 @@
     def __init__(
         self,
         address: str,
+        dialer: connections.Dialer,
         on_change: collections.abc.Callable[[], None],
         on_failure: collections.abc.Callable[[], None],
         counters: metrics.Metrics,
     ) -> None:
         self.address = address
+        self._dialer = dialer
         self._metrics = counters
         self._on_failure = on_failure
         self.limit = 0
@@ -170,7 +172,7 @@
 
     async def _open(self) -> None:
         try:
-            conn = await connections.TargetConnection.open(self.address)
+            conn = await self._dialer.open(self.address)
             # The first answer comes once the target has finished opening.
             answer = await conn.call(
                 '/status', {}, connections.CONNECT_TIMEOUT_S
@@ -203,11 +205,17 @@
     """Own one target: its pool, its fair queue and what is known of it."""
 
     def __init__(
-        self, info: model.TargetInfo, counters: metrics.Metrics
+        self,
+        info: model.TargetInfo,
+        dialer: connections.Dialer,
+        counters: metrics.Metrics,
     ) -> None:
         self.info = info
+        self._dialer = dialer
         self._metrics = counters
-        self.pool = Pool(info.address, self._pump, self._open_failed, counters)
+        self.pool = Pool(
+            info.address, dialer, self._pump, self._open_failed, counters
+        )
         self.queue: queueing.Queue = queueing.FairQueue()
         self.circuit = circuits.Circuit()
         self.coverage = coverage.CoverageHistory()
@@ -469,9 +477,7 @@
 
     async def _probe_new(self, silent_since: float | None) -> bool:
         try:
-            conn = await connections.TargetConnection.open(
-                self.info.address, PROBE_TIMEOUT_S
-            )
+            conn = await self._dialer.open(self.info.address, PROBE_TIMEOUT_S)
         except connections.ConnectionLostError:
             return False
         try:
--- a/packages/node/src/sassafrasridge_node/connections.py
+++ b/packages/node/src/sassafrasridge_node/connections.py
@@ -70,24 +70,6 @@
         self._received_bytes = 0
         self._host = address.encode()
 
-    @classmethod
-    async def open(
-        cls, address: str, timeout_s: float = CONNECT_TIMEOUT_S
-    ) -> 'TargetConnection':
-        """Open a connection; raise ConnectionLostError when it fails."""
-        host, port = address.rsplit(':', 1)
-        loop = asyncio.get_running_loop()
-        try:
-            async with asyncio.timeout(timeout_s):
-                _, conn = await loop.create_connection(
-                    lambda: cls(address), host, int(port)
-                )
-        except (OSError, ValueError) as exc:
-            raise ConnectionLostError(
-                f'connecting to {address}: {exc or "timed out"}', sent=False
-            )
-        return conn
-
     async def call(
         self, path: str, body: dict[str, typing.Any], timeout_s: float
     ) -> Answer:
@@ -201,3 +183,37 @@
         if not parser.should_keep_alive():
             self.close()
         fut.set_result(answer)
+
+
+class Dialer:
+    """Open connections to targets from this VM's own address.
+
+    On a VM with several networks the source address decides which of them
+    carries the connection; an empty one leaves the choice to the system.
+    """
+
+    __slots__ = ('source',)
+
+    def __init__(self, source: str = '') -> None:
+        self.source = source
+
+    async def open(
+        self, address: str, timeout_s: float = CONNECT_TIMEOUT_S
+    ) -> TargetConnection:
+        """Open a connection; raise ConnectionLostError when it fails."""
+        host, port = address.rsplit(':', 1)
+        loop = asyncio.get_running_loop()
+        local = (self.source, 0) if self.source else None
+        try:
+            async with asyncio.timeout(timeout_s):
+                _, conn = await loop.create_connection(
+                    lambda: TargetConnection(address),
+                    host,
+                    int(port),
+                    local_addr=local,
+                )
+        except (OSError, ValueError) as exc:
+            raise ConnectionLostError(
+                f'connecting to {address}: {exc or "timed out"}', sent=False
+            )
+        return conn
--- a/packages/node/src/sassafrasridge_node/control.py
+++ b/packages/node/src/sassafrasridge_node/control.py
@@ -20,6 +20,7 @@
 from sassafrasridge_core import raftmessages
 from sassafrasridge_core import state as core_state
 from sassafrasridge_node import clocks
+from sassafrasridge_node import connections
 from sassafrasridge_node import groups
 from sassafrasridge_node import leadership
 from sassafrasridge_node import logs
@@ -81,9 +82,11 @@
         times: leases.LeaseTimes,
         suspect_after_s: float,
         policy: str,
+        dialer: connections.Dialer,
         counters: metrics.Metrics,
     ) -> None:
         self.name = name
+        self._dialer = dialer
         self._metrics = counters
         self.state = state
         self.log = log
@@ -224,6 +227,7 @@
             self.leadership.detector,
             self.leadership.table,
             self._zone,
+            self._dialer,
             self._metrics,
         )
         self._keeper = asyncio.ensure_future(self.keeper.run())
--- a/packages/node/src/sassafrasridge_node/entry.py
+++ b/packages/node/src/sassafrasridge_node/entry.py
@@ -14,6 +14,7 @@
 from sassafrasridge_node import backends
 from sassafrasridge_node import clocks
 from sassafrasridge_node import codec
+from sassafrasridge_node import connections
 from sassafrasridge_node import metrics
 
 ANNOUNCEMENT_TTL_S = 3.0
@@ -27,9 +28,11 @@
         name: str,
         zone: str,
         times: leases.LeaseTimes,
+        dialer: connections.Dialer,
         counters: metrics.Metrics,
     ) -> None:
         self.metrics = counters
+        self._dialer = dialer
         self.name = name
         self.zone = zone
         self.times = times
@@ -96,7 +99,7 @@
         return self.shares.bucket(account)
 
     def _backend(self, info: model.TargetInfo) -> backends.Backend:
-        return backends.Backend(info, self.metrics)
+        return backends.Backend(info, self._dialer, self.metrics)
 
     def sample_primary(self, group: str, server: str, sent_at: float) -> None:
         """Record a position of the primary, for the age of replicas.
--- a/packages/node/src/sassafrasridge_node/groups.py
+++ b/packages/node/src/sassafrasridge_node/groups.py
@@ -61,8 +61,10 @@
         detector: promotion.Detector,
         table: leases.LeaseTable,
         zone: str,
+        dialer: connections.Dialer,
         counters: metrics.Metrics,
     ) -> None:
+        self._dialer = dialer
         self._metrics = counters
         self._store = store
         self._detector = detector
@@ -305,9 +307,7 @@
         self, address: str, path: str, body: dict[str, typing.Any]
     ) -> dict[str, typing.Any] | None:
         try:
-            conn = await connections.TargetConnection.open(
-                address, ORDER_TIMEOUT_S
-            )
+            conn = await self._dialer.open(address, ORDER_TIMEOUT_S)
         except connections.ConnectionLostError:
             return None
         try:
--- a/packages/node/src/sassafrasridge_node/main.py
+++ b/packages/node/src/sassafrasridge_node/main.py
@@ -19,6 +19,7 @@
 from sassafrasridge_core import state as core_state
 from sassafrasridge_node import clocks
 from sassafrasridge_node import commands
+from sassafrasridge_node import connections
 from sassafrasridge_node import control
 from sassafrasridge_node import dataapi
 from sassafrasridge_node import entry
@@ -33,6 +34,7 @@
 from sassafrasridge_node import settings
 from sassafrasridge_node import storage
 
+ANY_ADDRESS = '0.0.0.0'  # noqa: S104
 READINESS_NOTICE_S = 1.0
 """Time for the load balancer to see that the process is not ready, before
 its listener closes."""
@@ -77,14 +79,17 @@
         self.gateway: gateway.Gateway | None = None
         self.renewer: renewal.Renewer | None = None
         self._files: storage.Storage | None = None
+        self._dialer = connections.Dialer()
 
     # Start, on the engine's loop.
 
     async def start(self) -> None:
         """Create the parts and start their tasks."""
         secret = self.cfg.node.cluster_secret
-        control_pool = rpc.ClientPool(rpc.idl.Control, secret)
-        entry_pool = rpc.ClientPool(rpc.idl.Entry, secret)
+        source = self.source()
+        self._dialer = connections.Dialer(source)
+        control_pool = rpc.ClientPool(rpc.idl.Control, secret, source)
+        entry_pool = rpc.ClientPool(rpc.idl.Entry, secret, source)
         self._pools = [control_pool, entry_pool]
         if self.cfg.control is not None:
             self._start_member(control_pool)
@@ -93,6 +98,7 @@
                 self.cfg.node.name,
                 self.cfg.node.zone,
                 self._times,
+                self._dialer,
                 self.metrics,
             )
             self.gateway = gateway.Gateway(self.state, entry_pool, self._rng)
@@ -100,6 +106,11 @@
         if self.state is not None and self.gateway is not None:
             self._start_entry(control_pool)
 
+    def source(self) -> str:
+        """Return the address that connections come from, '' for any."""
+        host, _ = settings.split_address(self.cfg.node.rpc)
+        return '' if host == ANY_ADDRESS else host
+
     async def _serve_rpc(self, secret: bytes) -> None:
         handler = Handler(self.member, self.gateway)
         self.rpc = rpc.Server(rpc.idl.Daemon, handler, secret)
@@ -139,6 +150,7 @@
             self._times,
             self.cfg.timing.suspect_after,
             SHARE_POLICY,
+            self._dialer,
             self.metrics,
         )
         self.member.commands = commands.COMMANDS
--- a/packages/node/src/sassafrasridge_node/rpc.py
+++ b/packages/node/src/sassafrasridge_node/rpc.py
@@ -202,9 +202,14 @@
     """
 
     def __init__(
-        self, service: typing.Any, address: str, secret: bytes
+        self,
+        service: typing.Any,
+        address: str,
+        secret: bytes,
+        source: str = '',
     ) -> None:
         self.address = address
+        self._local = (source, 0) if source else None
         self._framing = Framing(secret)
         self._service = service
         self._seqids = itertools.count(1)
@@ -269,7 +274,10 @@
                 host, port = self.address.rsplit(':', 1)
                 async with asyncio.timeout(CONNECT_TIMEOUT_S):
                     reader, writer = await asyncio.open_connection(
-                        host, int(port), limit=MAX_FRAME_BYTES
+                        host,
+                        int(port),
+                        limit=MAX_FRAME_BYTES,
+                        local_addr=self._local,
                     )
                 self._writer = writer
                 asyncio.ensure_future(self._receive(reader, writer))
@@ -310,16 +318,19 @@
 class ClientPool:
     """Keep one client per address."""
 
-    def __init__(self, service: typing.Any, secret: bytes) -> None:
+    def __init__(
+        self, service: typing.Any, secret: bytes, source: str = ''
+    ) -> None:
         self._service = service
         self._secret = secret
+        self._source = source
         self._clients: dict[str, Client] = {}
 
     def get(self, address: str) -> Client:
         """Return the client of an address."""
         if address not in self._clients:
             self._clients[address] = Client(
-                self._service, address, self._secret
+                self._service, address, self._secret, self._source
             )
         return self._clients[address]
 
