--- a/packages/testkit/src/sassafrasridge_testkit/deployments.py
+++ b/packages/testkit/src/sassafrasridge_testkit/deployments.py
@@ -11,6 +11,7 @@
 from sassafrasridge_testkit import processes
 
 OPERATOR = 'operator'
+OPERATORS = (OPERATOR, 'ana', 'ben')
 START_TIMEOUT_S = 15.0
 CONTROL_INI = """
 [control]
@@ -35,7 +36,7 @@
 cluster_secret_file = {secret_file}
 
 [operators]
-operator = {operator_digest}
+{operators}
 
 [timing]
 {timing}
@@ -76,7 +77,7 @@
         | None = None,
     ) -> None:
         self.kit = kit
-        self.operator_token = secrets.token_hex(16)
+        self.tokens = {name: secrets.token_hex(16) for name in OPERATORS}
         self.control: dict[str, Node] = {}
         self.entries: dict[str, Node] = {}
         self._timing = dict(timing or {})
@@ -118,7 +119,6 @@
     def write_settings(self, node: Node, bootstrap: bool = True) -> None:
         """Write the INI file of a daemon."""
         is_control = node.name in self.control
-        digest = hashlib.sha256(self.operator_token.encode()).hexdigest()
         text = NODE_INI.format(
             name=node.name,
             zone=node.zone,
@@ -127,7 +127,10 @@
             folder=self.kit.folder / f'{node.name}.data',
             roles='control' if is_control else 'entry',
             secret_file=self._secret_file,
-            operator_digest=digest,
+            operators='\n'.join(
+                f'{name} = {hashlib.sha256(token.encode()).hexdigest()}'
+                for name, token in self.tokens.items()
+            ),
             timing='\n'.join(f'{k} = {v}' for k, v in self._timing.items()),
         )
         if is_control:
@@ -193,10 +196,12 @@
 
     # Operators.
 
-    def operator(self, node: Node | None = None) -> 'Operator':
+    def operator(
+        self, node: Node | None = None, name: str = OPERATOR
+    ) -> 'Operator':
         """Return an operator's client of a daemon, the first by default."""
         node = node or next(iter(self.control.values()))
-        return Operator(node.http, self.operator_token)
+        return Operator(node.http, self.tokens[name])
 
     def note(
         self,
