--- a/packages/node/src/sassafrasridge_node/control.py
+++ b/packages/node/src/sassafrasridge_node/control.py
@@ -20,6 +20,7 @@
 from sassafrasridge_core import raftmessages
 from sassafrasridge_core import state as core_state
 from sassafrasridge_node import clocks
+from sassafrasridge_node import connections
 from sassafrasridge_node import groups
 from sassafrasridge_node import leadership
 from sassafrasridge_node import logs
@@ -30,6 +31,10 @@
 
 TICK_S = 0.02
 COMMIT_TIMEOUT_S = 3.0
+MESSAGE_TIMEOUT_S = 0.3
+"""Shorter than the shortest election timeout, so that a connection that went
+silent is replaced before a follower starts an election."""
+
 SNAPSHOT_EVERY = 1000
 """Entries applied between two snapshots; bounds the time of a restart."""
 
@@ -77,9 +82,11 @@
         times: leases.LeaseTimes,
         suspect_after_s: float,
         policy: str,
+        dialer: connections.Dialer,
         counters: metrics.Metrics,
     ) -> None:
         self.name = name
+        self._dialer = dialer
         self._metrics = counters
         self.state = state
         self.log = log
@@ -101,6 +108,7 @@
             tuple[str, str], tuple[float, model.TargetInfo]
         ] = {}
         self._registering: set[str] = set()
+        self._sending: set[asyncio.Task[None]] = set()
         self.commands: collections.abc.Mapping[str, typing.Any] = {}
 
     # The task.
@@ -148,8 +156,18 @@
             recipient=message.recipient,
             body=message.encode(),
         )
-        client = self._pool.get(address)
-        asyncio.ensure_future(client.notify('log_message', wire))
+        task = asyncio.ensure_future(self._deliver(address, wire))
+        self._sending.add(task)
+        task.add_done_callback(self._sending.discard)
+
+    async def _deliver(self, address: str, wire: typing.Any) -> None:
+        # The log repeats what is lost, so a failure is not an error here.
+        try:
+            await self._pool.get(address).call(
+                'log_message', wire, timeout_s=MESSAGE_TIMEOUT_S
+            )
+        except (rpc.RpcError, rpc.RemoteCallError):
+            return
 
     def _restore(self, snapshot: raft.Snapshot) -> None:
         self.state = core_state.State.decode(snapshot.data)
@@ -209,6 +227,7 @@
             self.leadership.detector,
             self.leadership.table,
             self._zone,
+            self._dialer,
             self._metrics,
         )
         self._keeper = asyncio.ensure_future(self.keeper.run())
@@ -285,15 +304,16 @@
 
     # Remote calls.
 
-    async def log_message(self, message: typing.Any) -> None:
+    async def log_message(self, message: typing.Any) -> bool:
         """Take a message of the replicated log."""
         try:
             decoded = raftmessages.decode(message.body)
         except raft.MalformedMessageError:
             rpc.MALFORMED_FRAMES.inc()
-            return
+            return False
         self.log.receive(clocks.boottime(), decoded)
         self._wake.set()
+        return True
 
     async def renew(self, req: typing.Any) -> typing.Any:
         """Renew a lease, here or through the leader."""
--- a/packages/node/src/sassafrasridge_node/entry.py
+++ b/packages/node/src/sassafrasridge_node/entry.py
@@ -14,6 +14,7 @@
 from sassafrasridge_node import backends
 from sassafrasridge_node import clocks
 from sassafrasridge_node import codec
+from sassafrasridge_node import connections
 from sassafrasridge_node import metrics
 
 ANNOUNCEMENT_TTL_S = 3.0
@@ -27,9 +28,11 @@
         name: str,
         zone: str,
         times: leases.LeaseTimes,
+        dialer: connections.Dialer,
         counters: metrics.Metrics,
     ) -> None:
         self.metrics = counters
+        self._dialer = dialer
         self.name = name
         self.zone = zone
         self.times = times
@@ -96,7 +99,7 @@
         return self.shares.bucket(account)
 
     def _backend(self, info: model.TargetInfo) -> backends.Backend:
-        return backends.Backend(info, self.metrics)
+        return backends.Backend(info, self._dialer, self.metrics)
 
     def sample_primary(self, group: str, server: str, sent_at: float) -> None:
         """Record a position of the primary, for the age of replicas.
@@ -129,10 +132,15 @@
     def apply_config(self, reply: typing.Any) -> bool:
         """Apply configuration of a renewal; return whether it is current."""
         before = self.config.revision
-        if reply.full:
-            self.config.load(reply.full)
-        for delta in reply.deltas or []:
-            self.config.apply(delta)
+        try:
+            if reply.full:
+                self.config.load(reply.full)
+            for delta in reply.deltas or []:
+                self.config.apply(delta)
+        except core_state.RevisionGapError:
+            # The next renewal names the revision in force here, and control
+            # sends what follows it.
+            self.metrics.error('revision_gap')
         if self.config.revision != before:
             self._signer = None
             self.metrics.revision.set(self.config.revision)
@@ -148,11 +156,20 @@
             if known is None or view.term >= known.term:
                 self.groups[view.group] = view
                 self._follow_view(view)
+                if known is not None and known.primary is not None:
+                    self._leave_primary(known, view)
         if reply.view_revision > self.view_revision:
             self.view_revision = reply.view_revision
             changed, self.view_changed = self.view_changed, asyncio.Event()
             changed.set()
 
+    def _leave_primary(
+        self, known: model.GroupView, view: model.GroupView
+    ) -> None:
+        backend = self.backends.get((view.group, known.primary or ''))
+        if backend is not None and view.term > known.term:
+            backend.replaced()
+
     def _follow_view(self, view: model.GroupView) -> None:
         for server, address in view.members.items():
             key = (view.group, server)
--- a/packages/node/src/sassafrasridge_node/transactions.py
+++ b/packages/node/src/sassafrasridge_node/transactions.py
@@ -118,12 +118,17 @@
         if backend is None or not self._state.lease_valid():
             return None
         term = self._state.groups[adm.group].term
-        conn = await backend.connection(adm.account, req.deadline)
+        try:
+            conn = await backend.connection(
+                adm.account, req.deadline, primary=True
+            )
+        except backends.ReplacedError:
+            return None
         kept = False
         try:
             adm.recheck()
-            answer = await conn.call(
-                '/execute',
+            answer = await backend.call(
+                conn,
                 {
                     'term': term,
                     'access': req.access,
@@ -266,8 +271,8 @@
         if attempt is not None:
             body['request'] = attempt.body(tx.term)['request']
         try:
-            return await tx.conn.call(
-                '/execute',
+            return await tx.backend.call(
+                tx.conn,
                 body,
                 max(0.001, req.deadline - clocks.boottime()),
             )
--- a/packages/node/src/sassafrasridge_node/writes.py
+++ b/packages/node/src/sassafrasridge_node/writes.py
@@ -154,7 +154,11 @@
         recheck: typing.Callable[[], None],
     ) -> dict[str, typing.Any] | None:
         try:
-            conn = await backend.connection(attempt.account, deadline)
+            conn = await backend.connection(
+                attempt.account, deadline, primary=True
+            )
+        except backends.ReplacedError:
+            return None
         except errors.UnavailableError as exc:
             if attempt.in_doubt:
                 raise answers.unknown(exc.message)
@@ -188,8 +192,8 @@
     ) -> connections.Answer | None:
         started = clocks.boottime()
         try:
-            answer = await conn.call(
-                '/execute', body, max(0.001, deadline - started)
+            answer = await backend.call(
+                conn, body, max(0.001, deadline - started)
             )
         except connections.ConnectionLostError as exc:
             attempt.in_doubt = attempt.in_doubt or exc.sent
