Add the operators' command line

Cause: operators need the notes, keys, members and views of the HTTP interface without writing requests. Change: cleo commands over requests; the next address is tried when one does not answer, commands whose response was lost are sent again only when they are repeatable, exit codes come from the error classes; names and paths of notes are limited to what the data path accepts. Ruled out: cleo's own error output, because it exits with 1 for every error.

--- a/packages/core/src/sassafrasridge_core/notes.py
+++ b/packages/core/src/sassafrasridge_core/notes.py
@@ -21,14 +21,16 @@
 MAX_NUMBER = 2**53 - 1
 MAX_RATE = 1e9
 MAX_SLOTS = 10_000
-MAX_PATH = 256
+MAX_PATH = 200
 MAX_SHOWN = 80
 LISTS = ('added', 'changed', 'withdrawn')
 POLICIES = ('demand', 'static')
 
-_NAME = re.compile(r'[A-Za-z0-9][A-Za-z0-9._-]{0,63}')
+# Names and paths are also parts of callers' URLs; the data path accepts no
+# others.
+_NAME = re.compile(r'[A-Za-z0-9][A-Za-z0-9._-]{0,62}')
 _DIGEST = re.compile(r'[0-9a-f]{64}')
-_SEGMENT = re.compile(r'[A-Za-z0-9_~-][A-Za-z0-9._~-]*')
+_SEGMENT = re.compile(r'[A-Za-z0-9_-][A-Za-z0-9._-]*')
 _REQUIRED = object()
 
 
@@ -152,12 +154,12 @@
 
 
 NAME_TEXT = (
-    "1 to 64 letters, digits, '.', '_' or '-', starting with a letter or digit"
+    "1 to 63 letters, digits, '.', '_' or '-', starting with a letter or digit"
 )
 _NAME_FIELD = _Field(is_name, NAME_TEXT)
 _PATH_FIELD = _Field(
     _is_path,
-    f"segments of letters, digits, '.', '_', '~' or '-' separated by '/', "
+    f"segments of letters, digits, '.', '_' or '-' separated by '/', "
     f"none starting with '.', at most {MAX_PATH} characters",
 )
 _SLOTS_FIELD = _Field(
--- /dev/null
+++ b/tests/cli/test_processes.py
@@ -0,0 +1,48 @@
+"""Tests of the commands on daemons."""
+
+import json
+import pathlib
+
+EXAMPLES = pathlib.Path(__file__).parents[2] / 'examples'
+
+
+class TestMembers:
+    def test_replace(self, stand_in, run):
+        """Guards against a replacement of another member."""
+        members = [{'name': 'c2', 'voter': True}]
+        stand_in.on('POST', '/v1/members', (200, {'members': members}))
+        result = run('member replace', 'c2')
+        assert result.code == 0
+        assert 'c2' in result.out
+        assert stand_in.bodies() == [{'action': 'replace', 'name': 'c2'}]
+
+    def test_lost_response_of_a_removal(self, stand_in, run):
+        """Guards against a removal that runs twice."""
+        stand_in.on('POST', '/v1/members', run.lost)
+        assert run('member remove', 'c2').code == 6
+        assert len(stand_in.requests) == 1
+
+
+class TestDrain:
+    def test_only_the_named_process(self, stand_in, other, run):
+        """Guards against draining the next process on the list."""
+        other.on('POST', '/v1/drain', (202, {'draining': True}))
+        assert run('drain', other.address).code == 0
+        assert not stand_in.requests
+
+
+class TestSettingsCheck:
+    def test_mistakes_and_exit_code(self, run, tmp_path):
+        """Guards against a deployment of wrong settings."""
+        path = tmp_path / 'entry.ini'
+        path.write_text((EXAMPLES / 'entry.ini').read_text())
+        result = run('settings check', str(path))
+        assert result.code == 2
+        assert '[node] cluster_secret_file' in result.err
+        (tmp_path / 'cluster-secret').write_text('s' * 32)
+        assert run('settings check', str(path)).code == 0
+        path.write_text('[node]\nname = a b\n')
+        result = run('settings check', f'{path} --json')
+        mistakes = json.loads(result.err)['mistakes']
+        assert {'name', 'zone', 'roles'} <= {m['key'] for m in mistakes}
+        assert run('settings check', f'{path}.missing').code == 2
--- /dev/null
+++ b/tests/cli/test_views.py
@@ -0,0 +1,54 @@
+"""Tests of the status and the audit trail."""
+
+import json
+
+ENTRY = {
+    'sequence': 1,
+    'time': 0.0,
+    'who': 'ana',
+    'address': '127.0.0.1',
+    'kind': 'note',
+    'accepted': False,
+    'revision': 1,
+    'number': 2,
+    'what': 'a <b> c',
+}
+STATUS = {
+    'leader': 'c1',
+    'revision': 5,
+    'nodes': [{'entry': 'e1', 'zone': 'z1', 'lease': True}],
+    'targets': [],
+    'groups': [{'group': 'g', 'term': 2, 'primary': None}],
+    'accounts': [{'name': 'shop', 'rate': 1.0, 'burst': 2.0}],
+}
+
+
+class TestStatus:
+    def test_sections(self, stand_in, run):
+        """Guards against a part of the system that is not shown."""
+        stand_in.on('GET', '/v1/status', (200, STATUS))
+        out = run('status').out
+        for text in ('leader: c1', 'e1', 'shop', 'targets:', 'yes', '-'):
+            assert text in out
+        groups = json.loads(run('status', 'groups --json').out)
+        assert groups == STATUS['groups']
+        assert run('status', 'x').code == 2
+
+
+class TestAudit:
+    def test_filters(self, stand_in, run):
+        """Guards against an audit of the wrong time."""
+        stand_in.on('GET', '/v1/audit', (200, {'entries': [ENTRY]}))
+        result = run('audit', '--who ana --since 1970-01-02 --kind note')
+        assert stand_in.requests[0][2] == 'who=ana&kind=note&since=86400.0'
+        assert 'a <b> c' in result.out
+        assert '1970-01-01 00:00:00+00:00' in result.out
+        assert run('audit', '--since yesterday').code == 2
+
+    def test_export_keeps_existing_files(self, stand_in, run, tmp_path):
+        """Guards against an export that overwrites an earlier one."""
+        stand_in.on('GET', '/v1/audit', (200, {'entries': [ENTRY]}))
+        path = tmp_path / 'audit.jsonl'
+        assert run('audit', f'--export {path}').code == 0
+        assert json.loads(path.read_text()) == ENTRY
+        assert run('audit', f'--export {path}').code == 2
--- a/tests/core/test_settings.py
+++ b/tests/core/test_settings.py
@@ -8,6 +8,7 @@
 
 EXAMPLES = pathlib.Path(__file__).parents[2] / 'examples'
 GOOD = (EXAMPLES / 'both.ini').read_text()
+GOOD = GOOD.replace('/var/lib/sassafrasridge', 'data')
 
 
 def check(text):
--- a/tests/core/test_shares.py
+++ b/tests/core/test_shares.py
@@ -365,9 +365,7 @@
 class TestSimulation:
     """Guards against overruns and refusals within the rate."""
 
-    @pytest.mark.parametrize(
-        'load', [balanced, unbalanced, moving, fivefold]
-    )
+    @pytest.mark.parametrize('load', [balanced, unbalanced, moving, fivefold])
     def test_demand_shares(self, load, record_property):
         rows = {}
         for policy in ('static', 'demand'):
@@ -384,5 +382,10 @@
             )
             rows[policy] = (ratio, worst, overrun, goodput, fleet.renewals)
             record_property(policy, rows[policy])
-            print(load.__name__, policy, rows[policy], {n: fleet.wrongful(n) for n in ACCOUNTS})
+            print(
+                load.__name__,
+                policy,
+                rows[policy],
+                {n: fleet.wrongful(n) for n in ACCOUNTS},
+            )
             assert overrun <= 1e-6
--- a/tests/node/test_settings.py
+++ b/tests/node/test_settings.py
@@ -13,7 +13,9 @@
 class TestLoad:
     def test_files_are_found_beside_the_settings(self, tmp_path):
         """Guards against paths that depend on the working folder."""
-        shutil.copy(EXAMPLES / 'both.ini', tmp_path / 'both.ini')
+        text = (EXAMPLES / 'both.ini').read_text()
+        text = text.replace('/var/lib/sassafrasridge', 'data')
+        (tmp_path / 'both.ini').write_text(text)
         (tmp_path / 'cluster-secret').write_text('s' * 32)
         result = settings.load(str(tmp_path / 'both.ini'))
         assert result.node.cluster_secret == b's' * 32
