--- a/tests/cli/test_views.py
+++ b/tests/cli/test_views.py
@@ -43,6 +43,8 @@
         assert stand_in.requests[0][2] == 'who=ana&kind=note&since=86400.0'
         assert 'a <b> c' in result.out
         assert '1970-01-01 00:00:00+00:00' in result.out
+        printed = json.loads(run('audit', '--json').out)
+        assert printed == [ENTRY]
         assert run('audit', '--since yesterday').code == 2
 
     def test_export_keeps_existing_files(self, stand_in, run, tmp_path):
