--- a/tests/core/test_shares.py
+++ b/tests/core/test_shares.py
@@ -12,7 +12,6 @@
 from hypothesis import strategies as st
 import pytest
 
-from sassafrasridge_core import errors
 from sassafrasridge_core import shares
 
 RECLAIM_S = shares.CONFIG_TTL_S * (1 + shares.CLOCK_DRIFT) + (
