--- a/packages/cli/src/sassafrasridge_cli/views.py
+++ b/packages/cli/src/sassafrasridge_cli/views.py
@@ -104,7 +104,7 @@
         elif self.wants_json:
             self.print_json(entries)
         else:
-            shown = [{**e, 'time': _local(e['time'])} for e in entries]
+            shown = [{**e, 'time': _utc(e['time'])} for e in entries]
             self.print_table(_AUDIT, _rows(shown, _AUDIT))
         return 0
 
@@ -131,7 +131,9 @@
     return when.timestamp()
 
 
-def _local(seconds: float) -> str:
+def _utc(seconds: float) -> str:
+    if not seconds:
+        return '-'
     when = datetime.datetime.fromtimestamp(seconds, datetime.UTC)
     return when.isoformat(' ', 'seconds')
 
--- a/packages/core/src/sassafrasridge_core/state.py
+++ b/packages/core/src/sassafrasridge_core/state.py
@@ -322,6 +322,7 @@
         what = (
             f'group {view.group} term {view.term} primary '
             f'{view.primary or "none"}{" changing" if view.changing else ""}'
+            f' members {" ".join(sorted(view.members)) or "none"}'
         )
         self._record(body, 'group', True, what)
         return Reply(True, 200, {'groups_revision': self.groups_revision})
