Bound the refusal of a note and fuzz commands and settings

Cause: a refusal with several thousand mistakes, each listed twice, can exceed the 4 MiB of a frame between daemons. Change: a message names the first 10 mistakes and the count, the body lists up to 1,000; random commands and random settings are tried. Ruled out: a limit on the body, because a body of 1 MiB already holds enough mistakes. Conclusion: malformed input ends in a typed refusal.

--- a/packages/core/src/sassafrasridge_core/notes.py
+++ b/packages/core/src/sassafrasridge_core/notes.py
@@ -23,6 +23,9 @@
 MAX_SLOTS = 10_000
 MAX_PATH = 200
 MAX_SHOWN = 80
+# A response stays below the 4 MiB of a frame.
+MAX_MISTAKES = 1000
+MISTAKES_IN_MESSAGE = 10
 LISTS = ('added', 'changed', 'withdrawn')
 POLICIES = ('demand', 'static')
 
@@ -57,7 +60,7 @@
 
 
 class NoteError(errors.BadRequestError):
-    """Report every mistake of a release note."""
+    """Report the mistakes of a release note, at most MAX_MISTAKES."""
 
     kind = 'bad_note'
     remedy = 'Correct the listed mistakes and submit the note again.'
@@ -65,9 +68,11 @@
     def __init__(self, mistakes: list[Mistake]) -> None:
         count = len(mistakes)
         noun = 'mistake' if count == 1 else 'mistakes'
-        listed = '; '.join(str(mistake) for mistake in mistakes)
-        super().__init__(f'the note has {count} {noun}: {listed}')
-        self.mistakes = mistakes
+        shown = [str(mistake) for mistake in mistakes[:MISTAKES_IN_MESSAGE]]
+        if count > len(shown):
+            shown.append('...')
+        super().__init__(f'the note has {count} {noun}: {"; ".join(shown)}')
+        self.mistakes = mistakes[:MAX_MISTAKES]
 
     def as_json(self) -> dict[str, object]:
         """Return the body of an HTTP error answer with all mistakes."""
--- a/packages/core/src/sassafrasridge_core/state.py
+++ b/packages/core/src/sassafrasridge_core/state.py
@@ -3,6 +3,7 @@
 import collections
 from collections.abc import Callable
 from collections.abc import Iterable
+import itertools
 from typing import Any
 
 import orjson
@@ -411,7 +412,7 @@
         if missing > len(self._deltas):
             return None
         start = len(self._deltas) - missing
-        deltas = [self._deltas[i] for i in range(start, len(self._deltas))]
+        deltas = list(itertools.islice(self._deltas, start, None))
         if max_bytes is None:
             return deltas
         size = 0
--- a/tests/core/test_notes.py
+++ b/tests/core/test_notes.py
@@ -52,6 +52,15 @@
         assert found['added[0].rate'].found == "'5'"
         assert 'statements/s' in found['added[0].rate'].allowed
 
+    def test_a_response_is_bounded(self):
+        """Guards against a refusal that is too large to deliver."""
+        body = {'number': 1, **{f'x{n}': 1 for n in range(5000)}}
+        with pytest.raises(notes.NoteError) as caught:
+            notes.parse(body, 'ana')
+        assert len(caught.value.mistakes) == notes.MAX_MISTAKES
+        assert 'the note has 5000 mistakes' in caught.value.message
+        assert len(caught.value.message) < 10_000
+
     def test_no_secret_in_a_mistake(self):
         """Guards against a secret sent in place of its digest in logs."""
         key = {'kind': 'key', 'id': 'k', 'account': 'a'}
--- a/tests/core/test_settings.py
+++ b/tests/core/test_settings.py
@@ -2,6 +2,8 @@
 
 import pathlib
 
+import hypothesis
+from hypothesis import strategies as st
 import pytest
 
 from sassafrasridge_core import settings
@@ -112,6 +114,17 @@
         found = mistakes_of(GOOD.replace(old, new))
         assert {key for _, key in found} == {place}
 
+    @hypothesis.given(
+        st.lists(st.sampled_from(GOOD.splitlines()) | st.text(max_size=12))
+    )
+    @hypothesis.settings(derandomize=True, deadline=None)
+    def test_any_text_is_checked_or_refused(self, lines):
+        """Guards against a traceback in place of the mistakes."""
+        try:
+            assert check('\n'.join(lines)).node.name
+        except settings.InvalidSettingsError as exc:
+            assert exc.mistakes
+
     def test_short_secret(self):
         """Guards against a cluster secret that can be guessed."""
         found = mistakes_of(GOOD, lambda path: b' short\n')
--- a/tests/core/test_state.py
+++ b/tests/core/test_state.py
@@ -1,6 +1,6 @@
 """Tests of the replicated state machine and the entry processes' copy."""
 
-from hypothesis import settings
+import hypothesis
 from hypothesis import stateful
 from hypothesis import strategies as st
 import orjson
@@ -11,6 +11,33 @@
 
 SECRET = 'ab' * 32
 ROUTE = {'kind': 'route', 'path': 'p'}
+TYPES = ['init', 'note', 'refused_note', 'group', 'entry', 'audit']
+FIELDS = [
+    *('session_secret', 'note', 'operator', 'address', 'time', 'digest'),
+    *('confirmed_revision', 'group', 'entry', 'action', 'zone', 'kind'),
+    *('what', 'number', 'accepted'),
+]
+VALUES = st.recursive(
+    st.none()
+    | st.booleans()
+    | st.integers(-(2**63), 2**64 - 1)
+    | st.floats(allow_nan=False, allow_infinity=False)
+    | st.sampled_from(['register', 'remove', SECRET, 'x']),
+    lambda inner: (
+        st.lists(inner, max_size=3)
+        | st.fixed_dictionaries(
+            {},
+            optional={
+                name: inner
+                for name in (
+                    *('group', 'term', 'primary', 'members', 'starts'),
+                    *('changing', 'number', 'added', 'withdrawn', '7'),
+                )
+            },
+        )
+    ),
+    max_leaves=10,
+)
 
 
 def account(name, **fields):
@@ -240,6 +267,23 @@
         """Guards against one command that stops every member."""
         assert state.State().apply(1, command).status == 400
 
+    @hypothesis.given(
+        st.lists(
+            st.fixed_dictionaries(
+                {'type': st.sampled_from(TYPES)},
+                optional={name: VALUES for name in FIELDS},
+            )
+        )
+    )
+    @hypothesis.settings(derandomize=True, deadline=None)
+    def test_any_command_leaves_a_state_to_restore(self, commands):
+        """Guards against a command that stops every member for ever."""
+        member = Member()
+        for command in commands:
+            member.apply(**command)
+        data = member.state.encode()
+        assert state.State.decode(data).encode() == data
+
     def test_an_index_is_applied_once(self, member):
         """Guards against a log entry applied again after a snapshot."""
         member.note(1, added=[account('a')])
@@ -436,7 +480,7 @@
 
 
 TestNotesMachine = NotesMachine.TestCase
-TestNotesMachine.settings = settings(
+TestNotesMachine.settings = hypothesis.settings(
     derandomize=True,
     max_examples=200,
     stateful_step_count=30,
