--- a/packages/core/src/sassafrasridge_core/state.py
+++ b/packages/core/src/sassafrasridge_core/state.py
@@ -3,6 +3,7 @@
 import collections
 from collections.abc import Callable
 from collections.abc import Iterable
+import itertools
 from typing import Any
 
 import orjson
@@ -322,6 +323,7 @@
         what = (
             f'group {view.group} term {view.term} primary '
             f'{view.primary or "none"}{" changing" if view.changing else ""}'
+            f' members {" ".join(sorted(view.members)) or "none"}'
         )
         self._record(body, 'group', True, what)
         return Reply(True, 200, {'groups_revision': self.groups_revision})
@@ -410,7 +412,7 @@
         if missing > len(self._deltas):
             return None
         start = len(self._deltas) - missing
-        deltas = [self._deltas[i] for i in range(start, len(self._deltas))]
+        deltas = list(itertools.islice(self._deltas, start, None))
         if max_bytes is None:
             return deltas
         size = 0
