Test the HTTP front over real connections

Cause: the front had run by hand only.

They found and this fixes: a request line with control characters was accepted; CherryPy logged the headers of failed requests, which hold operators' tokens; a stop kept waiting for the result of a request whose connection it had closed; a stop took half a second to wake the selector.

Ruled out: exact error counts per case with a server for each (slow).

--- a/packages/node/src/sassafrasridge_node/front.py
+++ b/packages/node/src/sassafrasridge_node/front.py
@@ -289,6 +289,10 @@
                 'log.screen': False,
                 'log.access_file': '',
                 'log.error_file': '',
+                # CherryPy would log the headers of failed requests, and
+                # with them operators' tokens.
+                'tools.log_headers.on': False,
+                'tools.log_tracebacks.on': False,
             }
         )
         for path, app in grafts.items():
@@ -311,6 +315,9 @@
 
         Returns whether all of them finished within ``grace_s``.
         """
+        if self._stopped.is_set():
+            return True
+        self._stopped.set()
         self.drain()
         self.server.close_listener()
         end = time.monotonic() + grace_s
--- a/packages/node/src/sassafrasridge_node/httpserver.py
+++ b/packages/node/src/sassafrasridge_node/httpserver.py
@@ -10,6 +10,7 @@
 import collections
 from collections.abc import Callable
 from collections.abc import Coroutine
+import contextlib
 import email.utils
 import errno
 import http
@@ -193,6 +194,8 @@
         if end + 4 > self._max_header:
             raise _header_too_large(self._max_header)
         head = bytes(buffer[: end + 4])
+        if not _METHOD.match(head):
+            raise errors.BadRequestError('the request line is malformed')
         length = _body_length(head)
         if length > self._max_body:
             raise errors.TooLargeError(
@@ -569,18 +572,29 @@
             # The selector was closed by a concurrent stop.
             conn.close()
 
+    def stop(self) -> None:
+        """End the selector's loop without waiting for its time-out."""
+        waker, other = socket.socketpair()
+        with waker, other:
+            self._stop_requested = True
+            # A writable socket ends the wait at once; it has no connection.
+            self._selector.register(waker, selectors.EVENT_WRITE, None)
+            super().stop()
+            with contextlib.suppress(KeyError):
+                self._selector.unregister(waker)
+
     def unfinished(self) -> bool:
         """Return whether a connection has part of a request or response."""
         return any(
             conn.output or conn.rfile.has_data()
             for _, conn in list(self._selector.connections)
-            if conn is not self.server
+            if isinstance(conn, Connection)
         )
 
     def _expire(self, threshold: float) -> None:
         now = time.monotonic()
         for fd, conn in list(self._selector.connections):
-            if conn is not self.server and conn.expires < now:
+            if isinstance(conn, Connection) and conn.expires < now:
                 self._selector.unregister(fd)
                 conn.close()
 
@@ -713,7 +727,7 @@
         self.keep_alive_conn_limit = max_connections
         self.max_in_flight = max_in_flight
         self.draining = False
-        self.bridge = Bridge(loop, self.requests.put)
+        self.bridge = Bridge(loop, self._completed)
         self._count_lock = threading.Lock()
         self.open_connections = 0
         self.in_flight = 0
@@ -779,12 +793,15 @@
         self._connections.close()
         self._connections = _Manager(self)
 
-    def process_conn(self, conn: Connection) -> None:
+    def process_conn(self, conn: Connection | None) -> None:
         """Queue a connection for a worker thread.
 
         A new connection first waits for input: a client that connects and
         sends nothing must not hold a worker thread.
         """
+        if conn is None:
+            # The selector was woken to stop.
+            return
         if conn.fresh:
             conn.fresh = False
             self._connections.put(conn)
@@ -807,6 +824,13 @@
         else:
             self._connections.put(conn)
 
+    def _completed(self, conn: Connection) -> None:
+        if self.ready:
+            self.requests.put(conn)
+        else:
+            self.finished()
+            conn.close()
+
     def stop(self) -> None:
         """Close all connections and end the worker threads."""
         super().stop()
--- /dev/null
+++ b/tests/node/test_operatorapi.py
@@ -0,0 +1,144 @@
+"""Tests of the interface for operators, targets and load balancers."""
+
+import hashlib
+
+import pytest
+from sassafrasridge_core import errors
+from sassafrasridge_node import operatorapi
+
+ANNOUNCEMENT = {
+    'group': 'g',
+    'server': 's1',
+    'role': 'replica',
+    'term': 3,
+    'position': 41,
+    'address': '127.0.0.1:1',
+    'zone': 'z1',
+    'slots': 5,
+    'connections': 30,
+    'leaving': False,
+}
+
+
+class TestOperatorApi:
+    @pytest.mark.parametrize(
+        ('method', 'path', 'body', 'kind', 'content'),
+        [
+            ('POST', '/notes', {'number': 1}, 'submit_note', {'number': 1}),
+            ('POST', '/notes/check', {'n': 1}, 'check_note', {'n': 1}),
+            ('GET', '/notes', None, 'list_notes', {}),
+            ('GET', '/notes/7', None, 'show_note', {'number': 7}),
+            ('GET', '/status', None, 'status', {}),
+            ('GET', '/audit?who=ann', None, 'audit', {'who': 'ann'}),
+            ('POST', '/drain', b'', 'drain', {}),
+            ('GET', '/members', None, 'list_members', {}),
+            ('POST', '/members', {'add': 'm'}, 'change_members', {'add': 'm'}),
+        ],
+    )
+    def test_commands(self, node, method, path, body, kind, content):
+        """Guards against a path that runs another command."""
+        status, _, answer = node.client().call(
+            '/v1' + path, body, method, node.operator, key=None
+        )
+        assert status == 200
+        assert answer == {'kind': kind, 'body': content, 'who': 'ann'}
+        assert kind in operatorapi.COMMANDS
+
+    def test_only_operators_may_command(self, node):
+        """Guards against callers' keys and guessed tokens."""
+        client = node.client()
+        for key in (None, node.key, 'operator-token-5eCr3T'):
+            status, _, body = client.call('/v1/drain', {}, key=key)
+            assert (status, body['error']['kind']) == (401, 'unauthorized')
+        assert node.value('operator_refusals_total') == 3
+
+    @pytest.mark.parametrize(
+        ('method', 'path', 'body', 'status'),
+        [
+            ('POST', '/v1/notes', b'{', 400),
+            ('POST', '/v1/notes', [], 400),
+            ('POST', '/v1/notes/7', {}, 405),
+            ('GET', '/v1/notes/x', None, 400),
+            ('GET', '/v1/notes/7/8', None, 404),
+            ('GET', '/v1/audit?where=x', None, 400),
+            ('GET', '/v1/audit?who=x&who=y', None, 400),
+            ('DELETE', '/v1/status', None, 405),
+            ('GET', '/v2', None, 404),
+        ],
+    )
+    def test_malformed_requests(self, node, method, path, body, status):
+        """Guards against pages of CherryPy instead of typed errors."""
+        answer = node.client().call(path, body, method, node.operator, None)
+        assert answer[0] == status
+        assert set(answer[2]['error']) >= {'kind', 'outcome', 'remedy'}
+
+    def test_commands_leave_threads_for_callers(self, start_node):
+        """Guards against a stuck control majority that blocks reads."""
+        node = start_node(threads=operatorapi.MAX_COMMANDS + 1)
+        waiting = [node.client() for _ in range(operatorapi.MAX_COMMANDS)]
+        for client in waiting:
+            client.send(
+                node.request(
+                    '/v1/notes', {'wait': 1}, 'POST', node.operator, None
+                )
+            )
+        node.wait_for(lambda: node.port.commands == len(waiting))
+        status, _, body = node.client().call(
+            '/v1/notes', {}, 'POST', node.operator, None
+        )
+        assert (status, body['error']['kind']) == (503, 'overloaded')
+        assert node.client().call()[0] == 200
+        for client in waiting:
+            status, _, body = client.receive()
+            assert (status, body['error']['outcome']) == (504, 'unknown')
+
+    def test_readiness(self, node):
+        """Guards against traffic for a process that can't serve it."""
+        client = node.client()
+
+        def ready():
+            answer = client.call('/readyz', None, 'GET', key=None)
+            return answer[0], answer[2].get('reason')
+
+        assert ready() == (200, None)
+        node.port.reason = 'no_lease'
+        assert ready() == (503, 'no_lease')
+        assert client.call('/healthz', None, 'GET')[0] == 200
+        node.port.reason = None
+        node.front.drain()
+        assert ready() == (503, 'draining')
+
+    def test_typed_error_of_a_command(self, node):
+        """Guards against losing status and remedy on the way."""
+        node.port.error = errors.ConflictError('note 3 exists')
+        status, _, body = node.client().call(
+            '/v1/notes', {}, 'POST', node.operator, None
+        )
+        assert (status, body['error']['message']) == (409, 'note 3 exists')
+
+
+class TestAnnounceApi:
+    def test_announcement_reaches_the_engine(self, node):
+        """Guards against a field that is lost or swapped."""
+        client = node.client()
+        assert client.call('/v1/announce', ANNOUNCEMENT, key=None)[0] == 200
+        node.wait_for(lambda: node.port.announced)
+        info = node.port.announced[0]
+        for field, value in ANNOUNCEMENT.items():
+            assert getattr(info, field) == value
+        for field in ANNOUNCEMENT.keys() - {'leaving'}:
+            wrong = {**ANNOUNCEMENT, field: None}
+            assert client.call('/v1/announce', wrong)[0] == 400
+        assert len(node.port.announced) == 1
+
+    def test_token_is_needed_if_settings_name_one(self, start_node):
+        """Guards against targets that anybody announces."""
+        digest = hashlib.sha256(b'announce-token').hexdigest()
+        node = start_node(announce_digests={'targets': digest})
+        client = node.client()
+        refused = client.call('/v1/announce', ANNOUNCEMENT, key='other-token')
+        assert refused[0] == 401
+        answer = client.call(
+            '/v1/announce', ANNOUNCEMENT, key='announce-token'
+        )
+        assert answer[0] == 200
