Say where a note is not in force when a process has no lease

Cause: a note counted as in force while the new leader had heard of no entry process. Change: processes that are registered but unheard of count as waiting until this leader has outlasted every earlier lease, and are listed apart after that; changes of groups carry their time into the audit trail. Measured: integration tests of path, control and command line pass.

--- a/packages/core/src/sassafrasridge_core/coverage.py
+++ b/packages/core/src/sassafrasridge_core/coverage.py
@@ -1,6 +1,6 @@
 """Whether a replica whose position is not known yet is worth a try."""
 
-import random
+from sassafrasridge_core import retries
 
 LIKELY = 0.6
 """Share of covered tries above which a try saves more than it costs."""
@@ -20,6 +20,7 @@
     >>> history = CoverageHistory()
     >>> for _ in range(20):
     ...     history.record(covered=False)
+    >>> import random
     >>> history.likely(random.Random(1))
     False
     """
@@ -33,6 +34,6 @@
         """Count a try."""
         self._share += WEIGHT * (float(covered) - self._share)
 
-    def likely(self, rng: random.Random) -> bool:
+    def likely(self, rng: retries.Rng) -> bool:
         """Return whether to try the replica."""
         return self._share >= LIKELY or rng.random() < EXPLORE
--- a/packages/node/src/sassafrasridge_node/commands.py
+++ b/packages/node/src/sassafrasridge_node/commands.py
@@ -12,6 +12,7 @@
 from sassafrasridge_core import state as core_state
 from sassafrasridge_node import clocks
 from sassafrasridge_node import control
+from sassafrasridge_node import leadership
 
 MAX_LISTED = 1000
 CATCH_UP_TIMEOUT_S = 10.0
@@ -49,11 +50,16 @@
     )
 
 
-def _holders(member: control.ControlMember) -> list[leases.Holder]:
-    current = member.leadership
-    if current is None:
+def _leadership(
+    member: control.ControlMember,
+) -> leadership.Leadership:
+    if member.leadership is None:
         raise control.NoLeaderError('this member is not the control leader')
-    return list(current.table.holders.values())
+    return member.leadership
+
+
+def _holders(member: control.ControlMember) -> list[leases.Holder]:
+    return list(_leadership(member).table.holders.values())
 
 
 def _confirmed_revision(member: control.ControlMember) -> int:
@@ -90,6 +96,7 @@
             remedy='Check the number of the note.',
         )
     now = clocks.boottime()
+    current = _leadership(member)
     reached, waiting = [], []
     for holder in _holders(member):
         place = {
@@ -100,25 +107,42 @@
         }
         behind = holder.revision < answer.revision
         (waiting if behind else reached).append(place)
+    silent = _silent_entries(member)
+    if not current.table.shares_settled(now):
+        # This leader is new and may not have heard of them yet.
+        waiting += silent
+        silent = []
     return _ok(
         {
             **answer.as_json(),
             'in_force': not waiting,
             'in_force_at': reached,
             'not_in_force_at': waiting,
+            'without_lease': silent,
         }
     )
 
 
+def _silent_entries(member: control.ControlMember) -> list[Body]:
+    """Return registered entry processes that hold no lease.
+
+    They serve nothing that depends on the configuration any more.
+    """
+    known = {holder.entry for holder in _holders(member)}
+    return [
+        {'entry': entry, 'zone': process.zone}
+        for entry, process in member.state.entries.items()
+        if entry not in known
+    ]
+
+
 async def status(
     member: control.ControlMember, body: Body
 ) -> core_state.Reply:
     """Return members, entry processes, groups and accounts."""
     now = clocks.boottime()
-    current = member.leadership
+    current = _leadership(member)
     keeper = member.keeper
-    if current is None or keeper is None:
-        raise control.NoLeaderError('this member is not the control leader')
     state = member.state
     return _ok(
         {
@@ -140,7 +164,8 @@
             'groups': [
                 {
                     **core_state.group_as_json(view),
-                    'group_majority_lost': view.group in keeper.majority_lost,
+                    'group_majority_lost': keeper is not None
+                    and view.group in keeper.majority_lost,
                 }
                 for view in state.groups.values()
             ],
--- a/packages/node/src/sassafrasridge_node/control.py
+++ b/packages/node/src/sassafrasridge_node/control.py
@@ -249,7 +249,13 @@
 
     async def _initialise(self) -> None:
         secret = random.SystemRandom().randbytes(32).hex()
-        await self.propose({'type': 'init', 'session_secret': secret})
+        await self.propose(
+            {
+                'type': 'init',
+                'session_secret': secret,
+                'time': time.time(),
+            }
+        )
 
     # Proposals.
 
@@ -297,7 +303,11 @@
     async def commit(self, view: model.GroupView) -> None:
         """Commit the view of a group."""
         reply = await self.propose(
-            {'type': 'group', 'group': core_state.group_as_json(view)}
+            {
+                'type': 'group',
+                'group': core_state.group_as_json(view),
+                'time': time.time(),
+            }
         )
         if not reply.ok:
             raise errors.ConflictError(f'group {view.group!r}: {reply.body}')
--- a/tests/integration/test_cli.py
+++ b/tests/integration/test_cli.py
@@ -16,7 +16,7 @@
         deployment = deployments.Deployment(kit, entry_zones=('z1',))
         deployment.start()
         token = kit.folder / 'operator-token'
-        token.write_text(deployment.operator_token)
+        token.write_text(deployment.tokens['operator'])
         servers = [n.http for n in deployment.control.values()]
         yield deployment, servers, token
 
--- a/tests/node/conftest.py
+++ b/tests/node/conftest.py
@@ -9,6 +9,7 @@
 
 import orjson
 import pytest
+
 from sassafrasridge_node import dataapi
 from sassafrasridge_node import front
 from sassafrasridge_node import metrics as metrics_
--- a/tests/node/test_dataapi.py
+++ b/tests/node/test_dataapi.py
@@ -8,6 +8,7 @@
 from hypothesis import strategies as st
 import orjson
 import pytest
+
 from sassafrasridge_core import errors
 from sassafrasridge_node import clocks
 from sassafrasridge_node import dataapi
--- a/tests/node/test_operatorapi.py
+++ b/tests/node/test_operatorapi.py
@@ -3,6 +3,7 @@
 import hashlib
 
 import pytest
+
 from sassafrasridge_core import errors
 from sassafrasridge_node import operatorapi
 
