Let servers with new addresses rejoin and count calls

Cause: a target that restarts on another port was never replicated to again, and measures of replica reads, refusals and queueing need figures from the targets. Change: a follower tells its primary its address; observations count calls by result, peak connections and peak waiting calls; shared fixtures make the tests shorter.

--- a/packages/testkit/src/sassafrasridge_testkit/database.py
+++ b/packages/testkit/src/sassafrasridge_testkit/database.py
@@ -27,6 +27,9 @@
 
 ANNOUNCE_INTERVAL_S = 0.25
 ANNOUNCE_TIMEOUT_S = 0.25
+JOIN_ATTEMPTS = 20
+JOIN_INTERVAL_S = 0.25
+JOIN_TIMEOUT_S = 0.5
 
 Body = dict[str, typing.Any]
 Order = collections.abc.Callable[[Body], Body]
@@ -103,12 +106,14 @@
             settings.limits, self._repl, self._faults, self._observations
         )
         self._tasks: list[asyncio.Task[None]] = []
+        self._joining: asyncio.Task[None] | None = None
         self._orders: dict[str, Order] = {
             '/status': self._status,
             '/fence': self._fence,
             '/promote': self._promote,
             '/follow': self._follow,
             '/replicate': self._replicate,
+            '/join': self._join,
             '/members': self._members,
             '/faults': self._change_faults,
             '/observations': self._observe,
@@ -164,13 +169,16 @@
                 self._stall(conn, body.pop('stall_connections'))
             return webserver.Answer(200, {'id': body.get('id'), **order(body)})
         except replication.Refused as exc:
-            return _refusal(body, exc.kind, str(exc), exc.status)
+            answer = _refusal(body, exc.kind, str(exc), exc.status)
         except engine.ReadOnlyViolation as exc:
-            return _refusal(body, exc.kind, str(exc), 409)
+            answer = _refusal(body, exc.kind, str(exc), 409)
         except engine.StatementFailed as exc:
-            return _refusal(body, exc.kind, str(exc), 400)
+            answer = _refusal(body, exc.kind, str(exc), 400)
         except (KeyError, TypeError, ValueError, AttributeError) as exc:
-            return _refusal(body, 'bad_request', repr(exc), 400)
+            answer = _refusal(body, 'bad_request', repr(exc), 400)
+        if req.path == '/execute':
+            self._observations.work(answer.body['error']['kind'])
+        return answer
 
     async def _execute(
         self, conn: webserver.Connection, body: Body
@@ -181,6 +189,7 @@
                     body, 'too_many_connections', 'connection limit', 503
                 )
                 answer.close = True
+                self._observations.work('too_many_connections')
                 return answer
             await self._open(conn, counted=True)
         answer_or_none = await conn.session.execute(sessions.Call(body))
@@ -197,6 +206,9 @@
             conn.session = sessions.Session(self._host)
         if counted:
             self._host.open.add(conn.session)
+            self._observations.peak_connections = max(
+                self._observations.peak_connections, len(self._host.open)
+            )
         if first:
             if self._settings.limits.connect_cost_s:
                 await asyncio.sleep(self._settings.limits.connect_cost_s)
@@ -230,8 +242,41 @@
 
     def _follow(self, body: Body) -> Body:
         self._repl.follow(int(body['term']), int(body['start']))
+        if self._joining is not None:
+            self._joining.cancel()
+        self._joining = asyncio.get_running_loop().create_task(
+            self._join_primary(str(body['primary']))
+        )
         return self._status(body)
 
+    async def _join_primary(self, address: str) -> None:
+        """Tell the primary where this server is; its address may be new."""
+        client = webclient.Client(address)
+        body = {
+            'group': self._settings.group,
+            'term': self._repl.log.term,
+            'server': self._settings.server,
+            'address': self.address,
+        }
+        for _ in range(JOIN_ATTEMPTS):
+            try:
+                status, _ = await client.post('/join', body, JOIN_TIMEOUT_S)
+            except webclient.CallFailed:
+                status = 0
+            if status == 200:
+                break
+            await asyncio.sleep(JOIN_INTERVAL_S)
+        client.close()
+
+    def _join(self, body: Body) -> Body:
+        log = self._repl.log
+        if body['term'] != log.term or not self._repl.is_primary:
+            raise replication.Refused('not_primary', f'role is {log.role}')
+        name, address = body['server'], body['address']
+        if name in log.members and log.members[name] != address:
+            self._repl.set_members({**log.members, name: address})
+        return {}
+
     def _replicate(self, body: Body) -> Body:
         if self._faults.refuse_replication:
             raise replication.Refused('refused_by_fault', 'fault', 503)
--- a/packages/testkit/src/sassafrasridge_testkit/faults.py
+++ b/packages/testkit/src/sassafrasridge_testkit/faults.py
@@ -1,6 +1,9 @@
 """Faults that a test switches on in a stand-in server, and what it saw."""
 
 import collections
+import collections.abc
+import contextlib
+import time
 import typing
 
 from sassafrasridge_testkit import webserver
@@ -77,17 +80,35 @@
 
     ``executions`` counts how often each statement ran for a caller, whether
     or not its transaction committed; ``commits`` counts the commits of each
-    request id. ``watched`` counts the requests that contained a given text
-    anywhere in path, headers or body.
+    request id. ``counts`` counts ``/execute`` calls by what became of them:
+    ``read``, ``write`` (commits), ``replayed`` or the kind of a refusal.
+    ``peak_connections`` and ``peak_waiting`` (calls waiting for a slot) are
+    the highest numbers seen. ``watched`` counts the requests that contained
+    a given text anywhere in path, headers or body.
     """
 
-    __slots__ = ('headers', 'executions', 'commits', 'watched')
+    __slots__ = (
+        'headers',
+        'executions',
+        'commits',
+        'watched',
+        'counts',
+        'peak_connections',
+        'peak_waiting',
+        'waiting',
+        'last_work_at',
+    )
 
     def __init__(self) -> None:
         self.headers: set[tuple[str, str]] = set()
         self.executions: collections.Counter[str] = collections.Counter()
         self.commits: collections.Counter[str] = collections.Counter()
         self.watched: dict[str, int] = {}
+        self.counts: collections.Counter[str] = collections.Counter()
+        self.peak_connections = 0
+        self.peak_waiting = 0
+        self.waiting = 0
+        self.last_work_at: float | None = None
 
     def watch(self, texts: list[str]) -> None:
         """Count requests that contain these texts from now on."""
@@ -105,9 +126,32 @@
             ):
                 self.watched[text] += 1
 
+    @contextlib.contextmanager
+    def wait(self) -> collections.abc.Iterator[None]:
+        """Count a call that waits for a slot."""
+        self.waiting += 1
+        self.peak_waiting = max(self.peak_waiting, self.waiting)
+        try:
+            yield
+        finally:
+            self.waiting -= 1
+
+    def work(self, kind: str) -> None:
+        """Count a finished call; refused ones are no work."""
+        self.counts[kind] += 1
+        if kind in ('read', 'write'):
+            self.last_work_at = time.monotonic()
+
     def as_json(self) -> dict[str, typing.Any]:
-        """Return everything recorded."""
+        """Return everything recorded; ages in seconds."""
+        age = None
+        if self.last_work_at is not None:
+            age = time.monotonic() - self.last_work_at
         return {
+            'counts': self.counts,
+            'peak_connections': self.peak_connections,
+            'peak_waiting': self.peak_waiting,
+            'last_work_age_s': age,
             'headers': sorted(self.headers),
             'executions': self.executions,
             'commits': self.commits,
--- a/tests/testkit/conftest.py
+++ b/tests/testkit/conftest.py
@@ -1,5 +1,9 @@
 """Fixtures of the test kit's own tests."""
 
+import http.server
+import threading
+
+import orjson
 import pytest
 
 from sassafrasridge_testkit import harness
@@ -19,3 +23,35 @@
     result['g1'].client().execute(1, 'CREATE TABLE t (a PRIMARY KEY)')
     result.wait_replicated()
     return result
+
+
+class _Handler(http.server.BaseHTTPRequestHandler):
+    protocol_version = 'HTTP/1.1'
+
+    def do_POST(self):
+        size = int(self.headers['Content-Length'])
+        body = orjson.loads(self.rfile.read(size))
+        seen = (self.path, dict(self.headers.items()), body)
+        self.server.seen.append(seen)
+        data = orjson.dumps({'transaction': 't1'})
+        self.send_response(200)
+        self.send_header('Session-Token', f'token{len(self.server.seen)}')
+        self.send_header('Content-Length', str(len(data)))
+        self.end_headers()
+        self.wfile.write(data)
+
+    def log_message(self, *args):
+        pass
+
+
+@pytest.fixture
+def entry():
+    """An entry process that only records: (path, headers, body)."""
+    server = http.server.ThreadingHTTPServer(('127.0.0.1', 0), _Handler)
+    server.daemon_threads = True
+    server.seen = []
+    server.address = f'127.0.0.1:{server.server_port}'
+    threading.Thread(target=server.serve_forever, args=(0.02,)).start()
+    yield server
+    server.shutdown()
+    server.server_close()
