--- a/packages/core/src/sassafrasridge_core/shares.py
+++ b/packages/core/src/sassafrasridge_core/shares.py
@@ -39,6 +39,9 @@
 # Shortest and longest interval of renewals for which a request is waiting.
 URGENT_MIN_S = 0.05
 URGENT_MAX_S = 0.3
+# An account's rate stays in the pool only when its burst lasts for this long;
+# shorter bursts would limit it to one burst per exchange with the leader.
+POOLED_S = 0.2
 # Rounding allowance of one comparison, in tokens.
 EPSILON = 1e-9
 # Leader versions: term above this bit, a counter in steps of two below.
@@ -94,6 +97,7 @@
     capacity: float
     tokens: float
     prompt: bool
+    retry_s: float
 
 
 class Report:
@@ -134,7 +138,9 @@
 
     ``rate`` and ``capacity`` replace the holder's; ``tokens`` are added.
     ``prompt`` asks for the next renewal without delay, because others wait
-    for what this grant takes away or lends.
+    for what this grant takes away or lends. A grant whose version is its base
+    changes nothing: ``retry_s`` is the time after which asking again is
+    worthwhile.
     """
 
     __slots__ = (
@@ -145,6 +151,7 @@
         'capacity',
         'tokens',
         'prompt',
+        'retry_s',
     )
 
     def __init__(
@@ -156,6 +163,7 @@
         capacity: float,
         tokens: float,
         prompt: bool = False,
+        retry_s: float = 0.0,
     ) -> None:
         self.account = account
         self.base = base
@@ -164,6 +172,7 @@
         self.capacity = capacity
         self.tokens = tokens
         self.prompt = prompt
+        self.retry_s = retry_s
 
 
 class Demand:
@@ -212,6 +221,7 @@
         '_demand',
         '_wanted',
         '_prompt',
+        '_retry_at',
     )
 
     def __init__(self, account: str, validity: Validity | None = None) -> None:
@@ -224,6 +234,7 @@
         self._demand = Demand()
         self._wanted = 0.0
         self._prompt = False
+        self._retry_at = -math.inf
 
     def _settle(self, now: float) -> None:
         if now >= self._validity.until:
@@ -300,16 +311,32 @@
 
     def urgent(self, now: float) -> bool:
         """Tell whether a renewal before the regular one is worthwhile."""
-        if self._prompt and not self._wanted:
+        if self.due(now):
             return True
-        return self._wanted > 0 and (
+        if not self._wanted or now < self._retry_at:
+            return False
+        return (
             self.wait_time(now, min(1.0, self._wanted)) > URGENT_MIN_S
             or self.wait_time(now, self._wanted) > URGENT_MAX_S
         )
 
+    def due(self, now: float) -> bool:
+        """Tell whether the leader asked for a renewal by now."""
+        if self._wanted:
+            return -math.inf < self._retry_at <= now
+        return self._prompt
+
     def report(self, now: float) -> Report:
-        """Return the holding and the demand for a renewal."""
+        """Return the holding and the demand for a renewal.
+
+        Capacity that no rate can fill any more is given up here.
+        """
         self._settle(now)
+        self._prompt = False
+        self._retry_at = -math.inf
+        held = self._holding
+        if held.rate <= 0:
+            held.capacity = max(0.0, min(held.capacity, held.tokens))
         return Report(
             self.account,
             self._version,
@@ -319,9 +346,19 @@
             self._wanted,
         )
 
-    def replace(self, now: float, grant: GrantLike) -> bool:
-        """Apply a grant unless it starts from another version."""
+    def replace(
+        self, now: float, grant: GrantLike, sent_at: float | None = None
+    ) -> bool:
+        """Apply a grant unless it starts from another version.
+
+        ``sent_at`` is when the renewal that it answers was sent.
+        """
         self._settle(now)
+        if grant.version == grant.base == self._version:
+            # Counted from sending, the next renewal reaches the leader
+            # ``retry_s`` after this one did.
+            asked = now if sent_at is None else sent_at
+            self._retry_at = asked + grant.retry_s
         if grant.base != self._version or grant.version <= self._version:
             return False
         kept = min(self._holding.tokens, grant.capacity)
@@ -333,10 +370,6 @@
         self._prompt = grant.prompt
         return True
 
-    def reported(self) -> None:
-        """Note that a report left: a prompt renewal is no longer due."""
-        self._prompt = False
-
 
 class BucketSet:
     """Keep the buckets of one incarnation of an entry process.
@@ -378,10 +411,7 @@
                 del self._sent[old]
         self._sent[sequence] = now
         self._last_report = now
-        reports = [bucket.report(now) for bucket in self._buckets.values()]
-        for bucket in self._buckets.values():
-            bucket.reported()
-        return reports
+        return [bucket.report(now) for bucket in self._buckets.values()]
 
     def answered(
         self,
@@ -406,7 +436,7 @@
             self._validity.until = until
         changed = False
         for grant in grants:
-            changed |= self.bucket(grant.account).replace(now, grant)
+            changed |= self.bucket(grant.account).replace(now, grant, sent_at)
         if changed:
             self._interval = URGENT_MIN_S
         else:
@@ -418,9 +448,13 @@
         Renewals that change nothing make the interval longer, so that an
         account above its rate does not cause constant renewals.
         """
-        if now - self._last_report < self._interval - EPSILON:
+        passed = now - self._last_report + EPSILON
+        if passed < URGENT_MIN_S:
             return False
-        return any(bucket.urgent(now) for bucket in self._buckets.values())
+        buckets = self._buckets.values()
+        if passed < self._interval:
+            return any(bucket.due(now) for bucket in buckets)
+        return any(bucket.urgent(now) for bucket in buckets)
 
 
 class _Record:
@@ -640,6 +674,8 @@
     def learn(self, now: float, record: _Record, report: ReportLike) -> None:
         """Take what a report shows of the holding; ignore an older one."""
         if report.version <= record.version:
+            if report.version == record.version:
+                self._learn_use(now, record, report)
             return
         versions = [grant.version for grant in record.grants]
         applied = 0
@@ -666,6 +702,19 @@
         self.tokens += max(0.0, returned)
         self.clamp(now)
 
+    def _learn_use(
+        self, now: float, record: _Record, report: ReportLike
+    ) -> None:
+        """Take back capacity whose tokens were used.
+
+        Without a rate a holder can only use the tokens it has, and in one
+        version their number only falls: that needs no exchange of versions.
+        """
+        if record.rate <= 0 and report.capacity < record.capacity:
+            self._freed_capacity += record.capacity - report.capacity
+            record.capacity = report.capacity
+            self.count(now, record)
+
     def _confirm(self, record: _Record, applied: int) -> None:
         """Count the reductions of applied grants as free."""
         rate, capacity = record.rate, record.capacity
@@ -746,17 +795,24 @@
     ) -> tuple[float, float]:
         """Return the rate and the capacity that a holder should have."""
 
+    def retry_time(self, now: float, pool: Pool, record: _Record) -> float:
+        """Return when a waiting holder should ask again; 0 if unknown."""
+        return 0.0
+
     def set_account(
         self,
         now: float,
         name: str,
         rate: float,
         burst: float,
-        tokens: float = 0.0,
+        created: bool = False,
     ) -> None:
         """Set an account's limits in tokens/s and tokens.
 
-        ``tokens`` fills the pool of an account that never existed before.
+        ``created`` says that no account of this name existed before this
+        leader's term: nobody can hold a share, so it starts with its full
+        burst at once. All others start empty, because holders that this
+        leader does not know may have used the burst a moment ago.
         Raise BadRequestError for limits that are not finite or negative.
         """
         if not (0 <= rate < math.inf and 0 <= burst < math.inf):
@@ -764,16 +820,15 @@
                 f'client account {name!r}: rate {rate} and burst {burst} '
                 'must be finite and not negative'
             )
-        known = name in self._pools
+        if created and name not in self._pools:
+            pool = self._pools[name] = Pool(name, now, now)
+            pool.burst = pool.tokens = burst
         pool = self._pool(now, name)
         pool.settle(now)
         pool.lower_to(now, rate, burst)
         pool.rate = rate
         pool.burst = burst
-        if not known:
-            pool.tokens = min(tokens, burst)
-        else:
-            pool.clamp(now)
+        pool.clamp(now)
 
     def withdraw_account(self, now: float, name: str) -> None:
         """Take back all shares of an account as holders renew."""
@@ -834,6 +889,10 @@
                 pool.note_demand(now, record, demand, wanted)
             self._decide(now, pool, record, fresh=report is not None)
             grants += record.grants
+            if record.wanted and report is not None and not record.grants:
+                retry_s = self.retry_time(now, pool, record)
+                if retry_s > 0:
+                    grants.append(_unchanged(name, record, retry_s))
         return grants
 
     def _seen(self, now: float, entry: str, incarnation: int) -> _Holder:
@@ -896,7 +955,7 @@
             rate,
             capacity,
             _tokens_for(now, pool, record, capacity - old_capacity),
-            prompt=(fewer and others_wait) or pool.burst < 2 * self.live(),
+            prompt=others_wait and (fewer or rate <= 0),
         )
         pool.issue(now, record, grant)
 
@@ -958,6 +1017,18 @@
             pool.forget(now, key)
 
 
+def _unchanged(name: str, record: _Record, retry_s: float) -> Grant:
+    return Grant(
+        name,
+        record.version,
+        record.version,
+        record.rate,
+        record.capacity,
+        0.0,
+        retry_s=retry_s,
+    )
+
+
 def _differs(target: float, held: float, waits: bool) -> bool:
     """Tell whether a change is worth a new version.
 
@@ -984,6 +1055,14 @@
     return max(0.0, min(more, pool.tokens, wish))
 
 
+def _turn(pool: Pool, record: _Record) -> tuple[int, int]:
+    """Return how many wait before and after a holder."""
+    since = record.waiting_since
+    others = [r for r in pool.records.values() if r.wanted and r is not record]
+    ahead = sum(other.waiting_since < since for other in others)
+    return ahead, len(others) - ahead
+
+
 class StaticAllocator(Allocator):
     """Give every live entry process an equal share."""
 
@@ -1008,8 +1087,39 @@
             return self._rate(pool, record, spare, floor), capacity
         if pool.burst >= 2 * pool.sums.active:
             return self._shared(pool, record)
+        if self._pooled(pool):
+            return 0.0, record.capacity + self._whole(pool, record)
         return self._ranked(now, pool, record)
 
+    def retry_time(self, now: float, pool: Pool, record: _Record) -> float:
+        """Return when the pool has a token for this holder's turn."""
+        if not self._pooled(pool) or pool.rate <= 0:
+            return 0.0
+        ahead, _ = _turn(pool, record)
+        return max(URGENT_MIN_S, (ahead + 1 - pool.tokens) / pool.rate)
+
+    def _pooled(self, pool: Pool) -> bool:
+        """Tell whether the rate stays in the pool.
+
+        Holders then fetch single tokens. It suits a burst that is too small
+        to be divided, but lasts for several exchanges with the leader.
+        """
+        return (
+            1.5 < pool.sums.active
+            and pool.burst < 2 * pool.sums.active
+            and pool.burst >= POOLED_S * pool.rate
+        )
+
+    def _whole(self, pool: Pool, record: _Record) -> float:
+        """Return how many tokens to give now; negative to take them back."""
+        if not record.wanted:
+            return -record.capacity
+        ahead, behind = _turn(pool, record)
+        mine = pool.tokens + EPSILON - ahead
+        return max(
+            0.0, min(record.wanted, max(1, int(mine) - behind), int(mine))
+        )
+
     def _rate(
         self, pool: Pool, record: _Record, spare: float, floor: float
     ) -> float:
