--- a/packages/core/src/sassafrasridge_core/shares.py
+++ b/packages/core/src/sassafrasridge_core/shares.py
@@ -36,6 +36,11 @@
 # Time constant of the demand estimate: long enough to average a few renewals,
 # short enough that a share follows moved load within the time requests wait.
 DEMAND_DECAY_S = 0.5
+# A gap of this many mean intervals between requests bounds the estimate.
+STOP_GAPS = 3.0
+# After so many mean intervals without a request the load has moved away, and
+# a renewal tells the leader at once. By chance this gap is rare (exp(-5)).
+MOVED_GAPS = 5.0
 # Shortest and longest interval of renewals for which a request is waiting.
 URGENT_MIN_S = 0.05
 URGENT_MAX_S = 0.3
@@ -194,10 +199,16 @@
         """Return the estimate in tokens/s; zero once it is negligible."""
         if not self._count:
             return 0.0
-        passed = max(0.0, now - self._at)
-        rate = self._count * math.exp(-passed / self._decay_s) / self._decay_s
+        gap = max(0.0, now - self._at)
+        rate = self._count * math.exp(-gap / self._decay_s) / self._decay_s
+        if gap * rate > STOP_GAPS:
+            rate = STOP_GAPS / gap
         return rate if rate > 0.01 else 0.0
 
+    def gap(self, now: float) -> float:
+        """Return the seconds since the last request."""
+        return now - self._at
+
 
 class Validity:
     """Hold the time until which the holdings of one holder are valid."""
@@ -222,6 +233,9 @@
         '_wanted',
         '_prompt',
         '_retry_at',
+        '_reported_rate',
+        '_interval',
+        '_ask_at',
     )
 
     def __init__(self, account: str, validity: Validity | None = None) -> None:
@@ -235,6 +249,10 @@
         self._wanted = 0.0
         self._prompt = False
         self._retry_at = -math.inf
+        self._reported_rate = 0.0
+        # Interval and time of the next renewal for waiting requests.
+        self._interval = URGENT_MIN_S
+        self._ask_at = -math.inf
 
     def _settle(self, now: float) -> None:
         if now >= self._validity.until:
@@ -270,6 +288,9 @@
 
     def begin_wait(self, tokens: float = 1.0) -> None:
         """Note that a request waits for tokens."""
+        if not self._wanted:
+            self._interval = URGENT_MIN_S
+            self._ask_at = -math.inf
         self._wanted += tokens
 
     def end_wait(self, tokens: float = 1.0) -> None:
@@ -310,21 +331,26 @@
         return self._wanted
 
     def urgent(self, now: float) -> bool:
-        """Tell whether a renewal before the regular one is worthwhile."""
-        if self.due(now):
-            return True
-        if not self._wanted or now < self._retry_at:
-            return False
-        return (
+        """Tell whether a renewal before the regular one is worthwhile.
+
+        Renewals that bring nothing make the interval longer, so that an
+        account above its rate does not cause constant renewals.
+        """
+        if not self._wanted:
+            return self._prompt or self._moved(now)
+        if self._retry_at > -math.inf:
+            return now >= self._retry_at
+        return now >= self._ask_at and (
             self.wait_time(now, min(1.0, self._wanted)) > URGENT_MIN_S
             or self.wait_time(now, self._wanted) > URGENT_MAX_S
         )
 
-    def due(self, now: float) -> bool:
-        """Tell whether the leader asked for a renewal by now."""
-        if self._wanted:
-            return -math.inf < self._retry_at <= now
-        return self._prompt
+    def _moved(self, now: float) -> bool:
+        """Tell whether the load that was reported seems to have gone."""
+        gap = self._demand.gap(now)
+        return self._reported_rate > 1 and (
+            gap * self._reported_rate > MOVED_GAPS
+        )
 
     def report(self, now: float) -> Report:
         """Return the holding and the demand for a renewal.
@@ -334,6 +360,9 @@
         self._settle(now)
         self._prompt = False
         self._retry_at = -math.inf
+        self._reported_rate = self._demand.rate(now)
+        self._ask_at = now + self._interval - EPSILON
+        self._interval = min(1.5 * self._interval, URGENT_MAX_S)
         held = self._holding
         if held.rate <= 0:
             held.capacity = max(0.0, min(held.capacity, held.tokens))
@@ -342,7 +371,7 @@
             self._version,
             self._holding,
             self._returned,
-            self._demand.rate(now),
+            self._reported_rate,
             self._wanted,
         )
 
@@ -368,6 +397,7 @@
         self._at = now
         self._version = grant.version
         self._prompt = grant.prompt
+        self._interval = URGENT_MIN_S
         return True
 
 
@@ -383,7 +413,6 @@
         '_buckets',
         '_sent',
         '_last_report',
-        '_interval',
     )
 
     def __init__(self, ttl_s: float = CONFIG_TTL_S) -> None:
@@ -392,7 +421,6 @@
         self._buckets: dict[str, Bucket] = {}
         self._sent: dict[int, float] = {}
         self._last_report = -math.inf
-        self._interval = URGENT_MIN_S
 
     def bucket(self, account: str) -> Bucket:
         """Return the bucket of an account; it keeps its version for good."""
@@ -434,27 +462,14 @@
         if granted:
             until = max(self._validity.until, sent_at + self._ttl_s)
             self._validity.until = until
-        changed = False
         for grant in grants:
-            changed |= self.bucket(grant.account).replace(now, grant, sent_at)
-        if changed:
-            self._interval = URGENT_MIN_S
-        else:
-            self._interval = min(2 * self._interval, URGENT_MAX_S)
+            self.bucket(grant.account).replace(now, grant, sent_at)
 
     def urgent(self, now: float) -> bool:
-        """Tell whether to renew now instead of at the regular time.
-
-        Renewals that change nothing make the interval longer, so that an
-        account above its rate does not cause constant renewals.
-        """
-        passed = now - self._last_report + EPSILON
-        if passed < URGENT_MIN_S:
+        """Tell whether to renew now instead of at the regular time."""
+        if now - self._last_report < URGENT_MIN_S - EPSILON:
             return False
-        buckets = self._buckets.values()
-        if passed < self._interval:
-            return any(bucket.due(now) for bucket in buckets)
-        return any(bucket.urgent(now) for bucket in buckets)
+        return any(bucket.urgent(now) for bucket in self._buckets.values())
 
 
 class _Record:
@@ -475,6 +490,7 @@
         'wanted',
         'waiting_since',
         'granted_at',
+        'unmet',
         'counted',
     )
 
@@ -490,6 +506,8 @@
         self.wanted = 0.0
         self.waiting_since = math.inf
         self.granted_at = -math.inf
+        # Whether the target was out of reach because others hold it.
+        self.unmet = False
         self.counted = _Counts()
 
     def last(self) -> tuple[float, float]:
@@ -796,8 +814,11 @@
         """Return the rate and the capacity that a holder should have."""
 
     def retry_time(self, now: float, pool: Pool, record: _Record) -> float:
-        """Return when a waiting holder should ask again; 0 if unknown."""
-        return 0.0
+        """Return when a waiting holder should ask again; 0 if unknown.
+
+        What others are to give up becomes free within a few exchanges.
+        """
+        return 2 * URGENT_MIN_S if record.unmet else 0.0
 
     def set_account(
         self,
@@ -969,9 +990,11 @@
             rate = record.rate
         if not _differs(capacity, record.capacity, waits):
             capacity = record.capacity
-        rate = min(rate, record.rate + pool.free_rate(now))
-        free = pool.free_capacity(now)
-        capacity = min(capacity, record.capacity + free)
+        possible_rate = record.rate + pool.free_rate(now)
+        possible = record.capacity + pool.free_capacity(now)
+        record.unmet = 0.9 * rate > possible_rate or 0.9 * capacity > possible
+        rate = min(rate, possible_rate)
+        capacity = min(capacity, possible)
         if record.capacity < capacity < 1 - EPSILON and pool.burst >= 1:
             # Less than a whole token serves no request.
             capacity = record.capacity
@@ -1094,7 +1117,7 @@
     def retry_time(self, now: float, pool: Pool, record: _Record) -> float:
         """Return when the pool has a token for this holder's turn."""
         if not self._pooled(pool) or pool.rate <= 0:
-            return 0.0
+            return super().retry_time(now, pool, record)
         ahead, _ = _turn(pool, record)
         return max(URGENT_MIN_S, (ahead + 1 - pool.tokens) / pool.rate)
 
