--- a/packages/core/src/sassafrasridge_core/shares.py
+++ b/packages/core/src/sassafrasridge_core/shares.py
@@ -47,6 +47,8 @@
 # An account's rate stays in the pool only when its burst lasts for this long;
 # shorter bursts would limit it to one burst per exchange with the leader.
 POOLED_S = 0.2
+# Part of the demand that a full bucket hides while others wait.
+IDLE_DISCOUNT = 0.75
 # Rounding allowance of one comparison, in tokens.
 EPSILON = 1e-9
 # Leader versions: term above this bit, a counter in steps of two below.
@@ -905,7 +907,7 @@
             if report is not None:
                 pool.learn(now, record, report)
             if not overtaken:
-                demand = report.demand_rate if report else 0.0
+                demand = self._demand(pool, report) if report else 0.0
                 wanted = report.wanted_tokens if report else 0.0
                 pool.note_demand(now, record, demand, wanted)
             self._decide(now, pool, record, fresh=report is not None)
@@ -930,6 +932,18 @@
         holder.lost = False
         return holder
 
+    def _demand(self, pool: Pool, report: ReportLike) -> float:
+        """Return the demand, less where tokens go to waste.
+
+        A full bucket collects nothing more, while others wait for tokens.
+        """
+        demand = report.demand_rate
+        if report.wanted_tokens or not report.rate > 0 or not report.capacity:
+            return demand
+        if pool.sums.wanted > EPSILON:
+            demand *= 1 - IDLE_DISCOUNT * report.tokens / report.capacity
+        return demand
+
     def _presented(self, now: float, report: ReportLike) -> _Record:
         """Return a record of what an unknown holder presents.
 
