Split shares into holdings, pools and shares; test the exchange

Cause: one module of 1,100 lines. Change: holdings (holder side), pools (accounting), shares (allocators, re-exports the holder side); tests per mechanism; simulation.

--- a/packages/core/src/sassafrasridge_core/shares.py
+++ b/packages/core/src/sassafrasridge_core/shares.py
@@ -11,7 +11,9 @@
 grant until a report shows what became of it. A holder applies a grant only
 when it is at ``base``. An increase counts as held from the moment the grant
 is issued, a reduction as free only when a report shows the new version; the
-tokens that the holder gave up with it are reported as ``returned``.
+tokens that the holder gave up with it are reported as ``returned``. One
+reduction needs no new version: a holder without a rate gives up the capacity
+of tokens that it used, and reports the rest.
 
 Versions only rise. Those of leaders are even and start with the leader's
 term, so that two leaders never issue the same. A holder whose holdings lapsed
@@ -22,761 +24,52 @@
 import collections
 from collections.abc import Iterable
 import math
-import typing
 
 from sassafrasridge_core import errors
+from sassafrasridge_core import holdings
+from sassafrasridge_core import pools
+from sassafrasridge_core.holdings import Bucket
+from sassafrasridge_core.holdings import BucketSet
+from sassafrasridge_core.holdings import CONFIG_TTL_S
+from sassafrasridge_core.holdings import Demand
+from sassafrasridge_core.holdings import Grant
+from sassafrasridge_core.holdings import GrantLike
+from sassafrasridge_core.holdings import Holding
+from sassafrasridge_core.holdings import Report
+from sassafrasridge_core.holdings import ReportLike
+from sassafrasridge_core.holdings import Validity
+
+__all__ = (
+    'Allocator',
+    'Bucket',
+    'BucketSet',
+    'CONFIG_TTL_S',
+    'Demand',
+    'DemandAllocator',
+    'Grant',
+    'GrantLike',
+    'Holding',
+    'POLICIES',
+    'Report',
+    'ReportLike',
+    'StaticAllocator',
+    'Validity',
+    'allocator',
+)
 
-# Configuration, and with it each holding, lapses this long after the last
-# granted renewal was sent.
-CONFIG_TTL_S = 4.0
 # Difference in speed between two clocks that is tolerated.
 CLOCK_DRIFT = 0.02
 # Added to the time after which the leader takes back what was held.
 RECLAIM_MARGIN_S = 0.1
-# Time constant of the demand estimate: long enough to average a few renewals,
-# short enough that a share follows moved load within the time requests wait.
-DEMAND_DECAY_S = 0.5
-# A gap of this many mean intervals between requests bounds the estimate.
-STOP_GAPS = 3.0
-# After so many mean intervals without a request the load has moved away, and
-# a renewal tells the leader at once. By chance this gap is rare (exp(-5)).
-MOVED_GAPS = 5.0
-# Shortest and longest interval of renewals for which a request is waiting.
-URGENT_MIN_S = 0.05
-URGENT_MAX_S = 0.3
 # An account's rate stays in the pool only when its burst lasts for this long;
 # shorter bursts would limit it to one burst per exchange with the leader.
 POOLED_S = 0.2
 # Part of the demand that a full bucket hides while others wait.
 IDLE_DISCOUNT = 0.75
-# Rounding allowance of one comparison, in tokens.
-EPSILON = 1e-9
 # Leader versions: term above this bit, a counter in steps of two below.
 TERM_SHIFT = 40
 
 
-class Holding:
-    """Hold a rate (tokens/s), a capacity and a level of a token bucket.
-
-    >>> Holding(2.0, 10.0, 4.0)
-    Holding(2.0, 10.0, 4.0)
-    """
-
-    __slots__ = ('rate', 'capacity', 'tokens')
-
-    def __init__(
-        self, rate: float = 0.0, capacity: float = 0.0, tokens: float = 0.0
-    ) -> None:
-        self.rate = rate
-        self.capacity = capacity
-        self.tokens = tokens
-
-    def __repr__(self) -> str:
-        return f'Holding({self.rate}, {self.capacity}, {self.tokens})'
-
-    def refill(self, seconds: float) -> None:
-        """Add the tokens of an interval, up to the capacity."""
-        if seconds > 0:
-            grown = self.tokens + self.rate * seconds
-            self.tokens = min(self.capacity, grown)
-
-
-class ReportLike(typing.Protocol):
-    """Name the fields of a report, also of the thrift message."""
-
-    account: str
-    version: int
-    rate: float
-    capacity: float
-    tokens: float
-    returned: float
-    demand_rate: float
-    wanted_tokens: float
-
-
-class GrantLike(typing.Protocol):
-    """Name the fields of a grant, also of the thrift message."""
-
-    account: str
-    base: int
-    version: int
-    rate: float
-    capacity: float
-    tokens: float
-    prompt: bool
-    retry_s: float
-
-
-class Report:
-    """Report one account's holding and demand to the leader."""
-
-    __slots__ = (
-        'account',
-        'version',
-        'rate',
-        'capacity',
-        'tokens',
-        'returned',
-        'demand_rate',
-        'wanted_tokens',
-    )
-
-    def __init__(
-        self,
-        account: str,
-        version: int,
-        holding: Holding,
-        returned: float = 0.0,
-        demand_rate: float = 0.0,
-        wanted_tokens: float = 0.0,
-    ) -> None:
-        self.account = account
-        self.version = version
-        self.rate = holding.rate
-        self.capacity = holding.capacity
-        self.tokens = holding.tokens
-        self.returned = returned
-        self.demand_rate = demand_rate
-        self.wanted_tokens = wanted_tokens
-
-
-class Grant:
-    """Change a holding from version ``base`` to ``version``.
-
-    ``rate`` and ``capacity`` replace the holder's; ``tokens`` are added.
-    ``prompt`` asks for the next renewal without delay, because others wait
-    for what this grant takes away or lends. A grant whose version is its base
-    changes nothing: ``retry_s`` is the time after which asking again is
-    worthwhile.
-    """
-
-    __slots__ = (
-        'account',
-        'base',
-        'version',
-        'rate',
-        'capacity',
-        'tokens',
-        'prompt',
-        'retry_s',
-    )
-
-    def __init__(
-        self,
-        account: str,
-        base: int,
-        version: int,
-        rate: float,
-        capacity: float,
-        tokens: float,
-        prompt: bool = False,
-        retry_s: float = 0.0,
-    ) -> None:
-        self.account = account
-        self.base = base
-        self.version = version
-        self.rate = rate
-        self.capacity = capacity
-        self.tokens = tokens
-        self.prompt = prompt
-        self.retry_s = retry_s
-
-
-class Demand:
-    """Estimate a recent rate by an exponentially decaying count."""
-
-    __slots__ = ('_decay_s', '_count', '_at')
-
-    def __init__(self, decay_s: float = DEMAND_DECAY_S) -> None:
-        self._decay_s = decay_s
-        self._count = 0.0
-        self._at = -math.inf
-
-    def add(self, now: float, tokens: float) -> None:
-        """Count tokens that a new request asks for."""
-        self._count = self.rate(now) * self._decay_s + tokens
-        self._at = max(now, self._at)
-
-    def rate(self, now: float) -> float:
-        """Return the estimate in tokens/s; zero once it is negligible."""
-        if not self._count:
-            return 0.0
-        gap = max(0.0, now - self._at)
-        rate = self._count * math.exp(-gap / self._decay_s) / self._decay_s
-        if gap * rate > STOP_GAPS:
-            rate = STOP_GAPS / gap
-        return rate if rate > 0.01 else 0.0
-
-    def gap(self, now: float) -> float:
-        """Return the seconds since the last request."""
-        return now - self._at
-
-
-class Validity:
-    """Hold the time until which the holdings of one holder are valid."""
-
-    __slots__ = ('until',)
-
-    def __init__(self, until: float = -math.inf) -> None:
-        self.until = until
-
-
-class Bucket:
-    """Meter one account in one entry process."""
-
-    __slots__ = (
-        'account',
-        '_validity',
-        '_holding',
-        '_at',
-        '_version',
-        '_returned',
-        '_demand',
-        '_wanted',
-        '_prompt',
-        '_retry_at',
-        '_reported_rate',
-        '_interval',
-        '_ask_at',
-    )
-
-    def __init__(self, account: str, validity: Validity | None = None) -> None:
-        self.account = account
-        self._validity = validity or Validity()
-        self._holding = Holding()
-        self._at = -math.inf
-        self._version = 1
-        self._returned = 0.0
-        self._demand = Demand()
-        self._wanted = 0.0
-        self._prompt = False
-        self._retry_at = -math.inf
-        self._reported_rate = 0.0
-        # Interval and time of the next renewal for waiting requests.
-        self._interval = URGENT_MIN_S
-        self._ask_at = -math.inf
-
-    def _settle(self, now: float) -> None:
-        if now >= self._validity.until:
-            self.lapse()
-        elif now > self._at:
-            self._holding.refill(now - self._at)
-            self._at = now
-
-    def lapse(self) -> None:
-        """Drop the holding: the leader may give it to others from now on."""
-        if self._version % 2 == 0:
-            self._version |= 1
-            self._holding = Holding()
-            self._returned = 0.0
-            self._prompt = False
-
-    def take(
-        self, now: float, tokens: float = 1.0, *, waited: bool = False
-    ) -> bool:
-        """Take whole tokens when they are there.
-
-        ``waited`` marks a request that asked before: it counts as demand
-        only once, and it goes before requests that come later.
-        """
-        self._settle(now)
-        if not waited:
-            self._demand.add(now, tokens)
-        ahead = 0.0 if waited else self._wanted
-        if self._holding.tokens + EPSILON < tokens + ahead:
-            return False
-        self._holding.tokens -= tokens
-        return True
-
-    def begin_wait(self, tokens: float = 1.0) -> None:
-        """Note that a request waits for tokens."""
-        if not self._wanted:
-            self._interval = URGENT_MIN_S
-            self._ask_at = -math.inf
-        self._wanted += tokens
-
-    def end_wait(self, tokens: float = 1.0) -> None:
-        """Note that a request got its tokens or gave up."""
-        self._wanted = max(0.0, self._wanted - tokens)
-
-    def level(self, now: float) -> float:
-        """Return the tokens in the bucket."""
-        self._settle(now)
-        return self._holding.tokens
-
-    def holding(self, now: float) -> Holding:
-        """Return a copy of the holding."""
-        self._settle(now)
-        held = self._holding
-        return Holding(held.rate, held.capacity, held.tokens)
-
-    def wait_time(self, now: float, tokens: float = 1.0) -> float:
-        """Return the seconds until refilling gives so many tokens.
-
-        It is infinite when the holding alone never will.
-        """
-        self._settle(now)
-        held = self._holding
-        missing = tokens - held.tokens
-        if missing <= EPSILON:
-            return 0.0
-        if held.capacity + EPSILON < tokens or held.rate <= 0:
-            return math.inf
-        return missing / held.rate
-
-    def demand(self, now: float) -> float:
-        """Return the rate asked for recently in tokens/s."""
-        return self._demand.rate(now)
-
-    def wanted(self) -> float:
-        """Return the tokens that requests wait for."""
-        return self._wanted
-
-    def urgent(self, now: float) -> bool:
-        """Tell whether a renewal before the regular one is worthwhile.
-
-        Renewals that bring nothing make the interval longer, so that an
-        account above its rate does not cause constant renewals.
-        """
-        if not self._wanted:
-            return self._prompt or self._moved(now)
-        if self._retry_at > -math.inf:
-            return now >= self._retry_at
-        return now >= self._ask_at and (
-            self.wait_time(now, min(1.0, self._wanted)) > URGENT_MIN_S
-            or self.wait_time(now, self._wanted) > URGENT_MAX_S
-        )
-
-    def _moved(self, now: float) -> bool:
-        """Tell whether the load that was reported seems to have gone."""
-        gap = self._demand.gap(now)
-        return self._reported_rate > 1 and (
-            gap * self._reported_rate > MOVED_GAPS
-        )
-
-    def report(self, now: float) -> Report:
-        """Return the holding and the demand for a renewal.
-
-        Capacity that no rate can fill any more is given up here.
-        """
-        self._settle(now)
-        self._prompt = False
-        self._retry_at = -math.inf
-        self._reported_rate = self._demand.rate(now)
-        self._ask_at = now + self._interval - EPSILON
-        self._interval = min(1.5 * self._interval, URGENT_MAX_S)
-        held = self._holding
-        if held.rate <= 0:
-            held.capacity = max(0.0, min(held.capacity, held.tokens))
-        return Report(
-            self.account,
-            self._version,
-            self._holding,
-            self._returned,
-            self._reported_rate,
-            self._wanted,
-        )
-
-    def replace(
-        self, now: float, grant: GrantLike, sent_at: float | None = None
-    ) -> bool:
-        """Apply a grant unless it starts from another version.
-
-        ``sent_at`` is when the renewal that it answers was sent.
-        """
-        self._settle(now)
-        if grant.version == grant.base == self._version:
-            # Counted from sending, the next renewal reaches the leader
-            # ``retry_s`` after this one did.
-            asked = now if sent_at is None else sent_at
-            self._retry_at = asked + grant.retry_s
-        if grant.base != self._version or grant.version <= self._version:
-            return False
-        kept = min(self._holding.tokens, grant.capacity)
-        self._returned = self._holding.tokens - kept
-        tokens = min(kept + grant.tokens, grant.capacity)
-        self._holding = Holding(grant.rate, grant.capacity, tokens)
-        self._at = now
-        self._version = grant.version
-        self._prompt = grant.prompt
-        self._interval = URGENT_MIN_S
-        return True
-
-
-class BucketSet:
-    """Keep the buckets of one incarnation of an entry process.
-
-    It must be the only one that changes their validity.
-    """
-
-    __slots__ = (
-        '_ttl_s',
-        '_validity',
-        '_buckets',
-        '_sent',
-        '_last_report',
-    )
-
-    def __init__(self, ttl_s: float = CONFIG_TTL_S) -> None:
-        self._ttl_s = ttl_s
-        self._validity = Validity()
-        self._buckets: dict[str, Bucket] = {}
-        self._sent: dict[int, float] = {}
-        self._last_report = -math.inf
-
-    def bucket(self, account: str) -> Bucket:
-        """Return the bucket of an account; it keeps its version for good."""
-        if account not in self._buckets:
-            self._buckets[account] = Bucket(account, self._validity)
-        return self._buckets[account]
-
-    def valid(self, now: float) -> bool:
-        """Tell whether the holdings may be used."""
-        return now < self._validity.until
-
-    def reports(self, now: float, sequence: int) -> list[Report]:
-        """Return the reports of a renewal that is sent now."""
-        for old, at in list(self._sent.items()):
-            if at + self._ttl_s <= now:
-                del self._sent[old]
-        self._sent[sequence] = now
-        self._last_report = now
-        return [bucket.report(now) for bucket in self._buckets.values()]
-
-    def answered(
-        self,
-        now: float,
-        sequence: int,
-        granted: bool,
-        grants: Iterable[GrantLike],
-    ) -> None:
-        """Apply the answer to a renewal.
-
-        An answer later than the time to live after its renewal is ignored:
-        the leader may have given its content to others.
-        """
-        sent_at = self._sent.pop(sequence, -math.inf)
-        if sent_at + self._ttl_s <= now:
-            return
-        if not self.valid(now):
-            for bucket in self._buckets.values():
-                bucket.lapse()
-        if granted:
-            until = max(self._validity.until, sent_at + self._ttl_s)
-            self._validity.until = until
-        for grant in grants:
-            self.bucket(grant.account).replace(now, grant, sent_at)
-
-    def urgent(self, now: float) -> bool:
-        """Tell whether to renew now instead of at the regular time."""
-        if now - self._last_report < URGENT_MIN_S - EPSILON:
-            return False
-        return any(bucket.urgent(now) for bucket in self._buckets.values())
-
-
-class _Record:
-    """Hold what the leader knows of one holder's share of an account.
-
-    ``grants`` are the grants whose fate is unknown; each starts from the
-    version of the one before it, the first from ``version``.
-    """
-
-    __slots__ = (
-        'version',
-        'rate',
-        'capacity',
-        'grants',
-        'ceiling_rate',
-        'ceiling_capacity',
-        'demand',
-        'wanted',
-        'waiting_since',
-        'granted_at',
-        'unmet',
-        'counted',
-    )
-
-    def __init__(self, version: int, rate: float, capacity: float) -> None:
-        self.version = version
-        self.rate = rate
-        self.capacity = capacity
-        self.grants: list[Grant] = []
-        # Set when operators lower the limits; Pool.lower_to explains it.
-        self.ceiling_rate = math.inf
-        self.ceiling_capacity = math.inf
-        self.demand = 0.0
-        self.wanted = 0.0
-        self.waiting_since = math.inf
-        self.granted_at = -math.inf
-        # Whether the target was out of reach because others hold it.
-        self.unmet = False
-        self.counted = _Counts()
-
-    def last(self) -> tuple[float, float]:
-        """Return rate and capacity once all grants are applied."""
-        if self.grants:
-            return self.grants[-1].rate, self.grants[-1].capacity
-        return self.rate, self.capacity
-
-    def most_capacity(self) -> float:
-        """Return the highest capacity that may be in effect."""
-        return max([self.capacity, *(g.capacity for g in self.grants)])
-
-    def need(self) -> float:
-        """Return the rate that serves the demand and clears the waiting."""
-        return self.demand + self.wanted / DEMAND_DECAY_S
-
-    def desire(self) -> float:
-        """Return the capacity that the holder makes use of.
-
-        It covers what waits and one second of its demand, so that the rest
-        stays in the pool, where any other holder can fetch it in one
-        exchange.
-        """
-        if self.need() <= 0:
-            return 0.0
-        return max(1.0, self.wanted) + self.demand
-
-    def counts(self) -> '_Counts':
-        """Return what the record adds to the sums of its pool."""
-        rate, capacity = self.last()
-        return _Counts(
-            held_rate=max([self.rate, *(g.rate for g in self.grants)]),
-            held_capacity=self.most_capacity(),
-            planned_rate=min(rate, self.ceiling_rate),
-            planned_capacity=min(capacity, self.ceiling_capacity),
-            need=self.need(),
-            wanted=self.wanted,
-            desire=self.desire(),
-            active=float(self.need() > 0),
-        )
-
-
-class _Counts(typing.NamedTuple):
-    """Sum over the records of a pool, or the part of one record."""
-
-    held_rate: float = 0.0
-    held_capacity: float = 0.0
-    planned_rate: float = 0.0
-    planned_capacity: float = 0.0
-    need: float = 0.0
-    wanted: float = 0.0
-    desire: float = 0.0
-    active: float = 0.0
-
-
-class Pool:
-    """Account for one client account at the leader."""
-
-    __slots__ = (
-        'name',
-        'rate',
-        'burst',
-        'tokens',
-        'records',
-        'sums',
-        '_at',
-        '_open_at',
-        '_freed_rate',
-        '_freed_capacity',
-        '_changes',
-    )
-
-    # Sums are kept up to date by differences; they are added up anew after
-    # so many changes, so that rounding errors do not build up.
-    RECOUNT_CHANGES = 1000
-
-    def __init__(self, name: str, now: float, open_at: float) -> None:
-        self.name = name
-        self.rate = 0.0
-        self.burst = 0.0
-        self.tokens = 0.0
-        self.records: dict[Key, _Record] = {}
-        self.sums = _Counts()
-        self._at = now
-        # Before this time only what holders gave back may be given away.
-        self._open_at = open_at
-        self._freed_rate = 0.0
-        self._freed_capacity = 0.0
-        self._changes = 0
-
-    def free_rate(self, now: float) -> float:
-        """Return the rate that nobody holds."""
-        free = self.rate - self.sums.held_rate
-        if now < self._open_at:
-            free = min(free, self._freed_rate)
-        return max(0.0, free)
-
-    def free_capacity(self, now: float) -> float:
-        """Return the capacity that nobody holds."""
-        free = self.burst - self.sums.held_capacity
-        if now < self._open_at:
-            free = min(free, self._freed_capacity)
-        return max(0.0, free)
-
-    def settle(self, now: float) -> None:
-        """Refill the pool up to now; to be called before every change."""
-        if self._at < self._open_at <= now:
-            self._refill(self._open_at)
-        self._refill(now)
-
-    def _refill(self, now: float) -> None:
-        # What is free at the last change was free all the time since then.
-        passed = max(0.0, now - self._at)
-        grown = self.tokens + self.free_rate(self._at) * passed
-        self.tokens = min(self.free_capacity(self._at), grown)
-        self._at = max(self._at, now)
-
-    def count(self, now: float, record: _Record) -> None:
-        """Take a changed record into the sums."""
-        new = record.counts()
-        self.sums = _Counts(
-            *(
-                total + after - before
-                for total, after, before in zip(
-                    self.sums, new, record.counted, strict=True
-                )
-            )
-        )
-        record.counted = new
-        self._changes += 1
-        if self._changes >= self.RECOUNT_CHANGES:
-            self._recount()
-        self.clamp(now)
-
-    def _recount(self) -> None:
-        self._changes = 0
-        parts = [record.counted for record in self.records.values()]
-        self.sums = _Counts(*map(math.fsum, zip(*parts, strict=True)))
-
-    def clamp(self, now: float) -> None:
-        """Drop tokens above the free capacity."""
-        self.tokens = min(self.tokens, self.free_capacity(now))
-
-    def lower_to(self, now: float, rate: float, burst: float) -> None:
-        """Give each holder a ceiling when the limits are lowered.
-
-        The ceilings add up to the new limits, so that the holders can be
-        reduced in any order and independently of their later demand.
-        """
-        held = self.sums
-        for record in self.records.values():
-            own = record.counted
-            if rate < held.held_rate:
-                ceiling = own.held_rate * rate / held.held_rate
-                record.ceiling_rate = min(record.ceiling_rate, ceiling)
-            if burst < held.held_capacity:
-                ceiling = own.held_capacity * burst / held.held_capacity
-                record.ceiling_capacity = min(record.ceiling_capacity, ceiling)
-            self.count(now, record)
-
-    def room(self, record: _Record) -> tuple[float, float]:
-        """Return the most that a holder may keep within the limits."""
-        own = record.counted
-        rate = self.rate - (self.sums.planned_rate - own.planned_rate)
-        capacity = self.burst - (
-            self.sums.planned_capacity - own.planned_capacity
-        )
-        return (
-            max(0.0, min(rate, record.ceiling_rate)),
-            max(0.0, min(capacity, record.ceiling_capacity)),
-        )
-
-    def issue(self, now: float, record: _Record, grant: Grant) -> None:
-        """Count a grant's increases as held."""
-        rate, capacity = record.last()
-        self._freed_rate -= max(0.0, grant.rate - rate)
-        self._freed_capacity -= max(0.0, grant.capacity - capacity)
-        self.tokens -= grant.tokens
-        record.grants.append(grant)
-        self.count(now, record)
-
-    def learn(self, now: float, record: _Record, report: ReportLike) -> None:
-        """Take what a report shows of the holding; ignore an older one."""
-        if report.version <= record.version:
-            if report.version == record.version:
-                self._learn_use(now, record, report)
-            return
-        versions = [grant.version for grant in record.grants]
-        applied = 0
-        if report.version & ~1 in versions:
-            applied = versions.index(report.version & ~1) + 1
-        returned = 0.0
-        if applied and report.version % 2 == 0:
-            returned = report.returned
-        self._confirm(record, applied)
-        if report.version % 2 == 0 and applied:
-            del record.grants[:applied]
-        else:
-            # The holder is past the base of the others by another way, so
-            # they can no longer be applied.
-            returned += self._cancel(record, applied)
-        record.version = report.version
-        record.rate = report.rate
-        record.capacity = report.capacity
-        if record.rate <= record.ceiling_rate:
-            record.ceiling_rate = math.inf
-        if record.capacity <= record.ceiling_capacity:
-            record.ceiling_capacity = math.inf
-        self.count(now, record)
-        self.tokens += max(0.0, returned)
-        self.clamp(now)
-
-    def _learn_use(
-        self, now: float, record: _Record, report: ReportLike
-    ) -> None:
-        """Take back capacity whose tokens were used.
-
-        Without a rate a holder can only use the tokens it has, and in one
-        version their number only falls: that needs no exchange of versions.
-        """
-        if record.rate <= 0 and report.capacity < record.capacity:
-            self._freed_capacity += record.capacity - report.capacity
-            record.capacity = report.capacity
-            self.count(now, record)
-
-    def _confirm(self, record: _Record, applied: int) -> None:
-        """Count the reductions of applied grants as free."""
-        rate, capacity = record.rate, record.capacity
-        for grant in record.grants[:applied]:
-            self._freed_rate += max(0.0, rate - grant.rate)
-            self._freed_capacity += max(0.0, capacity - grant.capacity)
-            rate, capacity = grant.rate, grant.capacity
-
-    def _cancel(self, record: _Record, applied: int) -> float:
-        """Take back grants that were not applied; return their tokens."""
-        void = record.grants[applied:]
-        record.grants = []
-        if applied or not void:
-            return 0.0
-        # Only the first of a chain can be an increase.
-        self._freed_rate += max(0.0, void[0].rate - record.rate)
-        self._freed_capacity += max(0.0, void[0].capacity - record.capacity)
-        return sum(grant.tokens for grant in void)
-
-    def note_demand(
-        self, now: float, record: _Record, demand: float, wanted: float
-    ) -> None:
-        """Take the demand that a report shows."""
-        record.demand = max(0.0, demand)
-        record.wanted = max(0.0, wanted)
-        if not record.wanted:
-            record.waiting_since = math.inf
-        elif record.waiting_since == math.inf:
-            record.waiting_since = now
-        self.count(now, record)
-
-    def forget(self, now: float, key: 'Key') -> None:
-        """Take back the share of a holder that can no longer use it."""
-        del self.records[key]
-        self._recount()
-        self.clamp(now)
-
-
-# Entry process and incarnation.
-Key = tuple[str, int]
-
-
 class _Holder:
     """Hold what the leader knows of one incarnation of an entry process."""
 
@@ -786,7 +79,7 @@
         self.renewed_at = -math.inf
         self.sequence = 0
         self.lost = False
-        self.pools: dict[str, Pool] = {}
+        self.pools: dict[str, pools.Pool] = {}
 
 
 class Allocator(abc.ABC):
@@ -797,30 +90,32 @@
     """
 
     def __init__(
-        self, now: float, term: int, ttl_s: float = CONFIG_TTL_S
+        self, now: float, term: int, ttl_s: float = holdings.CONFIG_TTL_S
     ) -> None:
         self._reclaim_s = ttl_s * (1 + CLOCK_DRIFT) + RECLAIM_MARGIN_S
         self._open_at = now + self._reclaim_s
         self._version = term << TERM_SHIFT
-        self._pools: dict[str, Pool] = {}
+        self._pools: dict[str, pools.Pool] = {}
         # Ordered by the time of the last answer.
-        self._holders: collections.OrderedDict[Key, _Holder] = (
+        self._holders: collections.OrderedDict[pools.Key, _Holder] = (
             collections.OrderedDict()
         )
         self._lost = 0
 
     @abc.abstractmethod
     def target(
-        self, now: float, pool: Pool, record: _Record
+        self, now: float, pool: pools.Pool, record: pools.Record
     ) -> tuple[float, float]:
         """Return the rate and the capacity that a holder should have."""
 
-    def retry_time(self, now: float, pool: Pool, record: _Record) -> float:
+    def retry_time(
+        self, now: float, pool: pools.Pool, record: pools.Record
+    ) -> float:
         """Return when a waiting holder should ask again; 0 if unknown.
 
         What others are to give up becomes free within a few exchanges.
         """
-        return 2 * URGENT_MIN_S if record.unmet else 0.0
+        return 2 * holdings.URGENT_MIN_S if record.unmet else 0.0
 
     def set_account(
         self,
@@ -844,7 +139,7 @@
                 'must be finite and not negative'
             )
         if created and name not in self._pools:
-            pool = self._pools[name] = Pool(name, now, now)
+            pool = self._pools[name] = pools.Pool(name, now, now)
             pool.burst = pool.tokens = burst
         pool = self._pool(now, name)
         pool.settle(now)
@@ -862,26 +157,30 @@
         return [
             name
             for name, pool in self._pools.items()
-            if pool.burst or pool.sums.held_capacity > EPSILON
+            if pool.burst or pool.sums.held_capacity > holdings.EPSILON
         ]
 
+    def pool(self, name: str) -> pools.Pool:
+        """Return the accounting of an account; raise KeyError."""
+        return self._pools[name]
+
     def live(self) -> int:
         """Return the number of holders that are not known as lost."""
         return max(1, len(self._holders) - self._lost)
 
-    def _pool(self, now: float, name: str) -> Pool:
+    def _pool(self, now: float, name: str) -> pools.Pool:
         if name not in self._pools:
-            self._pools[name] = Pool(name, now, self._open_at)
+            self._pools[name] = pools.Pool(name, now, self._open_at)
         return self._pools[name]
 
     def renew(
         self,
         now: float,
         entry: str,
-        reports: Iterable[ReportLike],
+        reports: Iterable[holdings.ReportLike],
         incarnation: int = 0,
         sequence: int = 0,
-    ) -> list[Grant]:
+    ) -> list[holdings.Grant]:
         """Answer a renewal with the changes of its holdings.
 
         To be called only while this control member leads. Sequences rise per
@@ -893,7 +192,7 @@
         holder.sequence = max(holder.sequence, sequence)
         by_account = {report.account: report for report in reports}
         key = (entry, incarnation)
-        grants: list[Grant] = []
+        grants: list[holdings.Grant] = []
         for name in [*by_account, *(holder.pools.keys() - by_account.keys())]:
             pool = holder.pools.get(name) or self._pool(now, name)
             holder.pools[name] = pool
@@ -932,7 +231,7 @@
         holder.lost = False
         return holder
 
-    def _demand(self, pool: Pool, report: ReportLike) -> float:
+    def _demand(self, pool: pools.Pool, report: holdings.ReportLike) -> float:
         """Return the demand, less where tokens go to waste.
 
         A full bucket collects nothing more, while others wait for tokens.
@@ -940,22 +239,24 @@
         demand = report.demand_rate
         if report.wanted_tokens or not report.rate > 0 or not report.capacity:
             return demand
-        if pool.sums.wanted > EPSILON:
+        if pool.sums.wanted > holdings.EPSILON:
             demand *= 1 - IDLE_DISCOUNT * report.tokens / report.capacity
         return demand
 
-    def _presented(self, now: float, report: ReportLike) -> _Record:
+    def _presented(
+        self, now: float, report: holdings.ReportLike
+    ) -> pools.Record:
         """Return a record of what an unknown holder presents.
 
         Later than one time to live after the start, what this leader does
         not know of has lapsed: the report was delayed for that long.
         """
         if now < self._open_at:
-            return _Record(report.version, report.rate, report.capacity)
-        return _Record(report.version, 0.0, 0.0)
+            return pools.Record(report.version, report.rate, report.capacity)
+        return pools.Record(report.version, 0.0, 0.0)
 
     def _decide(
-        self, now: float, pool: Pool, record: _Record, fresh: bool
+        self, now: float, pool: pools.Pool, record: pools.Record, fresh: bool
     ) -> None:
         """Issue a grant when the share is to change.
 
@@ -968,11 +269,11 @@
         if fresh and not record.grants:
             rate, capacity = self._wish(now, pool, record)
         most_rate, most_capacity = pool.room(record)
-        if rate > most_rate + EPSILON:
+        if rate > most_rate + holdings.EPSILON:
             rate = most_rate
-        if capacity > most_capacity + EPSILON:
+        if capacity > most_capacity + holdings.EPSILON:
             capacity = most_capacity
-        if capacity < EPSILON:
+        if capacity < holdings.EPSILON:
             rate = capacity = 0.0
         if rate == old_rate and capacity == old_capacity:
             return
@@ -981,9 +282,9 @@
             if record.wanted:
                 record.waiting_since = now
         fewer = capacity < old_capacity or rate < 0.75 * old_rate
-        others_wait = pool.sums.wanted - record.wanted > EPSILON
+        others_wait = pool.sums.wanted - record.wanted > holdings.EPSILON
         self._version += 2
-        grant = Grant(
+        grant = holdings.Grant(
             pool.name,
             record.grants[-1].version if record.grants else record.version,
             self._version,
@@ -995,7 +296,7 @@
         pool.issue(now, record, grant)
 
     def _wish(
-        self, now: float, pool: Pool, record: _Record
+        self, now: float, pool: pools.Pool, record: pools.Record
     ) -> tuple[float, float]:
         """Return the target as far as it is worthwhile and free."""
         rate, capacity = self.target(now, pool, record)
@@ -1009,7 +310,10 @@
         record.unmet = 0.9 * rate > possible_rate or 0.9 * capacity > possible
         rate = min(rate, possible_rate)
         capacity = min(capacity, possible)
-        if record.capacity < capacity < 1 - EPSILON and pool.burst >= 1:
+        if (
+            record.capacity < capacity < 1 - holdings.EPSILON
+            and pool.burst >= 1
+        ):
             # Less than a whole token serves no request.
             capacity = record.capacity
         return rate, capacity
@@ -1033,7 +337,7 @@
                 self._lose(now, key)
         self.tick(now)
 
-    def _lose(self, now: float, key: Key) -> None:
+    def _lose(self, now: float, key: pools.Key) -> None:
         holder = self._holders[key]
         self._lost += not holder.lost
         holder.lost = True
@@ -1046,7 +350,7 @@
         if (entry, incarnation) in self._holders:
             self._forget(now, (entry, incarnation))
 
-    def _forget(self, now: float, key: Key) -> None:
+    def _forget(self, now: float, key: pools.Key) -> None:
         holder = self._holders.pop(key)
         self._lost -= holder.lost
         for pool in holder.pools.values():
@@ -1054,8 +358,8 @@
             pool.forget(now, key)
 
 
-def _unchanged(name: str, record: _Record, retry_s: float) -> Grant:
-    return Grant(
+def _unchanged(name: str, record: pools.Record, retry_s: float) -> Grant:
+    return holdings.Grant(
         name,
         record.version,
         record.version,
@@ -1071,13 +375,15 @@
 
     Small changes follow only the noise of the demand estimates.
     """
-    if target < EPSILON or held < EPSILON:
-        return abs(target - held) > EPSILON
+    if target < holdings.EPSILON or held < holdings.EPSILON:
+        return abs(target - held) > holdings.EPSILON
     limit = 0.02 if waits and target > held else 0.1
     return abs(target - held) > limit * max(target, held)
 
 
-def _tokens_for(now: float, pool: Pool, record: _Record, more: float) -> float:
+def _tokens_for(
+    now: float, pool: pools.Pool, record: pools.Record, more: float
+) -> float:
     """Return the tokens that go along with an increase of the capacity.
 
     Never more than the increase: tokens given into capacity that the holder
@@ -1092,7 +398,7 @@
     return max(0.0, min(more, pool.tokens, wish))
 
 
-def _turn(pool: Pool, record: _Record) -> tuple[int, int]:
+def _turn(pool: pools.Pool, record: pools.Record) -> tuple[int, int]:
     """Return how many wait before and after a holder."""
     since = record.waiting_since
     others = [r for r in pool.records.values() if r.wanted and r is not record]
@@ -1104,7 +410,7 @@
     """Give every live entry process an equal share."""
 
     def target(
-        self, now: float, pool: Pool, record: _Record
+        self, now: float, pool: pools.Pool, record: pools.Record
     ) -> tuple[float, float]:
         """Return the equal share."""
         return pool.rate / self.live(), pool.burst / self.live()
@@ -1114,7 +420,7 @@
     """Let the shares follow the demand."""
 
     def target(
-        self, now: float, pool: Pool, record: _Record
+        self, now: float, pool: pools.Pool, record: pools.Record
     ) -> tuple[float, float]:
         """Return a share in proportion to the need."""
         floor = 1.0 if pool.burst >= 4 * self.live() else 0.0
@@ -1128,14 +434,18 @@
             return 0.0, record.capacity + self._whole(pool, record)
         return self._ranked(now, pool, record)
 
-    def retry_time(self, now: float, pool: Pool, record: _Record) -> float:
+    def retry_time(
+        self, now: float, pool: pools.Pool, record: pools.Record
+    ) -> float:
         """Return when the pool has a token for this holder's turn."""
         if not self._pooled(pool) or pool.rate <= 0:
             return super().retry_time(now, pool, record)
         ahead, _ = _turn(pool, record)
-        return max(URGENT_MIN_S, (ahead + 1 - pool.tokens) / pool.rate)
+        return max(
+            holdings.URGENT_MIN_S, (ahead + 1 - pool.tokens) / pool.rate
+        )
 
-    def _pooled(self, pool: Pool) -> bool:
+    def _pooled(self, pool: pools.Pool) -> bool:
         """Tell whether the rate stays in the pool.
 
         Holders then fetch single tokens. It suits a burst that is too small
@@ -1147,51 +457,59 @@
             and pool.burst >= POOLED_S * pool.rate
         )
 
-    def _whole(self, pool: Pool, record: _Record) -> float:
+    def _whole(self, pool: pools.Pool, record: pools.Record) -> float:
         """Return how many tokens to give now; negative to take them back."""
         if not record.wanted:
             return -record.capacity
         ahead, behind = _turn(pool, record)
-        mine = pool.tokens + EPSILON - ahead
+        mine = pool.tokens + holdings.EPSILON - ahead
         return max(
             0.0, min(record.wanted, max(1, int(mine) - behind), int(mine))
         )
 
     def _rate(
-        self, pool: Pool, record: _Record, spare: float, floor: float
+        self,
+        pool: pools.Pool,
+        record: pools.Record,
+        spare: float,
+        floor: float,
     ) -> float:
         need = pool.sums.need
-        if EPSILON < need >= pool.rate:
+        if holdings.EPSILON < need >= pool.rate:
             return pool.rate * record.need() / need
         surplus = pool.rate - need
         # The pool keeps a part when it has capacity to collect tokens.
         if spare >= 1:
             surplus *= 0.75
         equal = 0.2 * surplus / self.live() if floor else 0.0
-        if need <= EPSILON:
+        if need <= holdings.EPSILON:
             return equal
         rest = 0.8 * surplus if floor else surplus
         return record.need() + rest * record.need() / need + equal
 
-    def _shared(self, pool: Pool, record: _Record) -> tuple[float, float]:
+    def _shared(
+        self, pool: pools.Pool, record: pools.Record
+    ) -> tuple[float, float]:
         """Give one token to each in need and the rest by desire."""
         if record.need() <= 0:
             return 0.0, 0.0
         rate = pool.rate * record.need() / pool.sums.need
         rest = pool.burst - pool.sums.active
-        above = max(EPSILON, pool.sums.desire - pool.sums.active)
+        above = max(holdings.EPSILON, pool.sums.desire - pool.sums.active)
         return rate, 1.0 + rest * (record.desire() - 1.0) / above
 
     def _ranked(
-        self, now: float, pool: Pool, record: _Record
+        self, now: float, pool: pools.Pool, record: pools.Record
     ) -> tuple[float, float]:
         """Give whole tokens to those first in line."""
-        quantum = max(2 * URGENT_MIN_S, 1.0 / max(pool.rate, EPSILON))
+        quantum = max(
+            2 * holdings.URGENT_MIN_S, 1.0 / max(pool.rate, holdings.EPSILON)
+        )
 
-        def rank(other: _Record) -> tuple[int, float]:
+        def rank(other: pools.Record) -> tuple[int, float]:
             if not other.wanted:
                 return 2, -other.need() - (1e9 if other.capacity else 0)
-            if other.most_capacity() < 1 - EPSILON:
+            if other.most_capacity() < 1 - holdings.EPSILON:
                 return 1, other.waiting_since
             # Who has got capacity keeps it long enough to use one token.
             if now < other.granted_at + quantum:
@@ -1202,7 +520,7 @@
             (other for other in pool.records.values() if other.need() > 0),
             key=rank,
         )
-        served = line[: int(pool.burst + EPSILON)]
+        served = line[: int(pool.burst + holdings.EPSILON)]
         if record not in served:
             return 0.0, 0.0
         need = sum(other.need() for other in served)
@@ -1219,7 +537,7 @@
 
 
 def allocator(
-    policy: str, now: float, term: int, ttl_s: float = CONFIG_TTL_S
+    policy: str, now: float, term: int, ttl_s: float = holdings.CONFIG_TTL_S
 ) -> Allocator:
     """Return an allocator for a policy; raise SettingsError for others."""
     if policy not in POLICIES:
