--- a/packages/core/src/sassafrasridge_core/circuits.py
+++ b/packages/core/src/sassafrasridge_core/circuits.py
@@ -121,7 +121,7 @@
         self._count(now, failed=True)
         if self.state is State.OPEN:
             return
-        if self.state is State.HALF_OPEN:
+        if self.state in (State.HALF_OPEN, State.RAMP):
             self._open_s = min(2 * self._open_s, MAX_OPEN_S)
             self._open(now)
         elif self._tripped():
--- a/packages/core/src/sassafrasridge_core/retries.py
+++ b/packages/core/src/sassafrasridge_core/retries.py
@@ -61,7 +61,7 @@
     def allow(self, now: float) -> bool:
         """Count and allow a retry, or refuse it."""
         self._decay(now)
-        if self._retries + 1 > self._requests * self._ratio + self._floor:
+        if self._retries + 1 > max(self._requests * self._ratio, self._floor):
             return False
         self._retries += 1
         return True
--- a/packages/core/src/sassafrasridge_core/slots.py
+++ b/packages/core/src/sassafrasridge_core/slots.py
@@ -56,10 +56,11 @@
         return dict.fromkeys(weights, 0)
     if sum(weights.values()) <= 0:
         weights = dict.fromkeys(weights, 1.0)
-    scale = total / sum(weights.values())
-    parts = {name: int(w * scale) for name, w in weights.items()}
+    whole = sum(weights.values())
+    exact = {name: weight / whole * total for name, weight in weights.items()}
+    parts = {name: int(share) for name, share in exact.items()}
     by_remainder = sorted(
-        weights, key=lambda name: (parts[name] - weights[name] * scale, name)
+        weights, key=lambda name: (parts[name] - exact[name], name)
     )
     for name in by_remainder[: total - sum(parts.values())]:
         parts[name] += 1
