--- a/packages/node/src/sassafrasridge_node/codec.py
+++ b/packages/node/src/sassafrasridge_node/codec.py
@@ -109,4 +109,5 @@
         capacity=grant.capacity,
         tokens=grant.tokens,
         prompt=grant.prompt,
+        retry_s=grant.retry_s,
     )
--- a/packages/node/src/sassafrasridge_node/ridge.thrift
+++ b/packages/node/src/sassafrasridge_node/ridge.thrift
@@ -10,6 +10,7 @@
   5: double capacity,
   6: double tokens,
   7: bool prompt,
+  8: double retry_s,        // time until asking again is worthwhile
 }
 
 // An entry process's report on one client account.
