Strengthen tests that survived a mutation; judge silence by alike connections

A test of silent connections was flaky: a probe of a connection that was opened after the silence began cleared the stalled one. Change: tests of connections, writes, leases, promotion, replicas that lag, replicas that leave and stops with an open transaction; only an idle connection as old as the stalled one may clear it.

--- a/packages/node/src/sassafrasridge_node/backends.py
+++ b/packages/node/src/sassafrasridge_node/backends.py
@@ -384,9 +384,11 @@
         last_answer_at = conn.last_answer_at
         idle = self.pool.take_oldest()
         if idle is not None:
-            await self._probe_idle(idle, started)
-            return
-        if not await self._probe_new(None):
+            alike = idle.opened_at <= last_answer_at
+            if await self._probe_idle(idle, started) and alike:
+                # A connection as old answers, so the statement is slow.
+                return
+        elif not await self._probe_new(None):
             return
         await asyncio.sleep(SILENT_S - STALL_S)
         if not conn.closed and conn.last_answer_at == last_answer_at:
@@ -467,6 +469,7 @@
     async def _probe_idle(
         self, conn: connections.TargetConnection, started: float
     ) -> bool:
+        """Probe an idle connection; when it is silent, probe a new one."""
         try:
             answer = await conn.call('/status', {}, PROBE_TIMEOUT_S)
         except connections.ConnectionLostError:
--- /dev/null
+++ b/tests/core/test_promotion.py
@@ -0,0 +1,91 @@
+"""Tests of failure detection and of the choice of a primary."""
+
+from sassafrasridge_core import model
+from sassafrasridge_core import promotion
+
+VIEW = model.GroupView('g', 1, 'a', {'a': '', 'b': '', 'c': ''})
+
+
+def fenced(server, last_term, received, zone='z'):
+    return promotion.Fenced(server, zone, last_term, received)
+
+
+class TestChoosePrimary:
+    def test_longer_log_wins(self):
+        """Guards against losing writes that only one replica received."""
+        chosen = promotion.choose_primary(
+            VIEW, [fenced('c', 1, 4), fenced('b', 1, 5)], near_zone='z'
+        )
+        assert chosen.server == 'b'
+
+    def test_later_term_wins_over_longer_log(self):
+        """Guards against promoting an unacknowledged tail of an old term."""
+        chosen = promotion.choose_primary(
+            VIEW, [fenced('c', 1, 9), fenced('b', 2, 5)]
+        )
+        assert chosen.server == 'b'
+
+    def test_leaving_server_is_taken_only_when_it_is_ahead(self):
+        """Guards against losing writes to spare a leaving server."""
+        servers = [fenced('b', 1, 5), fenced('c', 1, 5)]
+        assert promotion.choose_primary(VIEW, servers, {'c'}).server == 'b'
+        servers = [fenced('b', 1, 5), fenced('c', 1, 6)]
+        assert promotion.choose_primary(VIEW, servers, {'c'}).server == 'c'
+
+    def test_same_server_twice_is_no_majority(self):
+        """Guards against counting one answer twice."""
+        servers = [fenced('b', 1, 5), fenced('b', 1, 5)]
+        assert promotion.choose_primary(VIEW, servers) is None
+
+    def test_server_outside_the_group_is_no_majority(self):
+        """Guards against counting a server that holds no vote."""
+        servers = [fenced('b', 1, 5), fenced('x', 1, 9)]
+        assert promotion.choose_primary(VIEW, servers) is None
+
+
+class TestDetector:
+    def setup_method(self):
+        self.detector = promotion.Detector(0.8)
+
+    def report(self, observer, at, age):
+        info = model.TargetInfo('a', 'g', 'z', '', 'primary', 1, 5, 2, 30)
+        self.detector.report(
+            observer, 'g', 'a', promotion.Sighting(at, age, age, info)
+        )
+
+    def failed(self, now, *live):
+        return self.detector.failed(now, 'g', 'a', set(live))
+
+    def test_one_observer_of_three_causes_no_change(self):
+        """Guards against a promotion caused by one cut-off observer."""
+        self.report('x', 10.0, 5.0)
+        self.report('y', 10.0, 0.1)
+        self.report('z', 10.0, 0.1)
+        assert not self.failed(10.0, 'x', 'y', 'z')
+
+    def test_majority_of_observers_causes_a_change(self):
+        """Guards against keeping a primary that is cut off."""
+        self.report('x', 10.0, 0.9)
+        self.report('y', 10.0, 0.9)
+        self.report('z', 10.0, 0.1)
+        assert self.failed(10.0, 'x', 'y', 'z')
+
+    def test_observer_without_a_lease_does_not_count(self):
+        """Guards against trusting what a cut-off process last saw."""
+        self.report('x', 10.0, 5.0)
+        self.report('y', 10.0, 5.0)
+        self.report('z', 10.0, 0.1)
+        assert not self.failed(10.0, 'z')
+
+    def test_no_observer_causes_no_change(self):
+        """Guards against a promotion by a leader that hears of nobody."""
+        assert not self.failed(10.0)
+        self.report('x', 10.0, 5.0)
+        assert not self.failed(10.0)
+
+    def test_forgotten_observer_does_not_count(self):
+        """Guards against counting a holder that is gone."""
+        self.report('x', 10.0, 5.0)
+        self.report('y', 10.0, 5.0)
+        self.detector.forget('y')
+        assert not self.failed(10.0, 'x', 'y')
--- a/tests/integration/test_failover.py
+++ b/tests/integration/test_failover.py
@@ -5,6 +5,8 @@
 
 import pytest
 
+from sassafrasridge_testkit import harness
+
 GAP_LIMIT_S = 8.0
 PLANNED_GAP_S = 2.0
 
@@ -129,6 +131,30 @@
         system.wait_settled()
 
 
+class TestLeavingReplica:
+    def test_it_gets_no_new_reads(self, system):
+        """Guards against sending work to a target that leaves."""
+        replica = next(
+            s
+            for s in system.group.servers.values()
+            if s.status()['role'] == 'replica'
+        )
+        caller = system.caller(0)
+
+        def served_by():
+            answer = caller.read('SELECT 1')
+            assert answer.status == 200, answer
+            return answer.body['served_by']['server']
+
+        harness.wait_until(
+            lambda: served_by() == replica.name, 5, 'read from the replica'
+        )
+        replica.faults(leaving=True)
+        time.sleep(3.0)
+        assert replica.name not in {served_by() for _ in range(50)}
+        replica.faults(leaving=False)
+
+
 class TestRepeatedFailover:
     def test_promoted_replica_killed_right_after(self, system):
         """Guards against losing writes when two primaries die in turn."""
--- a/tests/integration/test_keys.py
+++ b/tests/integration/test_keys.py
@@ -46,6 +46,10 @@
         # The other entry process may hear of it a renewal later.
         system.deployment.wait_in_force()
         assert time.monotonic() - moment < WITHDRAWAL_LIMIT_S
+        # The transaction held the target's only write lock; it must not go on
+        # until the target's own limit of 5 s.
+        answer = system.insert(778, deadline_ms=2000)
+        assert answer.status == 200, answer
         answer = tx.commit()
         assert answer.status == 401, answer
         assert 777 not in system.values()
--- a/tests/integration/test_outcomes.py
+++ b/tests/integration/test_outcomes.py
@@ -201,7 +201,14 @@
             answers.append(caller.read('SELECT 1'))
         answers.append(caller.read('SELECT 1'))
         assert all(answer.status == 200 for answer in answers), answers
-        assert tx.commit().status == 200
+        # The balancer sends further calls elsewhere, and the process waits
+        # for its open transaction well beyond the notice to the balancer.
+        tx._caller = system.caller(1)
+        started = time.monotonic()
+        while time.monotonic() - started < 2.0:
+            assert tx.statements('SELECT 1').status == 200
+        answer = tx.commit()
+        assert answer.status == 200, answer
         assert node.process.wait_exit() == 0
         assert (
             800
--- a/tests/integration/test_path.py
+++ b/tests/integration/test_path.py
@@ -1,5 +1,7 @@
 """The whole path with real processes."""
 
+import time
+
 import pytest
 
 from sassafrasridge_testkit import deployments
@@ -42,6 +44,53 @@
             assert answer.status == 200, answer
             assert answer.rows == [[value]]
 
+    def test_a_session_is_not_served_by_a_replica_behind_it(self, system):
+        """Guards against reading the past from a replica that lags."""
+        deployment, group = system
+        for server in group.servers.values():
+            server.faults(apply_lag_ms=300)
+        one, two = (
+            deployment.caller(node, KEY)
+            for node in deployment.entries.values()
+        )
+        roles = set()
+        for value in range(100, 130):
+            answer = one.statements(('INSERT INTO t VALUES (?)', [value]))
+            assert answer.status == 200, answer
+            two.token = one.token
+            answer = two.read('SELECT max(a) FROM t')
+            assert answer.rows == [[value]]
+            roles.add(answer.body['served_by']['role'])
+        assert 'primary' in roles
+        for server in group.servers.values():
+            server.faults(apply_lag_ms=0)
+
+    def test_a_read_of_bounded_age_is_not_older(self, system):
+        """Guards against answering with data older than the read accepts."""
+        deployment, group = system
+        caller = deployment.caller(
+            next(iter(deployment.entries.values())), KEY
+        )
+        replicas = [
+            s
+            for s in group.servers.values()
+            if s.status()['role'] == 'replica'
+        ]
+        for server in replicas:
+            server.faults(stop_applying=True)
+        for value in range(200, 230):
+            answer = caller.statements(('INSERT INTO t VALUES (?)', [value]))
+            assert answer.status == 200, answer
+            caller.token = None
+            time.sleep(0.05)
+            answer = caller.read(
+                'SELECT max(a) FROM t', consistency={'max_age_ms': 20}
+            )
+            assert answer.rows == [[value]]
+            assert answer.body['served_by']['role'] == 'primary'
+        for server in replicas:
+            server.faults(stop_applying=False)
+
     def test_a_transaction_commits_through_another_entry_process(self, system):
         """Guards against a transaction call that the balancer misroutes."""
         deployment, _ = system
--- /dev/null
+++ b/tests/node/test_writes.py
@@ -0,0 +1,84 @@
+"""Tests of what a write's answer means."""
+
+import random
+
+import pytest
+
+from sassafrasridge_core import errors
+from sassafrasridge_core import leases
+from sassafrasridge_core import model
+from sassafrasridge_node import answers
+from sassafrasridge_node import clocks
+from sassafrasridge_node import connections
+from sassafrasridge_node import entry
+from sassafrasridge_node import metrics
+from sassafrasridge_node import writes
+
+
+class TestWriter:
+    def setup_method(self):
+        counters = metrics.Metrics()
+        self.state = entry.EntryState(
+            'e', 'z', leases.LeaseTimes(), connections.Dialer(), counters
+        )
+        self.view(1, 'a')
+        self.lease()
+        self.writer = writes.Writer(self.state, counters, random.Random(1))
+        self.attempt = writes.Attempt('shop', 'id', 'digest', [])
+
+    def view(self, term, primary):
+        self.state.groups['g'] = model.GroupView(
+            'g', term, primary, {'a': '', 'b': ''}, changing=primary is None
+        )
+
+    def lease(self):
+        self.state.lease.sent(clocks.boottime(), 1)
+        self.state.lease.granted(1)
+
+    def judge(self, status=200, **body):
+        defaults = {'term': 1, 'position': 5, 'majority_position': 5}
+        return self.writer.judge(
+            'g',
+            self.attempt,
+            1,
+            connections.Answer(status, {**defaults, **body}),
+        )
+
+    def test_acknowledges_a_write_that_a_majority_holds(self):
+        """Guards against refusing what is durable."""
+        assert self.judge() is not None
+
+    def test_does_not_acknowledge_without_a_majority(self):
+        """Guards against acknowledging what one server holds."""
+        assert self.judge(majority_position=4) is None
+        assert self.attempt.in_doubt
+
+    def test_does_not_acknowledge_without_a_lease(self):
+        """Guards against acknowledging while control may promote."""
+        self.state.lease.end()
+        assert self.judge() is None
+        assert self.attempt.in_doubt
+
+    @pytest.mark.parametrize('term, primary', [(2, 'b'), (2, None)])
+    def test_does_not_acknowledge_a_replaced_primary(self, term, primary):
+        """Guards against acknowledging from a primary of an older term."""
+        self.view(term, primary)
+        assert self.judge() is None
+        assert self.attempt.in_doubt
+
+    def test_failed_statement_was_not_run(self):
+        """Guards against calling a rolled back statement unknown."""
+        self.attempt.in_doubt = True
+        with pytest.raises(errors.StatementError):
+            self.judge(400, error={'kind': 'statement_failed'})
+        assert not self.attempt.in_doubt
+
+    def test_id_of_another_request_is_refused(self):
+        """Guards against returning another request's result."""
+        with pytest.raises(answers.IdConflictError):
+            self.judge(409, error={'kind': 'request_conflict'})
+
+    def test_refusal_by_term_is_tried_again(self):
+        """Guards against an error for a write that another may run."""
+        assert self.judge(409, error={'kind': 'wrong_term'}) is None
+        assert not self.attempt.in_doubt
