Keep a draining process reachable for its transactions; reserve test ports

Cause: a transaction was lost when its entry process drained, because control left draining processes out of the list that calls are relayed by; the strengthened test of a planned stop showed it. Tests failed now and then with a port in use, which an outgoing connection had taken as its source port. Change: the list says which processes drain, and only the serving set leaves them out; a bound socket reserves each test port.

--- a/packages/node/src/sassafrasridge_node/entry.py
+++ b/packages/node/src/sassafrasridge_node/entry.py
@@ -46,6 +46,7 @@
         self.timelines: dict[str, freshness.PrimaryTimeline] = {}
         self.shares = shares.BucketSet(times.config_ttl_s)
         self.entries: dict[str, str] = {}
+        self._serving: set[str] = set()
         self.draining = False
         self.renew_now: collections.abc.Callable[[], None] = lambda: None
         self._signer: sessions.TokenSigner | None = None
@@ -87,8 +88,12 @@
 
     def serves(self, group: str) -> bool:
         """Return whether this process keeps connections to the group."""
-        names = [*self.entries, self.name]
-        return self.name in placement.serving_set(group, sorted(set(names)))
+        return self.name in self.serving_set(group)
+
+    def serving_set(self, group: str) -> list[str]:
+        """Return the entry processes that keep connections to a group."""
+        names = sorted({*self._serving, self.name})
+        return placement.serving_set(group, names)
 
     def timeline(self, group: str) -> freshness.PrimaryTimeline:
         """Return the timeline of a group's primary."""
@@ -190,3 +195,4 @@
     def apply_entries(self, entries: typing.Any) -> None:
         """Record the live entry processes."""
         self.entries = {e.entry: e.address for e in entries or []}
+        self._serving = {e.entry for e in entries or [] if not e.draining}
--- a/packages/node/src/sassafrasridge_node/gateway.py
+++ b/packages/node/src/sassafrasridge_node/gateway.py
@@ -8,7 +8,6 @@
 
 from sassafrasridge_core import errors
 from sassafrasridge_core import model
-from sassafrasridge_core import placement
 from sassafrasridge_node import admission
 from sassafrasridge_node import backends
 from sassafrasridge_node import clocks
@@ -84,8 +83,7 @@
             return None if owner == state.name else [owner]
         if state.serves(adm.group):
             return None
-        names = sorted({*state.entries, state.name})
-        return placement.serving_set(adm.group, names)
+        return state.serving_set(adm.group)
 
     async def execute(
         self, req: front.DataRequest, adm: admission.Admission
--- a/packages/node/src/sassafrasridge_node/leadership.py
+++ b/packages/node/src/sassafrasridge_node/leadership.py
@@ -188,9 +188,13 @@
 
     def _entries(self, now: float) -> list[typing.Any]:
         return [
-            rpc.idl.EntryAddress(entry=h.entry, zone=h.zone, address=h.address)
+            rpc.idl.EntryAddress(
+                entry=h.entry,
+                zone=h.zone,
+                address=h.address,
+                draining=h.draining,
+            )
             for h in self.table.live(now)
-            if not h.draining
         ]
 
 
--- a/packages/node/src/sassafrasridge_node/ridge.thrift
+++ b/packages/node/src/sassafrasridge_node/ridge.thrift
@@ -75,6 +75,7 @@
   1: string entry,
   2: string zone,
   3: string address,        // thrift address for relayed statements
+  4: bool draining,         // gets only calls for its open transactions
 }
 
 struct RenewRequest {
--- a/packages/testkit/src/sassafrasridge_testkit/processes.py
+++ b/packages/testkit/src/sassafrasridge_testkit/processes.py
@@ -41,12 +41,23 @@
         time.sleep(POLL_S)
 
 
+_reservations: list[socket.socket] = []
+
+
 def free_port(host: str = '127.0.0.1') -> int:
-    """Return a port that was free a moment ago."""
-    with socket.socket() as sock:
-        sock.bind((host, 0))
-        port: int = sock.getsockname()[1]
-        return port
+    """Return a port that stays reserved for the life of this process.
+
+    A bound socket that does not listen keeps the system from giving the port
+    to another listener or to an outgoing connection, also while the daemon
+    that uses the port is restarted. The daemon itself can bind it, because
+    both sides set SO_REUSEADDR.
+    """
+    sock = socket.socket()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    sock.bind((host, 0))
+    _reservations.append(sock)
+    port: int = sock.getsockname()[1]
+    return port
 
 
 class Process:
