Mend connection limits after delayed renewals; service rate of short queues

The queue counted 0.25 s per request when it became empty. Change: grants name the version that they start from; a holder ignores answers to what it sent before a lapse; what a leader does not know of after one lease duration counts as lapsed, in shares too.

--- a/packages/core/src/sassafrasridge_core/pools.py
+++ b/packages/core/src/sassafrasridge_core/pools.py
@@ -232,7 +232,11 @@
     def learn(
         self, now: float, record: Record, report: holdings.ReportLike
     ) -> None:
-        """Take what a report shows of the holding; ignore an older one."""
+        """Take what a report shows of the holding; ignore an older one.
+
+        Later than one time to live after the leader's start, a holding that
+        it does not know of has lapsed: the report was delayed for that long.
+        """
         if report.version <= record.version:
             if report.version == record.version:
                 self._learn_use(now, record, report)
@@ -252,8 +256,9 @@
             # they can no longer be applied.
             returned += self._cancel(record, applied)
         record.version = report.version
-        record.rate = report.rate
-        record.capacity = report.capacity
+        known = applied or now < self._open_at
+        record.rate = report.rate if known else 0.0
+        record.capacity = report.capacity if known else 0.0
         if record.rate <= record.ceiling_rate:
             record.ceiling_rate = math.inf
         if record.capacity <= record.ceiling_capacity:
@@ -294,6 +299,14 @@
         self._freed_capacity += max(0.0, void[0].capacity - record.capacity)
         return sum(grant.tokens for grant in void)
 
+    def present(
+        self, now: float, key: Key, report: holdings.ReportLike
+    ) -> Record:
+        """Add a record of what an unknown holder presents."""
+        record = self.records[key] = Record(-1, 0.0, 0.0)
+        self.learn(now, record, report)
+        return record
+
     def note_demand(
         self, now: float, record: Record, demand: float, wanted: float
     ) -> None:
--- a/packages/core/src/sassafrasridge_core/queueing.py
+++ b/packages/core/src/sassafrasridge_core/queueing.py
@@ -134,14 +134,12 @@
         """Take the next request that is still in time, or None."""
         while self._total:
             entry = self._next()
+            if entry.deadline > now:
+                self._service.served(now, entry.cost)
+                self._remove(entry)
+                return entry.item
             self._remove(entry)
-            if entry.deadline <= now:
-                self._expired.append(entry.item)
-                continue
-            self._service.served(now, entry.cost)
-            if not self._total:
-                self._service.idle()
-            return entry.item
+            self._expired.append(entry.item)
         return None
 
     def expire(self, now: float) -> list[typing.Any]:
--- a/packages/core/src/sassafrasridge_core/shares.py
+++ b/packages/core/src/sassafrasridge_core/shares.py
@@ -200,9 +200,7 @@
             report = None if overtaken else by_account.get(name)
             record = pool.records.get(key)
             if record is None:
-                record = self._presented(now, by_account[name])
-                pool.records[key] = record
-                pool.count(now, record)
+                record = pool.present(now, key, by_account[name])
             if report is not None:
                 pool.learn(now, record, report)
             if not overtaken:
@@ -243,18 +241,6 @@
             demand *= 1 - IDLE_DISCOUNT * report.tokens / report.capacity
         return demand
 
-    def _presented(
-        self, now: float, report: holdings.ReportLike
-    ) -> pools.Record:
-        """Return a record of what an unknown holder presents.
-
-        Later than one time to live after the start, what this leader does
-        not know of has lapsed: the report was delayed for that long.
-        """
-        if now < self._open_at:
-            return pools.Record(report.version, report.rate, report.capacity)
-        return pools.Record(report.version, 0.0, 0.0)
-
     def _decide(
         self, now: float, pool: pools.Pool, record: pools.Record, fresh: bool
     ) -> None:
--- a/packages/core/src/sassafrasridge_core/slots.py
+++ b/packages/core/src/sassafrasridge_core/slots.py
@@ -1,15 +1,16 @@
 """Connections and statements in flight per target, by entry process.
 
 The sum of the connection limits in effect never exceeds the target's budget.
-A grant holds an absolute limit and a version; a holder takes a grant only
-when its version is higher than the one it has. So a holder's limit is the
-one it reported or that of a later grant, and the highest of these counts as
-held until a report shows a later version or the holder's lease has expired.
+A grant leads from the version that a holder reported to a new one; a holder
+takes it only when it is still at the former. So a holder's limit is the one
+it reported or that of a later grant, and the highest of these counts as held
+until a report shows a later version or the holder's lease has expired.
 """
 
 from collections.abc import Iterable
 from collections.abc import Mapping
 import math
+import typing
 
 LEASE_S = 1.2
 # Difference in speed between two clocks that is tolerated.
@@ -145,36 +146,65 @@
         return limits
 
 
-class VersionedLimit:
-    """Hold a limit under a version; the holder's side of the exchange."""
+class VersionedLimit(typing.NamedTuple):
+    """Grant a limit under a version to a holder that is at ``base``."""
 
-    __slots__ = ('version', 'connections', 'in_flight')
+    base: int
+    version: int
+    connections: int
+    in_flight: int
 
-    def __init__(
-        self, version: int = 0, connections: int = 0, in_flight: int = 0
-    ) -> None:
-        self.version = version
-        self.connections = connections
-        self.in_flight = in_flight
 
-    def replace(self, version: int, connections: int, in_flight: int) -> bool:
-        """Take a grant unless a later one was taken before.
+class ConnectionShare:
+    """Keep one target's limit in an entry process.
+
+    It lapses one lease duration after the last renewal was sent that brought
+    a grant.
+    """
+
+    __slots__ = ('_lease_s', '_grant', '_until', '_lapsed_at')
+
+    def __init__(self, lease_s: float = LEASE_S) -> None:
+        self._lease_s = lease_s
+        self._grant = VersionedLimit(0, 0, 0, 0)
+        self._until = -math.inf
+        self._lapsed_at = -math.inf
+
+    def limit(self, now: float) -> Limit:
+        """Return the limit in effect; zero once it has lapsed."""
+        if now >= self._until:
+            return Limit(0, 0)
+        return Limit(self._grant.connections, self._grant.in_flight)
+
+    def report(self, now: float) -> tuple[int, int]:
+        """Return the version and the connections for a renewal."""
+        return self._grant.version, self.limit(now).connections
 
-        The caller ignores answers that arrive when the lease counted from
-        their own renewal is over.
+    def replace(
+        self,
+        now: float,
+        sent_at: float,
+        base: int,
+        version: int,
+        connections: int,
+        in_flight: int,
+    ) -> bool:
+        """Take the grant that answers a renewal sent at ``sent_at``.
+
+        A grant that arrives too late is ignored, and one for a renewal that
+        presented another limit or one that has lapsed in the meantime: others
+        may have been given that limit.
         """
-        if version <= self.version:
+        if now >= sent_at + self._lease_s or base != self._grant.version:
             return False
-        self.version = version
-        self.connections = connections
-        self.in_flight = in_flight
+        if now >= self._until:
+            self._lapsed_at = self._until
+        if sent_at < self._lapsed_at:
+            return False
+        self._grant = VersionedLimit(base, version, connections, in_flight)
+        self._until = max(self._until, sent_at + self._lease_s)
         return True
 
-    def lapse(self) -> None:
-        """Drop the limit when the lease is over."""
-        self.connections = 0
-        self.in_flight = 0
-
 
 class _Holder:
     """Hold what the leader knows of one holder's limit of a target."""
@@ -189,6 +219,23 @@
         self.demand = 0.0
         self.renewed_at = -math.inf
 
+    def learn(self, version: int, limit: int, any_leader: bool) -> None:
+        """Take what a report shows; ignore an older one.
+
+        Later than one lease duration after the leader's start, a limit that
+        it does not know of has lapsed: the report was delayed for that long.
+        """
+        if version > self.version:
+            known = any_leader or version in dict(self.grants)
+            self.version = version
+            self.limit = limit if known else 0
+            self.grants = [g for g in self.grants if g[0] > version]
+        elif version == self.version and limit < self.limit:
+            # The limit lapsed, and the holder ignores all answers to what it
+            # sent before.
+            self.limit = limit
+            self.grants = []
+
     def most(self) -> int:
         """Return the highest limit that may be in effect."""
         return max([self.limit, *(limit for _, limit in self.grants)])
@@ -228,17 +275,17 @@
         """
         self.tick(now)
         key = (entry, incarnation)
-        holder = self._holders.setdefault(key, _Holder(entry))
+        if key not in self._holders:
+            self._holders[key] = _Holder(entry)
+        holder = self._holders[key]
         holder.renewed_at = now
-        if version >= holder.version:
-            holder.version = version
-            holder.limit = limit
-            holder.grants = [g for g in holder.grants if g[0] > version]
+        holder.learn(version, limit, any_leader=now < self._open_at)
+        if version == holder.version:
             holder.demand = max(0.0, demand)
         connections, in_flight = self._decide(now, key, budget, slots)
         self._version += 1
         holder.grants.append((self._version, connections))
-        return VersionedLimit(self._version, connections, in_flight)
+        return VersionedLimit(version, self._version, connections, in_flight)
 
     def _decide(
         self, now: float, key: tuple[str, int], budget: int, slots: int
--- a/tests/core/test_queueing.py
+++ b/tests/core/test_queueing.py
@@ -121,6 +121,15 @@
         queue.pop(2.5)
         assert queue.push(2.5, 'a', 'x', 1.0, 4.5) is None
 
+    def test_time_without_requests_does_not_count(self, kind):
+        """Guards against refusals when load rises after a quiet time."""
+        queue = kind()
+        for step in range(50):
+            fill(queue, 'a', 1, now=0.2 * step)
+            queue.pop(0.2 * step + 0.01)
+        fill(queue, 'a', 50, now=10.0)
+        assert queue.push(10.0, 'a', 'x', 1.0, 11.0) is None
+
     def test_empty_queue_refuses_nothing_that_is_in_time(self, kind):
         queue = kind()
         fill(queue, 'a', 10)
--- a/tests/core/test_shares.py
+++ b/tests/core/test_shares.py
@@ -415,6 +415,7 @@
         pair.lead(pair.send('b', 1))
         assert pair.renew('a', 1).capacity == 1
         unused = pair.send('a', 1)
+        pair.lead(unused)
         assert pair.bucket('a').take(pair.now, waited=True)
         pool = pair.leader.pool('x')
         before = pool.free_capacity(pair.now)
