--- a/packages/core/src/sassafrasridge_core/pools.py
+++ b/packages/core/src/sassafrasridge_core/pools.py
@@ -168,6 +168,9 @@
     def count(self, now: float, record: Record) -> None:
         """Take a changed record into the sums."""
         new = record.counts()
+        if new == record.counted:
+            self.clamp(now)
+            return
         self.sums = _Counts(
             *(
                 total + after - before
@@ -311,6 +314,8 @@
         self, now: float, record: Record, demand: float, wanted: float
     ) -> None:
         """Take the demand that a report shows."""
+        if demand == record.demand and wanted == record.wanted:
+            return
         record.demand = max(0.0, demand)
         record.wanted = max(0.0, wanted)
         if not record.wanted:
--- a/tests/core/test_slots.py
+++ b/tests/core/test_slots.py
@@ -96,6 +96,26 @@
             open_now = sum(limit.connections for limit in limits)
             assert open_now <= budget, (seed, now)
 
+    def test_answer_to_an_overtaken_report_is_ignored(self):
+        """A new leader sees a limit from before the last reduction."""
+        ledger, now = slots.ConnectionLedger(0.0, 1), 5.0
+        shares = {'a': slots.ConnectionShare(), 'b': slots.ConnectionShare()}
+
+        def renew(name, report):
+            grant = ledger.renew(now, name, 0, *report, 1.0, 9, 5)
+            shares[name].replace(now, now, *grant)
+
+        renew('a', shares['a'].report(now))
+        overtaken = shares['a'].report(now)
+        for _ in range(3):
+            for name, share in shares.items():
+                renew(name, share.report(now))
+        assert shares['b'].limit(now).connections >= 4
+        ledger = slots.ConnectionLedger(now, 2)
+        renew('a', overtaken)
+        limits = [share.limit(now).connections for share in shares.values()]
+        assert sum(limits) <= 9
+
     def test_limits_move_with_the_demand(self):
         ledger = slots.ConnectionLedger(0.0, 1)
         a, b = slots.ConnectionShare(), slots.ConnectionShare()
