Add the settings advertise_rpc and policy

Change: [node] advertise_rpc, reported to control and expected in the list of members; [entry] and [control] policy = plain | adaptive. Plain: equal, constant shares, first in first out, reads to the primary. Ruled out: changing policies by environment variables, which no check would see. Measured: the tests of settings, entry state and policy pass.

--- a/packages/core/src/sassafrasridge_core/settings.py
+++ b/packages/core/src/sassafrasridge_core/settings.py
@@ -12,6 +12,7 @@
 from sassafrasridge_core import notes
 
 ROLES = ('entry', 'control')
+POLICIES = ('adaptive', 'plain')
 LEVELS = ('debug', 'info', 'warning', 'error')
 MIN_SECRET_BYTES = 16
 # Targets announce themselves every 0.25 s; one lost announcement alone must
@@ -65,7 +66,11 @@
 
 
 class NodeSettings:
-    """Hold section [node]; ``cluster_secret`` is the content of its file."""
+    """Hold section [node]; ``cluster_secret`` is the content of its file.
+
+    ``advertise_rpc`` is the address under which other daemons reach
+    ``rpc``; empty when it is the same.
+    """
 
     __slots__ = (
         'name',
@@ -73,6 +78,7 @@
         'region',
         'http',
         'rpc',
+        'advertise_rpc',
         'data_folder',
         'roles',
         'cluster_secret_file',
@@ -84,6 +90,7 @@
     region: str
     http: str
     rpc: str
+    advertise_rpc: str
     data_folder: str
     roles: frozenset[str]
     cluster_secret_file: str
@@ -91,18 +98,25 @@
 
 
 class ControlSettings:
-    """Hold section [control]; ``members`` maps names to rpc addresses."""
+    """Hold section [control]; ``members`` maps names to rpc addresses.
 
-    __slots__ = ('members', 'bootstrap')
+    ``policy`` is how rates are shared: 'adaptive' by demand, 'plain' in
+    equal, constant parts.
+    """
+
+    __slots__ = ('members', 'bootstrap', 'policy')
 
     members: dict[str, str]
     bootstrap: bool
+    policy: str
 
 
 class EntrySettings:
     """Hold section [entry]; ``control`` maps zones to rpc addresses.
 
     ``max_body`` is in bytes, ``max_wait`` and ``drain_timeout`` are in s.
+    With ``policy`` 'plain' requests are served first in, first out, and all
+    reads go to the primary.
     """
 
     __slots__ = (
@@ -113,6 +127,7 @@
         'max_queue',
         'max_wait',
         'drain_timeout',
+        'policy',
     )
 
     control: dict[str, list[str]]
@@ -122,6 +137,7 @@
     max_queue: int
     max_wait: float
     drain_timeout: float
+    policy: str
 
 
 class TargetSettings:
@@ -292,6 +308,16 @@
     return text
 
 
+def _policy(text: str) -> str:
+    if text not in POLICIES:
+        raise _Wrong('one of ' + ', '.join(POLICIES))
+    return text
+
+
+def _optional_address(text: str) -> str:
+    return _address(text) if text else ''
+
+
 def _integer(low: int, high: int) -> _Parse:
     def parse(text: str) -> int:
         if re.fullmatch(r'[0-9]{1,9}', text) and low <= int(text) <= high:
@@ -365,6 +391,7 @@
         'region': _Key(_name),
         'http': _Key(_address),
         'rpc': _Key(_address),
+        'advertise_rpc': _Key(_optional_address, ''),
         'data_folder': _Key(_optional, ''),
         'roles': _Key(_roles),
         'cluster_secret_file': _Key(_path, private=True),
@@ -372,6 +399,7 @@
     'control': {
         'members': _Key(_members),
         'bootstrap': _Key(_flag, 'false'),
+        'policy': _Key(_policy, 'adaptive'),
     },
     'entry': {
         'control': _Key(_zones),
@@ -383,6 +411,7 @@
         'max_queue': _Key(_integer(1, 100_000), '500'),
         'max_wait': _Key(_duration(0.01, 60.0), '5s'),
         'drain_timeout': _Key(_duration(0.1, 3600.0), '30s'),
+        'policy': _Key(_policy, 'adaptive'),
     },
     'targets': {
         'announce_token_digest': _Key(_optional_digest, '', private=True),
@@ -569,7 +598,8 @@
             allowed = 'the path of a folder, for the role control'
             self._add('node', 'data_folder', 'nothing', allowed)
         members = getattr(control, 'members', None)
-        name, rpc = getattr(node, 'name', None), getattr(node, 'rpc', None)
+        name = getattr(node, 'name', None)
+        rpc = getattr(node, 'advertise_rpc', '') or getattr(node, 'rpc', None)
         if members is None or name is None or rpc is None:
             return
         if members.get(name, rpc) != rpc:
--- a/packages/node/src/sassafrasridge_node/entry.py
+++ b/packages/node/src/sassafrasridge_node/entry.py
@@ -8,6 +8,7 @@
 from sassafrasridge_core import leases
 from sassafrasridge_core import model
 from sassafrasridge_core import placement
+from sassafrasridge_core import queueing
 from sassafrasridge_core import sessions
 from sassafrasridge_core import shares
 from sassafrasridge_core import state as core_state
@@ -21,7 +22,11 @@
 
 
 class EntryState:
-    """Hold configuration, lease, views of groups, shares and backends."""
+    """Hold configuration, lease, views of groups, shares and backends.
+
+    With ``plain`` requests are served first in, first out, and all reads go
+    to the primary.
+    """
 
     def __init__(
         self,
@@ -30,8 +35,10 @@
         times: leases.LeaseTimes,
         dialer: connections.Dialer,
         counters: metrics.Metrics,
+        plain: bool = False,
     ) -> None:
         self.metrics = counters
+        self.plain = plain
         self._dialer = dialer
         self.name = name
         self.zone = zone
@@ -99,7 +106,10 @@
         return self.shares.bucket(account)
 
     def _backend(self, info: model.TargetInfo) -> backends.Backend:
-        return backends.Backend(info, self._dialer, self.metrics)
+        backend = backends.Backend(info, self._dialer, self.metrics)
+        if self.plain:
+            backend.queue = queueing.FifoQueue()
+        return backend
 
     def sample_primary(self, group: str, server: str, sent_at: float) -> None:
         """Record a position of the primary, for the age of replicas.
--- a/packages/node/src/sassafrasridge_node/main.py
+++ b/packages/node/src/sassafrasridge_node/main.py
@@ -40,7 +40,7 @@
 its listener closes."""
 
 DRAIN_POLL_S = 0.02
-SHARE_POLICY = 'demand'
+SHARE_POLICIES = {'adaptive': 'demand', 'plain': 'static'}
 
 
 class Handler:
@@ -100,6 +100,7 @@
                 self._times,
                 self._dialer,
                 self.metrics,
+                plain=self.cfg.entry.policy == 'plain',
             )
             self.gateway = gateway.Gateway(self.state, entry_pool, self._rng)
         await self._serve_rpc(secret)
@@ -149,7 +150,7 @@
             pool,
             self._times,
             self.cfg.timing.suspect_after,
-            SHARE_POLICY,
+            SHARE_POLICIES[cfg.policy],
             self._dialer,
             self.metrics,
         )
@@ -164,7 +165,7 @@
             pool,
             self.control_addresses(),
             secrets.randbits(62),
-            self.rpc.address,
+            self.cfg.node.advertise_rpc or self.rpc.address,
         )
         self._spawn(self.renewer.run())
         self._spawn(renewal.Prober(self.state).run())
--- a/packages/node/src/sassafrasridge_node/reads.py
+++ b/packages/node/src/sassafrasridge_node/reads.py
@@ -140,7 +140,7 @@
         tokens: dict[str, model.Position],
     ) -> Need:
         position = tokens.get(adm.group)
-        if req.consistency == 'primary':
+        if req.consistency == 'primary' or self._state.plain:
             return Need(position, 0.0, True)
         if req.consistency == 'age':
             return Need(position, req.max_age_s or 0.0, False)
--- a/packages/testkit/src/sassafrasridge_testkit/deployments.py
+++ b/packages/testkit/src/sassafrasridge_testkit/deployments.py
@@ -17,20 +17,23 @@
 [control]
 members = {members}
 bootstrap = {bootstrap}
+policy = {policy}
 """
 ENTRY_INI = """
 [entry]
 control =
 {control}
 drain_timeout = {drain_timeout}
+policy = {policy}
 """
 NODE_INI = """
 [node]
 name = {name}
 zone = {zone}
 region = {zone}
-http = 127.0.0.1:{http}
-rpc = 127.0.0.1:{rpc}
+http = {http}
+rpc = {rpc}
+advertise_rpc = {advertise_rpc}
 data_folder = {folder}
 roles = {roles}
 cluster_secret_file = {secret_file}
@@ -50,19 +53,34 @@
         self,
         name: str,
         zone: str,
-        http_port: int,
-        rpc_port: int,
+        http: str,
+        rpc: str,
         ini: pathlib.Path,
         process: processes.Process,
     ) -> None:
         self.name = name
         self.zone = zone
-        self.http = f'127.0.0.1:{http_port}'
-        self.rpc = f'127.0.0.1:{rpc_port}'
+        self.http = http
+        self.rpc = rpc
+        # Under which addresses other processes reach this one.
+        self.reach_http = http
+        self.reach_rpc = rpc
         self.ini = ini
         self.process = process
 
 
+class Network:
+    """Place processes on addresses; here all share 127.0.0.1."""
+
+    def host(self, name: str, zone: str) -> str:
+        """Return the address of a process."""
+        return '127.0.0.1'
+
+    def reach(self, name: str, zone: str, listen: str) -> str:
+        """Return where others reach a listener, ``name`` names it."""
+        return listen
+
+
 class Deployment:
     """Own the daemons of one test; the harness owns the processes."""
 
@@ -75,8 +93,12 @@
         drain_timeout: str = '10s',
         control_addresses: collections.abc.Callable[[str, str], str]
         | None = None,
+        network: Network | None = None,
+        policy: str = 'adaptive',
     ) -> None:
         self.kit = kit
+        self._network = network or Network()
+        self._policy = policy
         self.tokens = {name: secrets.token_hex(16) for name in OPERATORS}
         self.control: dict[str, Node] = {}
         self.entries: dict[str, Node] = {}
@@ -105,14 +127,18 @@
                 str(ini),
             ],
         )
-        nodes[name] = Node(
+        host = self._network.host(name, zone)
+        node = nodes[name] = Node(
             name,
             zone,
-            processes.free_port(),
-            processes.free_port(),
+            f'{host}:{processes.free_port(host)}',
+            f'{host}:{processes.free_port(host)}',
             ini,
             process,
         )
+        reach = self._network.reach
+        node.reach_http = reach(f'{name}.http', zone, node.http)
+        node.reach_rpc = reach(f'{name}.rpc', zone, node.rpc)
 
     # Settings.
 
@@ -122,8 +148,9 @@
         text = NODE_INI.format(
             name=node.name,
             zone=node.zone,
-            http=node.http.rsplit(':', 1)[1],
-            rpc=node.rpc.rsplit(':', 1)[1],
+            http=node.http,
+            rpc=node.rpc,
+            advertise_rpc=node.reach_rpc,
             folder=self.kit.folder / f'{node.name}.data',
             roles='control' if is_control else 'entry',
             secret_file=self._secret_file,
@@ -136,21 +163,23 @@
         if is_control:
             text += CONTROL_INI.format(
                 members=', '.join(
-                    f'{n.name}={n.rpc}' for n in self.control.values()
+                    f'{n.name}={n.reach_rpc}' for n in self.control.values()
                 ),
                 bootstrap='true' if bootstrap else 'false',
+                policy=self._policy,
             )
         else:
             text += ENTRY_INI.format(
                 control=self._control_lines(node),
                 drain_timeout=self._drain_timeout,
+                policy=self._policy,
             )
         node.ini.write_text(text)
 
     def _control_lines(self, entry: Node) -> str:
         zones: dict[str, list[str]] = {}
         for node in self.control.values():
-            address = self._reach(entry.name, node.rpc)
+            address = self._reach(entry.name, node.reach_rpc)
             zones.setdefault(node.zone, []).append(address)
         return '\n'.join(
             f'    {zone} = {", ".join(addresses)}'
@@ -192,7 +221,7 @@
     @property
     def announce_addresses(self) -> list[str]:
         """Return where targets announce themselves."""
-        return [node.http for node in self.entries.values()]
+        return [node.reach_http for node in self.entries.values()]
 
     # Operators.
 
--- a/tests/core/test_settings.py
+++ b/tests/core/test_settings.py
@@ -44,6 +44,24 @@
         assert result.timing.lease == 0.9
         assert result.timing.renew_interval == 0.3
 
+    def test_advertised_address_stands_in_the_members(self):
+        """Guards against members that other daemons can't reach."""
+        text = GOOD.replace(
+            '[control]', 'advertise_rpc = 127.0.0.9:7001\n[control]'
+        )
+        assert ('control', 'members') in mistakes_of(text)
+        text = text.replace('node1=127.0.0.1:7001', 'node1=127.0.0.9:7001')
+        assert check(text).node.advertise_rpc == '127.0.0.9:7001'
+
+    def test_policy(self):
+        """Guards against a misspelt policy that changes nothing."""
+        result = check(GOOD)
+        assert result.control.policy == result.entry.policy == 'adaptive'
+        text = GOOD.replace('[entry]', '[entry]\npolicy = plain')
+        assert check(text).entry.policy == 'plain'
+        text = GOOD.replace('[entry]', '[entry]\npolicy = fair')
+        assert ('entry', 'policy') in mistakes_of(text)
+
     def test_every_mistake_is_reported(self):
         """Guards against settings that need one start for each mistake."""
         found = mistakes_of(
--- /dev/null
+++ b/tests/integration/test_policy.py
@@ -0,0 +1,20 @@
+"""Tests of the plain policy, against which the product is compared."""
+
+import pytest
+
+
+class TestPlainPolicy:
+    @pytest.fixture(scope='class')
+    def system(self, make_system):
+        return make_system(('z1',), ('z1',), policy='plain')
+
+    def test_reads_go_to_the_primary(self, system):
+        """Guards against comparing a policy with itself."""
+        assert system.insert(1).status == 200
+        roles = set()
+        for _ in range(20):
+            answer = system.caller().read(
+                'SELECT a FROM t', consistency={'max_age_ms': 5000}
+            )
+            roles.add(answer.body['served_by']['role'])
+        assert roles == {'primary'}
