Add deployments in availability zones with faults between them

Cause: tests of partitions need to cut one zone off from another, and the fault proxy knew only links by destination. Change: processes listen on and connect from an address of their zone; the proxy tells the source zone by the peer address and applies delay, cut (one or both directions) and silence to each ordered pair of zones, one proxy process for all links. Opening a connection takes a round trip as well. Ruled out: one proxy per pair of zones, which needs a process and an address list for each pair.

--- a/packages/testkit/src/sassafrasridge_testkit/database.py
+++ b/packages/testkit/src/sassafrasridge_testkit/database.py
@@ -99,6 +99,7 @@
             settings.server, settings.group, log, self._faults, self._step_down
         )
         self._repl.apply_lag_s = settings.apply_lag_s
+        self._repl.source = settings.host
         self._host = sessions.Host(
             settings.limits, self._repl, self._faults, self._observations
         )
@@ -275,7 +276,7 @@
                 conn.stalled = mode
 
     async def _announce(self, address: str, advertised: str) -> None:
-        client = webclient.Client(address)
+        client = webclient.Client(address, self._settings.host)
         loop = asyncio.get_running_loop()
         while True:
             began = loop.time()
--- a/packages/testkit/src/sassafrasridge_testkit/faultproxy.py
+++ b/packages/testkit/src/sassafrasridge_testkit/faultproxy.py
@@ -3,11 +3,17 @@
 Use ``Proxy`` within an event loop, or run ``python -m
 sassafrasridge_testkit.faultproxy`` and send JSON to its control address:
 
-- ``POST /links {"name", "target", "port"}`` adds a link, or gives an existing
-  one another target, and returns its address;
+- ``POST /links {"name", "target", "port", "zone"}`` adds a link, or gives an
+  existing one another target, and returns its address;
+- ``POST /zones {"zones": {zone: address prefix}}`` tells by which peer
+  addresses the source zone of a connection is recognised;
+- ``POST /paths {"paths": [[from, to], ...], "delay_ms", "cut"}`` changes what
+  happens to packets from one zone to another;
 - ``POST /rules {"links": [...], rule: value, ...}`` changes rules, of all
   links without ``links``;
-- ``POST /actions {"links": [...], "action": "silence" | "reset"}``;
+- ``POST /actions {"links": [...], "action": "silence" | "reset"}``; with
+  ``"between": [[zone, zone], ...]`` silence affects only the connections
+  between these zones;
 - ``POST /status``.
 
 Held bytes are delivered on release, as TCP retransmits after an outage. Lost
@@ -86,12 +92,69 @@
         return {name: getattr(self, name) for name in self.__slots__}
 
 
+class Path:
+    """Hold the faults from one zone to another, in this direction only.
+
+    ``delay_ms`` is the one-way delay. On a cut path packets vanish while
+    connections stay open; what was sent arrives after the cut, as TCP sends
+    it again.
+    """
+
+    __slots__ = ('delay_ms', 'cut')
+
+    def __init__(self) -> None:
+        self.delay_ms = 0.0
+        self.cut = False
+
+    def change(self, changes: dict[str, typing.Any]) -> None:
+        """Set faults by name; raises ValueError for an unknown one."""
+        for name, value in changes.items():
+            if name not in self.__slots__:
+                raise ValueError(f'unknown fault of a path {name!r}')
+            setattr(self, name, value)
+
+
+NO_PATH = Path()
+
+
+class Zones:
+    """Know the zone of each address and the paths between zones."""
+
+    __slots__ = ('prefixes', 'paths')
+
+    def __init__(self) -> None:
+        self.prefixes: dict[str, str] = {}
+        self.paths: dict[tuple[str, str], Path] = {}
+
+    def zone_of(self, host: str) -> str:
+        """Return the zone of an address, '' when it is in none."""
+        for zone, prefix in self.prefixes.items():
+            if host.startswith(prefix):
+                return zone
+        return ''
+
+    def path(self, source: str, destination: str) -> Path:
+        """Return the path between two zones; changes to it apply at once."""
+        if not source or not destination:
+            return NO_PATH
+        return self.paths.setdefault((source, destination), Path())
+
+
 class Link:
     """Forward connections from one listening address to one target."""
 
-    def __init__(self, name: str, target: str, rng: random.Random) -> None:
+    def __init__(
+        self,
+        name: str,
+        target: str,
+        rng: random.Random,
+        zone: str = '',
+        zones: Zones | None = None,
+    ) -> None:
         self.name = name
         self.target = target
+        self.zone = zone
+        self.zones = zones or Zones()
         self.address = ''
         self.rules = Rules()
         self.accepted = 0
@@ -109,18 +172,25 @@
     async def change(self, changes: dict[str, typing.Any]) -> None:
         """Change rules; what is no longer held is delivered."""
         self.rules.change(changes)
-        await self._notify()
+        await self.notify()
 
     async def set_target(self, target: str) -> None:
         """Forward new connections to another target."""
         self.target = target
-        await self._notify()
+        await self.notify()
 
     async def silence(self) -> None:
         """Lose all further bytes of the open connections."""
         for pair in self._pairs:
             pair.silent.update(DIRECTIONS)
-        await self._notify()
+        await self.notify()
+
+    async def silence_from(self, source: str) -> None:
+        """Lose all further bytes of the open connections from a zone."""
+        for pair in self._pairs:
+            if pair.source == source:
+                pair.silent.update(DIRECTIONS)
+        await self.notify()
 
     def reset(self) -> None:
         """Reset the open connections."""
@@ -153,7 +223,8 @@
         chance = self.rules.reset_chance
         return chance > 0 and self._rng.random() < chance
 
-    async def _notify(self) -> None:
+    async def notify(self) -> None:
+        """Let connections look at the rules again."""
         async with self.changed:
             self.changed.notify_all()
 
@@ -183,6 +254,12 @@
     ) -> None:
         self.silent: set[str] = set()
         self._link = link
+        peer = writer.get_extra_info('peername')
+        self.source = link.zones.zone_of(peer[0]) if peer else ''
+        self._paths = {
+            'to_target': link.zones.path(self.source, link.zone),
+            'to_client': link.zones.path(link.zone, self.source),
+        }
         self._client = (reader, writer)
         self._target: (
             tuple[asyncio.StreamReader, asyncio.StreamWriter] | None
@@ -193,7 +270,7 @@
         """Forward until both directions have ended."""
         self._task = asyncio.current_task()
         try:
-            await self._wait_for('to_target')
+            await self._handshake()
             host, port = self._link.target.rsplit(':', 1)
             self._target = await asyncio.open_connection(host, int(port))
             async with asyncio.TaskGroup() as group:
@@ -202,7 +279,7 @@
                     ('to_client', self._target[0], self._client[1]),
                 ):
                     queue: _Chunks = asyncio.Queue(QUEUE_CHUNKS)
-                    group.create_task(self._receive(source, queue))
+                    group.create_task(self._receive(direction, source, queue))
                     group.create_task(self._deliver(direction, queue, sink))
         except* (OSError, ValueError):
             self._abort()
@@ -218,8 +295,21 @@
         if self._task is not None:
             self._task.cancel()
 
+    async def _handshake(self) -> None:
+        """Spend the round trip that opening a connection takes."""
+        delay_ms = sum(path.delay_ms for path in self._paths.values())
+        if delay_ms:
+            await asyncio.sleep(delay_ms / 1000)
+        for direction in DIRECTIONS:
+            if direction == 'to_target' or self._paths[direction].cut:
+                await self._wait_for(direction)
+
+    def _delay_s(self, direction: str) -> float:
+        return self._link.delay_s() + self._paths[direction].delay_ms / 1000
+
     async def _receive(
         self,
+        direction: str,
         source: asyncio.StreamReader,
         queue: _Chunks,
     ) -> None:
@@ -231,7 +321,7 @@
             except OSError:
                 # The reset travels like data: a cut link does not pass it on.
                 data = None
-            await queue.put((loop.time() + self._link.delay_s(), data))
+            await queue.put((loop.time() + self._delay_s(direction), data))
 
     async def _deliver(
         self,
@@ -265,14 +355,18 @@
             await sink.drain()
 
     async def _wait_for(self, direction: str) -> None:
+        if self._passes(direction):
+            return
+        async with self._link.changed:
+            await self._link.changed.wait_for(lambda: self._passes(direction))
+
+    def _passes(self, direction: str) -> bool:
         link = self._link
-        async with link.changed:
-            await link.changed.wait_for(
-                lambda: (
-                    direction in self.silent
-                    or (link.target and not link.rules.holds(direction))
-                )
-            )
+        if direction in self.silent:
+            return True
+        if not link.target or self._paths[direction].cut:
+            return False
+        return not link.rules.holds(direction)
 
     def _writers(self) -> list[asyncio.StreamWriter]:
         writers = [self._client[1]]
@@ -294,18 +388,23 @@
 
     def __init__(self, seed: int = 0) -> None:
         self.links: dict[str, Link] = {}
+        self.zones = Zones()
         self._seed = seed
 
-    async def add_link(self, name: str, target: str, port: int = 0) -> str:
+    async def add_link(
+        self, name: str, target: str, port: int = 0, zone: str = ''
+    ) -> str:
         """Add a link, or change its target, and return its address.
 
-        Connections to a link with an empty target wait for one.
+        Connections to a link with an empty target wait for one. ``zone`` is
+        the one of the target.
         """
         link = self.links.get(name)
         if link is not None:
             await link.set_target(target)
             return link.address
-        link = Link(name, target, random.Random(f'{self._seed}/{name}'))
+        rng = random.Random(f'{self._seed}/{name}')
+        link = Link(name, target, rng, zone, self.zones)
         await link.start(port=port)
         self.links[name] = link
         return link.address
@@ -317,6 +416,27 @@
         for link in self._chosen(names):
             await link.change(rules)
 
+    async def change_paths(
+        self,
+        pairs: collections.abc.Iterable[collections.abc.Sequence[str]],
+        **changes: typing.Any,
+    ) -> None:
+        """Change the paths of ordered pairs of zones."""
+        for source, destination in pairs:
+            self.zones.path(source, destination).change(changes)
+        for link in self.links.values():
+            await link.notify()
+
+    async def silence_between(
+        self, pairs: collections.abc.Iterable[collections.abc.Sequence[str]]
+    ) -> None:
+        """Silence the open connections between zones; new ones work."""
+        for pair in pairs:
+            for source, destination in {tuple(pair), tuple(reversed(pair))}:
+                for link in self.links.values():
+                    if link.zone == destination:
+                        await link.silence_from(source)
+
     async def silence(
         self, names: collections.abc.Iterable[str] | None = None
     ) -> None:
@@ -379,9 +499,23 @@
     ) -> dict[str, typing.Any]:
         if path == '/links':
             address = await self._proxy.add_link(
-                body['name'], body['target'], body.get('port', 0)
+                body['name'],
+                body['target'],
+                body.get('port', 0),
+                body.get('zone', ''),
             )
             return {'name': body['name'], 'address': address}
+        if path == '/zones':
+            self._proxy.zones.prefixes.update(body['zones'])
+            return {'zones': self._proxy.zones.prefixes}
+        if path == '/paths':
+            await self._proxy.change_paths(body.pop('paths'), **body)
+            return {}
+        if path == '/actions' and 'between' in body:
+            if body['action'] != 'silence':
+                raise ValueError(f'unknown action {body["action"]!r}')
+            await self._proxy.silence_between(body['between'])
+            return {}
         names = body.pop('links', None)
         if path == '/rules':
             await self._proxy.change(names, **body)
--- a/packages/testkit/src/sassafrasridge_testkit/harness.py
+++ b/packages/testkit/src/sassafrasridge_testkit/harness.py
@@ -154,9 +154,9 @@
         self.process = process
         self._client = callers.HttpClient(process.ready['control'])
 
-    def add_link(self, name: str, target: str = '') -> str:
+    def add_link(self, name: str, target: str = '', zone: str = '') -> str:
         """Add a link, or set its target, and return its address."""
-        body = self._post('/links', name=name, target=target)
+        body = self._post('/links', name=name, target=target, zone=zone)
         address: str = body['address']
         return address
 
@@ -164,6 +164,24 @@
         """Change rules of links, of all links when none is named."""
         self._post('/rules', links=links or None, **rules)
 
+    def zones(self, prefixes: collections.abc.Mapping[str, str]) -> None:
+        """Tell the address prefix of each zone."""
+        self._post('/zones', zones=prefixes)
+
+    def paths(
+        self,
+        pairs: collections.abc.Iterable[tuple[str, str]],
+        **changes: typing.Any,
+    ) -> None:
+        """Change the delay or the cut from one zone to another."""
+        self._post('/paths', paths=list(pairs), **changes)
+
+    def silence_between(
+        self, pairs: collections.abc.Iterable[tuple[str, str]]
+    ) -> None:
+        """Silence the open connections between zones; new ones work."""
+        self._post('/actions', action='silence', between=list(pairs))
+
     def silence(self, *links: str) -> None:
         """Silence the open connections of links; new ones work."""
         self._post('/actions', links=links or None, action='silence')
@@ -264,12 +282,14 @@
         durable: bool = True,
         options: collections.abc.Sequence[str] = ('--record',),
         proxy: FaultProxy | None = None,
+        host: collections.abc.Callable[[str, str], str] | None = None,
     ) -> DatabaseGroup:
         """Start a server per zone, named ``{group}1``, ``{group}2``...
 
         A durable server keeps its log in a file and may be restarted;
         ``options`` are further arguments of every server. With a proxy, each
-        server announces a link of it that has the server's name.
+        server announces a link of it that has the server's name. ``host``
+        returns the address of a server by its name and zone.
         """
         servers = []
         for number, zone in enumerate(zones, 1):
@@ -284,10 +304,12 @@
             ]
             if announce_token is not None:
                 argv += ['--announce-token', announce_token]
+            if host is not None:
+                argv += ['--host', host(name, zone)]
             if durable:
                 argv += ['--data', str(self.folder / f'{name}.log')]
             if proxy is not None:
-                argv += ['--advertise', proxy.add_link(name)]
+                argv += ['--advertise', proxy.add_link(name, zone=zone)]
             process = self.prepare(name, argv)
             process.launch()
             servers.append(DatabaseServer(name, zone, process))
--- a/packages/testkit/src/sassafrasridge_testkit/replication.py
+++ b/packages/testkit/src/sassafrasridge_testkit/replication.py
@@ -53,6 +53,8 @@
         self.applied = 0
         self.majority = 0
         self.apply_lag_s = 0.0
+        # Address that connections to other servers come from, '' for any.
+        self.source = ''
         self._faults = switches
         self._on_step_down = on_step_down
         self._waiters: list[tuple[int, asyncio.Future[int]]] = []
@@ -315,7 +317,7 @@
         self._member = member
         self._faults = switches
         self._next = len(owner.log)
-        self._client = webclient.Client(address)
+        self._client = webclient.Client(address, owner.source)
         self._event = asyncio.Event()
         self._task = asyncio.get_running_loop().create_task(self._run())
 
--- a/packages/testkit/src/sassafrasridge_testkit/webclient.py
+++ b/packages/testkit/src/sassafrasridge_testkit/webclient.py
@@ -26,8 +26,9 @@
 class Client:
     """Send JSON over one keep-alive connection, opened when needed."""
 
-    def __init__(self, address: str) -> None:
+    def __init__(self, address: str, source: str = '') -> None:
         self.address = address
+        self._local = (source, 0) if source else None
         self._reader: asyncio.StreamReader | None = None
         self._writer: asyncio.StreamWriter | None = None
 
@@ -59,7 +60,7 @@
         if self._writer is None or self._reader is None:
             host, port = self.address.rsplit(':', 1)
             self._reader, self._writer = await asyncio.open_connection(
-                host, int(port)
+                host, int(port), local_addr=self._local
             )
         data = orjson.dumps(body)
         auth = f'Authorization: Bearer {token}\r\n' if token else ''
--- /dev/null
+++ b/packages/testkit/src/sassafrasridge_testkit/zones.py
@@ -0,0 +1,142 @@
+"""Deployments in availability zones, with faults on the paths between them.
+
+Each process listens on, and connects from, a loopback address of its zone:
+127.0.11.x in the first zone, 127.0.12.x in the second. Every listener is
+reached through one fault proxy, which tells the zone of a connection by its
+peer address.
+"""
+
+import collections.abc
+import itertools
+import typing
+
+from sassafrasridge_testkit import deployments
+from sassafrasridge_testkit import harness
+
+FIRST_ZONE = 11
+
+
+class ZoneNetwork(deployments.Network):
+    """Place processes in zones and put the fault proxy between them.
+
+    ``delay_ms`` is the one-way delay between two zones.
+    """
+
+    def __init__(
+        self,
+        kit: harness.Harness,
+        zones: collections.abc.Sequence[str],
+        delay_ms: float = 0.0,
+        seed: int = 0,
+    ) -> None:
+        self.proxy = kit.start_proxy('zones-proxy', seed)
+        self.zones = list(zones)
+        self._prefixes = {
+            zone: f'127.0.{FIRST_ZONE + place}.'
+            for place, zone in enumerate(zones)
+        }
+        self._numbers = {zone: itertools.count(1) for zone in zones}
+        self._links: dict[str, str] = {}
+        self.proxy.zones(self._prefixes)
+        self.proxy.paths(self._all_pairs(), delay_ms=delay_ms)
+
+    # Placement.
+
+    def host(self, name: str, zone: str) -> str:
+        """Return a loopback address that only this process uses."""
+        return f'{self._prefixes[zone]}{next(self._numbers[zone])}'
+
+    def reach(self, name: str, zone: str, listen: str) -> str:
+        """Return the address of a new link to a listener."""
+        self._links[name] = zone
+        return self.proxy.add_link(name, listen, zone)
+
+    # Faults.
+
+    def delay(self, source: str, destination: str, delay_ms: float) -> None:
+        """Set the one-way delay from one zone to another."""
+        self.proxy.paths([(source, destination)], delay_ms=delay_ms)
+
+    def cut(self, first: str, second: str, both: bool = True) -> None:
+        """Let packets from the first zone to the second vanish."""
+        self.proxy.paths(_directions(first, second, both), cut=True)
+
+    def heal(self, first: str, second: str, both: bool = True) -> None:
+        """End a cut."""
+        self.proxy.paths(_directions(first, second, both), cut=False)
+
+    def cut_zone(self, zone: str) -> None:
+        """Cut a zone off from all others."""
+        self.proxy.paths(self._around(zone), cut=True)
+
+    def heal_zone(self, zone: str) -> None:
+        """Connect a zone with all others again."""
+        self.proxy.paths(self._around(zone), cut=False)
+
+    def heal_all(self) -> None:
+        """End all cuts between zones."""
+        self.proxy.paths(self._all_pairs(), cut=False)
+
+    def silence(self, first: str, second: str) -> None:
+        """Silence the open connections between zones; new ones work."""
+        self.proxy.silence_between([(first, second)])
+
+    def silence_all(self) -> None:
+        """Silence all open connections, also within zones."""
+        self.proxy.silence()
+
+    def cut_link(self, name: str, cut: bool = True) -> None:
+        """Cut a listener off from everyone, or end this."""
+        self.proxy.rules(name, cut=cut)
+
+    def _around(self, zone: str) -> list[tuple[str, str]]:
+        return [pair for pair in self._all_pairs() if zone in pair]
+
+    def _all_pairs(self) -> list[tuple[str, str]]:
+        return list(itertools.permutations(self.zones, 2))
+
+
+def _directions(first: str, second: str, both: bool) -> list[tuple[str, str]]:
+    pairs = [(first, second)]
+    return [*pairs, (second, first)] if both else pairs
+
+
+class ZoneDeployment(deployments.Deployment):
+    """A deployment whose processes are placed by a ``ZoneNetwork``."""
+
+    def __init__(
+        self,
+        kit: harness.Harness,
+        control_zones: collections.abc.Sequence[str] = ('z1', 'z2', 'z3'),
+        entry_zones: collections.abc.Sequence[str] = ('z1', 'z2', 'z3'),
+        delay_ms: float = 0.0,
+        seed: int = 0,
+        **options: typing.Any,
+    ) -> None:
+        names = sorted({*control_zones, *entry_zones})
+        self.network = ZoneNetwork(kit, names, delay_ms, seed)
+        super().__init__(
+            kit, control_zones, entry_zones, network=self.network, **options
+        )
+
+    @property
+    def announce_addresses(self) -> list[str]:
+        """Return where targets announce themselves: everywhere."""
+        nodes = [*self.entries.values(), *self.control.values()]
+        return [node.reach_http for node in nodes]
+
+    def start_group(
+        self,
+        group: str,
+        zones: collections.abc.Sequence[str] = ('z1', 'z2', 'z3'),
+        **options: typing.Any,
+    ) -> harness.DatabaseGroup:
+        """Start a group; the first zone has the primary."""
+        return self.kit.start_group(
+            group,
+            zones,
+            announce=self.announce_addresses,
+            proxy=self.network.proxy,
+            host=self.network.host,
+            **options,
+        )
