--- a/packages/testkit/src/sassafrasridge_testkit/faultproxy.py
+++ b/packages/testkit/src/sassafrasridge_testkit/faultproxy.py
@@ -9,6 +9,7 @@
   addresses the source zone of a connection is recognised;
 - ``POST /paths {"paths": [[from, to], ...], "delay_ms", "cut"}`` changes what
   happens to packets from one zone to another;
+- ``POST /isolated {"hosts": [...]}`` cuts these addresses off from everyone;
 - ``POST /rules {"links": [...], rule: value, ...}`` changes rules, of all
   links without ``links``;
 - ``POST /actions {"links": [...], "action": "silence" | "reset"}``; with
@@ -120,9 +121,10 @@
 class Zones:
     """Know the zone of each address and the paths between zones."""
 
-    __slots__ = ('prefixes', 'paths')
+    __slots__ = ('prefixes', 'paths', 'isolated')
 
     def __init__(self) -> None:
+        self.isolated: set[str] = set()
         self.prefixes: dict[str, str] = {}
         self.paths: dict[tuple[str, str], Path] = {}
 
@@ -255,7 +257,8 @@
         self.silent: set[str] = set()
         self._link = link
         peer = writer.get_extra_info('peername')
-        self.source = link.zones.zone_of(peer[0]) if peer else ''
+        self._peer = peer[0] if peer else ''
+        self.source = link.zones.zone_of(self._peer)
         self._paths = {
             'to_target': link.zones.path(self.source, link.zone),
             'to_client': link.zones.path(link.zone, self.source),
@@ -366,6 +369,11 @@
             return True
         if not link.target or self._paths[direction].cut:
             return False
+        isolated = link.zones.isolated
+        if isolated and (
+            self._peer in isolated or link.target.split(':')[0] in isolated
+        ):
+            return False
         return not link.rules.holds(direction)
 
     def _writers(self) -> list[asyncio.StreamWriter]:
@@ -427,6 +435,12 @@
         for link in self.links.values():
             await link.notify()
 
+    async def isolate(self, hosts: collections.abc.Iterable[str]) -> None:
+        """Cut only these addresses off from everyone."""
+        self.zones.isolated = set(hosts)
+        for link in self.links.values():
+            await link.notify()
+
     async def silence_between(
         self, pairs: collections.abc.Iterable[collections.abc.Sequence[str]]
     ) -> None:
@@ -511,6 +525,9 @@
         if path == '/paths':
             await self._proxy.change_paths(body.pop('paths'), **body)
             return {}
+        if path == '/isolated':
+            await self._proxy.isolate(body['hosts'])
+            return {}
         if path == '/actions' and 'between' in body:
             if body['action'] != 'silence':
                 raise ValueError(f'unknown action {body["action"]!r}')
--- a/packages/testkit/src/sassafrasridge_testkit/harness.py
+++ b/packages/testkit/src/sassafrasridge_testkit/harness.py
@@ -176,6 +176,10 @@
         """Change the delay or the cut from one zone to another."""
         self._post('/paths', paths=list(pairs), **changes)
 
+    def isolate(self, hosts: collections.abc.Iterable[str]) -> None:
+        """Cut only these addresses off from everyone."""
+        self._post('/isolated', hosts=list(hosts))
+
     def silence_between(
         self, pairs: collections.abc.Iterable[tuple[str, str]]
     ) -> None:
--- a/packages/testkit/src/sassafrasridge_testkit/webclient.py
+++ b/packages/testkit/src/sassafrasridge_testkit/webclient.py
@@ -1,6 +1,7 @@
 """A small asyncio HTTP/1.1 client with one connection at a time."""
 
 import asyncio
+import collections.abc
 import typing
 
 import httptools
@@ -8,13 +9,24 @@
 
 
 class CallFailed(Exception):
-    """Report a call without a complete answer."""
+    """Report a call without a complete answer.
+
+    ``sent`` tells whether the other side may have received the request.
+    """
+
+    def __init__(self, message: str, sent: bool) -> None:
+        super().__init__(message)
+        self.sent = sent
 
 
 class _Collector:
     def __init__(self) -> None:
         self.body = b''
         self.complete = False
+        self.headers: dict[str, str] = {}
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        self.headers[name.decode().lower()] = value.decode()
 
     def on_body(self, data: bytes) -> None:
         self.body += data
@@ -28,6 +40,8 @@
 
     def __init__(self, address: str, source: str = '') -> None:
         self.address = address
+        self.headers: dict[str, str] = {}
+        self._sent = False
         self._local = (source, 0) if source else None
         self._reader: asyncio.StreamReader | None = None
         self._writer: asyncio.StreamWriter | None = None
@@ -44,30 +58,55 @@
         After any failure the connection is closed, so that a late answer is
         never taken for the next one. Raises CallFailed.
         """
+        headers = {'Authorization': f'Bearer {token}'} if token else {}
+        return await self.call('POST', path, body, timeout_s, headers)
+
+    async def call(
+        self,
+        method: str,
+        path: str,
+        body: dict[str, typing.Any] | None,
+        timeout_s: float,
+        headers: collections.abc.Mapping[str, str],
+    ) -> tuple[int, dict[str, typing.Any]]:
+        """Return status and body; ``headers`` are those of the answer then.
+
+        Raises CallFailed.
+        """
+        self._sent = False
         try:
             async with asyncio.timeout(timeout_s):
-                return await self._post(path, body, token)
+                return await self._call(method, path, body, headers)
         except (OSError, httptools.HttpParserError, ValueError) as exc:
             self.close()
-            raise CallFailed(f'{self.address}{path}: {exc!r}') from exc
+            raise CallFailed(
+                f'{self.address}{path}: {exc!r}', self._sent
+            ) from exc
         except asyncio.CancelledError:
             self.close()
             raise
 
-    async def _post(
-        self, path: str, body: dict[str, typing.Any], token: str | None
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        body: dict[str, typing.Any] | None,
+        headers: collections.abc.Mapping[str, str],
     ) -> tuple[int, dict[str, typing.Any]]:
         if self._writer is None or self._reader is None:
             host, port = self.address.rsplit(':', 1)
             self._reader, self._writer = await asyncio.open_connection(
                 host, int(port), local_addr=self._local
             )
-        data = orjson.dumps(body)
-        auth = f'Authorization: Bearer {token}\r\n' if token else ''
+        data = b'' if body is None else orjson.dumps(body)
+        lines = ''.join(
+            f'{name}: {text}\r\n' for name, text in headers.items()
+        )
+        self._sent = True
         self._writer.write(
             (
-                f'POST {path} HTTP/1.1\r\nHost: {self.address}\r\n'
-                f'Content-Type: application/json\r\n{auth}'
+                f'{method} {path} HTTP/1.1\r\nHost: {self.address}\r\n'
+                f'Content-Type: application/json\r\n{lines}'
                 f'Content-Length: {len(data)}\r\n\r\n'
             ).encode()
             + data
@@ -79,6 +118,7 @@
             if not received:
                 raise ConnectionResetError('closed before the answer')
             parser.feed_data(received)
+        self.headers = collector.headers
         if not parser.should_keep_alive():
             self.close()
         return parser.get_status_code(), orjson.loads(collector.body or b'{}')
--- a/packages/testkit/src/sassafrasridge_testkit/zones.py
+++ b/packages/testkit/src/sassafrasridge_testkit/zones.py
@@ -85,9 +85,9 @@
         """Silence all open connections, also within zones."""
         self.proxy.silence()
 
-    def cut_link(self, name: str, cut: bool = True) -> None:
-        """Cut a listener off from everyone, or end this."""
-        self.proxy.rules(name, cut=cut)
+    def isolate(self, *listen: str) -> None:
+        """Cut the processes of these listeners off; none ends it."""
+        self.proxy.isolate(address.rsplit(':', 1)[0] for address in listen)
 
     def _around(self, zone: str) -> list[tuple[str, str]]:
         return [pair for pair in self._all_pairs() if zone in pair]
