Let connection limits lapse with the lease; follow only served groups

Cause: a limit of connections could outlive the lease, and each entry process kept backends for every group although it serves a few at the stated size. Change: limits lapse with the lease and leave one connection per target for reads of a partitioned process, which control takes off the budget; backends and limits follow the serving set, which is computed once per change of the entry processes.

--- a/packages/node/src/sassafrasridge_node/backends.py
+++ b/packages/node/src/sassafrasridge_node/backends.py
@@ -23,6 +23,9 @@
 
 OPEN_RETRY_S = 0.1
 
+PARTITION_LIMIT = slots.Limit(1, 1)
+"""What a process without a lease keeps, for reads that need none."""
+
 STALL_S = 0.4
 """A call without an answer for so long raises the question whether its
 connection is silent; most statements are far shorter."""
@@ -209,6 +212,7 @@
         info: model.TargetInfo,
         dialer: connections.Dialer,
         counters: metrics.Metrics,
+        lease_s: float = slots.LEASE_S,
     ) -> None:
         self.info = info
         self._dialer = dialer
@@ -220,7 +224,9 @@
         self.circuit = circuits.Circuit()
         self.coverage = coverage.CoverageHistory()
         self.in_flight = 0
-        self.limit = slots.VersionedLimit()
+        self.share = slots.ConnectionShare(lease_s)
+        self.limit = slots.Limit(0, 0)
+        self._had_grant = False
         self.announced_at = float('-inf')
         self.success_at = float('-inf')
         self.role = info.role
@@ -281,12 +287,28 @@
             conn.close()
         self._pump()
 
-    def take_grant(self, grant: typing.Any) -> None:
+    def take_grant(self, grant: typing.Any, sent_at: float) -> None:
         """Apply leased limits of connections and statements in flight."""
-        if self.limit.replace(
-            grant.version, grant.connections, grant.in_flight
+        now = clocks.boottime()
+        if self.share.replace(
+            now,
+            sent_at,
+            grant.base,
+            grant.version,
+            grant.connections,
+            grant.in_flight,
         ):
-            self.pool.limit = grant.connections
+            self._had_grant = True
+            self.refresh_limits(now)
+
+    def refresh_limits(self, now: float) -> None:
+        """Apply the limits in effect now; they lapse with the lease."""
+        limit = self.share.limit(now)
+        if not limit.connections and self._had_grant:
+            limit = PARTITION_LIMIT
+        if limit != self.limit:
+            self.limit = limit
+            self.pool.limit = limit.connections
             self.pool.shrink()
             self._pump()
 
--- a/packages/node/src/sassafrasridge_node/codec.py
+++ b/packages/node/src/sassafrasridge_node/codec.py
@@ -5,7 +5,6 @@
 from sassafrasridge_core import model
 from sassafrasridge_core import promotion
 from sassafrasridge_core import shares
-from sassafrasridge_core import slots
 from sassafrasridge_node import rpc
 
 
@@ -44,9 +43,13 @@
     announcement_age_s: float,
     success_age_s: float,
     demand: float,
-    limit: slots.VersionedLimit,
+    limit: tuple[int, int],
+    serves: bool,
 ) -> typing.Any:
-    """Return the thrift report on a target."""
+    """Return the thrift report on a target.
+
+    ``limit`` is the version and the connections of the last grant.
+    """
     return rpc.idl.Observation(
         group=info.group,
         server=info.server,
@@ -61,8 +64,9 @@
         announcement_age_s=announcement_age_s,
         success_age_s=success_age_s,
         demand=demand,
-        limit_version=limit.version,
-        limit=limit.connections,
+        limit_version=limit[0],
+        limit=limit[1],
+        serves=serves,
     )
 
 
--- a/packages/node/src/sassafrasridge_node/entry.py
+++ b/packages/node/src/sassafrasridge_node/entry.py
@@ -54,6 +54,7 @@
         self.shares = shares.BucketSet(times.config_ttl_s)
         self.entries: dict[str, str] = {}
         self._serving: set[str] = set()
+        self._serving_sets: dict[str, list[str]] = {}
         self.draining = False
         self.renew_now: collections.abc.Callable[[], None] = lambda: None
         self._signer: sessions.TokenSigner | None = None
@@ -99,8 +100,12 @@
 
     def serving_set(self, group: str) -> list[str]:
         """Return the entry processes that keep connections to a group."""
-        names = sorted({*self._serving, self.name})
-        return placement.serving_set(group, names)
+        found = self._serving_sets.get(group)
+        if found is None:
+            names = sorted({*self._serving, self.name})
+            found = placement.serving_set(group, names)
+            self._serving_sets[group] = found
+        return found
 
     def timeline(self, group: str) -> freshness.PrimaryTimeline:
         """Return the timeline of a group's primary."""
@@ -111,7 +116,9 @@
         return self.shares.bucket(account)
 
     def _backend(self, info: model.TargetInfo) -> backends.Backend:
-        backend = backends.Backend(info, self._dialer, self.metrics)
+        backend = backends.Backend(
+            info, self._dialer, self.metrics, self.times.lease_s
+        )
         if self.plain:
             backend.queue = queueing.FifoQueue()
         return backend
@@ -185,7 +192,20 @@
         if backend is not None and view.term > known.term:
             backend.replaced()
 
+    def _follow_serving_sets(self) -> None:
+        """Keep backends only of groups that this process serves."""
+        for view in self.groups.values():
+            self._follow_view(view)
+        now = clocks.boottime()
+        for key, backend in list(self.backends.items()):
+            idle = now - backend.announced_at > ANNOUNCEMENT_TTL_S
+            if not self.serves(key[0]) and idle and not backend.demand():
+                backend.pool.close()
+                del self.backends[key]
+
     def _follow_view(self, view: model.GroupView) -> None:
+        if not self.serves(view.group):
+            return
         for server, address in view.members.items():
             key = (view.group, server)
             if key not in self.backends:
@@ -195,14 +215,18 @@
                     )
                 )
 
-    def apply_connections(self, grants: typing.Any) -> None:
-        """Apply leased limits of connections."""
+    def apply_connections(self, grants: typing.Any, sent_at: float) -> None:
+        """Apply the limits that answer a renewal sent at ``sent_at``."""
         for grant in grants or []:
             backend = self.backends.get((grant.group, grant.server))
             if backend is not None:
-                backend.take_grant(grant)
+                backend.take_grant(grant, sent_at)
 
     def apply_entries(self, entries: typing.Any) -> None:
         """Record the live entry processes."""
         self.entries = {e.entry: e.address for e in entries or []}
-        self._serving = {e.entry for e in entries or [] if not e.draining}
+        serving = {e.entry for e in entries or [] if not e.draining}
+        if serving != self._serving:
+            self._serving = serving
+            self._serving_sets.clear()
+            self._follow_serving_sets()
--- a/packages/node/src/sassafrasridge_node/leadership.py
+++ b/packages/node/src/sassafrasridge_node/leadership.py
@@ -45,6 +45,7 @@
         )
         self._ledgers: dict[tuple[str, str], slots.ConnectionLedger] = {}
         self._config_revision = -1
+        self._silent = 0
         self._known_accounts: set[str] = set()
         if not len(state.answers):
             self._allocator.open_at_once(now)
@@ -65,6 +66,10 @@
             leader_term=self.term,
             sequence=req.sequence,
         )
+        for obs in req.observations or []:
+            self.detector.report(
+                name, obs.group, obs.server, codec.sighting_from_wire(now, obs)
+            )
         self._add_config(reply, req)
         reply.shares = [
             codec.grant_to_wire(grant)
@@ -77,8 +82,9 @@
             )
         ]
         reply.connections = [
-            self._observe(now, name, req, obs)
+            self._limit(now, req, obs)
             for obs in req.observations or []
+            if obs.serves
         ]
         reply.entries = self._entries(now)
         self._metrics.renewals.labels('granted').inc()
@@ -97,6 +103,9 @@
         """Forget holders whose lease is over, and follow the accounts."""
         for holder in self.table.expire(now):
             self.detector.forget(holder.name)
+        known = {holder.entry for holder in self.table.holders.values()}
+        # A partitioned process keeps one connection per target for reads.
+        self._silent = len(self._state.entries.keys() - known)
         self._allocator.tick(now)
         if self._config_revision != self._state.revision:
             self._sync_accounts(now)
@@ -129,12 +138,9 @@
             )
         self._known_accounts = set(accounts)
 
-    def _observe(
-        self, now: float, name: str, req: typing.Any, obs: typing.Any
+    def _limit(
+        self, now: float, req: typing.Any, obs: typing.Any
     ) -> typing.Any:
-        self.detector.report(
-            name, obs.group, obs.server, codec.sighting_from_wire(now, obs)
-        )
         key = (obs.group, obs.server)
         ledger = self._ledgers.get(key)
         if ledger is None:
@@ -155,6 +161,7 @@
         return rpc.idl.ConnectionGrant(
             group=obs.group,
             server=obs.server,
+            base=limit.base,
             version=limit.version,
             connections=limit.connections,
             in_flight=limit.in_flight,
@@ -167,7 +174,7 @@
             if service.group == obs.group:
                 connections = service.connections or connections
                 running = service.slots or running
-        return connections, running
+        return max(1, connections - self._silent), running
 
     def _add_config(self, reply: typing.Any, req: typing.Any) -> None:
         reply.revision = self._state.revision
--- a/packages/node/src/sassafrasridge_node/renewal.py
+++ b/packages/node/src/sassafrasridge_node/renewal.py
@@ -46,6 +46,7 @@
         self._current = 0
         self._wake = asyncio.Event()
         self._had_lease = False
+        self._sent_at = 0.0
         state.renew_now = self._wake.set
 
     async def run(self) -> None:
@@ -87,7 +88,7 @@
     async def _renew_once(self) -> None:
         state = self._state
         req = self._request()
-        now = clocks.boottime()
+        now = self._sent_at = clocks.boottime()
         state.lease.sent(now, req.sequence)
         req.accounts = [
             codec.report_to_wire(report)
@@ -116,7 +117,7 @@
         )
         if current:
             state.lease.granted(reply.sequence)
-            state.apply_connections(reply.connections)
+            state.apply_connections(reply.connections, self._sent_at)
 
     def _report_change(self) -> None:
         valid = self._state.lease_valid()
@@ -150,10 +151,10 @@
                 min(MAX_AGE_S, now - backend.announced_at),
                 min(MAX_AGE_S, now - backend.success_at),
                 backend.demand(),
-                backend.limit,
+                backend.share.report(now),
+                self._state.serves(group),
             )
             for (group, _), backend in self._state.backends.items()
-            if self._state.serves(group)
         ]
 
     async def release(self) -> None:
@@ -184,7 +185,9 @@
     async def run(self) -> None:
         """Probe until cancelled."""
         while True:
+            now = clocks.boottime()
             for (group, server), backend in list(self._state.backends.items()):
+                backend.refresh_limits(now)
                 if self._state.serves(group):
                     self._start(group, server, backend)
             await asyncio.sleep(PROBE_INTERVAL_S)
--- a/packages/node/src/sassafrasridge_node/ridge.thrift
+++ b/packages/node/src/sassafrasridge_node/ridge.thrift
@@ -42,6 +42,7 @@
   13: double demand,        // mean statements in flight or queued
   14: i64 limit_version,    // of the last ConnectionGrant taken
   15: i32 limit,            // connections of that grant
+  16: bool serves,          // the entry process is in the serving set
 }
 
 struct MemberAddress {
@@ -69,6 +70,7 @@
   3: i64 version,
   4: i32 connections,
   5: i32 in_flight,
+  6: i64 base,              // version that the holder reported
 }
 
 struct EntryAddress {
--- a/tests/node/test_storage.py
+++ b/tests/node/test_storage.py
@@ -5,6 +5,7 @@
 import time
 
 import pytest
+
 from sassafrasridge_core import errors
 from sassafrasridge_core import raft
 from sassafrasridge_node import storage
