--- a/packages/core/src/sassafrasridge_core/shares.py
+++ b/packages/core/src/sassafrasridge_core/shares.py
@@ -102,13 +102,6 @@
         )
         self._lost = 0
 
-    def open_at_once(self, now: float) -> None:
-        """Skip the wait for holders of earlier leaders.
-
-        Allowed only when no earlier leader had any account to share.
-        """
-        self._open_at = now
-
     @abc.abstractmethod
     def target(
         self, now: float, pool: pools.Pool, record: pools.Record
--- a/packages/node/src/sassafrasridge_node/leadership.py
+++ b/packages/node/src/sassafrasridge_node/leadership.py
@@ -47,8 +47,7 @@
         self._config_revision = -1
         self._silent = 0
         self._known_accounts: set[str] = set()
-        if not len(state.answers):
-            self._allocator.open_at_once(now)
+        self._first_leader = not len(state.answers)
 
     def renew(self, now: float, req: typing.Any) -> typing.Any:
         """Grant a renewal and return its reply."""
@@ -127,14 +126,15 @@
             self._allocator.withdraw_account(now, name)
         for account in accounts.values():
             # An account that was added while this leader leads starts with a
-            # full burst; for any other, the burst may have been used already.
-            is_new = not first and account.name not in self._known_accounts
+            # full burst; for any other, the burst may have been used already,
+            # also by holders of an earlier account of this name.
+            created = (
+                not first
+                and account.name not in self._known_accounts
+                and (self._first_leader or self.table.shares_settled(now))
+            )
             self._allocator.set_account(
-                now,
-                account.name,
-                account.rate,
-                account.burst,
-                account.burst if is_new else 0.0,
+                now, account.name, account.rate, account.burst, created
             )
         self._known_accounts = set(accounts)
 
