--- a/tests/node/test_writes.py
+++ b/tests/node/test_writes.py
@@ -1,9 +1,11 @@
 """Tests of what a write's answer means."""
 
+import asyncio
 import random
 
 import pytest
 
+from sassafrasridge_core import circuits
 from sassafrasridge_core import errors
 from sassafrasridge_core import leases
 from sassafrasridge_core import model
@@ -78,6 +80,31 @@
         with pytest.raises(answers.IdConflictError):
             self.judge(409, error={'kind': 'request_conflict'})
 
+    def test_lost_answer_leaves_the_write_in_doubt(self):
+        """Guards against saying "not run" of a write that was sent."""
+
+        class Lost:
+            circuit = circuits.Circuit()
+
+            def __init__(self, sent):
+                self.sent = sent
+
+            async def call(self, conn, body, timeout_s):
+                raise connections.ConnectionLostError('', sent=self.sent)
+
+        def send(sent):
+            call = self.writer._call(
+                self.attempt, Lost(sent), None, {}, clocks.boottime() + 1
+            )
+            assert asyncio.run(call) is None
+
+        send(False)
+        assert not self.attempt.in_doubt
+        send(True)
+        assert self.attempt.in_doubt
+        send(False)
+        assert self.attempt.in_doubt
+
     def test_refusal_by_term_is_tried_again(self):
         """Guards against an error for a write that another may run."""
         assert self.judge(409, error={'kind': 'wrong_term'}) is None
