--- a/packages/node/src/sassafrasridge_node/httpserver.py
+++ b/packages/node/src/sassafrasridge_node/httpserver.py
@@ -13,11 +13,14 @@
 import contextlib
 import email.utils
 import errno
+import functools
 import http
 import io
+import queue
 import re
 import selectors
 import socket
+import sys
 import threading
 import time
 import typing
@@ -350,9 +353,42 @@
         self.conn.output += response.body
 
 
+@functools.lru_cache(maxsize=256)
+def _variable(name: bytes) -> str:
+    """Return the variable of the WSGI environment for a header.
+
+    >>> _variable(b'Session-Token'), _variable(b'Content-Type')
+    ('HTTP_SESSION_TOKEN', 'CONTENT_TYPE')
+    """
+    variable = name.decode('latin-1').upper().replace('-', '_')
+    if variable in ('CONTENT_TYPE', 'CONTENT_LENGTH'):
+        return variable
+    return 'HTTP_' + variable
+
+
 class Gateway(wsgi.Gateway_10):
     """Call the WSGI application; it may answer with a Deferred."""
 
+    def get_environ(self) -> dict[str, typing.Any]:
+        """Return the WSGI environment.
+
+        The base class formats every value anew, which took a seventh of a
+        request's time.
+        """
+        req = self.req
+        env = req.server.environ.copy()
+        env['PATH_INFO'] = req.path.decode('latin-1')
+        env['QUERY_STRING'] = req.qs.decode('latin-1')
+        env['REMOTE_ADDR'] = req.conn.remote_addr or ''
+        env['REMOTE_PORT'] = str(req.conn.remote_port or '')
+        env['REQUEST_METHOD'] = req.method.decode('latin-1')
+        env['REQUEST_URI'] = req.uri.decode('latin-1')
+        env['SERVER_PROTOCOL'] = req.request_protocol.decode('latin-1')
+        env['wsgi.input'] = req.rfile
+        for name, value in req.inheaders.items():
+            env[_variable(name)] = value.decode('latin-1')
+        return env
+
     def respond(self) -> None:
         """Write the response, or leave it to the deferred result."""
         response = self.req.server.wsgi_app(self.env, self.start_response)
@@ -719,6 +755,11 @@
         )
         self.gateway = Gateway
         self.software = 'sassafrasridge'
+        # A queue in C: the pool's own one, with its three conditions in
+        # Python, cost a tenth of a request's time.
+        self.requests._queue = queue.SimpleQueue()
+        self.requests.get = self.requests._queue.get
+        self.environ: dict[str, typing.Any] = {}
         self.metrics = metrics
         self.read_timeout_s = read_timeout_s
         self.write_timeout_s = write_timeout_s
@@ -792,6 +833,20 @@
         super().prepare()
         self._connections.close()
         self._connections = _Manager(self)
+        self.environ = {
+            'ACTUAL_SERVER_PROTOCOL': self.protocol,
+            'SCRIPT_NAME': '',
+            'SERVER_NAME': self.server_name,
+            'SERVER_PORT': str(self.bind_addr[1]),
+            'SERVER_SOFTWARE': self.software,
+            'wsgi.errors': sys.stderr,
+            'wsgi.input_terminated': False,
+            'wsgi.multiprocess': False,
+            'wsgi.multithread': True,
+            'wsgi.run_once': False,
+            'wsgi.url_scheme': 'http',
+            'wsgi.version': (1, 0),
+        }
 
     def process_conn(self, conn: Connection | None) -> None:
         """Queue a connection for a worker thread.
