--- a/packages/testkit/src/sassafrasridge_testkit/measure.py
+++ b/packages/testkit/src/sassafrasridge_testkit/measure.py
@@ -124,9 +124,11 @@
             scenario.repair()
             system.wait_settled()
             time.sleep(kind.recovery_s)
-        except (harness.DeadlinePassed, AssertionError, OSError) as exc:
-            error = str(exc)[:500]
-        stored = system.stored(kind.name)
+            stored = system.stored(kind.name)
+        except (AssertionError, OSError) as exc:
+            # Without the tables the promises on writes can't be judged.
+            error = f'{exc!r}'[:500]
+            stored = []
         record = oracle.judge(load, stored)
         record['error'] = error
         record |= _gaps(scenario, load, system.platform.services)
--- a/packages/testkit/src/sassafrasridge_testkit/platforms.py
+++ b/packages/testkit/src/sassafrasridge_testkit/platforms.py
@@ -225,5 +225,7 @@
                         [scenario],
                     ),
                 )
+                if answer.status != 200:
+                    raise AssertionError(f'{server.name}: {answer}')
                 values += [row[0] for row in answer.rows]
         return values
