Resume the leadership of the same term with what it granted

Cause: when all connections went silent, the control leader's lease lapsed for 40 to 80 ms until new connections confirmed it. Change: a member that leads again in the same term goes on with its own leadership state. Ruled out: a new term (the logs show the same one before and after); a longer leader lease, which is bounded by the shortest election time-out. Conclusion: sound, because a majority that confirms the term again has not voted in a later one, so no other member can have led in between.

--- a/packages/node/src/sassafrasridge_node/control.py
+++ b/packages/node/src/sassafrasridge_node/control.py
@@ -98,6 +98,8 @@
         self._times = times
         self._suspect_after_s = suspect_after_s
         self._policy = policy
+        # Of the term in which this member led last.
+        self._resumable: leadership.Leadership | None = None
         self._waiters: dict[int, Waiter] = {}
         self._wake = asyncio.Event()
         self.applied = self._snapshot_index = log.snapshot_index
@@ -213,7 +215,7 @@
             self._begin_leadership(now)
 
     def _begin_leadership(self, now: float) -> None:
-        self.leadership = leadership.Leadership(
+        self.leadership = self._resumed() or leadership.Leadership(
             self.state,
             self._times,
             self._suspect_after_s,
@@ -236,9 +238,22 @@
         if not self.state.session_secret:
             asyncio.ensure_future(self._initialise())
 
+    def _resumed(self) -> leadership.Leadership | None:
+        """Return what is known from earlier in this term.
+
+        A majority has just confirmed the term, so no other member led
+        meanwhile, and what was granted is still all that is held. A new
+        leadership would give away no share of a rate for several seconds.
+        """
+        earlier = self._resumable
+        if earlier is not None and earlier.term == self.log.term:
+            return earlier
+        return None
+
     def _end_leadership(self) -> None:
         if self.leadership is None:
             return
+        self._resumable = self.leadership
         logs.change('leadership_ended', term=self.leadership.term)
         self._metrics.is_leader.set(0)
         self.leadership = None
--- /dev/null
+++ b/tests/node/test_control.py
@@ -0,0 +1,72 @@
+"""Tests of a control member's leadership."""
+
+import asyncio
+
+import pytest
+
+from sassafrasridge_core import leases
+from sassafrasridge_core import state as core_state
+from sassafrasridge_node import connections
+from sassafrasridge_node import control
+from sassafrasridge_node import metrics
+from sassafrasridge_node import rpc
+
+
+class _Log:
+    """A replicated log whose leadership the test decides."""
+
+    snapshot_index = 0
+    leader = None
+
+    def __init__(self):
+        self.term = 1
+        self.leading = True
+
+    def leads(self, now):
+        return self.leading
+
+
+def _member(log):
+    state = core_state.State()
+    state.session_secret = 's' * 64
+    return control.ControlMember(
+        'c1',
+        'z1',
+        log,
+        None,
+        state,
+        {},
+        rpc.ClientPool(rpc.idl.Control, b's' * 32),
+        leases.LeaseTimes(0.3, 1.2, 4.0),
+        0.8,
+        'demand',
+        connections.Dialer(''),
+        metrics.Metrics(),
+    )
+
+
+class TestLeadership:
+    @pytest.mark.parametrize(('term', 'resumed'), [(1, True), (2, False)])
+    def test_resumed_only_in_the_same_term(self, term, resumed):
+        """Guards against losing all shares when a lease lapses briefly.
+
+        In a later term another leader may have granted shares, so nothing
+        known from before may be used.
+        """
+
+        async def run():
+            log = _Log()
+            member = _member(log)
+            member._update_leadership()
+            first = member.leadership
+            assert first is not None
+            log.leading = False
+            member._update_leadership()
+            assert member.leadership is None
+            log.leading = True
+            log.term = term
+            member._update_leadership()
+            assert (member.leadership is first) == resumed
+            member._end_leadership()
+
+        asyncio.run(run())
