Relay writes under an id of their own and spread relayed statements

Cause: a relayed write whose answer was lost was reported as unknown, although its request id makes a second try safe, and all relayed statements of a group went to one process. Change: the first process gives the write its id; other members of the serving set are tried, own zone first, in random order; the serving set covers every zone before a zone has two.

--- a/packages/node/src/sassafrasridge_node/entry.py
+++ b/packages/node/src/sassafrasridge_node/entry.py
@@ -54,6 +54,7 @@
         self.shares = shares.BucketSet(times.config_ttl_s)
         self.entries: dict[str, str] = {}
         self._serving: set[str] = set()
+        self._zones: dict[str, str] = {}
         self._serving_sets: dict[str, list[str]] = {}
         self.draining = False
         self.renew_now: collections.abc.Callable[[], None] = lambda: None
@@ -98,12 +99,16 @@
         """Return whether this process keeps connections to the group."""
         return self.name in self.serving_set(group)
 
+    def zone_of(self, entry: str) -> str:
+        """Return the availability zone of an entry process."""
+        return self._zones.get(entry, '')
+
     def serving_set(self, group: str) -> list[str]:
         """Return the entry processes that keep connections to a group."""
         found = self._serving_sets.get(group)
         if found is None:
             names = sorted({*self._serving, self.name})
-            found = placement.serving_set(group, names)
+            found = placement.serving_set(group, names, zones=self._zones)
             self._serving_sets[group] = found
         return found
 
@@ -225,6 +230,8 @@
     def apply_entries(self, entries: typing.Any) -> None:
         """Record the live entry processes."""
         self.entries = {e.entry: e.address for e in entries or []}
+        self._zones = {e.entry: e.zone for e in entries or []}
+        self._zones[self.name] = self.zone
         serving = {e.entry for e in entries or [] if not e.draining}
         if serving != self._serving:
             self._serving = serving
--- a/packages/node/src/sassafrasridge_node/gateway.py
+++ b/packages/node/src/sassafrasridge_node/gateway.py
@@ -33,6 +33,10 @@
     'request_id',
     'digest',
 )
+RELAY_TRY_S = 3.0
+"""Time for one entry process to answer before the next one is asked; long
+enough for a change of primary."""
+
 IN_TRANSACTION = ('in', 'commit', 'rollback')
 UUID7_VERSION = '7'
 REQUEST_ID_TTL_S = 24 * 3600
@@ -83,7 +87,18 @@
             return None if owner == state.name else [owner]
         if state.serves(adm.group):
             return None
-        return state.serving_set(adm.group)
+        return self._spread(state.serving_set(adm.group))
+
+    def _spread(self, serving: list[str]) -> list[str]:
+        """Order entry processes: own zone first, random within a zone."""
+        state = self._state
+        return sorted(
+            serving,
+            key=lambda entry: (
+                state.zone_of(entry) != state.zone,
+                self._rng.random(),
+            ),
+        )
 
     async def execute(
         self, req: front.DataRequest, adm: admission.Admission
@@ -113,6 +128,10 @@
         adm: admission.Admission,
         owners: list[str],
     ) -> front.DataReply:
+        if req.kind == 'statements' and req.access == 'write':
+            # With an id of its own a write runs at most once, whichever
+            # processes it is sent to.
+            req.request_id = req.request_id or writes.new_request_id()
         for owner in owners:
             address = self._state.entries.get(owner)
             if address is None:
@@ -120,9 +139,8 @@
             try:
                 return await self._relay_to(req, address)
             except rpc.RpcError as exc:
-                if exc.sent and req.kind != 'commit':
-                    if not self._repeatable(req):
-                        raise errors.OutcomeUnknownError(exc.message)
+                if exc.sent and req.kind == 'in':
+                    raise errors.OutcomeUnknownError(exc.message)
         if req.kind == 'commit':
             # The owner is gone or silent; the target knows the outcome.
             return await self.transactions.settle(
@@ -133,17 +151,20 @@
             )
         if req.kind in IN_TRANSACTION:
             raise transactions.lost(req.transaction or '')
-        raise backends.refused(model.NO_TARGET)
+        raise self._unrelayed(req)
 
     @staticmethod
-    def _repeatable(req: front.DataRequest) -> bool:
-        # A write with a request id runs at most once wherever it is sent.
-        return req.access == 'read' or req.request_id is not None
+    def _unrelayed(req: front.DataRequest) -> errors.RidgeError:
+        if req.kind == 'statements' and req.access == 'write':
+            return errors.OutcomeUnknownError('no entry process answered')
+        return backends.refused(model.NO_TARGET)
 
     async def _relay_to(
         self, req: front.DataRequest, address: str
     ) -> front.DataReply:
         left = max(0.001, req.deadline - clocks.boottime())
+        if req.kind != 'commit':
+            left = min(left, RELAY_TRY_S)
         call = rpc.idl.StatementCall(
             kind=req.kind,
             body=orjson.dumps(
--- a/packages/node/src/sassafrasridge_node/writes.py
+++ b/packages/node/src/sassafrasridge_node/writes.py
@@ -22,6 +22,11 @@
 """Digest of the row that keeps a lost transaction from committing later."""
 
 
+def new_request_id() -> str:
+    """Return an id for a write whose caller gave none."""
+    return f'auto:{uuid.uuid4().hex}'
+
+
 class Attempt:
     """Hold one write that must run at most once."""
 
@@ -83,7 +88,7 @@
         """Return the result of a write; raises RidgeError."""
         attempt = Attempt(
             adm.account,
-            req.request_id or f'auto:{uuid.uuid4().hex}',
+            req.request_id or new_request_id(),
             req.digest,
             req.statements,
         )
