Admit a server to a group only when it has caught up; delete old request records

Cause: found in review. A group's record could count a server that held less than the primary's acknowledged writes; in a group of five, a fenced majority of new servers would then miss a write. Records of request ids were never deleted although the design keeps them 24 h. Measured: tests of failover, durability and path pass; the new tests of the deletion pass. Not tested: a group of five that loses three servers while one joins.

--- a/packages/node/src/sassafrasridge_node/gateway.py
+++ b/packages/node/src/sassafrasridge_node/gateway.py
@@ -63,8 +63,8 @@
         self._rng = rng
         self._admitter = admission.Admitter(state)
         self._reader = reads.Reader(state, state.metrics, rng)
-        self._writer = writes.Writer(state, state.metrics, rng)
-        self.transactions = transactions.Transactions(state, self._writer)
+        self.writer = writes.Writer(state, state.metrics, rng)
+        self.transactions = transactions.Transactions(state, self.writer)
 
     async def call(self, req: front.DataRequest) -> front.DataReply:
         """Execute a caller's request."""
@@ -115,7 +115,7 @@
             return await self.transactions.rollback(req)
         if req.access == 'read':
             return await self._reader.read(req, adm, tokens)
-        return await self._writer.write(req, adm, tokens)
+        return await self.writer.write(req, adm, tokens)
 
     def _tokens(self, req: front.DataRequest) -> dict[str, model.Position]:
         if req.session is None:
--- a/packages/node/src/sassafrasridge_node/groups.py
+++ b/packages/node/src/sassafrasridge_node/groups.py
@@ -18,6 +18,7 @@
 
 STEP_INTERVAL_S = 0.05
 ORDER_TIMEOUT_S = 0.3
+CATCH_UP_TIMEOUT_S = 2.0
 ORDER_REPEAT_S = 0.3
 """An order to a target is not repeated sooner, to spare the target."""
 
@@ -248,20 +249,59 @@
     ) -> None:
         for info in targets.values():
             if info.server not in view.members and not info.leaving:
-                members = {**view.members, info.server: info.address}
-                if await self._change_members(view, members) is not view:
-                    await self._follow(view, info.server, info.address)
+                await self._admit(view, info)
+                return
+
+    async def _admit(
+        self, view: model.GroupView, info: model.TargetInfo
+    ) -> None:
+        """Add a server that holds everything the primary holds.
+
+        Only then does a majority that counts the new server meet every
+        majority that acknowledged a write before.
+        """
+        primary = view.members[typing.cast(str, view.primary)]
+        members = {**view.members, info.server: info.address}
+        if not await self._tell_members(view, members):
+            return
+        await self._follow(view, info.server, info.address)
+        held = await self._order(primary, '/status', {'group': view.group})
+        if held is None or held['last_term'] != view.term:
+            return
+        deadline = clocks.boottime() + CATCH_UP_TIMEOUT_S
+        while clocks.boottime() < deadline:
+            status = await self._order(
+                info.address, '/status', {'group': view.group}
+            )
+            if status is None:
+                return
+            if (
+                status['last_term'] == view.term
+                and status['received'] >= held['received']
+            ):
+                await self._commit_members(view, members)
                 return
+            await asyncio.sleep(STEP_INTERVAL_S)
 
     async def _change_members(
         self, view: model.GroupView, members: dict[str, str]
     ) -> model.GroupView:
         # The primary learns of a new member before the record does. So every
         # write quorum of the primary meets every majority that is fenced.
-        primary = view.members[typing.cast(str, view.primary)]
-        body = {'group': view.group, 'members': members}
-        if await self._order(primary, '/members', body) is None:
+        if not await self._tell_members(view, members):
             return view
+        return await self._commit_members(view, members)
+
+    async def _tell_members(
+        self, view: model.GroupView, members: dict[str, str]
+    ) -> bool:
+        primary = members[typing.cast(str, view.primary)]
+        body = {'group': view.group, 'members': members}
+        return await self._order(primary, '/members', body) is not None
+
+    async def _commit_members(
+        self, view: model.GroupView, members: dict[str, str]
+    ) -> model.GroupView:
         changed = model.GroupView(
             view.group, view.term, view.primary, members, view.starts
         )
--- a/packages/node/src/sassafrasridge_node/main.py
+++ b/packages/node/src/sassafrasridge_node/main.py
@@ -17,6 +17,7 @@
 from sassafrasridge_core import leases
 from sassafrasridge_core import raft
 from sassafrasridge_core import state as core_state
+from sassafrasridge_node import cleanup
 from sassafrasridge_node import clocks
 from sassafrasridge_node import commands
 from sassafrasridge_node import connections
@@ -170,6 +171,7 @@
         self._spawn(self.renewer.run())
         self._spawn(renewal.Prober(self.state).run())
         self._spawn(self.gateway.transactions.run())
+        self._spawn(cleanup.Cleaner(self.state, self.gateway.writer).run())
 
     def control_addresses(self) -> list[str]:
         """Return the control members, those of the own zone first."""
--- /dev/null
+++ b/tests/node/test_cleanup.py
@@ -0,0 +1,68 @@
+"""Tests of the deletion of old request records."""
+
+import asyncio
+import sqlite3
+import time
+
+from sassafrasridge_core import errors
+from sassafrasridge_core import leases
+from sassafrasridge_node import cleanup
+from sassafrasridge_node import connections
+from sassafrasridge_node import entry
+from sassafrasridge_node import gateway
+from sassafrasridge_node import metrics
+
+
+class Writer:
+    """Run the statements of an attempt on a table of records."""
+
+    def __init__(self, fails=False):
+        self.fails = fails
+        self.table = sqlite3.connect(':memory:')
+        self.table.execute(
+            'CREATE TABLE sassafras_requests (id TEXT, created REAL)'
+        )
+
+    async def run(self, group, attempt, deadline, recheck):
+        if self.fails:
+            raise errors.UnavailableError('no primary')
+        for statement in attempt.statements:
+            self.table.execute(statement['sql'], statement['params'])
+
+    def ids(self):
+        rows = self.table.execute('SELECT id FROM sassafras_requests')
+        return {row[0] for row in rows}
+
+
+def state():
+    return entry.EntryState(
+        'e1',
+        'z1',
+        leases.LeaseTimes(),
+        connections.Dialer(''),
+        metrics.Metrics(),
+    )
+
+
+class TestCleaner:
+    def test_records_within_their_time_stay(self):
+        """Guards against running a resent request a second time."""
+        writer = Writer()
+        now = time.time()
+        ages = {
+            'new': 0.0,
+            'kept': gateway.REQUEST_ID_TTL_S + 60,
+            'old': gateway.REQUEST_ID_TTL_S + cleanup.MARGIN_S + 60,
+        }
+        for name, age in ages.items():
+            writer.table.execute(
+                'INSERT INTO sassafras_requests VALUES (?, ?)',
+                (name, now - age),
+            )
+        asyncio.run(cleanup.Cleaner(state(), writer).clean('g'))
+        assert writer.ids() == {'new', 'kept'}
+
+    def test_failure_ends_only_the_round(self):
+        """Guards against ending the task while a group has no primary."""
+        cleaner = cleanup.Cleaner(state(), Writer(fails=True))
+        asyncio.run(cleaner.clean('g'))
