Keep the connections of the stand-ins' client open

Cause: the HTTP parser tells whether a connection stays open only within its last callback; asked later, it always says no. Change: ask in the callback. Ruled out: the daemon closing its connections; two requests over one raw connection are answered.

--- a/packages/testkit/src/sassafrasridge_testkit/webclient.py
+++ b/packages/testkit/src/sassafrasridge_testkit/webclient.py
@@ -23,6 +23,8 @@
     def __init__(self) -> None:
         self.body = b''
         self.complete = False
+        self.keep_alive = False
+        self.parser: httptools.HttpResponseParser | None = None
         self.headers: dict[str, str] = {}
 
     def on_header(self, name: bytes, value: bytes) -> None:
@@ -33,6 +35,9 @@
 
     def on_message_complete(self) -> None:
         self.complete = True
+        # After this call the parser forgets it and always returns false.
+        if self.parser is not None:
+            self.keep_alive = self.parser.should_keep_alive()
 
 
 class Client:
@@ -113,13 +118,14 @@
         )
         collector = _Collector()
         parser = httptools.HttpResponseParser(collector)
+        collector.parser = parser
         while not collector.complete:
             received = await self._reader.read(65536)
             if not received:
                 raise ConnectionResetError('closed before the answer')
             parser.feed_data(received)
         self.headers = collector.headers
-        if not parser.should_keep_alive():
+        if not collector.keep_alive:
             self.close()
         return parser.get_status_code(), orjson.loads(collector.body or b'{}')
 
