Let connections given up during a cut of a path vanish

Cause: hundreds of connections that clients had given up while a zone was cut off were delivered when it healed. A real client sends no data before its first packet is answered. Change: a connection that its client closed before the cut ended is dropped.

--- a/packages/testkit/src/sassafrasridge_testkit/callers.py
+++ b/packages/testkit/src/sassafrasridge_testkit/callers.py
@@ -49,6 +49,8 @@
     def __init__(self, address: str, timeout_s: float = 10.0) -> None:
         self.address = address
         self.timeout_s = timeout_s
+        # Address that the connection comes from, '' for any.
+        self.source = ''
         self._conn: http.client.HTTPConnection | None = None
 
     def request(
@@ -61,7 +63,9 @@
         """Return the answer; raises NoAnswer and closes the connection."""
         if self._conn is None:
             self._conn = http.client.HTTPConnection(
-                self.address, timeout=self.timeout_s
+                self.address,
+                timeout=self.timeout_s,
+                source_address=(self.source, 0) if self.source else None,
             )
         data = None if body is None else orjson.dumps(body)
         all_headers = {'Content-Type': 'application/json', **(headers or {})}
--- a/packages/testkit/src/sassafrasridge_testkit/faultproxy.py
+++ b/packages/testkit/src/sassafrasridge_testkit/faultproxy.py
@@ -43,6 +43,7 @@
 QUEUE_CHUNKS = 256
 # (due time, bytes); empty bytes end a direction, None resets it.
 _Chunks = asyncio.Queue[tuple[float, bytes | None]]
+_TCP_ESTABLISHED = 1  # TCP_ESTABLISHED of the Linux header tcp.h
 _LINGER_RESET = struct.pack('ii', 1, 0)
 
 
@@ -303,9 +304,22 @@
         delay_ms = sum(path.delay_ms for path in self._paths.values())
         if delay_ms:
             await asyncio.sleep(delay_ms / 1000)
-        for direction in DIRECTIONS:
-            if direction == 'to_target' or self._paths[direction].cut:
-                await self._wait_for(direction)
+        while not self._opens():
+            async with self._link.changed:
+                await self._link.changed.wait_for(self._opens)
+            if self._client_left():
+                # With nothing to answer its first packet, the client gave up
+                # without having sent anything that could arrive later.
+                raise ConnectionResetError('given up during the cut')
+
+    def _opens(self) -> bool:
+        cut = self._paths['to_client'].cut and 'to_client' not in self.silent
+        return self._passes('to_target') and not cut
+
+    def _client_left(self) -> bool:
+        sock = self._client[1].get_extra_info('socket')
+        info = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)
+        return bool(info[0] != _TCP_ESTABLISHED)
 
     def _delay_s(self, direction: str) -> float:
         return self._link.delay_s() + self._paths[direction].delay_ms / 1000
--- a/packages/testkit/src/sassafrasridge_testkit/zones.py
+++ b/packages/testkit/src/sassafrasridge_testkit/zones.py
@@ -46,6 +46,10 @@
         """Return a loopback address that only this process uses."""
         return f'{self._prefixes[zone]}{next(self._numbers[zone])}'
 
+    def source(self, zone: str) -> str:
+        """Return an address from which a test connects as if in a zone."""
+        return f'{self._prefixes[zone]}254'
+
     def reach(self, name: str, zone: str, listen: str) -> str:
         """Return the address of a new link to a listener."""
         self._links[name] = zone
