--- a/Makefile
+++ b/Makefile
@@ -29,3 +29,7 @@
 
 demo: install
 	$(BIN)/python -m sassafrasridge_testkit.demo
+
+# SCENARIO and SEED are optional.
+measure: install
+	$(BIN)/python -m sassafrasridge_testkit.measure $(if $(SCENARIO),--scenario $(SCENARIO)) $(if $(SEED),--seed $(SEED))
--- a/packages/testkit/src/sassafrasridge_testkit/measure.py
+++ b/packages/testkit/src/sassafrasridge_testkit/measure.py
@@ -40,6 +40,7 @@
     ('worst goodput', 'worst_account_goodput_ratio', '{:.3f}'),
     ('in rate', 'in_rate_requests', '{}'),
     ('wrongful', 'wrongful_refusals', '{}'),
+    ('shortfall', 'admission_shortfall', '{}'),
     ('overrun', 'rate_overrun_ratio', '{:.3f}'),
     ('ryw', 'read_your_writes_violations', '{}'),
     ('lost', 'lost_acknowledged_writes', '{}'),
--- a/packages/testkit/src/sassafrasridge_testkit/oracle.py
+++ b/packages/testkit/src/sassafrasridge_testkit/oracle.py
@@ -40,7 +40,10 @@
 
     ``asked`` counts the requests that the ideal admits by their first
     attempt, ``in_rate`` the attempts that it admits when it gets them all,
-    and ``wrongful`` those of them that were refused, by kind.
+    and ``wrongful`` those of them that were refused, by kind. ``shortfall``
+    is how many fewer attempts than the ideal the fleet admitted: an account
+    above its rate gets what it may have although other requests of it are
+    refused than the ideal would refuse.
     """
 
     def __init__(self, account: workload.Account, requests: Requests) -> None:
@@ -53,9 +56,7 @@
         self.wrongful: collections.Counter[str] = collections.Counter()
         self._compare(account, own)
         self.admitted = sum(
-            a.kind != 'rate_limited' and a.reached
-            for r in own
-            for a in r.attempts
+            a.outcome != 'not_run' for r in own for a in r.attempts
         )
         self.overrun = overrun(
             account.rate,
@@ -85,6 +86,11 @@
             if attempt.outcome == 'not_run':
                 self.wrongful[attempt.kind] += 1
 
+    @property
+    def shortfall(self) -> int:
+        """Return how many fewer attempts were admitted than by the ideal."""
+        return max(0, self.in_rate - self.admitted)
+
     @property
     def goodput_ratio(self) -> float:
         """Return goodput by what was asked within the rate."""
@@ -228,6 +234,7 @@
         'wrongful_refusals': wrongful.total(),
         'wrongful_refusals_by_kind': dict(wrongful),
         'wrongful_refusals_of_accounts_within_rate': within.total(),
+        'admission_shortfall': sum(v.shortfall for v in verdicts.values()),
         'rate_overrun_ratio': round(
             max(v.overrun for v in verdicts.values()), 4
         ),
