--- a/tests/testkit/test_faultproxy.py
+++ b/tests/testkit/test_faultproxy.py
@@ -248,3 +248,108 @@
         harness.wait_until(lambda: proxy.status()['g3']['accepted'] >= 2)
         with pytest.raises(ValueError, match='misspelt'):
             proxy.rules('g3', misspelt=1)
+
+
+class TestZones:
+    """Connections from zone a, by their address, to a target in zone b."""
+
+    def _run(self, scenario):
+        async def in_zones(proxy, address, echo):
+            proxy.zones.prefixes = {'a': '127.0.11.', 'c': '127.0.13.'}
+            zoned = await proxy.add_link('b', proxy.links['a'].target, 0, 'b')
+            await scenario(proxy, zoned, echo)
+
+        _run(in_zones)
+
+    @staticmethod
+    async def _open(address, host='127.0.11.9'):
+        peer = _Peer()
+        name, port = address.split(':')
+        peer.reader, peer.writer = await asyncio.open_connection(
+            name, port, local_addr=(host, 0)
+        )
+        return peer
+
+    @pytest.mark.parametrize('path', [('a', 'b'), ('b', 'a')])
+    def test_cut_of_one_direction(self, path):
+        """Guards against cuts of the wrong direction or of other zones."""
+
+        async def scenario(proxy, address, echo):
+            peer = await self._open(address)
+            other = await self._open(address, '127.0.13.9')
+            assert await peer.echo(b'1') == b'1'
+            await proxy.change_paths([path], cut=True)
+            assert await other.echo(b'2') == b'2'
+            peer.writer.write(b'3')
+            assert await peer.silent()
+            assert (b'3' in echo.received) == (path == ('b', 'a'))
+            await proxy.change_paths([path], cut=False)
+            assert await peer.reader.readexactly(1) == b'3'
+
+        self._run(scenario)
+
+    def test_connection_given_up_during_a_cut_never_arrives(self):
+        """Guards against requests that were never sent over the network.
+
+        Without an answer to its first packet a client sends no data, so
+        nothing of a connection that it gave up may arrive after the cut.
+        """
+
+        async def scenario(proxy, address, echo):
+            await proxy.change_paths([('a', 'b')], cut=True)
+            gone = await self._open(address)
+            gone.writer.write(b'gone')
+            gone.writer.close()
+            await gone.writer.wait_closed()
+            waiting = await self._open(address)
+            waiting.writer.write(b'here')
+            link = proxy.links['b']
+            await _until(lambda: link.as_json()['open'] == 2)
+            await proxy.change_paths([('a', 'b')], cut=False)
+            assert await waiting.reader.readexactly(4) == b'here'
+            await _until(lambda: link.as_json()['open'] == 1)
+            assert echo.received == b'here'
+
+        self._run(scenario)
+
+    def test_silence_between_zones(self):
+        """Guards against silence of other zones or new connections."""
+
+        async def scenario(proxy, address, echo):
+            peer = await self._open(address)
+            other = await self._open(address, '127.0.13.9')
+            assert await peer.echo(b'1') == b'1'
+            await proxy.silence_between([('a', 'b')])
+            peer.writer.write(b'2')
+            assert await peer.silent()
+            assert await other.echo(b'3') == b'3'
+            assert await (await self._open(address)).echo(b'4') == b'4'
+
+        self._run(scenario)
+
+    def test_isolated_host(self):
+        """Guards against an isolated process that is reached by others."""
+
+        async def scenario(proxy, address, echo):
+            peer = await self._open(address)
+            other = await self._open(address, '127.0.11.8')
+            assert await peer.echo(b'1') == b'1'
+            await proxy.isolate(['127.0.11.9'])
+            peer.writer.write(b'2')
+            assert await peer.silent()
+            assert await other.echo(b'3') == b'3'
+            await proxy.isolate([])
+            assert await peer.reader.readexactly(1) == b'2'
+
+        self._run(scenario)
+
+
+class TestZoneControl:
+    def test_paths_of_a_process(self, kit):
+        """Guards against control requests that change nothing."""
+        proxy = kit.start_proxy()
+        proxy.zones({'a': '127.0.11.'})
+        with pytest.raises(ValueError, match='unknown fault of a path'):
+            proxy.paths([('a', 'b')], lag=1)
+        with pytest.raises(ValueError, match='unknown action'):
+            proxy._post('/actions', action='reset', between=[('a', 'b')])
--- /dev/null
+++ b/tests/testkit/test_webclient.py
@@ -0,0 +1,63 @@
+"""Tests of the stand-ins' HTTP client."""
+
+import asyncio
+
+import pytest
+
+from sassafrasridge_testkit import webclient
+from sassafrasridge_testkit import webserver
+
+
+def _run(scenario, close=False):
+    async def run():
+        connections = set()
+
+        async def handle(conn, req):
+            return webserver.Answer(200, {'path': req.path}, close)
+
+        opened = []
+
+        def factory():
+            opened.append(webserver.Connection(handle, connections))
+            return opened[-1]
+
+        loop = asyncio.get_running_loop()
+        server = await loop.create_server(factory, '127.0.0.1', 0)
+        host, port = server.sockets[0].getsockname()
+        client = webclient.Client(f'{host}:{port}')
+        try:
+            await scenario(client, opened)
+        finally:
+            client.close()
+            server.close()
+
+    asyncio.run(run())
+
+
+class TestClient:
+    @pytest.mark.parametrize(('close', 'count'), [(False, 1), (True, 3)])
+    def test_connection_is_kept_unless_the_server_closes_it(
+        self, close, count
+    ):
+        """Guards against a new connection for each call."""
+
+        async def scenario(client, opened):
+            for _ in range(3):
+                assert await client.post('/a', {}, 2.0) == (
+                    200,
+                    {'path': '/a'},
+                )
+            assert len(opened) == count
+
+        _run(scenario, close)
+
+    def test_failed_connect_was_not_sent(self):
+        """Guards against calling a request unknown that never left."""
+
+        async def scenario(client, opened):
+            client.address = '127.0.0.1:1'
+            with pytest.raises(webclient.CallFailed) as caught:
+                await client.post('/a', {}, 2.0)
+            assert not caught.value.sent
+
+        _run(scenario)
--- a/tests/testkit/test_zones.py
+++ b/tests/testkit/test_zones.py
@@ -136,23 +136,3 @@
         group.wait_replicated()
         with contextlib.closing(client):
             assert group['g2'].status()['received'] == 1
-
-    def test_connection_given_up_during_a_cut_never_arrives(
-        self, network, kit
-    ):
-        """Guards against requests that were never sent over the network.
-
-        Without an answer to its first packet a client sends no data, so
-        nothing of a connection that it gave up may arrive after the cut.
-        """
-        group, _ = self._client(network, kit)
-        before = group['g2'].observations()['executions']
-        network.cut('z1', 'z2')
-        client = callers.TargetClient(group['g2'].address, 0.2)
-        client.source = network.source('z1')
-        with pytest.raises(callers.NoAnswer):
-            client.read(1, "SELECT 'given up'")
-        network.heal('z1', 'z2')
-        group['g1'].client().execute(1, 'CREATE TABLE t (a)')
-        group.wait_replicated()
-        assert group['g2'].observations()['executions'] == before
