Measure the slopes of costs with real processes and stand-ins

Cause: the stated size (640 nodes, 1,200 databases) was never related to what a renewal, a statement or a committed change costs. Change: make slopes measures renewals, statements, announcements, full copies, state sizes, restarts, the log and the group keeper at four sizes or more, fits a line, and writes one JSON file and plot for each. Ruled out: wall times, because other work shares the machine.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-.PHONY: install demo test lint format fuzz measure slopes known-red
+.PHONY: install demo test lint format fuzz measure slopes capacity known-red
 
 install: $(STAMP)
 
@@ -27,5 +27,11 @@
 	$(BIN)/ruff format .
 	$(BIN)/ruff check --fix .
 
+slopes: install
+	$(BIN)/python -m sassafrasridge_testkit.slopes --plots docs/slopes
+
+capacity: install
+	$(BIN)/python -m sassafrasridge_testkit.capacity
+
 demo: install
 	$(BIN)/python -m sassafrasridge_testkit.demo
