Index sightings by group; a process that never heard is no witness

Cause: the leader's check of all groups read every sighting once per group, every 50 ms. And an entry process that had never heard of a target reported an age of 1e6 s, which counted as a silent observer at once: a group whose observers had just started lost a healthy primary. Stand-ins that never hear of targets made the leader change a primary ten times in 20 s. Change: sightings are kept by group and server. An observer that never heard of a target is silent from its first report on. Ruled out: to ignore such observers, because then a primary that fails while all of them restart would never be replaced.

--- a/packages/core/src/sassafrasridge_core/promotion.py
+++ b/packages/core/src/sassafrasridge_core/promotion.py
@@ -7,6 +7,9 @@
 MIN_OBSERVERS = 2
 """One observer alone may be the one that is partitioned."""
 
+NEVER_HEARD_S = 1e6
+"""Age that an observer reports of what it never heard."""
+
 
 class Sighting:
     """Hold what one observer knows of one target.
@@ -14,7 +17,7 @@
     Ages are in seconds at the time ``at`` of the report.
     """
 
-    __slots__ = ('at', 'announcement_age_s', 'success_age_s', 'info')
+    __slots__ = ('at', 'announcement_age_s', 'success_age_s', 'info', 'since')
 
     def __init__(
         self,
@@ -27,53 +30,77 @@
         self.announcement_age_s = announcement_age_s
         self.success_age_s = success_age_s
         self.info = info
+        self.since = at
 
     def heard_at(self) -> float:
         """Return when this observer last heard of the target."""
         return self.at - min(self.announcement_age_s, self.success_age_s)
 
+    def never_heard(self) -> bool:
+        """Return whether this observer never heard of the target."""
+        return (
+            min(self.announcement_age_s, self.success_age_s) >= NEVER_HEARD_S
+        )
+
     def silence(self, now: float) -> float:
-        """Return seconds since this observer last heard of the target."""
+        """Return seconds since this observer last heard of the target.
+
+        An observer that never heard of it counts from its first report, so
+        that a process that just started is no witness of a failure.
+        """
+        if self.never_heard():
+            return now - self.since
         return now - self.heard_at()
 
+    def follow(self, earlier: 'Sighting | None') -> None:
+        """Take over the first report of an observer that heard nothing."""
+        if earlier is not None and earlier.never_heard():
+            self.since = earlier.since
+
 
 class Detector:
     """Decide from several observers whether a target has failed."""
 
-    __slots__ = ('_suspect_after_s', '_sightings')
+    __slots__ = ('_suspect_after_s', '_groups')
 
     def __init__(self, suspect_after_s: float) -> None:
         self._suspect_after_s = suspect_after_s
-        self._sightings: dict[tuple[str, str], dict[str, Sighting]] = {}
+        # Sightings by group, server and observer.
+        self._groups: dict[str, dict[str, dict[str, Sighting]]] = {}
 
     def report(
         self, observer: str, group: str, server: str, sighting: Sighting
     ) -> None:
         """Record what an observer knows of a target."""
-        key = (group, server)
-        self._sightings.setdefault(key, {})[observer] = sighting
+        servers = self._groups.setdefault(group, {})
+        sightings = servers.setdefault(server, {})
+        sighting.follow(sightings.get(observer))
+        sightings[observer] = sighting
 
     def forget(self, observer: str) -> None:
         """Drop all reports of an observer."""
-        for sightings in self._sightings.values():
-            sightings.pop(observer, None)
+        for servers in self._groups.values():
+            for sightings in servers.values():
+                sightings.pop(observer, None)
 
     def targets(self, group: str) -> list[model.TargetInfo]:
         """Return the latest announcement known of each target of a group."""
-        found = []
-        for (name, _), sightings in self._sightings.items():
-            if name == group and sightings:
-                latest = max(sightings.values(), key=Sighting.heard_at)
-                found.append(latest.info)
-        return found
+        return [
+            max(sightings.values(), key=Sighting.heard_at).info
+            for sightings in self._groups.get(group, {}).values()
+            if sightings
+        ]
 
     def groups(self) -> set[str]:
         """Return the groups that were announced."""
-        return {group for group, _ in self._sightings}
+        return set(self._groups)
+
+    def _sightings(self, group: str, server: str) -> dict[str, Sighting]:
+        return self._groups.get(group, {}).get(server, {})
 
     def last_heard(self, now: float, group: str, server: str) -> float:
         """Return seconds since any observer heard of a target."""
-        sightings = self._sightings.get((group, server), {})
+        sightings = self._sightings(group, server)
         return min(
             (s.silence(now) for s in sightings.values()),
             default=float('inf'),
@@ -87,7 +114,7 @@
         It needs a majority of the observers that know the target, at least
         two of them unless only one is alive.
         """
-        sightings = self._sightings.get((group, server), {})
+        sightings = self._sightings(group, server)
         known = [s for name, s in sightings.items() if name in live]
         silent = sum(s.silence(now) > self._suspect_after_s for s in known)
         enough = min(MIN_OBSERVERS, max(1, len(live)))
--- a/tests/core/test_promotion.py
+++ b/tests/core/test_promotion.py
@@ -89,3 +89,33 @@
         self.report('y', 10.0, 5.0)
         self.detector.forget('y')
         assert not self.failed(10.0, 'x', 'y')
+
+    def test_observer_that_never_heard_is_no_witness_at_once(self):
+        """Guards against replacing a primary because processes started."""
+        never = promotion.NEVER_HEARD_S
+        for observer in ('x', 'y', 'z'):
+            self.report(observer, 10.0, never)
+        assert not self.failed(10.0, 'x', 'y', 'z')
+        for observer in ('x', 'y', 'z'):
+            self.report(observer, 10.5, never)
+        assert not self.failed(10.7, 'x', 'y', 'z')
+
+    def test_observers_that_never_hear_cause_a_change(self):
+        """Guards against waiting forever when all observers are new."""
+        never = promotion.NEVER_HEARD_S
+        for at in (10.0, 10.5, 11.0):
+            for observer in ('x', 'y', 'z'):
+                self.report(observer, at, never)
+        assert self.failed(11.0, 'x', 'y', 'z')
+
+    def test_targets_are_those_of_the_group(self):
+        """Guards against mixing the servers of two groups."""
+        self.report('x', 10.0, 0.1)
+        other = model.TargetInfo('b', 'h', 'z', '', 'primary', 1, 5, 2, 30)
+        self.detector.report(
+            'x', 'h', 'b', promotion.Sighting(10.0, 0.1, 0.1, other)
+        )
+        assert [t.server for t in self.detector.targets('g')] == ['a']
+        assert [t.server for t in self.detector.targets('h')] == ['b']
+        assert self.detector.groups() == {'g', 'h'}
+        assert not self.detector.targets('unknown')
