Send the list of entry processes only when it changed

Cause: every reply carried all live entry processes, 45 bytes each, and an entry process sorted and hashed all names again for every target of every renewal and round of probes. Every group of the deployment, also one that is not served here, shortened the renewal interval to 0.1 s. The leader read all services for every observation, and all announcements for every renewal. Change: lists have revisions, and a reply omits the one that the request names. Entry processes keep serving sets until the list changes, and look only at the targets they serve. The leader keeps budgets by group until the configuration changes, and passes announcements on once. Ruled out: to send changes of the list, because a full list is needed after a change of leader anyway and changes are rare.

--- a/packages/node/src/sassafrasridge_node/control.py
+++ b/packages/node/src/sassafrasridge_node/control.py
@@ -222,6 +222,8 @@
             self._policy,
             self._metrics,
         )
+        for at, info in self._announced.values():
+            self.leadership.announced(at, info)
         self.keeper = groups.GroupKeeper(
             self,
             self.leadership.detector,
@@ -350,8 +352,6 @@
         if req.entry not in self.state.entries:
             await self._register(req)
             return relays.refusal(req, 'registering')
-        for at, info in self._announced.values():
-            current.announced(at, info)
         return current.renew(now, req)
 
     async def _register(self, req: typing.Any) -> None:
@@ -393,6 +393,8 @@
     def announced(self, now: float, info: model.TargetInfo) -> None:
         """Record the announcement of a target."""
         self._announced[info.group, info.server] = (now, info)
+        if self.leadership is not None:
+            self.leadership.announced(now, info)
 
     # Commands.
 
--- a/packages/node/src/sassafrasridge_node/entry.py
+++ b/packages/node/src/sassafrasridge_node/entry.py
@@ -46,7 +46,11 @@
         self.timelines: dict[str, freshness.PrimaryTimeline] = {}
         self.shares = shares.BucketSet(times.config_ttl_s)
         self.entries: dict[str, str] = {}
+        self.entries_revision = 0
         self._serving: set[str] = set()
+        self._serving_sets: dict[str, list[str]] = {}
+        self._served: list[tuple[tuple[str, str], backends.Backend]] | None
+        self._served = None
         self.draining = False
         self.renew_now: collections.abc.Callable[[], None] = lambda: None
         self._signer: sessions.TokenSigner | None = None
@@ -92,8 +96,26 @@
 
     def serving_set(self, group: str) -> list[str]:
         """Return the entry processes that keep connections to a group."""
-        names = sorted({*self._serving, self.name})
-        return placement.serving_set(group, names)
+        chosen = self._serving_sets.get(group)
+        if chosen is None:
+            names = {*self._serving, self.name}
+            chosen = placement.serving_set(group, list(names))
+            self._serving_sets[group] = chosen
+        return chosen
+
+    def served(self) -> list[tuple[tuple[str, str], backends.Backend]]:
+        """Return the keys and backends of the groups served here."""
+        if self._served is None:
+            self._served = [
+                (key, backend)
+                for key, backend in self.backends.items()
+                if self.serves(key[0])
+            ]
+        return self._served
+
+    def served_groups(self) -> set[str]:
+        """Return the groups with known targets that are served here."""
+        return {group for (group, _), _ in self.served()}
 
     def timeline(self, group: str) -> freshness.PrimaryTimeline:
         """Return the timeline of a group's primary."""
@@ -132,6 +154,7 @@
             backend = None
         if backend is None:
             backend = self.backends[key] = self._backend(info)
+            self._served = None
         backend.learn_announcement(info)
 
     def apply_config(self, reply: typing.Any) -> bool:
@@ -179,6 +202,7 @@
         for server, address in view.members.items():
             key = (view.group, server)
             if key not in self.backends:
+                self._served = None
                 self.backends[key] = self._backend(
                     model.TargetInfo(
                         server, view.group, '', address, '', 0, 0, 1, 1
@@ -192,7 +216,14 @@
             if backend is not None:
                 backend.take_grant(grant)
 
-    def apply_entries(self, entries: typing.Any) -> None:
-        """Record the live entry processes."""
-        self.entries = {e.entry: e.address for e in entries or []}
-        self._serving = {e.entry for e in entries or [] if not e.draining}
+    def apply_entries(self, reply: typing.Any) -> None:
+        """Record the live entry processes, if the reply lists them."""
+        if reply.entries is None:
+            return
+        self.entries_revision = reply.entries_revision or 0
+        self.entries = {e.entry: e.address for e in reply.entries}
+        serving = {e.entry for e in reply.entries if not e.draining}
+        if serving != self._serving:
+            self._serving = serving
+            self._serving_sets.clear()
+            self._served = None
--- a/packages/node/src/sassafrasridge_node/leadership.py
+++ b/packages/node/src/sassafrasridge_node/leadership.py
@@ -20,6 +20,57 @@
 """Observer name of announcements that control processes got themselves."""
 
 
+LIVE_SCAN_S = 0.05
+"""Interval at which lapsed leases are looked for; a change of a holder that
+renews is noticed at once."""
+
+TERM_BITS = 32
+"""Lists of entry processes of different leaders have different revisions."""
+
+
+class LiveEntries:
+    """Number the lists of live entry processes of one leadership.
+
+    Attributes: ``listed``, the list to send.
+    """
+
+    def __init__(self, table: leases.LeaseTable, term: int) -> None:
+        self.listed: list[typing.Any] = []
+        self._table = table
+        self._revision = term << TERM_BITS
+        self._known: dict[str, tuple[typing.Any, ...]] = {}
+        self._scan_at = float('-inf')
+
+    def refresh(self, now: float, holder: leases.Holder) -> int:
+        """Return the revision of the list after a holder's renewal."""
+        changed = self._known.get(holder.name) != self._describe(holder)
+        if changed or now >= self._scan_at:
+            self._scan(now)
+        return self._revision
+
+    def _scan(self, now: float) -> None:
+        self._scan_at = now + LIVE_SCAN_S
+        live = self._table.live(now)
+        known = {holder.name: self._describe(holder) for holder in live}
+        if known == self._known:
+            return
+        self._known = known
+        self._revision += 1
+        self.listed = [
+            rpc.idl.EntryAddress(
+                entry=h.entry,
+                zone=h.zone,
+                address=h.address,
+                draining=h.draining,
+            )
+            for h in live
+        ]
+
+    @staticmethod
+    def _describe(holder: leases.Holder) -> tuple[typing.Any, ...]:
+        return holder.entry, holder.zone, holder.address, holder.draining
+
+
 class Leadership:
     """Own the state of one term of leadership."""
 
@@ -36,6 +87,8 @@
         self.term = term
         self.table = leases.LeaseTable(times, now)
         self.detector = promotion.Detector(suspect_after_s)
+        self._live = LiveEntries(self.table, term)
+        self._budgets: dict[str, tuple[int, int]] = {}
         self._metrics = counters
         self._state = state
         self._times = times
@@ -80,7 +133,9 @@
             self._observe(now, name, req, obs)
             for obs in req.observations or []
         ]
-        reply.entries = self._entries(now)
+        reply.entries_revision = self._live.refresh(now, holder)
+        if req.entries_revision != reply.entries_revision:
+            reply.entries = self._live.listed
         self._metrics.renewals.labels('granted').inc()
         return reply
 
@@ -100,6 +155,7 @@
         self._allocator.tick(now)
         if self._config_revision != self._state.revision:
             self._sync_accounts(now)
+            self._sync_budgets()
 
     def announced(self, at: float, info: model.TargetInfo) -> None:
         """Record an announcement to a control process."""
@@ -162,12 +218,18 @@
 
     def _budget(self, obs: typing.Any) -> tuple[int, int]:
         """Return connections and slots; the service's settings go first."""
-        connections, running = obs.connections, obs.slots
+        connections, running = self._budgets.get(obs.group, (0, 0))
+        return connections or obs.connections, running or obs.slots
+
+    def _sync_budgets(self) -> None:
+        # The last service of a group that sets a value decides.
+        self._budgets.clear()
         for service in self._state.services():
-            if service.group == obs.group:
-                connections = service.connections or connections
-                running = service.slots or running
-        return connections, running
+            connections, running = self._budgets.get(service.group, (0, 0))
+            self._budgets[service.group] = (
+                service.connections or connections,
+                service.slots or running,
+            )
 
     def _add_config(self, reply: typing.Any, req: typing.Any) -> None:
         reply.revision = self._state.revision
@@ -186,17 +248,6 @@
             for view in self._state.groups_since(req.view_revision)
         ]
 
-    def _entries(self, now: float) -> list[typing.Any]:
-        return [
-            rpc.idl.EntryAddress(
-                entry=h.entry,
-                zone=h.zone,
-                address=h.address,
-                draining=h.draining,
-            )
-            for h in self.table.live(now)
-        ]
-
 
 def holder_name(req: typing.Any) -> str:
     """Return the name of a holder: one incarnation of an entry process."""
--- a/packages/node/src/sassafrasridge_node/renewal.py
+++ b/packages/node/src/sassafrasridge_node/renewal.py
@@ -4,6 +4,7 @@
 import itertools
 import typing
 
+from sassafrasridge_core import promotion
 from sassafrasridge_node import clocks
 from sassafrasridge_node import codec
 from sassafrasridge_node import entry
@@ -23,7 +24,6 @@
 
 PROBE_INTERVAL_S = 0.2
 SILENT_AFTER_S = 0.4
-MAX_AGE_S = 1e6
 
 
 class Renewer:
@@ -75,8 +75,10 @@
         if not self._state.lease_valid():
             return WATCH_INTERVAL_S
         now = clocks.boottime()
-        for view in self._state.groups.values():
-            primary = self._state.primary(view.group)
+        for group in self._state.served_groups():
+            if group not in self._state.groups:
+                continue
+            primary = self._state.primary(group)
             if primary is None or now - primary.heard_at() > SILENT_AFTER_S:
                 return min(WATCH_INTERVAL_S, self._renew_interval())
         return self._renew_interval()
@@ -109,7 +111,7 @@
     def _apply(self, reply: typing.Any) -> None:
         state = self._state
         state.apply_groups(reply)
-        state.apply_entries(reply.entries)
+        state.apply_entries(reply)
         current = state.apply_config(reply)
         state.shares.answered(
             clocks.boottime(), reply.sequence, current, reply.shares or ()
@@ -140,6 +142,7 @@
             draining=state.draining,
             observations=self._observations(),
             sequence=next(self._sequence),
+            entries_revision=state.entries_revision,
         )
 
     def _observations(self) -> list[typing.Any]:
@@ -147,13 +150,12 @@
         return [
             codec.observation_to_wire(
                 backend.info_now(),
-                min(MAX_AGE_S, now - backend.announced_at),
-                min(MAX_AGE_S, now - backend.success_at),
+                min(promotion.NEVER_HEARD_S, now - backend.announced_at),
+                min(promotion.NEVER_HEARD_S, now - backend.success_at),
                 backend.demand(),
                 backend.limit,
             )
-            for (group, _), backend in self._state.backends.items()
-            if self._state.serves(group)
+            for _, backend in self._state.served()
         ]
 
     async def release(self) -> None:
@@ -184,9 +186,8 @@
     async def run(self) -> None:
         """Probe until cancelled."""
         while True:
-            for (group, server), backend in list(self._state.backends.items()):
-                if self._state.serves(group):
-                    self._start(group, server, backend)
+            for (group, server), backend in self._state.served():
+                self._start(group, server, backend)
             await asyncio.sleep(PROBE_INTERVAL_S)
 
     def _start(self, group: str, server: str, backend: typing.Any) -> None:
--- a/packages/node/src/sassafrasridge_node/ridge.thrift
+++ b/packages/node/src/sassafrasridge_node/ridge.thrift
@@ -89,6 +89,7 @@
   8: list<AccountReport> accounts,
   9: list<Observation> observations,
   10: i64 sequence,
+  11: i64 entries_revision, // of the list of entry processes held
 }
 
 struct RenewReply {
@@ -102,7 +103,7 @@
   8: list<GroupRecord> groups,  // changed since the reported view_revision
   9: list<ShareGrant> shares,
   10: list<ConnectionGrant> connections,
-  11: list<EntryAddress> entries,
+  11: list<EntryAddress> entries, // absent when the request names its revision
   12: i64 entries_revision,
   13: i64 sequence,
 }
--- a/packages/testkit/src/sassafrasridge_testkit/slopegroups.py
+++ b/packages/testkit/src/sassafrasridge_testkit/slopegroups.py
@@ -130,7 +130,7 @@
         )
         for number in range(count)
     ]
-    state.apply_entries(records)
+    state.apply_entries(rpc.idl.RenewReply(entries=records))
     return state
 
 
--- a/packages/testkit/src/sassafrasridge_testkit/sloperenewals.py
+++ b/packages/testkit/src/sassafrasridge_testkit/sloperenewals.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections.abc
 import copy
+import functools
 import os
 import typing
 
@@ -105,15 +106,11 @@
         for count in ACCOUNTS:
             holder = lab.holder(f'accounts-{count}')
             await holder.join()
+            use = functools.partial(holder.use_accounts, count)
             for _ in range(slopelab.REPETITIONS):
-                holder.use_accounts(count)
+                use()
                 await holder.renew()
-                costs.add(
-                    count,
-                    await lab.measure(
-                        holder, lambda: holder.use_accounts(count)
-                    ),
-                )
+                costs.add(count, await lab.measure(holder, use))
             holder.close()
 
     asyncio.run(run())
--- /dev/null
+++ b/tests/node/test_leadership.py
@@ -0,0 +1,143 @@
+"""Tests of what the control leader keeps and what it sends."""
+
+from sassafrasridge_core import leases
+from sassafrasridge_core import state as core_state
+from sassafrasridge_node import connections
+from sassafrasridge_node import entry
+from sassafrasridge_node import leadership
+from sassafrasridge_node import metrics
+from sassafrasridge_node import rpc
+
+TIMES = leases.LeaseTimes(0.3, 1.2, 4.0)
+COUNTERS = metrics.Metrics()
+
+
+def request(name, **fields):
+    values = {
+        'entry': name,
+        'incarnation': 1,
+        'zone': 'z1',
+        'address': f'{name}:1',
+        'revision': 0,
+        'view_revision': 0,
+        'draining': False,
+        'sequence': 1,
+    }
+    return rpc.idl.RenewRequest(**{**values, **fields})
+
+
+def leader(term=3):
+    return leadership.Leadership(
+        core_state.State(), TIMES, 0.8, term, 0.0, 'demand', COUNTERS
+    )
+
+
+class TestLiveEntries:
+    def setup_method(self):
+        self.leader = leader()
+
+    def renew(self, now, name, **fields):
+        return self.leader.renew(now, request(name, **fields))
+
+    def test_known_list_is_not_sent_again(self):
+        """Guards against sending all entry processes in every reply."""
+        first = self.renew(10.0, 'e1')
+        assert [e.entry for e in first.entries] == ['e1']
+        again = self.renew(10.3, 'e1', entries_revision=first.entries_revision)
+        assert again.entries is None
+        assert again.entries_revision == first.entries_revision
+
+    def test_joining_process_is_sent_at_once(self):
+        """Guards against a serving set without a new process."""
+        first = self.renew(10.0, 'e1')
+        self.renew(10.001, 'e2')
+        reply = self.renew(
+            10.002, 'e1', entries_revision=first.entries_revision
+        )
+        assert [e.entry for e in reply.entries] == ['e1', 'e2']
+
+    def test_draining_process_is_sent_at_once(self):
+        """Guards against new work for a process that shuts down."""
+        self.renew(10.0, 'e2')
+        first = self.renew(10.0, 'e1')
+        self.renew(10.01, 'e2', draining=True)
+        reply = self.renew(
+            10.02, 'e1', entries_revision=first.entries_revision
+        )
+        assert [e.draining for e in reply.entries] == [True, False]
+
+    def test_lapsed_process_disappears(self):
+        """Guards against relaying to a process without a lease."""
+        self.renew(10.0, 'e2')
+        first = self.renew(10.0, 'e1')
+        reply = self.renew(11.5, 'e1', entries_revision=first.entries_revision)
+        assert [e.entry for e in reply.entries] == ['e1']
+
+    def test_another_leader_sends_its_own_list(self):
+        """Guards against equal revisions of different lists."""
+        first = self.renew(10.0, 'e1')
+        reply = leader(term=4).renew(
+            10.1, request('e2', entries_revision=first.entries_revision)
+        )
+        assert [e.entry for e in reply.entries] == ['e2']
+
+
+class TestEntryLists:
+    def setup_method(self):
+        self.state = entry.EntryState(
+            'e1', 'z1', TIMES, connections.Dialer(), COUNTERS
+        )
+
+    def apply(self, names, revision):
+        records = [
+            rpc.idl.EntryAddress(
+                entry=name, zone='z1', address=f'{name}:1', draining=False
+            )
+            for name in names
+        ]
+        self.state.apply_entries(
+            rpc.idl.RenewReply(entries=records, entries_revision=revision)
+        )
+
+    def test_reply_without_a_list_changes_nothing(self):
+        """Guards against forgetting the others with an absent list."""
+        self.apply(['e1', 'e2'], 7)
+        self.state.apply_entries(rpc.idl.RenewReply(entries_revision=7))
+        assert set(self.state.entries) == {'e1', 'e2'}
+        assert self.state.entries_revision == 7
+
+    def test_serving_set_follows_the_list(self):
+        """Guards against a kept serving set that is out of date."""
+        others = [f'e{number}' for number in range(2, 20)]
+        assert self.state.serving_set('g') == ['e1']
+        self.apply(['e1', *others], 1)
+        chosen = self.state.serving_set('g')
+        assert len(chosen) == 7
+        gone = next(name for name in chosen if name != 'e1')
+        self.apply([name for name in others if name != gone], 2)
+        assert gone not in self.state.serving_set('g')
+
+    def test_served_targets_follow_the_list(self):
+        """Guards against probing targets of other processes for good."""
+        reply = rpc.idl.RenewReply(
+            groups=[
+                rpc.idl.GroupRecord(
+                    group=f'g{number}',
+                    term=1,
+                    primary='a',
+                    members=[rpc.idl.MemberAddress(server='a', address='a:1')],
+                    starts=[],
+                    changing=False,
+                )
+                for number in range(30)
+            ],
+            view_revision=1,
+        )
+        self.state.apply_groups(reply)
+        assert len(self.state.served_groups()) == 30
+        self.apply([f'e{number}' for number in range(1, 40)], 1)
+        served = self.state.served_groups()
+        assert len(served) < 30
+        assert served == {
+            group for group in self.state.groups if self.state.serves(group)
+        }
