Take a step for a group only when it is out of order

Cause: every 50 ms the leader started a task for each group, and decided the connection limits of a target anew for every observation, although nothing had changed. Change: a group whose view, targets and observers are in order gets no task. A ledger repeats the holder's last limit while demands, limits in effect, budget and slots are the same; the holder ignores its version. Ruled out: a longer interval, because it adds to the failover gap.

--- a/packages/core/src/sassafrasridge_core/slots.py
+++ b/packages/core/src/sassafrasridge_core/slots.py
@@ -179,9 +179,21 @@
 class _Holder:
     """Hold what the leader knows of one holder's limit of a target."""
 
-    __slots__ = ('entry', 'version', 'limit', 'grants', 'demand', 'renewed_at')
+    __slots__ = (
+        'entry',
+        'version',
+        'limit',
+        'grants',
+        'demand',
+        'renewed_at',
+        'answer',
+        'basis',
+    )
 
     def __init__(self, entry: str) -> None:
+        self.answer = VersionedLimit()
+        # What the answer was decided from.
+        self.basis: tuple[int, int, int] | None = None
         self.entry = entry
         self.version = -1
         self.limit = 0
@@ -209,6 +221,8 @@
         self._version = term << TERM_SHIFT
         self._holders: dict[tuple[str, int], _Holder] = {}
         self._allocator = ConnectionAllocator()
+        # Counts changes of demands and of limits that may be in effect.
+        self._changes = 0
 
     def renew(
         self,
@@ -228,17 +242,34 @@
         """
         self.tick(now)
         key = (entry, incarnation)
-        holder = self._holders.setdefault(key, _Holder(entry))
+        holder = self._holders.get(key)
+        if holder is None:
+            holder = self._holders[key] = _Holder(entry)
+            self._changes += 1
+        before = (holder.demand, holder.most())
         holder.renewed_at = now
         if version >= holder.version:
             holder.version = version
             holder.limit = limit
             holder.grants = [g for g in holder.grants if g[0] > version]
             holder.demand = max(0.0, demand)
+        if (holder.demand, holder.most()) != before:
+            self._changes += 1
+        basis = (budget, slots, self._changes)
+        if holder.answer.version == version and holder.basis == basis:
+            # The same basis gives the same limit, which the holder has.
+            return holder.answer
         connections, in_flight = self._decide(now, key, budget, slots)
         self._version += 1
+        most = holder.most()
         holder.grants.append((self._version, connections))
-        return VersionedLimit(self._version, connections, in_flight)
+        if holder.most() != most:
+            self._changes += 1
+        holder.answer = VersionedLimit(self._version, connections, in_flight)
+        holder.basis = None
+        if now >= self._open_at:
+            holder.basis = (budget, slots, self._changes)
+        return holder.answer
 
     def _decide(
         self, now: float, key: tuple[str, int], budget: int, slots: int
@@ -264,10 +295,12 @@
         ]
         for key in over:
             del self._holders[key]
+        self._changes += len(over)
 
     def release(self, entry: str, incarnation: int) -> None:
         """Take back the limit of a holder that closed its connections."""
-        self._holders.pop((entry, incarnation), None)
+        if self._holders.pop((entry, incarnation), None) is not None:
+            self._changes += 1
 
     def held(self) -> int:
         """Return the most connections that all holders may have."""
--- a/packages/node/src/sassafrasridge_node/groups.py
+++ b/packages/node/src/sassafrasridge_node/groups.py
@@ -78,15 +78,44 @@
         """Check all groups until cancelled."""
         try:
             while True:
+                live = self._live()
                 for group in (
                     set(self._store.names()) | self._detector.groups()
                 ):
-                    self._start_step(group)
+                    if not self._at_rest(group, live):
+                        self._start_step(group)
                 await asyncio.sleep(STEP_INTERVAL_S)
         finally:
             for task in self._steps.values():
                 task.cancel()
 
+    def _live(self) -> set[str]:
+        now = clocks.boottime()
+        return {holder.name for holder in self._table.live(now)}
+
+    def _at_rest(self, group: str, live: set[str]) -> bool:
+        """Return whether a step would do nothing.
+
+        It spares a task per group and interval, which is most of the cost
+        of a group that is in order.
+        """
+        view = self._store.view(group)
+        if view is None or view.changing or view.primary is None:
+            return False
+        targets = {t.server: t for t in self._detector.targets(group)}
+        for server, address in view.members.items():
+            info = targets.get(server)
+            if info is None or info.address != address:
+                return False
+            if not self._in_place(view, info):
+                return False
+        if any(
+            t.server not in view.members and not t.leaving
+            for t in targets.values()
+        ):
+            return False
+        return not self._must_change(view, targets, live)
+
     def _start_step(self, group: str) -> None:
         task = self._steps.get(group)
         if task is None or task.done():
@@ -101,7 +130,7 @@
             await self._adopt(group, targets)
         elif view.changing:
             await self._replace(view, targets)
-        elif self._must_change(view, targets):
+        elif self._must_change(view, targets, self._live()):
             await self._begin_change(view, targets)
         else:
             await self._reconcile(view, targets)
@@ -125,7 +154,10 @@
         logs.change('group_adopted', group=group, primary=first.server)
 
     def _must_change(
-        self, view: model.GroupView, targets: dict[str, model.TargetInfo]
+        self,
+        view: model.GroupView,
+        targets: dict[str, model.TargetInfo],
+        live: set[str],
     ) -> bool:
         if view.primary is None:
             return True
@@ -134,7 +166,6 @@
         if info is not None and info.leaving:
             others = [t for t in targets.values() if not t.leaving]
             return any(t.server in view.members for t in others)
-        live = {holder.name for holder in self._table.live(now)}
         return self._table.settled(now) and self._detector.failed(
             now, view.group, view.primary, live
         )
--- a/tests/core/test_slots.py
+++ b/tests/core/test_slots.py
@@ -133,3 +133,59 @@
         assert not count.enter()
         count.leave()
         assert count.enter()
+
+
+class TestUnchangedBasis:
+    """Guards against deciding again, or too rarely, what others changed."""
+
+    def setup_method(self):
+        self.ledger = slots.ConnectionLedger(0.0, 1)
+        self.held = {e: slots.VersionedLimit() for e in ('x', 'y')}
+
+    def renew(self, entry, demand, budget=10):
+        held = self.held[entry]
+        grant = self.ledger.renew(
+            9.0,
+            entry,
+            1,
+            held.version,
+            held.connections,
+            demand,
+            budget,
+            5,
+        )
+        held.replace(grant.version, grant.connections, grant.in_flight)
+        return grant
+
+    def settle(self):
+        for _ in range(4):
+            for entry in self.held:
+                self.renew(entry, 1.0)
+
+    def test_same_basis_repeats_the_limit(self):
+        """Guards against a new decision for every renewal."""
+        self.settle()
+        first = self.renew('x', 1.0)
+        again = self.renew('x', 1.0)
+        assert again.version == first.version
+        assert again.connections == 5
+
+    @pytest.mark.parametrize(
+        'change', ['own demand', 'other demand', 'budget', 'release', 'lapse']
+    )
+    def test_changed_basis_is_decided_again(self, change):
+        """Guards against keeping a limit whose basis has changed."""
+        self.settle()
+        before = self.renew('x', 1.0)
+        demand, budget = 1.0, 10
+        if change == 'own demand':
+            demand = 9.0
+        elif change == 'other demand':
+            self.renew('y', 0.0)
+        elif change == 'budget':
+            budget = 6
+        elif change == 'release':
+            self.ledger.release('y', 1)
+        else:
+            self.held['x'].lapse()
+        assert self.renew('x', demand, budget).version > before.version
