--- a/packages/node/src/sassafrasridge_node/entry.py
+++ b/packages/node/src/sassafrasridge_node/entry.py
@@ -53,9 +53,16 @@
         self.timelines: dict[str, freshness.PrimaryTimeline] = {}
         self.shares = shares.BucketSet(times.config_ttl_s)
         self.entries: dict[str, str] = {}
+        self.entries_revision = 0
         self._serving: set[str] = set()
+<<<<<<< HEAD
         self._zones: dict[str, str] = {}
         self._serving_sets: dict[str, list[str]] = {}
+=======
+        self._serving_sets: dict[str, list[str]] = {}
+        self._served: list[tuple[tuple[str, str], backends.Backend]] | None
+        self._served = None
+>>>>>>> lane-7
         self.draining = False
         self.renew_now: collections.abc.Callable[[], None] = lambda: None
         self._signer: sessions.TokenSigner | None = None
@@ -105,12 +112,35 @@
 
     def serving_set(self, group: str) -> list[str]:
         """Return the entry processes that keep connections to a group."""
+<<<<<<< HEAD
         found = self._serving_sets.get(group)
         if found is None:
             names = sorted({*self._serving, self.name})
             found = placement.serving_set(group, names, zones=self._zones)
             self._serving_sets[group] = found
         return found
+=======
+        chosen = self._serving_sets.get(group)
+        if chosen is None:
+            names = {*self._serving, self.name}
+            chosen = placement.serving_set(group, list(names))
+            self._serving_sets[group] = chosen
+        return chosen
+
+    def served(self) -> list[tuple[tuple[str, str], backends.Backend]]:
+        """Return the keys and backends of the groups served here."""
+        if self._served is None:
+            self._served = [
+                (key, backend)
+                for key, backend in self.backends.items()
+                if self.serves(key[0])
+            ]
+        return self._served
+
+    def served_groups(self) -> set[str]:
+        """Return the groups with known targets that are served here."""
+        return {group for (group, _), _ in self.served()}
+>>>>>>> lane-7
 
     def timeline(self, group: str) -> freshness.PrimaryTimeline:
         """Return the timeline of a group's primary."""
@@ -154,6 +184,7 @@
             backend = None
         if backend is None:
             backend = self.backends[key] = self._backend(info)
+            self._served = None
         backend.learn_announcement(info)
 
     def apply_config(self, reply: typing.Any) -> bool:
@@ -214,6 +245,7 @@
         for server, address in view.members.items():
             key = (view.group, server)
             if key not in self.backends:
+                self._served = None
                 self.backends[key] = self._backend(
                     model.TargetInfo(
                         server, view.group, '', address, '', 0, 0, 1, 1
@@ -227,6 +259,7 @@
             if backend is not None:
                 backend.take_grant(grant, sent_at)
 
+<<<<<<< HEAD
     def apply_entries(self, entries: typing.Any) -> None:
         """Record the live entry processes."""
         self.entries = {e.entry: e.address for e in entries or []}
@@ -237,3 +270,16 @@
             self._serving = serving
             self._serving_sets.clear()
             self._follow_serving_sets()
+=======
+    def apply_entries(self, reply: typing.Any) -> None:
+        """Record the live entry processes, if the reply lists them."""
+        if reply.entries is None:
+            return
+        self.entries_revision = reply.entries_revision or 0
+        self.entries = {e.entry: e.address for e in reply.entries}
+        serving = {e.entry for e in reply.entries if not e.draining}
+        if serving != self._serving:
+            self._serving = serving
+            self._serving_sets.clear()
+            self._served = None
+>>>>>>> lane-7
