--- a/packages/core/src/sassafrasridge_core/slots.py
+++ b/packages/core/src/sassafrasridge_core/slots.py
@@ -221,7 +221,7 @@
     )
 
     def __init__(self, entry: str) -> None:
-        self.answer = VersionedLimit()
+        self.answer = VersionedLimit(0, -1, 0, 0)
         # What the answer was decided from.
         self.basis: tuple[int, int, int] | None = None
         self.entry = entry
@@ -289,17 +289,11 @@
         """
         self.tick(now)
         key = (entry, incarnation)
-<<<<<<< HEAD
-        if key not in self._holders:
-            self._holders[key] = _Holder(entry)
-        holder = self._holders[key]
-=======
         holder = self._holders.get(key)
         if holder is None:
             holder = self._holders[key] = _Holder(entry)
             self._changes += 1
         before = (holder.demand, holder.most())
->>>>>>> lane-7
         holder.renewed_at = now
         holder.learn(version, limit, any_leader=now < self._open_at)
         if version == holder.version:
@@ -309,22 +303,20 @@
         basis = (budget, slots, self._changes)
         if holder.answer.version == version and holder.basis == basis:
             # The same basis gives the same limit, which the holder has.
-            return holder.answer
+            return holder.answer._replace(base=version)
         connections, in_flight = self._decide(now, key, budget, slots)
         self._version += 1
         most = holder.most()
         holder.grants.append((self._version, connections))
-<<<<<<< HEAD
-        return VersionedLimit(version, self._version, connections, in_flight)
-=======
         if holder.most() != most:
             self._changes += 1
-        holder.answer = VersionedLimit(self._version, connections, in_flight)
+        holder.answer = VersionedLimit(
+            version, self._version, connections, in_flight
+        )
         holder.basis = None
         if now >= self._open_at:
             holder.basis = (budget, slots, self._changes)
         return holder.answer
->>>>>>> lane-7
 
     def _decide(
         self, now: float, key: tuple[str, int], budget: int, slots: int
--- a/packages/node/src/sassafrasridge_node/entry.py
+++ b/packages/node/src/sassafrasridge_node/entry.py
@@ -55,14 +55,10 @@
         self.entries: dict[str, str] = {}
         self.entries_revision = 0
         self._serving: set[str] = set()
-<<<<<<< HEAD
         self._zones: dict[str, str] = {}
         self._serving_sets: dict[str, list[str]] = {}
-=======
-        self._serving_sets: dict[str, list[str]] = {}
         self._served: list[tuple[tuple[str, str], backends.Backend]] | None
         self._served = None
->>>>>>> lane-7
         self.draining = False
         self.renew_now: collections.abc.Callable[[], None] = lambda: None
         self._signer: sessions.TokenSigner | None = None
@@ -112,20 +108,12 @@
 
     def serving_set(self, group: str) -> list[str]:
         """Return the entry processes that keep connections to a group."""
-<<<<<<< HEAD
         found = self._serving_sets.get(group)
         if found is None:
             names = sorted({*self._serving, self.name})
             found = placement.serving_set(group, names, zones=self._zones)
             self._serving_sets[group] = found
         return found
-=======
-        chosen = self._serving_sets.get(group)
-        if chosen is None:
-            names = {*self._serving, self.name}
-            chosen = placement.serving_set(group, list(names))
-            self._serving_sets[group] = chosen
-        return chosen
 
     def served(self) -> list[tuple[tuple[str, str], backends.Backend]]:
         """Return the keys and backends of the groups served here."""
@@ -140,7 +128,6 @@
     def served_groups(self) -> set[str]:
         """Return the groups with known targets that are served here."""
         return {group for (group, _), _ in self.served()}
->>>>>>> lane-7
 
     def timeline(self, group: str) -> freshness.PrimaryTimeline:
         """Return the timeline of a group's primary."""
@@ -238,6 +225,7 @@
             if not self.serves(key[0]) and idle and not backend.demand():
                 backend.pool.close()
                 del self.backends[key]
+                self._served = None
 
     def _follow_view(self, view: model.GroupView) -> None:
         if not self.serves(view.group):
@@ -259,27 +247,17 @@
             if backend is not None:
                 backend.take_grant(grant, sent_at)
 
-<<<<<<< HEAD
-    def apply_entries(self, entries: typing.Any) -> None:
-        """Record the live entry processes."""
-        self.entries = {e.entry: e.address for e in entries or []}
-        self._zones = {e.entry: e.zone for e in entries or []}
-        self._zones[self.name] = self.zone
-        serving = {e.entry for e in entries or [] if not e.draining}
-        if serving != self._serving:
-            self._serving = serving
-            self._serving_sets.clear()
-            self._follow_serving_sets()
-=======
     def apply_entries(self, reply: typing.Any) -> None:
         """Record the live entry processes, if the reply lists them."""
         if reply.entries is None:
             return
         self.entries_revision = reply.entries_revision or 0
         self.entries = {e.entry: e.address for e in reply.entries}
+        self._zones = {e.entry: e.zone for e in reply.entries}
+        self._zones[self.name] = self.zone
         serving = {e.entry for e in reply.entries if not e.draining}
         if serving != self._serving:
             self._serving = serving
             self._serving_sets.clear()
             self._served = None
->>>>>>> lane-7
+            self._follow_serving_sets()
--- a/packages/node/src/sassafrasridge_node/leadership.py
+++ b/packages/node/src/sassafrasridge_node/leadership.py
@@ -226,24 +226,18 @@
     def _budget(self, obs: typing.Any) -> tuple[int, int]:
         """Return connections and slots; the service's settings go first."""
         connections, running = self._budgets.get(obs.group, (0, 0))
-        return connections or obs.connections, running or obs.slots
+        budget = (connections or obs.connections) - self._silent
+        return max(1, budget), running or obs.slots
 
     def _sync_budgets(self) -> None:
         # The last service of a group that sets a value decides.
         self._budgets.clear()
         for service in self._state.services():
-<<<<<<< HEAD
-            if service.group == obs.group:
-                connections = service.connections or connections
-                running = service.slots or running
-        return max(1, connections - self._silent), running
-=======
             connections, running = self._budgets.get(service.group, (0, 0))
             self._budgets[service.group] = (
                 service.connections or connections,
                 service.slots or running,
             )
->>>>>>> lane-7
 
     def _add_config(self, reply: typing.Any, req: typing.Any) -> None:
         reply.revision = self._state.revision
--- a/packages/node/src/sassafrasridge_node/renewal.py
+++ b/packages/node/src/sassafrasridge_node/renewal.py
@@ -157,11 +157,7 @@
                 backend.share.report(now),
                 self._state.serves(group),
             )
-<<<<<<< HEAD
             for (group, _), backend in self._state.backends.items()
-=======
-            for _, backend in self._state.served()
->>>>>>> lane-7
         ]
 
     async def release(self) -> None:
@@ -192,16 +188,10 @@
     async def run(self) -> None:
         """Probe until cancelled."""
         while True:
-<<<<<<< HEAD
             now = clocks.boottime()
-            for (group, server), backend in list(self._state.backends.items()):
-                backend.refresh_limits(now)
-                if self._state.serves(group):
-                    self._start(group, server, backend)
-=======
             for (group, server), backend in self._state.served():
+                backend.refresh_limits(now)
                 self._start(group, server, backend)
->>>>>>> lane-7
             await asyncio.sleep(PROBE_INTERVAL_S)
 
     def _start(self, group: str, server: str, backend: typing.Any) -> None:
--- a/tests/core/test_slots.py
+++ b/tests/core/test_slots.py
@@ -148,21 +148,15 @@
 
     def setup_method(self):
         self.ledger = slots.ConnectionLedger(0.0, 1)
-        self.held = {e: slots.VersionedLimit() for e in ('x', 'y')}
+        self.held = {e: slots.ConnectionShare() for e in ('x', 'y')}
 
-    def renew(self, entry, demand, budget=10):
+    def renew(self, entry, demand, budget=10, now=9.0):
         held = self.held[entry]
+        version, limit = held.report(now)
         grant = self.ledger.renew(
-            9.0,
-            entry,
-            1,
-            held.version,
-            held.connections,
-            demand,
-            budget,
-            5,
+            9.0, entry, 1, version, limit, demand, budget, 5
         )
-        held.replace(grant.version, grant.connections, grant.in_flight)
+        held.replace(now, now, *grant)
         return grant
 
     def settle(self):
@@ -194,6 +188,16 @@
             budget = 6
         elif change == 'release':
             self.ledger.release('y', 1)
-        else:
-            self.held['x'].lapse()
-        assert self.renew('x', demand, budget).version > before.version
+        now = 9.0
+        if change == 'lapse':
+            now += slots.LEASE_S
+        after = self.renew('x', demand, budget, now)
+        assert after.version > before.version
+
+    def test_repeated_limit_does_not_lapse(self):
+        """Guards against a limit that ends although it is renewed."""
+        self.settle()
+        for step in range(10):
+            now = 9.0 + step * slots.LEASE_S / 2
+            self.renew('x', 1.0, now=now)
+            assert self.held['x'].limit(now + 0.1).connections == 5
--- a/tests/testkit/test_faultproxy.py
+++ b/tests/testkit/test_faultproxy.py
@@ -235,16 +235,22 @@
             zoned = await proxy.add_link('b', proxy.links['a'].target, 0, 'b')
             await scenario(proxy, zoned, echo)
 
-        _run(in_zones)
+        async def run():
+            net = _Network()
+            await net.start(0)
+            try:
+                await in_zones(net.proxy, net._address, net)
+            finally:
+                await net.stop()
+
+        asyncio.run(run())
 
     @staticmethod
     async def _open(address, host='127.0.11.9'):
-        peer = _Peer()
         name, port = address.split(':')
-        peer.reader, peer.writer = await asyncio.open_connection(
-            name, port, local_addr=(host, 0)
+        return _Peer(
+            *await asyncio.open_connection(name, port, local_addr=(host, 0))
         )
-        return peer
 
     @pytest.mark.parametrize('path', [('a', 'b'), ('b', 'a')])
     def test_cut_of_one_direction(self, path):
