Send no full copies in a relayed batch of renewals

Cause: the leader put a full copy into every relayed reply whose process had none, although the relay adds it from its own state. At the stated size a batch holds 15 renewals, and 15 copies of 2,000 accounts with a key, 210 bytes each, are 6.3 MB: more than the 4 MiB of a frame. The relay would close the connection, and all of the batch would fail for good. Change: replies to a relay carry deltas, but no full copy. Ruled out: a larger frame limit, because the leader's link would still carry each copy. Conclusion: the batch's size no longer depends on the configuration.

--- a/packages/node/src/sassafrasridge_node/control.py
+++ b/packages/node/src/sassafrasridge_node/control.py
@@ -338,10 +338,14 @@
 
     async def renew_batch(self, batch: typing.Any) -> typing.Any:
         """Renew the leases that another member collected."""
-        replies = [await self._renew_here(req) for req in batch.requests]
+        replies = [
+            await self._renew_here(req, relayed=True) for req in batch.requests
+        ]
         return rpc.idl.RenewBatchReply(replies=replies)
 
-    async def _renew_here(self, req: typing.Any) -> typing.Any:
+    async def _renew_here(
+        self, req: typing.Any, relayed: bool = False
+    ) -> typing.Any:
         now = clocks.boottime()
         current = self.leadership
         if current is None or not self.log.leads(now):
@@ -352,7 +356,7 @@
         if req.entry not in self.state.entries:
             await self._register(req)
             return relays.refusal(req, 'registering')
-        return current.renew(now, req)
+        return current.renew(now, req, relayed)
 
     async def _register(self, req: typing.Any) -> None:
         if req.entry in self._registering:
--- a/packages/node/src/sassafrasridge_node/leadership.py
+++ b/packages/node/src/sassafrasridge_node/leadership.py
@@ -102,8 +102,14 @@
         if not len(state.answers):
             self._allocator.open_at_once(now)
 
-    def renew(self, now: float, req: typing.Any) -> typing.Any:
-        """Grant a renewal and return its reply."""
+    def renew(
+        self, now: float, req: typing.Any, relayed: bool = False
+    ) -> typing.Any:
+        """Grant a renewal and return its reply.
+
+        A relayed reply has no full copy, which the relay adds: the copies of
+        one batch would not fit into a frame.
+        """
         self.expire(now)
         name = holder_name(req)
         holder = self.table.grant(now, name, req.entry)
@@ -118,7 +124,7 @@
             leader_term=self.term,
             sequence=req.sequence,
         )
-        self._add_config(reply, req)
+        self._add_config(reply, req, relayed)
         reply.shares = [
             codec.grant_to_wire(grant)
             for grant in self._allocator.renew(
@@ -231,17 +237,19 @@
                 service.slots or running,
             )
 
-    def _add_config(self, reply: typing.Any, req: typing.Any) -> None:
+    def _add_config(
+        self, reply: typing.Any, req: typing.Any, relayed: bool
+    ) -> None:
         reply.revision = self._state.revision
         reply.deltas = []
         if req.revision < self._state.revision:
             deltas = None
             if req.revision > 0:
                 deltas = self._state.deltas_since(req.revision)
-            if deltas is None:
-                reply.full = self._state.full()
-            else:
+            if deltas is not None:
                 reply.deltas = deltas
+            elif not relayed:
+                reply.full = self._state.full()
         reply.view_revision = self._state.groups_revision
         reply.groups = [
             codec.group_to_wire(view)
--- a/tests/node/test_leadership.py
+++ b/tests/node/test_leadership.py
@@ -1,5 +1,7 @@
 """Tests of what the control leader keeps and what it sends."""
 
+import orjson
+
 from sassafrasridge_core import leases
 from sassafrasridge_core import state as core_state
 from sassafrasridge_node import connections
@@ -82,6 +84,29 @@
         assert [e.entry for e in reply.entries] == ['e2']
 
 
+class TestFullCopies:
+    def setup_method(self):
+        self.state = core_state.State()
+        command = {'type': 'init', 'session_secret': '5' * 64, 'time': 1.0}
+        assert self.state.apply(1, orjson.dumps(command)).ok
+        self.leader = leadership.Leadership(
+            self.state, TIMES, 0.8, 3, 0.0, 'demand', COUNTERS
+        )
+
+    def test_direct_renewal_gets_a_full_copy(self):
+        """Guards against a new process without a configuration."""
+        reply = self.leader.renew(10.0, request('e1'))
+        assert reply.full == self.state.full()
+
+    def test_relayed_renewal_gets_no_full_copy(self):
+        """Guards against a batch of copies that exceeds a frame."""
+        reply = self.leader.renew(10.0, request('e1'), relayed=True)
+        assert reply.granted
+        assert reply.revision == 1
+        assert not reply.full
+        assert not reply.deltas
+
+
 class TestEntryLists:
     def setup_method(self):
         self.state = entry.EntryState(
