--- a/packages/testkit/src/sassafrasridge_testkit/slopeconfig.py
+++ b/packages/testkit/src/sassafrasridge_testkit/slopeconfig.py
@@ -1,6 +1,7 @@
 """Costs of client accounts: full copies and memory of the daemons."""
 
 import asyncio
+import time
 
 from sassafrasridge_testkit import deployments
 from sassafrasridge_testkit import harness
@@ -65,12 +66,24 @@
         for role in pids
     }
     copies = _copy_slopes()
+    ready = _slope(
+        'entry_ready_seconds',
+        'Time from the start of an entry process until it is ready',
+        's',
+    )
     known = 0
     for count in ACCOUNTS:
         slopelab.add_accounts(deployment, known, count - known)
         known = count
         deployment.wait_in_force()
         asyncio.run(_copies(lab, count, copies))
+        for _ in range(slopelab.REPETITIONS):
+            node.process.kill()
+            started = time.monotonic()
+            node.process.start()
+            deployment.wait_ready(node)
+            ready.add(count, time.monotonic() - started)
+        pids['entry'] = node.process.pid
         for role, pid in pids.items():
             for _ in range(slopelab.REPETITIONS):
                 memory[role].add(count, float(slopemeters.rss_bytes(pid)))
@@ -79,7 +92,7 @@
             rates = meter.rates(slopelab.IDLE_S)
             for role, rate in zip(pids, rates, strict=True):
                 idle[role].add(count, rate)
-    return [*memory.values(), *idle.values(), *copies.values()]
+    return [ready, *memory.values(), *idle.values(), *copies.values()]
 
 
 async def _copies(
--- a/packages/testkit/src/sassafrasridge_testkit/slopeentry.py
+++ b/packages/testkit/src/sassafrasridge_testkit/slopeentry.py
@@ -5,6 +5,9 @@
 import concurrent.futures
 import socket
 import threading
+import typing
+
+import orjson
 
 from sassafrasridge_core import placement
 from sassafrasridge_testkit import callers
@@ -219,14 +222,7 @@
             's',
         )
         client = callers.HttpClient(self.owner.http)
-        info = slopelab.target(1)
-        body = {
-            name: getattr(info, name)
-            for name in (
-                *('group', 'server', 'role', 'term', 'position'),
-                *('address', 'zone', 'slots', 'connections', 'leaving'),
-            )
-        }
+        body = _announcement()
 
         def run(count: int) -> int:
             return sum(
@@ -239,6 +235,34 @@
         client.close()
         return slope
 
+    def announcement_bytes(self) -> slopefit.Slope:
+        """Count what a target sends and receives for announcements."""
+        slope = slopefit.Slope(
+            'announcement_bytes',
+            'Bytes of announcements, both ways, on a kept connection',
+            'announcement',
+            'bytes',
+            note='HTTP headers included, no TCP headers',
+        )
+        body = orjson.dumps(_announcement())
+        host, port = self.owner.http.rsplit(':', 1)
+        # The headers are those that the stand-in server sends.
+        request = (
+            f'POST /v1/announce HTTP/1.1\r\nHost: {self.owner.http}\r\n'
+            f'Content-Type: application/json\r\n'
+            f'Content-Length: {len(body)}\r\n\r\n'
+        ).encode() + body
+        with socket.create_connection((host, int(port)), 5.0) as sock:
+            sent = received = 0
+            for count in ANNOUNCEMENTS:
+                sent = received = 0
+                for _ in range(count):
+                    sock.sendall(request)
+                    sent += len(request)
+                    received += len(sock.recv(65536))
+                slope.add(count, float(sent + received))
+        return slope
+
     def connections(self) -> list[slopefit.Slope]:
         """Measure idle keep-alive connections of callers."""
         memory = slopefit.Slope(
@@ -272,11 +296,23 @@
         return [memory, cpu]
 
 
+def _announcement() -> dict[str, typing.Any]:
+    info = slopelab.target(1)
+    return {
+        name: getattr(info, name)
+        for name in (
+            *('group', 'server', 'role', 'term', 'position'),
+            *('address', 'zone', 'slots', 'connections', 'leaving'),
+        )
+    }
+
+
 def measure(kit: harness.Harness) -> list[slopefit.Slope]:
     """Return the slopes of the data path."""
     lab = EntryLab(kit)
     found = lab.statements()
     found.append(lab.announcements())
+    found.append(lab.announcement_bytes())
     found += lab.connections()
     lab.phantoms.stop()
     return found
--- a/packages/testkit/src/sassafrasridge_testkit/slopegroups.py
+++ b/packages/testkit/src/sassafrasridge_testkit/slopegroups.py
@@ -113,15 +113,8 @@
     return slope
 
 
-def _state(count: int) -> entry.EntryState:
-    state = entry.EntryState(
-        'entry-0',
-        'z1',
-        leases.LeaseTimes(0.3, 1.2, 4.0),
-        connections.Dialer(),
-        metrics.Metrics(),
-    )
-    records = [
+def _addresses(count: int) -> list[typing.Any]:
+    return [
         rpc.idl.EntryAddress(
             entry=f'entry-{number}',
             zone=f'z{number % 6}',
@@ -130,6 +123,17 @@
         )
         for number in range(count)
     ]
+
+
+def _state(count: int) -> entry.EntryState:
+    state = entry.EntryState(
+        'entry-0',
+        'z1',
+        leases.LeaseTimes(0.3, 1.2, 4.0),
+        connections.Dialer(),
+        metrics.Metrics(),
+    )
+    records = _addresses(count)
     state.apply_entries(rpc.idl.RenewReply(entries=records))
     return state
 
@@ -155,6 +159,21 @@
     return slope
 
 
+def entry_list() -> slopefit.Slope:
+    """Count the bytes of the list of entry processes in a reply."""
+    slope = slopefit.Slope(
+        'entry_list_bytes',
+        'Bytes of the list of entry processes, by live entry processes',
+        'live entry process',
+        'bytes',
+        note='sent only when the list has changed',
+    )
+    for count in SETS:
+        reply = rpc.idl.RenewReply(granted=True, entries=_addresses(count))
+        slope.add(count, float(len(rpc._encode('renew', 1, 1, reply))))
+    return slope
+
+
 def memory() -> slopefit.Slope:
     """Measure what an entry process keeps for groups that it may reach."""
     slope = slopefit.Slope(
@@ -174,6 +193,26 @@
     return slope
 
 
+def leader_memory() -> slopefit.Slope:
+    """Measure views and sightings of groups at the leader."""
+    slope = slopefit.Slope(
+        'group_leader_memory',
+        'Memory of the leader for group views and sightings, by groups',
+        'database group',
+        'bytes',
+        note='3 servers a group, 7 observers a server, allocated by Python '
+        '(tracemalloc); connection ledgers are not included',
+    )
+    for count in GROUPS:
+        for _ in range(slopelab.REPETITIONS):
+            store, detector = Store(), promotion.Detector(0.8)
+            tracemalloc.start()
+            asyncio.run(_fill(store, detector, count))
+            slope.add(count, float(tracemalloc.get_traced_memory()[0]))
+            tracemalloc.stop()
+    return slope
+
+
 def _records(count: int) -> typing.Any:
     views = []
     for number in range(count):
@@ -218,4 +257,11 @@
 
 def measure(kit: harness.Harness) -> list[slopefit.Slope]:
     """Return the slopes of groups and probes."""
-    return [keeper(), serving(), memory(), probes(kit)]
+    return [
+        keeper(),
+        serving(),
+        entry_list(),
+        memory(),
+        leader_memory(),
+        probes(kit),
+    ]
--- a/packages/testkit/src/sassafrasridge_testkit/sloperenewals.py
+++ b/packages/testkit/src/sassafrasridge_testkit/sloperenewals.py
@@ -209,45 +209,53 @@
     return costs
 
 
-def by_batch(lab: Lab) -> list[slopefit.Slope]:
+def by_batch(lab: Lab, targets: bool) -> list[slopefit.Slope]:
     """Vary the renewals that a relay collects into one batch."""
+    count = LIVE_TARGETS if targets else 0
     slopes = [
         slopefit.Slope(
-            f'relay_batch_{role}_cpu',
+            f'relay_batch_{count}_{role}_cpu',
             f'Processor time of a relayed batch at the {role}, by renewals',
             'renewal in a batch',
             's',
-            note='10 accounts in use and no target in each renewal',
+            note=f'10 accounts in use and {count} targets in each renewal',
         )
         for role in ('relay', 'leader')
     ]
-    relay = lab.others[0]
+    asyncio.run(_batches(lab, targets, slopes))
+    return slopes
 
-    async def run() -> None:
-        holders = [
-            slopelab.Holder(f'relayed-{number}', relay.rpc, lab.secret)
-            for number in range(max(BATCHES))
-        ]
-        await asyncio.gather(*(holder.join() for holder in holders))
-        meter = slopemeters.CpuMeter(relay.process.pid, lab.pid)
-        for count in BATCHES:
-            for _ in range(slopelab.REPETITIONS):
-                idle = meter.rates(slopelab.IDLE_S)
-                meter.start()
-                for _ in range(ROUNDS):
-                    for holder in holders[:count]:
-                        holder.use_accounts(10)
-                    await asyncio.gather(
-                        *(holder.renew() for holder in holders[:count])
-                    )
-                elapsed, used = meter.stop()
-                for slope, rate, value in zip(slopes, idle, used, strict=True):
-                    slope.add(count, (value - rate * elapsed) / ROUNDS)
-        for holder in holders:
-            holder.close()
 
-    asyncio.run(run())
-    return slopes
+async def _batches(
+    lab: Lab, targets: bool, slopes: list[slopefit.Slope]
+) -> None:
+    relay = lab.others[0]
+    holders = [
+        slopelab.Holder(f'relayed-{number}', relay.rpc, lab.secret)
+        for number in range(max(BATCHES))
+    ]
+    names = [holder.state.name for holder in holders]
+    await asyncio.gather(*(holder.join() for holder in holders))
+    for holder in holders:
+        if targets:
+            holder.observe(served_targets(holder.state.name, names))
+        await holder.renew()
+    meter = slopemeters.CpuMeter(relay.process.pid, lab.pid)
+    for count in BATCHES:
+        for _ in range(slopelab.REPETITIONS):
+            idle = meter.rates(slopelab.IDLE_S)
+            meter.start()
+            for _ in range(ROUNDS):
+                for holder in holders[:count]:
+                    holder.use_accounts(10)
+                await asyncio.gather(
+                    *(holder.renew() for holder in holders[:count])
+                )
+            elapsed, used = meter.stop()
+            for slope, rate, value in zip(slopes, idle, used, strict=True):
+                slope.add(count, (value - rate * elapsed) / ROUNDS)
+    for holder in holders:
+        holder.close()
 
 
 def measure(kit: harness.Harness) -> list[slopefit.Slope]:
@@ -258,7 +266,8 @@
     deployment.start()
     lab = Lab(deployment)
     slopelab.add_accounts(deployment, 0, max(ACCOUNTS))
-    slopes = by_batch(lab)
+    slopes = by_batch(lab, targets=False)
+    slopes += by_batch(lab, targets=True)
     for run in (by_accounts, by_targets, by_deltas, by_live):
         slopes += run(lab).slopes.values()
     return slopes
--- a/packages/testkit/src/sassafrasridge_testkit/slopestate.py
+++ b/packages/testkit/src/sassafrasridge_testkit/slopestate.py
@@ -172,6 +172,23 @@
     return slopes
 
 
+def encoding() -> slopefit.Slope:
+    """Measure how long a snapshot blocks the event loop."""
+    slope = slopefit.Slope(
+        'snapshot_note_cpu',
+        'Processor time to encode a snapshot, by notes',
+        'note',
+        's',
+    )
+    for count in RESTARTS:
+        state = _apply(notes(count))
+        for _ in range(slopelab.REPETITIONS):
+            before = time.process_time()
+            state.encode()
+            slope.add(count, time.process_time() - before)
+    return slope
+
+
 class LogMember:
     """One voter of a log in this process, with its files."""
 
@@ -331,4 +348,10 @@
 
 def measure(kit: harness.Harness) -> list[slopefit.Slope]:
     """Return the slopes of state, log and restarts."""
-    return [*sizes(), *commits(kit), commit_bytes(), *restarts(kit)]
+    return [
+        *sizes(),
+        encoding(),
+        *commits(kit),
+        commit_bytes(),
+        *restarts(kit),
+    ]
