--- a/Makefile
+++ b/Makefile
@@ -16,6 +16,15 @@
 test: install
 	$(BIN)/python -m pytest
 
+# Random seeds; SEED repeats one pass that failed.
+SECONDS ?= 120
+fuzz: install
+	PYTHON=$(BIN)/python .ci/fuzz $(SECONDS) $(SEED)
+
+# Fails while a test listed in KNOWN-RED.txt fails.
+known-red: install
+	$(BIN)/python -m pytest --known-red
+
 lint: install
 	$(BIN)/ruff format --check .
 	$(BIN)/ruff check .
--- a/tests/core/test_notes.py
+++ b/tests/core/test_notes.py
@@ -119,7 +119,7 @@
             ),
         )
     )
-    @settings(derandomize=True, max_examples=200, deadline=None)
+    @settings(max_examples=200, deadline=None)
     def test_any_json_is_parsed_or_refused(self, body):
         """Guards against a crash of control members by a malformed note."""
         try:
--- a/tests/core/test_raft.py
+++ b/tests/core/test_raft.py
@@ -985,7 +985,6 @@
 )
 hypothesis.settings.register_profile(
     'ci',
-    derandomize=True,
     deadline=None,
     max_examples=200,
     stateful_step_count=30,
@@ -994,6 +993,7 @@
 )
 hypothesis.settings.register_profile(
     'long',
+    derandomize=False,
     deadline=None,
     max_examples=2000,
     stateful_step_count=80,
@@ -1033,7 +1033,7 @@
             with pytest.raises(raft.MalformedMessageError):
                 raft.Message.decode(wrong)
 
-    @hypothesis.settings(derandomize=True, max_examples=300)
+    @hypothesis.settings(max_examples=300)
     @hypothesis.given(st.data())
     def test_damaged_bytes_raise_one_error(self, data):
         """Guards against a peer that stops the task by malformed bytes."""
--- a/tests/core/test_sessions.py
+++ b/tests/core/test_sessions.py
@@ -18,7 +18,7 @@
             sessions.TokenSigner(secret).load(text, now)
         return info.value.kind
 
-    @hypothesis.settings(derandomize=True, max_examples=100, deadline=None)
+    @hypothesis.settings(max_examples=100, deadline=None)
     @hypothesis.given(
         st.dictionaries(
             st.text(min_size=1, max_size=20),
@@ -37,7 +37,7 @@
         assert text.isascii() and ' ' not in text
         assert signer.load(text, NOW + 5) == tokens
 
-    @hypothesis.settings(derandomize=True, max_examples=200, deadline=None)
+    @hypothesis.settings(max_examples=200, deadline=None)
     @hypothesis.given(st.data())
     def test_every_change_is_refused(self, data):
         """Guards against a caller who edits the position."""
@@ -68,7 +68,7 @@
         late = NOW + sessions.TOKEN_TTL_S + 2
         assert self._kind(text, now=late) == 'session_expired'
 
-    @hypothesis.settings(derandomize=True, max_examples=200, deadline=None)
+    @hypothesis.settings(max_examples=200, deadline=None)
     @hypothesis.given(st.text(max_size=200))
     def test_any_text_gets_a_typed_error(self, text):
         """Guards against an exception that is no answer."""
@@ -202,12 +202,12 @@
 
 
 class TestCovers:
+    @pytest.mark.fuzz
     def test_promotions_lose_no_write_of_a_session(self):
         """Guards against reads that miss the session's own writes (G1)."""
         stateful.run_state_machine_as_test(
             _Group,
             settings=hypothesis.settings(
-                derandomize=True,
                 max_examples=150,
                 stateful_step_count=40,
                 deadline=None,
--- a/tests/core/test_settings.py
+++ b/tests/core/test_settings.py
@@ -135,7 +135,7 @@
     @hypothesis.given(
         st.lists(st.sampled_from(GOOD.splitlines()) | st.text(max_size=12))
     )
-    @hypothesis.settings(derandomize=True, deadline=None)
+    @hypothesis.settings(deadline=None)
     def test_any_text_is_checked_or_refused(self, lines):
         """Guards against a traceback in place of the mistakes."""
         try:
--- a/tests/core/test_shares.py
+++ b/tests/core/test_shares.py
@@ -217,9 +217,7 @@
 FUZZ = settings(
     max_examples=150,
     stateful_step_count=50,
-    derandomize=True,
     deadline=None,
-    database=None,
     phases=[hypothesis.Phase.generate],
 )
 
@@ -227,6 +225,7 @@
 class TestFleetAccounting:
     """Guards against use above burst + rate * w in any window."""
 
+    @pytest.mark.fuzz
     @pytest.mark.parametrize('machine', [FleetMachine, StaticFleetMachine])
     def test_no_window_is_overrun(self, machine):
         stateful.run_state_machine_as_test(machine, settings=FUZZ)
--- a/tests/core/test_slots.py
+++ b/tests/core/test_slots.py
@@ -15,7 +15,7 @@
 class TestConnectionAllocator:
     """Guards against more connections than a target takes."""
 
-    @settings(max_examples=200, derandomize=True, database=None)
+    @settings(max_examples=200)
     @given(
         budget=st.integers(0, 40),
         demands=st.dictionaries(
--- a/tests/core/test_state.py
+++ b/tests/core/test_state.py
@@ -275,7 +275,7 @@
             )
         )
     )
-    @hypothesis.settings(derandomize=True, deadline=None)
+    @hypothesis.settings(deadline=None)
     def test_any_command_leaves_a_state_to_restore(self, commands):
         """Guards against a command that stops every member for ever."""
         member = Member()
@@ -481,7 +481,6 @@
 
 TestNotesMachine = NotesMachine.TestCase
 TestNotesMachine.settings = hypothesis.settings(
-    derandomize=True,
     max_examples=200,
     stateful_step_count=30,
     deadline=None,
--- a/tests/node/test_dataapi.py
+++ b/tests/node/test_dataapi.py
@@ -125,7 +125,7 @@
         assert info.value.status == status
         assert info.value.outcome is errors.Outcome.NOT_RUN
 
-    @hypothesis.settings(derandomize=True, max_examples=300, deadline=None)
+    @hypothesis.settings(max_examples=300, deadline=None)
     @hypothesis.given(
         st.dictionaries(
             st.sampled_from(
--- a/tests/node/test_front.py
+++ b/tests/node/test_front.py
@@ -324,9 +324,7 @@
             ),
         )
 
-        @hypothesis.settings(
-            derandomize=True, max_examples=150, deadline=None, database=None
-        )
+        @hypothesis.settings(max_examples=150, deadline=None)
         @hypothesis.given(st.lists(parts, max_size=8))
         def run(chunks):
             client = node.client()
