Refuse writes at once in a process that is cut off for long

Change: once the configuration has lapsed as well (4 s), a write that was not sent yet is refused with no_lease at once. Ruled out: refusing when the lease lapses (1.2 s), which would refuse writes during each change of control leader.

--- a/packages/node/src/sassafrasridge_node/writes.py
+++ b/packages/node/src/sassafrasridge_node/writes.py
@@ -132,12 +132,17 @@
     async def _primary(
         self, group: str, attempt: Attempt, deadline: float
     ) -> backends.Backend:
-        """Wait until the group has a primary and this process a lease."""
+        """Wait until the group has a primary and this process a lease.
+
+        A lapsed configuration means more than a change of control leader,
+        so another entry process should get the request at once.
+        """
         while True:
             backend = self._state.primary(group)
             if backend is not None and self._state.lease_valid():
                 return backend
-            if clocks.boottime() >= deadline:
+            cut_off = not self._state.config_valid() and not attempt.in_doubt
+            if cut_off or clocks.boottime() >= deadline:
                 if attempt.in_doubt:
                     raise self._late(attempt)
                 if not self._state.lease_valid():
