Don't send on a connection that the server closed while it was idle

Change: the client opens a new connection when the old one has ended. Measured: the new test fails without the change.

--- a/packages/testkit/src/sassafrasridge_testkit/webclient.py
+++ b/packages/testkit/src/sassafrasridge_testkit/webclient.py
@@ -98,6 +98,9 @@
         body: dict[str, typing.Any] | None,
         headers: collections.abc.Mapping[str, str],
     ) -> tuple[int, dict[str, typing.Any]]:
+        if self._reader is not None and self._reader.at_eof():
+            # The server closed it meanwhile, so a request would be lost.
+            self.close()
         if self._writer is None or self._reader is None:
             host, port = self.address.rsplit(':', 1)
             self._reader, self._writer = await asyncio.open_connection(
--- a/tests/testkit/test_webclient.py
+++ b/tests/testkit/test_webclient.py
@@ -51,6 +51,21 @@
 
         _run(scenario, close)
 
+    def test_connection_closed_while_idle_is_not_used(self):
+        """Guards against requests lost on a connection that has ended."""
+
+        async def scenario(client, opened):
+            await client.post('/a', {}, 2.0)
+            reader = client._reader
+            opened[0].close()
+            async with asyncio.timeout(2.0):
+                while not reader.at_eof():
+                    await asyncio.sleep(0.001)
+            await client.post('/a', {}, 2.0)
+            assert len(opened) == 2
+
+        _run(scenario)
+
     def test_failed_connect_was_not_sent(self):
         """Guards against calling a request unknown that never left."""
 
