Bound relayed batches to 64 renewals

Cause: a batch of 256 renewals with 100 accounts and 39 targets each takes 4.27 MB, more than a frame of 4 MiB, so a burst failed as a whole. Change: a batch holds 64 renewals, 1.07 MB by the same slopes. Ruled out: a bound in bytes, which needs the size before encoding; the number suffices up to 600 accounts in use at a process. Measured: 161.6 bytes per renewal, 97 per account and 173 per target (docs/slopes/renewal_accounts_sent_bytes.json and the one of targets).

--- a/packages/node/src/sassafrasridge_node/relays.py
+++ b/packages/node/src/sassafrasridge_node/relays.py
@@ -8,7 +8,10 @@
 from sassafrasridge_node import rpc
 
 BATCH_INTERVAL_S = 0.05
-MAX_BATCH = 256
+MAX_BATCH = 64
+"""A renewal with 100 accounts and 39 targets takes 17 kB, so that a full batch
+of them takes 1.1 MB of the 4 MiB of a frame; see docs/CAPACITY.md."""
+
 CALL_TIMEOUT_S = 0.4
 """Shorter than the renewal interval plus a second try within the lease."""
 
