--- a/packages/testkit/src/sassafrasridge_testkit/slopeentry.py
+++ b/packages/testkit/src/sassafrasridge_testkit/slopeentry.py
@@ -246,7 +246,7 @@
         )
         body = orjson.dumps(_announcement())
         host, port = self.owner.http.rsplit(':', 1)
-        # The headers are those that the stand-in server sends.
+        # The shortest headers that the entry process accepts.
         request = (
             f'POST /v1/announce HTTP/1.1\r\nHost: {self.owner.http}\r\n'
             f'Content-Type: application/json\r\n'
--- a/packages/testkit/src/sassafrasridge_testkit/slopes.py
+++ b/packages/testkit/src/sassafrasridge_testkit/slopes.py
@@ -73,9 +73,11 @@
         with harness.Harness() as kit:
             slopes = PARTS[part](kit)
         for slope in slopes:
-            slope.write(folder)
+            path = slope.write(folder)
             if plots is not None:
-                _plot(slope, plots)
+                _plot(slope, folder)
+                _copy(path, plots)
+                _copy(path.with_suffix('.png'), plots)
             line = slope.fit()
             _say(
                 f'{slope.name}: {line.slope:.4g} +- {line.slope_error:.2g} '
@@ -87,9 +89,10 @@
     record['after'] = _environment()
     record['complete'] = complete
     folder.mkdir(parents=True, exist_ok=True)
-    (folder / 'run.json').write_bytes(
-        orjson.dumps(record, option=orjson.OPT_INDENT_2)
-    )
+    path = folder / 'run.json'
+    path.write_bytes(orjson.dumps(record, option=orjson.OPT_INDENT_2))
+    if plots is not None:
+        _copy(path, plots)
     return complete
 
 
@@ -97,10 +100,12 @@
     # matplotlib is imported only when plots are wanted.
     from sassafrasridge_testkit import slopeplots
 
-    path = slopeplots.plot(slope, FOLDER)
-    if folder != FOLDER:
-        folder.mkdir(parents=True, exist_ok=True)
-        shutil.copy(path, folder / path.name)
+    slopeplots.plot(slope, folder)
+
+
+def _copy(path: pathlib.Path, folder: pathlib.Path) -> None:
+    folder.mkdir(parents=True, exist_ok=True)
+    shutil.copy(path, folder / path.name)
 
 
 def main() -> None:
@@ -108,7 +113,12 @@
     parser = argparse.ArgumentParser(description='Measure slopes of costs.')
     parser.add_argument('parts', nargs='*', help=', '.join(PARTS))
     parser.add_argument('--folder', type=pathlib.Path, default=FOLDER)
-    parser.add_argument('--plots', type=pathlib.Path, default=None)
+    parser.add_argument(
+        '--plots',
+        type=pathlib.Path,
+        default=None,
+        help='plot, and copy plots and JSON files to this folder',
+    )
     args = parser.parse_args()
     unknown = set(args.parts) - set(PARTS)
     if unknown:
