Report true outcomes for late tries and commits of a replaced primary

A commit whose record was in the unreplicated tail of a replaced primary was reported done: the marker met the record there, and the empty write that asks for the recorded answer ran at the new primary as if it were the commit. Ruled out: duplicates by the target (the log held one record of each id), and the order of answers on one connection (first drafts delivered the answer of the copy, which one TCP connection can't do; the test was corrected). Change: Writer.settle takes the id with a marker before it says not_run, also for a failed statement in doubt, and a commit asks for its answer with a statement that can't run. test_failed_statement_was_not_run stated that a failed try clears doubts of earlier tries, which is the first fault; it is replaced by one test for a first try and one for a try after a doubt. Before: both cases of TestTraces fail.

--- a/packages/node/src/sassafrasridge_node/transactions.py
+++ b/packages/node/src/sassafrasridge_node/transactions.py
@@ -19,6 +19,8 @@
 SWEEP_INTERVAL_S = 0.1
 MAX_PER_ACCOUNT = 64
 SEPARATOR = '.'
+NOT_RECORDED = 'the commit is not recorded'
+"""A statement that no target can run: only a recorded answer succeeds."""
 
 
 class Transaction:
@@ -209,28 +211,16 @@
         attempt: writes.Attempt,
         tokens: dict[str, model.Position],
     ) -> front.DataReply:
-        """Find out what became of a commit whose answer was lost.
-
-        Sends an empty write under the commit's id. If it is accepted, it has
-        taken the id, so that the commit can never be recorded: the
-        transaction did not run. If the id is taken, the commit was recorded
-        and the target replays its answer.
-        """
-        marker = writes.Attempt(
-            attempt.account, attempt.request_id, writes.ABANDONED, []
-        )
-        marker.in_doubt = True
-        try:
-            await self._writer.run(
-                adm.group, marker, req.deadline, adm.recheck
-            )
-        except answers.IdConflictError:
-            attempt.in_doubt = True
-        else:
-            raise lost(str(req.transaction))
-        backend, body = await self._writer.run(
+        """Find out what became of a commit whose answer was lost."""
+        # Without a record nothing may be recorded as the commit, since the
+        # statements of the transaction are not at hand.
+        attempt.statements = [{'sql': NOT_RECORDED, 'params': []}]
+        found = await self._writer.settle(
             adm.group, attempt, req.deadline, adm.recheck
         )
+        if found is None:
+            raise lost(str(req.transaction))
+        backend, body = found
         return answers.done(self._state, adm.group, tokens, backend, body)
 
     def _finish(self, tx: Transaction, *, clean: bool) -> None:
--- a/packages/node/src/sassafrasridge_node/writes.py
+++ b/packages/node/src/sassafrasridge_node/writes.py
@@ -87,11 +87,54 @@
             req.digest,
             req.statements,
         )
-        backend, body = await self.run(
-            adm.group, attempt, req.deadline, adm.recheck
-        )
+        try:
+            backend, body = await self.run(
+                adm.group, attempt, req.deadline, adm.recheck
+            )
+        except errors.StatementError:
+            if not attempt.in_doubt:
+                raise
+            found = await self.settle(
+                adm.group, attempt, req.deadline, adm.recheck
+            )
+            if found is None:
+                raise
+            backend, body = found
         return answers.done(self._state, adm.group, tokens, backend, body)
 
+    async def settle(
+        self,
+        group: str,
+        attempt: Attempt,
+        deadline: float,
+        recheck: typing.Callable[[], None],
+    ) -> tuple[backends.Backend, dict[str, typing.Any]] | None:
+        """Return the answer to a request in doubt, None if it can't run.
+
+        Sends an empty write under the request's id. If it is accepted, it has
+        taken the id, so that no earlier try can be recorded later. If the id
+        is taken, the request is sent again for its recorded answer; when its
+        record was lost with a replaced primary, this starts over.
+        """
+        attempt.in_doubt = True
+        while clocks.boottime() < deadline:
+            marker = Attempt(
+                attempt.account, attempt.request_id, ABANDONED, []
+            )
+            marker.in_doubt = True
+            try:
+                await self.run(group, marker, deadline, recheck)
+                return None
+            except answers.IdConflictError:
+                pass
+            except errors.StatementError as exc:
+                raise answers.unknown(exc.message)
+            try:
+                return await self.run(group, attempt, deadline, recheck)
+            except (answers.IdConflictError, errors.StatementError):
+                continue
+        raise self._late(attempt)
+
     async def run(
         self,
         group: str,
@@ -211,10 +254,8 @@
         answer: connections.Answer,
     ) -> dict[str, typing.Any] | None:
         """Return the body of a write that may be acknowledged."""
-        if answer.error_kind == 'statement_failed':
-            # The answer is about this try alone; the primary key of the
-            # record proves that no earlier try committed.
-            attempt.in_doubt = False
+        # A failed statement says nothing of earlier tries, which may still
+        # reach the target after this one.
         answers.check(answer)
         if answer.status != 200:
             return None
--- a/tests/node/test_writes.py
+++ b/tests/node/test_writes.py
@@ -70,11 +70,17 @@
 
     def test_failed_statement_was_not_run(self):
         """Guards against calling a rolled back statement unknown."""
-        self.attempt.in_doubt = True
         with pytest.raises(errors.StatementError):
             self.judge(400, error={'kind': 'statement_failed'})
         assert not self.attempt.in_doubt
 
+    def test_failed_statement_leaves_earlier_tries_in_doubt(self):
+        """Guards against "not run" of a try that arrives later."""
+        self.attempt.in_doubt = True
+        with pytest.raises(errors.StatementError):
+            self.judge(400, error={'kind': 'statement_failed'})
+        assert self.attempt.in_doubt
+
     def test_id_of_another_request_is_refused(self):
         """Guards against returning another request's result."""
         with pytest.raises(answers.IdConflictError):
