--- a/tests/node/test_outcomes_fuzz.py
+++ b/tests/node/test_outcomes_fuzz.py
@@ -257,6 +257,8 @@
         super().__init__()
         self.loop = virtualtime.VirtualTimeLoop()
         asyncio.set_event_loop(self.loop)
+        self.faults = []
+        self.loop.set_exception_handler(lambda _, c: self.faults.append(c))
         self.boottime, clocks.boottime = clocks.boottime, self.loop.time
         self.group = Group()
         self.fates = []
@@ -412,6 +414,7 @@
             self.loop.close()
 
     def check(self):
+        assert not self.faults, self.faults
         self.group.promote(NAMES)
         ids = [record.id for record in self.group.primary.log]
         tags = [r.tag for r in self.group.primary.log if r.tag is not None]
@@ -451,5 +454,8 @@
         machine.partition(set())
         machine.transact(3.0, False)
         machine.advance(0.2)
+        machine.partition(set(NAMES))
         machine.promote({'b', 'c'}, told=True, slowly=False)
+        machine.heal('c')
+        machine.advance(1.0)
         machine.teardown()
