--- a/tests/integration/test_policy.py
+++ b/tests/integration/test_policy.py
@@ -3,11 +3,12 @@
 import pytest
 
 
-class TestPlainPolicy:
-    @pytest.fixture(scope='class')
-    def system(self, make_system):
-        return make_system(('z1',), ('z1',), policy='plain')
+@pytest.fixture(scope='module')
+def system(make_system):
+    return make_system(('z1',), ('z1',), policy='plain')
+
 
+class TestPlainPolicy:
     def test_reads_go_to_the_primary(self, system):
         """Guards against comparing a policy with itself."""
         assert system.insert(1).status == 200
