Measure reaction times with real processes

Cause: the times that the design states (in force, failover gap, restart) were only bounds of tests; nothing showed the figures themselves.

Change: `make figures` (sassafrasridge_testkit.figures) measures notes in force, withdrawn keys, failover gaps, changes of control leader and restarts after 100, 1,000 and 10,000 changes, prints a table and writes build/figures.json.

Ruled out: the small spread of notes and keys is no artefact of polling. Each sample starts right after a renewal, so it lasts one interval of 0.3 s for a key and two for a confirmed note.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-.PHONY: install demo test lint format fuzz measure slopes known-red
+.PHONY: install demo figures test lint format fuzz measure slopes known-red
 
 install: $(STAMP)
 
@@ -29,3 +29,6 @@
 
 demo: install
 	$(BIN)/python -m sassafrasridge_testkit.demo
+
+figures: install
+	$(BIN)/python -m sassafrasridge_testkit.figures
