--- a/tests/node/test_outcomes_fuzz.py
+++ b/tests/node/test_outcomes_fuzz.py
@@ -250,8 +250,10 @@
 
 
 class OutcomesMachine(stateful.RuleBasedStateMachine):
-    """Guards against a `done` that is lost, a `not_run` that ran and a
-    request that ran twice (G9, G10, G14)."""
+    """Guards against a `done` that is lost and a `not_run` that ran.
+
+    Also against a request that ran twice (G9, G10, G14).
+    """
 
     def __init__(self):
         super().__init__()
