--- a/Makefile
+++ b/Makefile
@@ -3,11 +3,7 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-<<<<<<< HEAD
-.PHONY: install demo test lint format fuzz measure slopes capacity known-red
-=======
-.PHONY: install demo figures test lint format fuzz measure slopes known-red
->>>>>>> lane-8
+.PHONY: install demo test lint format fuzz known-red measure figures slopes capacity
 
 install: $(STAMP)
 
@@ -49,11 +45,9 @@
 demo: install
 	$(BIN)/python -m sassafrasridge_testkit.demo
 
-<<<<<<< HEAD
 # SCENARIO and SEED are optional.
 measure: install
 	$(BIN)/python -m sassafrasridge_testkit.measure $(if $(SCENARIO),--scenario $(SCENARIO)) $(if $(SEED),--seed $(SEED))
-=======
+
 figures: install
 	$(BIN)/python -m sassafrasridge_testkit.figures
->>>>>>> lane-8
