Add a stateful test of pools through late, crossed and damaged answers

TargetConnection, Pool and Backend run in virtual time against a scripted server. Oracle: no answer reaches another request, a connection in doubt is never written to again, limits hold, and nothing is left after the end.

--- /dev/null
+++ b/tests/node/test_backends_fuzz.py
@@ -0,0 +1,289 @@
+"""Stateful test of pools: late, crossed and damaged answers."""
+
+import asyncio
+
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies as st
+import orjson
+
+from sassafrasridge_core import errors
+from sassafrasridge_core import model
+from sassafrasridge_node import backends
+from sassafrasridge_node import clocks
+from sassafrasridge_node import connections
+from sassafrasridge_node import metrics
+from sassafrasridge_node import rpc
+from sassafrasridge_testkit import virtualtime
+
+ADDRESS = '127.0.0.1:1'
+HEAD = b'HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n'
+FATES = (
+    'ok',
+    'ok',
+    'split',
+    'slow',
+    'silent',
+    'crossed',
+    'damaged',
+    'doubled',
+    'closed',
+    'no object',
+)
+DELAY_S = 0.01
+
+
+class Transport:
+    """Stand for the socket of one connection and its scripted server."""
+
+    def __init__(self, server):
+        self.server, self.conn = server, None
+        self.open = True
+        self.waiting = None
+        self.doubtful = False
+        server.transports.append(self)
+
+    def write(self, data):
+        assert self.open, 'a closed connection was written to'
+        assert self.waiting is None, 'a second request before the answer'
+        assert not self.doubtful, 'a connection in doubt was used again'
+        head, _, payload = data.partition(b'\r\n\r\n')
+        self.waiting = orjson.loads(payload)
+        fate, delay = self.server.next_fate()
+        if b'/status' in head and fate not in ('ok', 'silent', 'closed'):
+            fate = 'ok'
+        self.doubtful = fate not in ('ok', 'split', 'slow')
+        delay = delay if fate == 'slow' else DELAY_S
+        self.server.loop.call_later(delay, self.answer, fate)
+
+    def answer(self, fate):
+        if not self.open or fate == 'silent':
+            return
+        if fate == 'closed':
+            self.abort()
+            return
+        body, self.waiting = self.waiting, None
+        if fate == 'crossed':
+            body = self.server.foreign(self)
+        data = orjson.dumps(
+            {
+                'id': body['id'],
+                'echo': body.get('number'),
+                'term': 1,
+                'last_term': 1,
+                'role': 'primary',
+                'applied': 5,
+                'position': 5,
+            }
+        )
+        if fate == 'no object':
+            data = b'[1]'
+        message = HEAD % len(data) + data
+        if fate == 'damaged':
+            message = b'\x00\xff' + message
+        if fate == 'doubled':
+            message += message
+        cut = len(message) // 2 if fate == 'split' else len(message)
+        self.conn.data_received(message[:cut])
+        if cut < len(message):
+            self.conn.data_received(message[cut:])
+
+    def abort(self):
+        if self.open:
+            self.open = False
+            self.server.loop.call_soon(self.conn.connection_lost, None)
+
+
+class Server:
+    """Open connections and decide what becomes of each request."""
+
+    def __init__(self, loop):
+        self.loop = loop
+        self.transports = []
+        self.fates = []
+        self.refuses = False
+
+    def next_fate(self):
+        return self.fates.pop(0) if self.fates else ('ok', DELAY_S)
+
+    def foreign(self, own):
+        """Return the request of another connection, if one waits."""
+        for transport in self.transports:
+            if transport is not own and transport.waiting is not None:
+                return transport.waiting
+        return {'id': 'none', 'number': -1}
+
+    async def open(self, address, timeout_s=1.0):
+        await asyncio.sleep(DELAY_S)
+        if self.refuses:
+            raise connections.ConnectionLostError('refused', sent=False)
+        conn = connections.TargetConnection(address)
+        transport = Transport(self)
+        transport.conn = conn
+        conn.connection_made(transport)
+        return conn
+
+
+class PoolMachine(stateful.RuleBasedStateMachine):
+    """Guards against answers that reach another request (G3, G8), reuse of
+    connections in doubt, exceeded limits and leaks."""
+
+    def __init__(self):
+        super().__init__()
+        self.loop = virtualtime.VirtualTimeLoop()
+        asyncio.set_event_loop(self.loop)
+        self.faults = []
+        self.loop.set_exception_handler(lambda _, c: self.faults.append(c))
+        self.boottime, clocks.boottime = clocks.boottime, self.loop.time
+        self.server = Server(self.loop)
+        info = model.TargetInfo('a', 'g', 'z', ADDRESS, 'primary', 1, 5, 2, 9)
+        self.backend = backends.Backend(
+            info, self.server, metrics.Metrics(), 1e6
+        )
+        self.version = 1
+        self.limits = (0, 0)
+        self.loop.run_until_complete(self.grant_now(4, 2))
+        self.tasks = []
+        self.running = 0
+
+    async def grant_now(self, conns, in_flight):
+        self.version += 1
+        grant = rpc.idl.ConnectionGrant(
+            base=0 if self.version == 2 else self.version - 1,
+            version=self.version,
+            connections=conns,
+            in_flight=in_flight,
+        )
+        self.backend.take_grant(grant, clocks.boottime())
+        self.limits = (conns, in_flight)
+
+    async def request(self, number, wait_s, timeout_s):
+        try:
+            conn = await self.backend.connection(
+                f'account {number % 2}', clocks.boottime() + wait_s
+            )
+        except (errors.UnavailableError, backends.ReplacedError):
+            return
+        except backends.UnreachableError:
+            return
+        self.running += 1
+        clean = False
+        try:
+            answer = await self.backend.call(
+                conn, {'number': number}, timeout_s
+            )
+            assert answer.body['echo'] == number, 'an answer was crossed'
+            clean = True
+        except connections.ConnectionLostError:
+            pass
+        finally:
+            self.running -= 1
+            self.backend.release(conn, clean=clean)
+
+    @stateful.rule(
+        fates=st.lists(
+            st.tuples(st.sampled_from(FATES), st.floats(0.01, 3)), max_size=8
+        )
+    )
+    def set_fates(self, fates):
+        self.server.fates[:] = fates
+
+    @stateful.rule(
+        count=st.integers(1, 6),
+        wait_s=st.floats(0.0, 2),
+        timeout_s=st.floats(0.01, 4),
+    )
+    def send(self, count, wait_s, timeout_s):
+        for _ in range(count):
+            number = len(self.tasks)
+            self.tasks.append(
+                self.loop.create_task(self.request(number, wait_s, timeout_s))
+            )
+
+    @stateful.precondition(lambda self: self.tasks)
+    @stateful.rule(data=st.data())
+    def cancel(self, data):
+        data.draw(st.sampled_from(self.tasks)).cancel()
+
+    @stateful.rule(seconds=st.sampled_from([0.0, 0.005, 0.02, 0.3, 2.0]))
+    def advance(self, seconds):
+        self.loop.advance(seconds)
+
+    @stateful.rule(conns=st.integers(1, 5), in_flight=st.integers(1, 4))
+    def grant(self, conns, in_flight):
+        self.loop.run_until_complete(self.grant_now(conns, in_flight))
+
+    @stateful.rule(refuses=st.booleans())
+    def refuse(self, refuses):
+        self.server.refuses = refuses
+
+    @stateful.rule()
+    def replace_primary(self):
+        self.loop.call_soon(self.backend.replaced)
+        self.loop.advance(0)
+
+    @stateful.rule()
+    def probe(self):
+        self.tasks.append(self.loop.create_task(self.backend.probe()))
+
+    @stateful.invariant()
+    def counts_hold(self):
+        assert not self.faults, self.faults
+        assert 0 <= self.running <= self.backend.in_flight
+        held = [t for t in self.server.transports if t.open]
+        # Probes may open two connections beyond the pool's own.
+        assert len(held) <= max(5, self.limits[0]) + 4
+        assert self.backend.pool.idle <= len(self.backend.pool)
+
+    def teardown(self):
+        try:
+            self.server.refuses = False
+            self.loop.finish(self.tasks)
+            self.loop.advance(10)
+            assert not self.faults, self.faults
+            for task in self.tasks:
+                if not task.cancelled():
+                    task.result()
+            assert self.backend.in_flight == 0
+            # What passed its deadline leaves with the next change.
+            self.backend._pump()
+            assert not len(self.backend.queue)
+            self.check_still_serves()
+            self.backend.pool.close()
+            self.loop.advance(10)
+            assert not any(t.open for t in self.server.transports), 'leak'
+            assert not asyncio.all_tasks(self.loop)
+            assert self.backend.pool.held == 0
+        finally:
+            clocks.boottime = self.boottime
+            asyncio.set_event_loop(None)
+            self.loop.close()
+
+    def check_still_serves(self):
+        """A pool that lost count of its places serves no more."""
+        self.server.fates.clear()
+        self.running = 0
+        served = []
+
+        async def one():
+            deadline = clocks.boottime() + 5
+            conn = await self.backend.connection('shop', deadline)
+            await self.backend.call(conn, {'number': 0}, 5.0)
+            served.append(conn)
+            peak.append(self.backend.in_flight)
+            self.backend.release(conn, clean=True)
+
+        peak = []
+        limit = self.backend.limit.in_flight
+        tasks = [self.loop.create_task(one()) for _ in range(6)]
+        self.loop.finish(tasks)
+        for task in tasks:
+            task.result()
+        assert len(served) == 6
+        assert max(peak) <= limit, 'in flight above the limit'
+
+
+TestPoolMachine = PoolMachine.TestCase
+TestPoolMachine.settings = hypothesis.settings(
+    max_examples=150, stateful_step_count=25
+)
