Close a connection that sends two answers at once

Cause: a second answer in the same packet as the first was parsed after the call's future was done and dropped silently, so the connection went back to the pool although its state was in doubt. Ruled out: a second answer in a later packet, which closed the connection before too. on_message_begin now closes the connection. Before: the pool test fails with a doubled answer; after: its 150 examples pass.

--- a/packages/node/src/sassafrasridge_node/connections.py
+++ b/packages/node/src/sassafrasridge_node/connections.py
@@ -157,7 +157,10 @@
     # Callbacks of the parser.
 
     def on_message_begin(self) -> None:
-        """Start an answer."""
+        """Start an answer; a second one closes the connection."""
+        if self._fut is None or self._fut.done():
+            self.fail(f'{self.address} sent an answer to no request')
+            return
         self._chunks = []
         self._received_bytes = 0
 
