--- a/tests/node/test_backends_fuzz.py
+++ b/tests/node/test_backends_fuzz.py
@@ -27,6 +27,7 @@
     'crossed',
     'damaged',
     'doubled',
+    'again',
     'closed',
     'no object',
 )
@@ -52,7 +53,7 @@
         fate, delay = self.server.next_fate()
         if b'/status' in head and fate not in ('ok', 'silent', 'closed'):
             fate = 'ok'
-        self.doubtful = fate not in ('ok', 'split', 'slow')
+        self.doubtful = fate not in ('ok', 'split', 'slow', 'again')
         delay = delay if fate == 'slow' else DELAY_S
         self.server.loop.call_later(delay, self.answer, fate)
 
@@ -83,11 +84,18 @@
             message = b'\x00\xff' + message
         if fate == 'doubled':
             message += message
+        if fate == 'again':
+            self.server.loop.call_later(0.05, self.repeat, message)
         cut = len(message) // 2 if fate == 'split' else len(message)
         self.conn.data_received(message[:cut])
         if cut < len(message):
             self.conn.data_received(message[cut:])
 
+    def repeat(self, message):
+        if self.open:
+            self.doubtful = True
+            self.conn.data_received(message)
+
     def abort(self):
         if self.open:
             self.open = False
@@ -201,9 +209,12 @@
             )
 
     @stateful.precondition(lambda self: self.tasks)
-    @stateful.rule(data=st.data())
-    def cancel(self, data):
-        data.draw(st.sampled_from(self.tasks)).cancel()
+    @stateful.rule(
+        data=st.data(), delay=st.sampled_from([0.0, 0.01, 0.02, 0.03])
+    )
+    def cancel(self, data, delay):
+        task = data.draw(st.sampled_from(self.tasks[-6:]))
+        self.loop.call_later(delay, task.cancel)
 
     @stateful.rule(seconds=st.sampled_from([0.0, 0.005, 0.02, 0.3, 2.0]))
     def advance(self, seconds):
