--- a/packages/node/src/sassafrasridge_node/main.py
+++ b/packages/node/src/sassafrasridge_node/main.py
@@ -66,6 +66,7 @@
     def __init__(self, cfg: settings.Settings) -> None:
         self.cfg = cfg
         self.metrics = metrics.Metrics()
+        self.metrics.registry.register(rpc.MALFORMED_FRAMES)
         self.loop = asyncio.new_event_loop()
         self.stopping = threading.Event()
         self._rng = random.Random()  # noqa: S311
