Close connections whose answers lack the numbers they must have

Cause: a status or an answer to statements without its integers raised KeyError in a probe, which never gave its connection back, or in the write path. TargetConnection.call now treats such an answer as a lost one, and probes fail on a status that is not 200. Removes an unreachable line. The stand-in target of test_backends.py sends the two numbers it left out.

--- a/packages/node/src/sassafrasridge_node/backends.py
+++ b/packages/node/src/sassafrasridge_node/backends.py
@@ -352,7 +352,7 @@
         """Record the body of a status."""
         self.success_at = clocks.boottime()
         self.term = int(body['term'])
-        self.role = str(body['role'])
+        self.role = str(body.get('role', ''))
         self.info.leaving = bool(body.get('leaving', False))
         self._learn_position(int(body['last_term']), int(body['applied']))
 
@@ -479,7 +479,6 @@
             return await self._probe()
         finally:
             self._probing = False
-        self._checks: set[asyncio.Task[None]] = set()
 
     async def _probe(self) -> bool:
         started = clocks.boottime()
@@ -496,6 +495,9 @@
             answer = await conn.call('/status', {}, PROBE_TIMEOUT_S)
         except connections.ConnectionLostError:
             return await self._probe_new(started)
+        if answer.status != 200:
+            conn.close()
+            return False
         self.learn_status(answer.body)
         self.pool.give_back(conn)
         return True
@@ -511,6 +513,8 @@
             return False
         finally:
             conn.close()
+        if answer.status != 200:
+            return False
         self.learn_status(answer.body)
         if silent_since is not None:
             self._metrics.silent_batches.inc()
--- a/packages/node/src/sassafrasridge_node/connections.py
+++ b/packages/node/src/sassafrasridge_node/connections.py
@@ -15,6 +15,9 @@
 
 MAX_ANSWER_BYTES = 64 * 1024 * 1024
 CONNECT_TIMEOUT_S = 1.0
+EXECUTE_NUMBERS = ('term', 'position', 'majority_position')
+STATUS_NUMBERS = ('term', 'last_term', 'received', 'applied')
+"""Integers that a target's accepted answers must have."""
 
 
 class ConnectionLostError(Exception):
@@ -106,6 +109,14 @@
             raise ConnectionLostError(
                 f'{self.address} answered another request', sent=True
             )
+        numbers = EXECUTE_NUMBERS if path == '/execute' else STATUS_NUMBERS
+        if answer.status == 200 and not all(
+            type(answer.body.get(name)) is int for name in numbers
+        ):
+            self.close()
+            raise ConnectionLostError(
+                f'{self.address} sent an answer without {numbers}', sent=True
+            )
         self.last_answer_at = clocks.boottime()
         return answer
 
--- a/tests/node/test_backends.py
+++ b/tests/node/test_backends.py
@@ -55,6 +55,8 @@
                         'role': 'primary',
                         'applied': 5,
                         'position': 5,
+                        'majority_position': 5,
+                        'received': 5,
                     }
                 )
                 writer.write(
--- a/tests/node/test_backends_fuzz.py
+++ b/tests/node/test_backends_fuzz.py
@@ -30,6 +30,7 @@
     'again',
     'closed',
     'no object',
+    'no numbers',
 )
 DELAY_S = 0.01
 
@@ -51,7 +52,12 @@
         head, _, payload = data.partition(b'\r\n\r\n')
         self.waiting = orjson.loads(payload)
         fate, delay = self.server.next_fate()
-        if b'/status' in head and fate not in ('ok', 'silent', 'closed'):
+        if b'/status' in head and fate not in (
+            'ok',
+            'silent',
+            'closed',
+            'no numbers',
+        ):
             fate = 'ok'
         self.doubtful = fate not in ('ok', 'split', 'slow', 'again')
         delay = delay if fate == 'slow' else DELAY_S
@@ -69,6 +75,8 @@
         data = orjson.dumps(
             {
                 'id': body['id'],
+                'majority_position': None if fate == 'no numbers' else 5,
+                'received': 'x' if fate == 'no numbers' else 5,
                 'echo': body.get('number'),
                 'term': 1,
                 'last_term': 1,
