--- a/tests/node/test_backends_fuzz.py
+++ b/tests/node/test_backends_fuzz.py
@@ -141,8 +141,10 @@
 
 
 class PoolMachine(stateful.RuleBasedStateMachine):
-    """Guards against answers that reach another request (G3, G8), reuse of
-    connections in doubt, exceeded limits and leaks."""
+    """Guards against answers that reach another request (G3, G8).
+
+    Also against reuse of connections in doubt, exceeded limits and leaks.
+    """
 
     def __init__(self):
         super().__init__()
