Serve reads from reachable replicas when the primary can only be heard

The primary's announcements still arrived, so it counted as alive and was the fall-back, though nothing sent to it arrived. Ruled out: the queue of the local replica, whose probes went on. Change: only answers count as contact; replicas without recent contact come before a primary without it; opening a connection may take 0.5 s instead of 1 s.

--- a/packages/node/src/sassafrasridge_node/connections.py
+++ b/packages/node/src/sassafrasridge_node/connections.py
@@ -14,7 +14,7 @@
 from sassafrasridge_node import clocks
 
 MAX_ANSWER_BYTES = 64 * 1024 * 1024
-CONNECT_TIMEOUT_S = 1.0
+CONNECT_TIMEOUT_S = 0.5
 EXECUTE_NUMBERS = ('term', 'position', 'majority_position')
 STATUS_NUMBERS = ('term', 'last_term', 'received', 'applied')
 """Integers that a target's accepted answers must have."""
--- a/packages/node/src/sassafrasridge_node/reads.py
+++ b/packages/node/src/sassafrasridge_node/reads.py
@@ -24,8 +24,8 @@
 
 HOLD_POLL_S = 0.05
 SLOW_RETRY_S = 0.2
-HEARD_WITHIN_S = 1.0
-"""A target that was not heard of for longer is tried last."""
+CONTACT_WITHIN_S = 1.0
+"""A target without an answer for longer is tried last."""
 
 TRY_TIMEOUT_S = 1.0
 """A read is repeatable, so it is tried elsewhere when an answer is late."""
@@ -151,26 +151,62 @@
     def _choose(
         self, adm: admission.Admission, need: Need, tried: set[str]
     ) -> backends.Backend:
-        state = self._state
+        """Return a replica that fits, else the primary.
+
+        Raises UnavailableError when neither can be reached. Announcements
+        don't count as contact: they may arrive from a target that this
+        process can't reach. Replicas without recent contact are chosen only
+        when the primary has none either, since a probe may just be late.
+        """
         if need.primary:
             return self._primary(adm.group)
         now = clocks.boottime()
+        found = self._replica(now, adm, need, tried, CONTACT_WITHIN_S)
+        if found is None and not self._primary_reached(now, adm.group):
+            found = self._replica(now, adm, need, tried, float('inf'))
+            if found is None:
+                self._primary(adm.group)
+                raise backends.refused(model.NO_TARGET)
+        return found or self._primary(adm.group)
+
+    def _primary_reached(self, now: float, group: str) -> bool:
+        backend = self._state.primary(group)
+        return (
+            backend is not None
+            and now - backend.success_at <= CONTACT_WITHIN_S
+        )
+
+    def _replica(
+        self,
+        now: float,
+        adm: admission.Admission,
+        need: Need,
+        tried: set[str],
+        contact_within_s: float,
+    ) -> backends.Backend | None:
+        state = self._state
         members = {b.info.server: b for b in state.members(adm.group)}
         candidates = [
             self._candidate(now, adm.group, need, backend)
             for server, backend in members.items()
             if server not in tried
+            and now - backend.success_at <= contact_within_s
         ]
-        usable = [c for c in candidates if c is not None]
         chosen = routing.choose(
-            usable, ANY, state.zone, state.near_zones(), self._rng
+            [c for c in candidates if c is not None],
+            ANY,
+            state.zone,
+            state.near_zones(),
+            self._rng,
         )
         if isinstance(chosen, model.Refusal):
-            return self._primary(adm.group)
+            return None
         backend = members[chosen.server]
-        if not backend.circuit.allow(now, self._rng):
-            return self._choose(adm, need, {*tried, chosen.server})
-        return backend
+        if backend.circuit.allow(now, self._rng):
+            return backend
+        return self._replica(
+            now, adm, need, {*tried, chosen.server}, contact_within_s
+        )
 
     def _primary(self, group: str) -> backends.Backend:
         if not self._state.lease_valid():
@@ -187,7 +223,7 @@
         need: Need,
         backend: backends.Backend,
     ) -> routing.Candidate | None:
-        if backend.leaving(now) or now - backend.heard_at() > HEARD_WITHIN_S:
+        if backend.leaving(now):
             return None
         if not self._may_fit(now, group, need, backend):
             return None
