Learn the age of replicas from the answers to writes

Cause: reads at a process with steady writes found no position of the primary to judge replicas by: probes are sent only when no answer came for 0.2 s, and answers to writes were not used. So the first reads went to the primary, and when it could not be reached they were refused although a replica was fresh (age infinite in a trace of the failing test, need none). Ruled out: replicas that lag (the trace shows one ahead of the known primary). Change: an answer to a write is a sample of the primary's position, under the same conditions as a probe.

--- a/packages/node/src/sassafrasridge_node/writes.py
+++ b/packages/node/src/sassafrasridge_node/writes.py
@@ -253,6 +253,11 @@
             backend.circuit.failure(clocks.boottime())
             return None
         backend.learn_answer(answer)
+        # While writes answer, no probe does, and the age of replicas is
+        # known only from the positions in these answers.
+        self._state.sample_primary(
+            backend.info.group, backend.info.server, started
+        )
         backend.circuit.success(clocks.boottime(), clocks.boottime() - started)
         return answer
 
--- a/tests/node/test_outcomes_fuzz.py
+++ b/tests/node/test_outcomes_fuzz.py
@@ -153,7 +153,8 @@
 
     def __init__(self, group, server, fates):
         self.group, self.server, self.fates = group, server, fates
-        self.info = types.SimpleNamespace(server=server.name)
+        self.info = types.SimpleNamespace(group='g', server=server.name)
+        self.log_term = self.applied = 0
         self.circuit = circuits.Circuit()
         self.in_flight = 0
         self.pending = set()
--- a/tests/node/test_writes.py
+++ b/tests/node/test_writes.py
@@ -146,6 +146,27 @@
         send(False)
         assert self.attempt.in_doubt
 
+    def test_answer_of_the_primary_tells_the_age_of_replicas(self):
+        """Guards against reads that go to the primary while writes answer.
+
+        No probe is sent then, so that nothing else tells the position.
+        """
+        info = model.TargetInfo('a', 'g', 'z', '', 'primary', 1, 0, 2, 30)
+        self.state.announced(info)
+        (backend,) = self.state.members('g')
+
+        async def call(conn, body, timeout_s):
+            return connections.Answer(200, {'term': 1, 'position': 5})
+
+        backend.call = call
+        asyncio.run(
+            self.writer._call(
+                self.attempt, backend, None, {}, clocks.boottime() + 1
+            )
+        )
+        age = self.state.timeline('g').age(clocks.boottime(), 1, 5)
+        assert age < 1.0
+
     def test_refusal_by_term_is_tried_again(self):
         """Guards against an error for a write that another may run."""
         assert self.judge(409, error={'kind': 'wrong_term'}) is None
