Remove entry processes, record drains, page the audit trail, use queue settings

Cause: a replaced VM blocked closing routes with partition_reads for ever, an operator's drain left no trace, exports ended at 1,000 entries, and three settings were checked but unused. Change: entry remove (HTTP and command line, refused while the process holds a lease or the leader is new), a record of each drain, after= for the audit trail, max_queue, max_wait and the log level. Ruled out: an export loop without a check of the sequence, which never ended against a server that repeats its page.

--- a/packages/cli/src/sassafrasridge_cli/main.py
+++ b/packages/cli/src/sassafrasridge_cli/main.py
@@ -23,6 +23,7 @@
     views.Status,
     views.Audit,
     processes.Drain,
+    processes.EntryRemove,
     processes.MemberList,
     processes.MemberAdd,
     processes.MemberReplace,
--- a/packages/cli/src/sassafrasridge_cli/processes.py
+++ b/packages/cli/src/sassafrasridge_cli/processes.py
@@ -89,6 +89,29 @@
         return self.change('remove')
 
 
+class EntryRemove(commands.ServerCommand):
+    """Remove an entry process from the registry."""
+
+    name = 'entry remove'
+    description = 'Forget an entry process that is gone for good.'
+    arguments = [argument('name', 'The name of the entry process.')]
+    examples = ('sassafrasridge entry remove entry4',)
+
+    def execute_command(self) -> int:
+        """Remove the process; refused while it holds a lease."""
+        name = self.argument('name')
+        answer = self.connect().post(
+            '/v1/entries',
+            {'action': 'remove', 'name': name},
+            repeatable=False,
+        )
+        if self.wants_json:
+            self.print_json(answer)
+        else:
+            self.print(f'{name} is removed')
+        return 0
+
+
 class Drain(commands.ServerCommand):
     """Drain a process."""
 
--- a/packages/cli/src/sassafrasridge_cli/views.py
+++ b/packages/cli/src/sassafrasridge_cli/views.py
@@ -90,14 +90,8 @@
 
     def execute_command(self) -> int:
         """Show or export the entries."""
-        since = self.option('since')
-        entries = self.connect().get(
-            '/v1/audit',
-            who=self.option('who'),
-            kind=self.option('kind'),
-            since=None if since is None else str(parse_time(since)),
-        )['entries']
         path = self.option('export')
+        entries = self._entries() if path is None else self._all_entries()
         if path is not None:
             _export(path, entries)
             self.print(f'{len(entries)} entries are in {path}')
@@ -108,6 +102,37 @@
             self.print_table(_AUDIT, _rows(shown, _AUDIT))
         return 0
 
+    def _entries(self, after: str | None = None) -> list[dict[str, object]]:
+        since = self.option('since')
+        body = self.connect().get(
+            '/v1/audit',
+            who=self.option('who'),
+            kind=self.option('kind'),
+            since=None if since is None else str(parse_time(since)),
+            after=after,
+        )
+        return list(body['entries'])
+
+    def _all_entries(self) -> list[dict[str, object]]:
+        """Return all matching entries; one answer holds only a part."""
+        found: list[dict[str, object]] = []
+        after = 0
+        while True:
+            page = [
+                entry
+                for entry in self._entries(str(after))
+                if _sequence(entry) > after
+            ]
+            if not page:
+                return found
+            found += page
+            after = _sequence(page[-1])
+
+
+def _sequence(entry: dict[str, object]) -> int:
+    sequence = entry['sequence']
+    return sequence if isinstance(sequence, int) else 0
+
 
 def parse_time(text: str) -> float:
     """Return a wall time in s.
--- a/packages/core/src/sassafrasridge_core/audit.py
+++ b/packages/core/src/sassafrasridge_core/audit.py
@@ -61,16 +61,22 @@
         kind: str | None = None,
         since: float | None = None,
         limit: int | None = None,
+        after: int | None = None,
     ) -> list[dict[str, Any]]:
         """Return the matching entries, oldest first, at most the last limit.
 
-        ``since`` is a wall time in s; entries at it are included.
+        ``since`` is a wall time in s; entries at it are included. With
+        ``after``, a sequence, the first ``limit`` entries after it.
         """
         found: collections.deque[dict[str, Any]] = collections.deque(
-            maxlen=limit
+            maxlen=None if after is not None else limit
         )
         for data in self._entries:
+            if after is not None and len(found) == limit:
+                break
             entry = orjson.loads(data)
+            if after is not None and entry['sequence'] <= after:
+                continue
             if who is not None and entry['who'] != who:
                 continue
             if kind is not None and entry['kind'] != kind:
--- a/packages/core/src/sassafrasridge_core/settings.py
+++ b/packages/core/src/sassafrasridge_core/settings.py
@@ -408,7 +408,7 @@
         'max_body': _Key(
             lambda text: parse_size(text, 1024, 3 * 1024 * 1024), '1MiB'
         ),
-        'max_queue': _Key(_integer(1, 100_000), '500'),
+        'max_queue': _Key(_integer(1, 100_000), '1024'),
         'max_wait': _Key(_duration(0.01, 60.0), '5s'),
         'drain_timeout': _Key(_duration(0.1, 3600.0), '30s'),
         'policy': _Key(_policy, 'adaptive'),
--- a/packages/node/src/sassafrasridge_node/commands.py
+++ b/packages/node/src/sassafrasridge_node/commands.py
@@ -204,15 +204,79 @@
         start = None if since is None else float(since)
     except ValueError:
         raise errors.BadRequestError(f'since {since!r} is not a time in s')
+    after = body.get('after')
+    if after is not None:
+        if not (after.isascii() and after.isdigit() and len(after) <= 18):
+            raise errors.BadRequestError(f'after {after!r} is not a sequence')
+        after = int(after)
     entries = member.state.trail.select(
         who=body.get('filter_who'),
         kind=body.get('kind'),
         since=start,
         limit=MAX_LISTED,
+        after=after,
     )
     return _ok({'entries': entries})
 
 
+async def remove_entry(
+    member: control.ControlMember, body: Body
+) -> core_state.Reply:
+    """Remove an entry process that is gone for good from the registry."""
+    name = str(body.get('name', ''))
+    if body.get('action') != 'remove':
+        raise errors.BadRequestError(
+            f"action {body.get('action')!r} is not 'remove'"
+        )
+    now = clocks.boottime()
+    current = _leadership(member)
+    if not current.table.shares_settled(now):
+        # This leader is new and may not have heard of the process yet.
+        raise errors.UnavailableError(
+            'this leader does not know yet who holds a lease',
+            kind='no_leader',
+            retry_after_s=1.0,
+        )
+    if any(holder.entry == name for holder in _holders(member)):
+        raise errors.ConflictError(
+            f'entry process {name!r} holds a lease',
+            kind='entry_alive',
+            remedy='Stop the process, then try again.',
+        )
+    if name not in member.state.entries:
+        raise errors.UnknownServiceError(
+            f'entry process {name!r} is not registered',
+            kind='unknown_entry',
+            remedy='Check the name with sassafrasridge status.',
+        )
+    return await member.propose(
+        {
+            'type': 'entry',
+            'action': 'remove',
+            'entry': name,
+            'operator': body['who'],
+            'address': body['address'],
+            'time': time.time(),
+        }
+    )
+
+
+async def record_drain(
+    member: control.ControlMember, body: Body
+) -> core_state.Reply:
+    """Record that an operator shuts a process down."""
+    return await member.propose(
+        {
+            'type': 'audit',
+            'kind': 'drain',
+            'what': f'drain {body["process"]}',
+            'operator': body['who'],
+            'address': body['address'],
+            'time': time.time(),
+        }
+    )
+
+
 async def list_members(
     member: control.ControlMember, body: Body
 ) -> core_state.Reply:
@@ -330,6 +394,8 @@
     'show_note': show_note,
     'status': status,
     'audit': audit,
+    'remove_entry': remove_entry,
+    'record_drain': record_drain,
     'list_members': list_members,
     'change_members': change_members,
 }
--- a/packages/node/src/sassafrasridge_node/entry.py
+++ b/packages/node/src/sassafrasridge_node/entry.py
@@ -25,7 +25,8 @@
     """Hold configuration, lease, views of groups, shares and backends.
 
     With ``plain`` requests are served first in, first out, and all reads go
-    to the primary.
+    to the primary. The queue of each target holds ``max_queue`` requests for
+    up to ``max_wait_s``.
     """
 
     def __init__(
@@ -36,7 +37,11 @@
         dialer: connections.Dialer,
         counters: metrics.Metrics,
         plain: bool = False,
+        max_queue: int = queueing.MAX_TOTAL,
+        max_wait_s: float = queueing.MAX_WAIT_S,
     ) -> None:
+        self._max_queue = max_queue
+        self._max_wait_s = max_wait_s
         self.metrics = counters
         self.plain = plain
         self._dialer = dialer
@@ -141,8 +146,14 @@
         backend = backends.Backend(
             info, self._dialer, self.metrics, self.times.lease_s
         )
+        kind: type[queueing.Queue] = queueing.FairQueue
         if self.plain:
-            backend.queue = queueing.FifoQueue()
+            kind = queueing.FifoQueue
+        backend.queue = kind(
+            min(queueing.MAX_PER_ACCOUNT, self._max_queue),
+            self._max_queue,
+            self._max_wait_s,
+        )
         return backend
 
     def sample_primary(self, group: str, server: str, sent_at: float) -> None:
--- a/packages/node/src/sassafrasridge_node/main.py
+++ b/packages/node/src/sassafrasridge_node/main.py
@@ -103,6 +103,8 @@
                 self._dialer,
                 self.metrics,
                 plain=self.cfg.entry.policy == 'plain',
+                max_queue=self.cfg.entry.max_queue,
+                max_wait_s=self.cfg.entry.max_wait,
             )
             self.gateway = gateway.Gateway(self.state, entry_pool, self._rng)
         await self._serve_rpc(secret)
@@ -285,6 +287,7 @@
             daemon.state,
             daemon.member,
             daemon.drain,
+            self.cfg.node.name,
         )
         digest = self.cfg.targets.announce_token_digest
         api = operatorapi.OperatorApi(
@@ -351,7 +354,10 @@
         if args.check:
             return
         logs.LogSink(
-            cfg.log.file or None, node=cfg.node.name, zone=cfg.node.zone
+            cfg.log.file or None,
+            cfg.log.level,
+            node=cfg.node.name,
+            zone=cfg.node.zone,
         )
         code = Process(cfg).run()
     except errors.RidgeError as exc:
--- a/packages/node/src/sassafrasridge_node/operatorapi.py
+++ b/packages/node/src/sassafrasridge_node/operatorapi.py
@@ -29,6 +29,7 @@
     'status',
     'audit',
     'drain',
+    'remove_entry',
     'list_members',
     'change_members',
 )
@@ -39,7 +40,7 @@
 BUSY_RETRY_S = 1.0
 MAX_FIELD_CHARS = 200
 
-_AUDIT_FILTERS = frozenset(('who', 'kind', 'since'))
+_AUDIT_FILTERS = frozenset(('who', 'kind', 'since', 'after'))
 _JSON = 'application/json'
 
 
@@ -355,7 +356,7 @@
         unknown = filters.keys() - _AUDIT_FILTERS
         if unknown or not all(isinstance(v, str) for v in filters.values()):
             raise errors.BadRequestError(
-                "the filters are 'who', 'kind' and 'since', each once"
+                "the filters are 'who', 'kind', 'since' and 'after', each once"
             )
         return self.api.run('audit', dict(filters))
 
@@ -363,6 +364,10 @@
     def drain(self) -> bytes:
         return self.api.run('drain', _body())
 
+    @_page('POST')
+    def entries(self) -> bytes:
+        return self.api.run('remove_entry', _body())
+
     @_page('GET', 'POST')
     def members(self) -> bytes:
         if _is_post():
--- a/packages/node/src/sassafrasridge_node/operators.py
+++ b/packages/node/src/sassafrasridge_node/operators.py
@@ -1,5 +1,6 @@
 """Operators' commands and announcements at any daemon."""
 
+import asyncio
 import collections.abc
 import typing
 
@@ -15,6 +16,9 @@
 
 COMMAND_TIMEOUT_S = 4.0
 MEMBER_TIMEOUT_S = 14.0
+DRAIN_RECORD_TIMEOUT_S = 2.0
+"""A planned stop waits no longer for its record in the audit trail."""
+
 NOTE_COMMANDS = ('submit_note', 'check_note')
 
 
@@ -28,7 +32,9 @@
         state: entry.EntryState | None,
         member: control.ControlMember | None,
         drain: collections.abc.Callable[[], None],
+        name: str = '',
     ) -> None:
+        self._name = name
         self._pool = pool
         self._members = members
         self._state = state
@@ -40,8 +46,11 @@
     ) -> front.OperatorReply:
         """Execute a command at the control leader."""
         if kind == 'drain':
+            recorded = await self._record_drain(who, address)
             self._drain()
-            return front.OperatorReply({'draining': True}, 202)
+            return front.OperatorReply(
+                {'draining': True, 'recorded': recorded}, 202
+            )
         if kind in NOTE_COMMANDS:
             body = {'note': body}
         if 'who' in body:
@@ -53,6 +62,18 @@
         reply = await self._send(kind, payload, limit)
         return front.OperatorReply(orjson.loads(reply.body), reply.status)
 
+    async def _record_drain(self, who: str, address: str) -> bool:
+        """Record a planned stop; it goes on when control can't be reached."""
+        body = {'process': self._name, 'who': who, 'address': address}
+        try:
+            async with asyncio.timeout(DRAIN_RECORD_TIMEOUT_S):
+                reply = await self._send(
+                    'record_drain', orjson.dumps(body), DRAIN_RECORD_TIMEOUT_S
+                )
+        except (TimeoutError, errors.RidgeError, rpc.RemoteCallError):
+            return False
+        return bool(reply.status == 200)
+
     async def _send(
         self, kind: str, payload: bytes, limit_s: float
     ) -> typing.Any:
--- a/tests/integration/test_control.py
+++ b/tests/integration/test_control.py
@@ -250,3 +250,68 @@
         assert [e['accepted'] for e in mine] == [True, False]
         assert all(e['address'] for e in mine)
         assert {e['who'] for e in mine} == {'ana'}
+
+
+class TestEntryRemoved:
+    def test_only_a_process_without_a_lease_is_removed(self, system):
+        """Guards against forgetting a process that still serves."""
+        wait_leader(system)
+        name, node = list(system.deployment.entries.items())[-1]
+        body = {'action': 'remove', 'name': name}
+
+        def remove():
+            operator = system.deployment.operator(wait_leader(system), 'ana')
+            return operator.command('/v1/entries', body)
+
+        answer = harness.wait_until(
+            lambda: (found := remove()).status != 503 and found, 10, 'answer'
+        )
+        assert answer.status == 409, answer
+        node.process.kill()
+        harness.wait_until(lambda: remove().status == 200, 15, 'removal')
+        assert name not in {n['entry'] for n in system.status()['nodes']}
+        entries = (
+            system.deployment.operator(wait_leader(system))
+            .get('/v1/audit?kind=entry&who=ana')
+            .body['entries']
+        )
+        assert entries[-1]['what'] == f'remove {name}'
+        # It may come back: it registers again.
+        node.process.start()
+        system.deployment.wait_ready(node)
+
+
+class TestAuditPages:
+    def test_pages_follow_each_other(self, system):
+        """Guards against an export that misses or repeats entries."""
+        operator = system.deployment.operator(wait_leader(system))
+        whole = operator.get('/v1/audit').body['entries']
+        middle = whole[len(whole) // 2]['sequence']
+        rest = operator.get(f'/v1/audit?after={middle}').body['entries']
+        assert [e['sequence'] for e in rest[:3]] == [
+            middle + 1,
+            middle + 2,
+            middle + 3,
+        ]
+        last = whole[-1]['sequence']
+        later = operator.get(f'/v1/audit?after={last}').body['entries']
+        assert all(e['sequence'] > last for e in later)
+
+
+class TestDrainRecorded:
+    def test_drain_is_in_the_audit_trail(self, system):
+        """Guards against a planned stop that leaves no trace."""
+        node = list(system.deployment.entries.values())[-1]
+        operator = system.deployment.operator(node, 'ben')
+        answer = operator.command('/v1/drain', {})
+        assert answer.status == 202
+        assert answer.body['recorded'] is True
+        assert node.process.wait_exit(20) == 0
+        node.process.start()
+        system.deployment.wait_ready(node)
+        entries = (
+            system.deployment.operator(wait_leader(system))
+            .get('/v1/audit?kind=drain&who=ben')
+            .body['entries']
+        )
+        assert entries[-1]['what'] == f'drain {node.name}'
