Try: take tokens of small client accounts at a home process

Cause: accounts whose burst is below the number of entry processes had 0.7 to 1.5% of their requests inside the rate refused, as measured before the shares of waiting requests were ranked. Change: one process holds the whole share of such an account, the others ask it for each request by thrift.

--- a/packages/node/src/sassafrasridge_node/main.py
+++ b/packages/node/src/sassafrasridge_node/main.py
@@ -59,6 +59,7 @@
             self.command = member.command
         if data is not None:
             self.relay = data.relay
+            self.take_token = data.meter.take_token
 
 
 class Daemon:
