--- a/packages/node/src/sassafrasridge_node/admission.py
+++ b/packages/node/src/sassafrasridge_node/admission.py
@@ -1,12 +1,20 @@
-"""Decides for whom a request runs."""
+"""Decides for whom a request runs, and charges it."""
 
+import asyncio
+import collections
 import collections.abc
 
 from sassafrasridge_core import configuration
 from sassafrasridge_core import errors
+from sassafrasridge_node import clocks
 from sassafrasridge_node import entry
 from sassafrasridge_node import front
 
+MAX_RATE_WAIT_S = 1.0
+"""A request inside its client account's rate gets a token sooner, also when
+its share has to move here from another entry process."""
+
+RATE_POLL_S = 0.02
 ANONYMOUS = ''
 """Account name under which requests without a key share a queue."""
 
@@ -50,10 +58,11 @@
 
 
 class Admitter:
-    """Check keys, grants and leases."""
+    """Check keys, grants, leases and rates."""
 
     def __init__(self, state: entry.EntryState) -> None:
         self._state = state
+        self._queues: dict[str, RateQueue] = {}
 
     def identify(self, req: front.DataRequest) -> Admission:
         """Return for whom a request runs; raises RidgeError, not run."""
@@ -127,6 +136,84 @@
             raise errors.UnauthorizedError('the key is unknown or withdrawn')
         return account.name
 
+    async def charge(
+        self, admission: Admission, req: front.DataRequest
+    ) -> None:
+        """Take a token of the client account; wait briefly for one.
+
+        Raises RateLimitedError, not run.
+        """
+        if admission.account == ANONYMOUS:
+            return
+        queue = self._queues.get(admission.account)
+        if queue is None:
+            queue = self._queues[admission.account] = RateQueue(
+                self._state, admission.account
+            )
+        await queue.take(req.deadline)
+
+
+class RateQueue:
+    """Serve one client account's requests for tokens in order."""
+
+    def __init__(self, state: entry.EntryState, account: str) -> None:
+        self._state = state
+        self._account = account
+        self._waiting: collections.deque[asyncio.Future[None]] = (
+            collections.deque()
+        )
+        self._server: asyncio.Task[None] | None = None
+
+    async def take(self, deadline: float) -> None:
+        """Wait for a token; raises RateLimitedError."""
+        now = clocks.boottime()
+        bucket = self._state.bucket(self._account)
+        if bucket.take(now):
+            return
+        account = self._state.config.account(self._account)
+        if account is None:
+            raise errors.UnauthorizedError('the key is unknown or withdrawn')
+        limit = min(MAX_RATE_WAIT_S, deadline - now)
+        if account.rate <= 0 or len(self._waiting) / account.rate > limit:
+            raise self._limited(len(self._waiting) / max(account.rate, 1e-9))
+        fut: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+        self._waiting.append(fut)
+        bucket.begin_wait()
+        self._state.renew_now()
+        self._serve()
+        try:
+            async with asyncio.timeout(limit):
+                await fut
+        except TimeoutError:
+            raise self._limited(MAX_RATE_WAIT_S)
+        finally:
+            bucket.end_wait()
+
+    def _limited(self, wait_s: float) -> errors.RateLimitedError:
+        return errors.RateLimitedError(
+            f'client account {self._account!r} is above its rate and burst',
+            retry_after_s=max(1.0, wait_s),
+        )
+
+    def _serve(self) -> None:
+        if self._server is None or self._server.done():
+            self._server = asyncio.ensure_future(self._run())
+
+    async def _run(self) -> None:
+        while self._waiting:
+            fut = self._waiting[0]
+            if fut.done():
+                self._waiting.popleft()
+                continue
+            now = clocks.boottime()
+            bucket = self._state.bucket(self._account)
+            if bucket.take(now, waited=True):
+                self._waiting.popleft()
+                fut.set_result(None)
+                continue
+            self._state.renew_now()
+            await asyncio.sleep(min(RATE_POLL_S, bucket.wait_time(now)))
+
 
 def no_lease() -> NoLeaseError:
     """Return the error of a process without a lease."""
--- a/packages/node/src/sassafrasridge_node/entry.py
+++ b/packages/node/src/sassafrasridge_node/entry.py
@@ -111,15 +111,11 @@
         """Return the availability zone of an entry process."""
         return self._zones.get(entry, '')
 
-    def serving_names(self) -> list[str]:
-        """Return the live entry processes that take new work."""
-        return sorted({*self._serving, self.name})
-
     def serving_set(self, group: str) -> list[str]:
         """Return the entry processes that keep connections to a group."""
         found = self._serving_sets.get(group)
         if found is None:
-            names = self.serving_names()
+            names = sorted({*self._serving, self.name})
             found = placement.serving_set(group, names, zones=self._zones)
             self._serving_sets[group] = found
         return found
--- a/packages/node/src/sassafrasridge_node/gateway.py
+++ b/packages/node/src/sassafrasridge_node/gateway.py
@@ -13,7 +13,6 @@
 from sassafrasridge_node import clocks
 from sassafrasridge_node import entry
 from sassafrasridge_node import front
-from sassafrasridge_node import metering
 from sassafrasridge_node import reads
 from sassafrasridge_node import rpc
 from sassafrasridge_node import transactions
@@ -63,7 +62,6 @@
         self._pool = pool
         self._rng = rng
         self._admitter = admission.Admitter(state)
-        self.meter = metering.Meter(state, pool)
         self._reader = reads.Reader(state, state.metrics, rng)
         self.writer = writes.Writer(state, state.metrics, rng)
         self.transactions = transactions.Transactions(state, self.writer)
@@ -73,8 +71,7 @@
         adm = self._admitter.identify(req)
         check_request_id(req.request_id, time.time())
         if req.kind in ('statements', 'begin', 'in'):
-            if adm.account != admission.ANONYMOUS:
-                await self.meter.charge(adm.account, req.deadline)
+            await self._admitter.charge(adm, req)
         owner = self._owner(req, adm)
         if owner is not None:
             return await self._relay(req, adm, owner)
--- a/packages/node/src/sassafrasridge_node/main.py
+++ b/packages/node/src/sassafrasridge_node/main.py
@@ -59,7 +59,6 @@
             self.command = member.command
         if data is not None:
             self.relay = data.relay
-            self.take_token = data.meter.take_token
 
 
 class Daemon:
--- a/packages/node/src/sassafrasridge_node/ridge.thrift
+++ b/packages/node/src/sassafrasridge_node/ridge.thrift
@@ -157,8 +157,6 @@
 
 service Entry {
   StatementReply relay(1: StatementCall call),
-  // Whether a token of a small client account was taken at its home.
-  bool take_token(1: string account, 2: double wait_s),
 }
 
 // What one daemon serves: all calls, whatever its roles.
@@ -169,6 +167,4 @@
   bool log_message(1: LogMessage message),
   CommandReply command(1: string kind, 2: binary body, 3: double deadline_s),
   StatementReply relay(1: StatementCall call),
-  // Whether a token of a small client account was taken at its home.
-  bool take_token(1: string account, 2: double wait_s),
 }
