Announce to two processes every second; learn terms without announcements

Cause: announcements took 5.3% of a core at a node of the stated size, of 1.4% allowed. When targets announce to some processes only, the new test found two faults in the others: they reported a budget of one connection, and since answers to writes keep probes away they never learned the term for reads, so that every read from the primary was refused by term until its deadline (2,040 tries for 40 reads). Ruled out: the queue and the limits of connections (trace: limit 10, queue empty). Measured: 40 reads before 0 served in 10 s, after 40 in 0.2 s; announcements at the stated size 5.3% before, 0.4% of a core after, by the same slope.

--- a/packages/node/src/sassafrasridge_node/backends.py
+++ b/packages/node/src/sassafrasridge_node/backends.py
@@ -234,6 +234,9 @@
         # of its log while the server is fenced.
         self.term = info.term
         self.log_term = 0
+        # The term is known from a status or an announcement only, and answers
+        # to statements keep probes away.
+        self.status_due = True
         self.applied = 0
         self._probing = False
         self._checks: set[asyncio.Task[None]] = set()
@@ -351,6 +354,7 @@
     def learn_status(self, body: dict[str, typing.Any]) -> None:
         """Record the body of a status."""
         self.success_at = clocks.boottime()
+        self.status_due = False
         self.term = int(body['term'])
         self.role = str(body.get('role', ''))
         self.info.leaving = bool(body.get('leaving', False))
@@ -362,6 +366,8 @@
         if answer.status == 200:
             body = answer.body
             self._learn_position(int(body['term']), int(body['position']))
+        elif answer.error_kind == 'wrong_term':
+            self.status_due = True
 
     def _learn_position(self, term: int, applied: int) -> None:
         if term > self.log_term:
--- a/packages/node/src/sassafrasridge_node/entry.py
+++ b/packages/node/src/sassafrasridge_node/entry.py
@@ -247,7 +247,7 @@
                 self._served = None
                 self.backends[key] = self._backend(
                     model.TargetInfo(
-                        server, view.group, '', address, '', 0, 0, 1, 1
+                        server, view.group, '', address, '', 0, 0, 0, 0
                     )
                 )
 
--- a/packages/node/src/sassafrasridge_node/leadership.py
+++ b/packages/node/src/sassafrasridge_node/leadership.py
@@ -89,6 +89,7 @@
         self.detector = promotion.Detector(suspect_after_s)
         self._live = LiveEntries(self.table, term)
         self._budgets: dict[str, tuple[int, int]] = {}
+        self._announced: dict[tuple[str, str], tuple[int, int]] = {}
         self._metrics = counters
         self._state = state
         self._times = times
@@ -232,8 +233,20 @@
     def _budget(self, obs: typing.Any) -> tuple[int, int]:
         """Return connections and slots; the service's settings go first."""
         connections, running = self._budgets.get(obs.group, (0, 0))
-        budget = (connections or obs.connections) - self._silent
-        return max(1, budget), running or obs.slots
+        announced = self._announced_budget(obs)
+        budget = (connections or announced[0]) - self._silent
+        return max(1, budget), running or announced[1]
+
+    def _announced_budget(self, obs: typing.Any) -> tuple[int, int]:
+        """Return what the target announced, here or to another process.
+
+        A target announces itself to a few processes only; the others report
+        zero connections.
+        """
+        key = (obs.group, obs.server)
+        if obs.connections:
+            self._announced[key] = (obs.connections, obs.slots)
+        return self._announced.get(key, (1, 1))
 
     def _sync_budgets(self) -> None:
         # The last service of a group that sets a value decides.
--- a/packages/node/src/sassafrasridge_node/renewal.py
+++ b/packages/node/src/sassafrasridge_node/renewal.py
@@ -196,7 +196,8 @@
 
     def _start(self, group: str, server: str, backend: typing.Any) -> None:
         now = clocks.boottime()
-        if now - backend.success_at < PROBE_INTERVAL_S:
+        recent = now - backend.success_at < PROBE_INTERVAL_S
+        if recent and not backend.status_due:
             return
         task = asyncio.ensure_future(self._probe(group, server, backend))
         self._tasks.add(task)
--- a/packages/testkit/src/sassafrasridge_testkit/capacitysizes.py
+++ b/packages/testkit/src/sassafrasridge_testkit/capacitysizes.py
@@ -30,7 +30,8 @@
     serving_set: int = 7
     renew_interval_s: float = 0.3
     probe_interval_s: float = 0.2
-    announce_interval_s: float = 0.25
+    announce_interval_s: float = 1.0
+    announced_to: int = 2
     batch_interval_s: float = 0.05
     kept_answers: int = 100_000
     kept_audit: int = 20_000
@@ -53,7 +54,8 @@
     @property
     def announcements_per_s(self) -> float:
         """Return the announcements that an entry process takes."""
-        return self.targets / self.announce_interval_s
+        targets = self.groups * self.servers / self.nodes
+        return targets * self.announced_to / self.announce_interval_s
 
     @property
     def probes_per_s(self) -> float:
--- a/packages/testkit/src/sassafrasridge_testkit/database.py
+++ b/packages/testkit/src/sassafrasridge_testkit/database.py
@@ -25,7 +25,7 @@
 from sassafrasridge_testkit import webclient
 from sassafrasridge_testkit import webserver
 
-ANNOUNCE_INTERVAL_S = 0.25
+ANNOUNCE_INTERVAL_S = 1.0
 ANNOUNCE_TIMEOUT_S = 0.25
 JOIN_ATTEMPTS = 20
 JOIN_INTERVAL_S = 0.25
