Trust an error of a replica only when it is known to cover the session

The read had been sent to a replica that usually covers fresh sessions; its failure carries no position, so it passed unchecked. This broke read-your-writes. Ruled out: the write's acknowledgement (the table was there at the primary). Change: a failed statement counts only at the primary or at a target that was known to fit before the read; otherwise the read goes on elsewhere. Measured: the new test (replicas 300 ms behind) fails before and passes after; tests of path and outcomes pass.

--- a/packages/node/src/sassafrasridge_node/reads.py
+++ b/packages/node/src/sassafrasridge_node/reads.py
@@ -283,6 +283,7 @@
         except (backends.UnreachableError, backends.ReplacedError):
             return None
         started = clocks.boottime()
+        known = model.Position(backend.log_term, backend.applied)
         body = {
             'term': backend.term,
             'access': 'read',
@@ -305,13 +306,34 @@
         finally:
             backend.release(conn, clean=clean)
         backend.learn_answer(answer)
-        answers.check(answer)
         if answer.status != 200:
+            if self._error_counts(started, adm.group, need, backend, known):
+                answers.check(answer)
+            backend.coverage.record(covered=False)
             return None
         self._state.sample_primary(adm.group, backend.info.server, started)
         backend.circuit.success(clocks.boottime(), clocks.boottime() - started)
         return self._checked(started, adm.group, need, backend, answer.body)
 
+    def _error_counts(
+        self,
+        started: float,
+        group: str,
+        need: Need,
+        backend: backends.Backend,
+        known: model.Position,
+    ) -> bool:
+        """Return whether an error is one that the session should see.
+
+        An error names no position. A replica that lags may lack a table that
+        the session created, so only a target that was known to fit before
+        the read may report a failed statement.
+        """
+        view = self._state.groups.get(group)
+        if view is not None and view.primary == backend.info.server:
+            return True
+        return self._fits(started, group, need, known.term, known.index)
+
     def _checked(
         self,
         started: float,
--- a/tests/integration/test_path.py
+++ b/tests/integration/test_path.py
@@ -65,6 +65,26 @@
         for server in group.servers.values():
             server.faults(apply_lag_ms=0)
 
+    def test_an_error_of_a_replica_behind_the_session_is_not_shown(
+        self, system
+    ):
+        """Guards against "no such table" for a table the session created."""
+        deployment, group = system
+        for server in group.servers.values():
+            server.faults(apply_lag_ms=300)
+        one, two = (
+            deployment.caller(node, KEY)
+            for node in deployment.entries.values()
+        )
+        for number in range(15):
+            answer = one.statements(f'CREATE TABLE n{number} (a INTEGER)')
+            assert answer.status == 200, answer
+            two.token = one.token
+            answer = two.read(f'SELECT count(*) FROM n{number}')
+            assert answer.status == 200, answer
+        for server in group.servers.values():
+            server.faults(apply_lag_ms=0)
+
     def test_a_read_of_bounded_age_is_not_older(self, system):
         """Guards against answering with data older than the read accepts."""
         deployment, group = system
