--- a/packages/node/src/sassafrasridge_node/dataapi.py
+++ b/packages/node/src/sassafrasridge_node/dataapi.py
@@ -241,15 +241,7 @@
 def _json_object(raw: bytes, kind: str) -> Body:
     if not raw and kind not in ('statements', 'in'):
         return {}
-    try:
-        body = orjson.loads(raw)
-    except orjson.JSONDecodeError as exc:
-        raise errors.BadRequestError(
-            f'the body is not JSON (line {exc.lineno}, column {exc.colno})'
-        ) from None
-    if not isinstance(body, dict):
-        raise errors.BadRequestError('the body must be a JSON object')
-    return body
+    return httpserver.json_object(raw)
 
 
 def _statements(body: Body) -> list[Body]:
--- a/packages/node/src/sassafrasridge_node/gateway.py
+++ b/packages/node/src/sassafrasridge_node/gateway.py
@@ -18,20 +18,11 @@
 from sassafrasridge_node import transactions
 from sassafrasridge_node import writes
 
-RELAYED_FIELDS = (
-    'kind',
-    'service',
-    'route',
-    'transaction',
-    'statements',
-    'access',
-    'consistency',
-    'max_age_s',
-    'idempotent',
-    'key_digest',
-    'session',
-    'request_id',
-    'digest',
+LOCAL_FIELDS = ('received_at', 'deadline', 'client_closed')
+"""Fields of a request that mean something in this process only."""
+
+RELAYED_FIELDS = tuple(
+    name for name in front.DataRequest.__slots__ if name not in LOCAL_FIELDS
 )
 RELAY_TRY_S = 3.0
 """Time for one entry process to answer before the next one is asked; long
--- a/packages/node/src/sassafrasridge_node/httpserver.py
+++ b/packages/node/src/sassafrasridge_node/httpserver.py
@@ -103,6 +103,19 @@
         self.undelivered = undelivered
 
 
+def json_object(raw: bytes) -> dict[str, typing.Any]:
+    """Return the JSON object of a request's body; BadRequestError if none."""
+    try:
+        body = orjson.loads(raw)
+    except orjson.JSONDecodeError as exc:
+        raise errors.BadRequestError(
+            f'the body is not JSON (line {exc.lineno}, column {exc.colno})'
+        ) from None
+    if not isinstance(body, dict):
+        raise errors.BadRequestError('the body must be a JSON object')
+    return body
+
+
 def error_response(exc: errors.RidgeError) -> Response:
     """Return an error as a JSON response."""
     headers: tuple[tuple[str, str], ...] = (
--- a/packages/node/src/sassafrasridge_node/operatorapi.py
+++ b/packages/node/src/sassafrasridge_node/operatorapi.py
@@ -118,25 +118,13 @@
         return parse_announcement(environ['wsgi.input'].read())
 
 
-def _load_object(raw: bytes) -> dict[str, typing.Any]:
-    try:
-        body = orjson.loads(raw)
-    except orjson.JSONDecodeError as exc:
-        raise errors.BadRequestError(
-            f'the body is not JSON (line {exc.lineno}, column {exc.colno})'
-        ) from None
-    if not isinstance(body, dict):
-        raise errors.BadRequestError('the body must be a JSON object')
-    return body
-
-
 def parse_announcement(raw: bytes) -> model.TargetInfo:
     """Return the target that an announcement describes.
 
     Unknown fields are ignored, so that targets may be newer than the proxy.
     Raises BadRequestError.
     """
-    body = _load_object(raw)
+    body = httpserver.json_object(raw)
     texts = {}
     for field in ('group', 'server', 'role', 'address', 'zone'):
         value = body.get(field)
@@ -283,7 +271,7 @@
 
 def _body() -> dict[str, typing.Any]:
     raw = cherrypy.request.rfile.read()
-    return _load_object(raw) if raw else {}
+    return httpserver.json_object(raw) if raw else {}
 
 
 def _is_post() -> bool:
