--- a/packages/node/src/sassafrasridge_node/entry.py
+++ b/packages/node/src/sassafrasridge_node/entry.py
@@ -53,7 +53,6 @@
         self.groups: dict[str, model.GroupView] = {}
         self.view_revision = 0
         self.view_changed = asyncio.Event()
-        self.config_changed: list[collections.abc.Callable[[], None]] = []
         self.backends: dict[tuple[str, str], backends.Backend] = {}
         self.timelines: dict[str, freshness.PrimaryTimeline] = {}
         self.shares = shares.BucketSet(times.config_ttl_s)
@@ -200,8 +199,6 @@
         if self.config.revision != before:
             self._signer = None
             self.metrics.revision.set(self.config.revision)
-            for callback in self.config_changed:
-                callback()
         return self.config.revision >= reply.revision
 
     def apply_groups(self, reply: typing.Any) -> None:
