State the bounds of a queue once

Both queues repeated the constructor of their base with its three bounds. They now create only their own order of service. Behaviour is the same: lint and the tests of queues, backends, entry state and path pass.

--- a/packages/core/src/sassafrasridge_core/queueing.py
+++ b/packages/core/src/sassafrasridge_core/queueing.py
@@ -91,6 +91,7 @@
         self._numbers = itertools.count()
         self._expired: list[typing.Any] = []
         self._service = ServiceRate()
+        self._prepare()
 
     def __len__(self) -> int:
         return self._total
@@ -175,6 +176,10 @@
         if not self._total:
             self._service.idle()
 
+    @abc.abstractmethod
+    def _prepare(self) -> None:
+        """Create the empty order of service."""
+
     @abc.abstractmethod
     def _insert(self, entry: _Entry) -> None:
         """Add an entry to the order of service."""
@@ -191,13 +196,7 @@
 class FifoQueue(Queue):
     """Serve in order of arrival; for comparison."""
 
-    def __init__(
-        self,
-        max_per_account: int = MAX_PER_ACCOUNT,
-        max_total: int = MAX_TOTAL,
-        max_wait_s: float = MAX_WAIT_S,
-    ) -> None:
-        super().__init__(max_per_account, max_total, max_wait_s)
+    def _prepare(self) -> None:
         self._entries: collections.deque[_Entry] = collections.deque()
 
     def _insert(self, entry: _Entry) -> None:
@@ -216,13 +215,7 @@
 class FairQueue(Queue):
     """Serve the accounts in turns, by deficit round robin."""
 
-    def __init__(
-        self,
-        max_per_account: int = MAX_PER_ACCOUNT,
-        max_total: int = MAX_TOTAL,
-        max_wait_s: float = MAX_WAIT_S,
-    ) -> None:
-        super().__init__(max_per_account, max_total, max_wait_s)
+    def _prepare(self) -> None:
         self._queues: dict[str, collections.deque[_Entry]] = {}
         self._turns: collections.deque[str] = collections.deque()
         self._deficits: dict[str, float] = {}
