--- /dev/null
+++ b/deploy/build.sh
@@ -0,0 +1,15 @@
+#!/usr/bin/env bash
+# Places everything that the deployed roles import under target/deps.
+set -euo pipefail
+deps=target/deps
+if ! [ "$deps/.installed" -nt deploy/requirements.txt ]; then
+    python3 -m pip install -q -U --target "$deps" -r deploy/requirements.txt
+    touch "$deps/.installed"
+fi
+for folder in packages/core/src/sassafrasridge_core \
+    packages/node/src/sassafrasridge_node \
+    platform/src/sassafrasridge_platform; do
+    rm -rf "$deps/$(basename "$folder")"
+    cp -r "$folder" "$deps/"
+done
+python3 -m compileall -q "$deps"/sassafrasridge_*
--- a/packages/core/src/sassafrasridge_core/configuration.py
+++ b/packages/core/src/sassafrasridge_core/configuration.py
@@ -10,16 +10,29 @@
 GRANT = 'grant'
 KINDS = (ACCOUNT, KEY, SERVICE, ROUTE, GRANT)
 
+PRIMARY = 'primary'
+BOUNDED_AGE = 'bounded_age'
+SESSION = 'session'
+CONSISTENCIES = (PRIMARY, BOUNDED_AGE, SESSION)
+"""What a session's reads must find: everything, everything older than the
+route's age, or that and the session's own writes."""
+
 
 class Account:
-    """Hold a client account; ``rate`` is in statements/s."""
+    """Hold a client account; ``rate`` is in statements/s.
+
+    ``priority`` 0 is the highest.
+    """
 
-    __slots__ = ('name', 'rate', 'burst')
+    __slots__ = ('name', 'rate', 'burst', 'priority')
 
-    def __init__(self, name: str, rate: float, burst: float) -> None:
+    def __init__(
+        self, name: str, rate: float, burst: float, priority: int = 0
+    ) -> None:
         self.name = name
         self.rate = rate
         self.burst = burst
+        self.priority = priority
 
 
 class Key:
@@ -57,10 +70,25 @@
     """Hold a route.
 
     ``reads_ended`` is the revision that last set ``partition_reads`` from
-    true to false, 0 when there was none.
+    true to false, 0 when there was none. The other values hold for sessions:
+    what a read may miss, ``max_age_s`` of data, ``timeout_s`` of a
+    statement, ``objective_s`` of an operation, ``idle_s`` of an open
+    transaction, and ``priority``, 0 being the highest.
     """
 
-    __slots__ = ('path', 'service', 'open', 'partition_reads', 'reads_ended')
+    __slots__ = (
+        'path',
+        'service',
+        'open',
+        'partition_reads',
+        'reads_ended',
+        'consistency',
+        'max_age_s',
+        'timeout_s',
+        'objective_s',
+        'idle_s',
+        'priority',
+    )
 
     def __init__(
         self,
@@ -69,12 +97,24 @@
         open: bool,
         partition_reads: bool,
         reads_ended: int = 0,
+        consistency: str = PRIMARY,
+        max_age_s: float = 0.0,
+        timeout_s: float = 5.0,
+        objective_s: float = 1.0,
+        idle_s: float = 10.0,
+        priority: int = 0,
     ) -> None:
         self.path = path
         self.service = service
         self.open = open
         self.partition_reads = partition_reads
         self.reads_ended = reads_ended
+        self.consistency = consistency
+        self.max_age_s = max_age_s
+        self.timeout_s = timeout_s
+        self.objective_s = objective_s
+        self.idle_s = idle_s
+        self.priority = priority
 
 
 class Grant:
--- a/packages/core/src/sassafrasridge_core/freshness.py
+++ b/packages/core/src/sassafrasridge_core/freshness.py
@@ -85,6 +85,32 @@
             if sample is None:
                 return
 
+    def floor(self, now: float, max_age_s: float) -> model.Position | None:
+        """Return a position that covers writes older than an age.
+
+        It is the lowest that is known; None when no sample is recent enough.
+
+        >>> timeline = PrimaryTimeline()
+        >>> timeline.sample(10.0, term=1, index=5)
+        >>> timeline.sample(11.0, term=1, index=8)
+        >>> timeline.floor(11.5, 2.0), timeline.floor(11.5, 1.0)
+        (Position(1, 5), Position(1, 8))
+        >>> timeline.floor(13.0, 1.0)
+        """
+        since = now - max_age_s
+        for level in reversed(self._levels):
+            start = bisect.bisect_left(
+                level.samples, since, key=lambda sample: sample.sent_at
+            )
+            if start < len(level.samples):
+                return level.samples[start].position
+        return None
+
+    def forget(self) -> None:
+        """Drop all samples, when the primary has changed."""
+        self._levels = [_Level(spacing, size) for spacing, size in LEVELS]
+        self._newest = _Sample(-math.inf, model.Position(0, 0))
+
     def age(
         self,
         now: float,
--- a/packages/core/src/sassafrasridge_core/settings.py
+++ b/packages/core/src/sassafrasridge_core/settings.py
@@ -69,7 +69,8 @@
     """Hold section [node]; ``cluster_secret`` is the content of its file.
 
     ``advertise_rpc`` is the address under which other daemons reach
-    ``rpc``; empty when it is the same.
+    ``rpc``; empty when it is the same. ``cluster_secret_text`` stands for the
+    file where none can be provided.
     """
 
     __slots__ = (
@@ -82,6 +83,7 @@
         'data_folder',
         'roles',
         'cluster_secret_file',
+        'cluster_secret_text',
         'cluster_secret',
     )
 
@@ -94,6 +96,7 @@
     data_folder: str
     roles: frozenset[str]
     cluster_secret_file: str
+    cluster_secret_text: str
     cluster_secret: bytes
 
 
@@ -101,20 +104,27 @@
     """Hold section [control]; ``members`` maps names to rpc addresses.
 
     ``policy`` is how rates are shared: 'adaptive' by demand, 'plain' in
-    equal, constant parts.
+    equal, constant parts. With ``seeds``, HTTP addresses of some members,
+    the members change without an operator, and ``tolerated`` losses of
+    members at a time must be borne.
     """
 
-    __slots__ = ('members', 'bootstrap', 'policy')
+    __slots__ = ('members', 'bootstrap', 'policy', 'seeds', 'tolerated')
 
     members: dict[str, str]
     bootstrap: bool
     policy: str
+    seeds: list[str]
+    tolerated: int
 
 
 class EntrySettings:
     """Hold section [entry]; ``control`` maps zones to rpc addresses.
 
     ``max_body`` is in bytes, ``max_wait`` and ``drain_timeout`` are in s.
+    ``seeds`` are HTTP addresses of some control members, for deployments
+    whose members change without an operator; ``sessions`` is the address for
+    sessions, empty for none.
     With ``policy`` 'plain' requests are served first in, first out, and all
     reads go to the primary.
     """
@@ -128,6 +138,8 @@
         'max_wait',
         'drain_timeout',
         'policy',
+        'seeds',
+        'sessions',
     )
 
     control: dict[str, list[str]]
@@ -138,6 +150,8 @@
     max_wait: float
     drain_timeout: float
     policy: str
+    seeds: list[str]
+    sessions: str
 
 
 class TargetSettings:
@@ -205,14 +219,21 @@
 
 
 class _Key:
-    __slots__ = ('parse', 'default', 'private')
+    """Describe a key; ``absent`` is its value when another stands for it."""
+
+    __slots__ = ('parse', 'default', 'private', 'absent')
 
     def __init__(
-        self, parse: _Parse, default: str | None = None, private: bool = False
+        self,
+        parse: _Parse,
+        default: str | None = None,
+        private: bool = False,
+        absent: Any = None,
     ) -> None:
         self.parse = parse
         self.default = default
         self.private = private
+        self.absent = absent
 
 
 def parse_duration(text: str, low: float, high: float) -> float:
@@ -343,6 +364,10 @@
     return frozenset(roles)
 
 
+def _seeds(text: str) -> list[str]:
+    return [_address(part) for part in _parts(text, ',\n')]
+
+
 def _members(text: str) -> dict[str, str]:
     members: dict[str, str] = {}
     for part in _parts(text, ',\n'):
@@ -384,6 +409,13 @@
     return zones
 
 
+# Keys that may be left out when another key is there.
+_INSTEAD = {
+    ('control', 'members'): 'seeds',
+    ('entry', 'control'): 'seeds',
+    ('node', 'cluster_secret_file'): 'cluster_secret_text',
+}
+
 _SECTIONS: dict[str, dict[str, _Key]] = {
     'node': {
         'name': _Key(_name),
@@ -394,15 +426,20 @@
         'advertise_rpc': _Key(_optional_address, ''),
         'data_folder': _Key(_optional, ''),
         'roles': _Key(_roles),
-        'cluster_secret_file': _Key(_path, private=True),
+        'cluster_secret_file': _Key(_path, private=True, absent=''),
+        'cluster_secret_text': _Key(str, '', private=True),
     },
     'control': {
-        'members': _Key(_members),
+        'members': _Key(_members, absent={}),
         'bootstrap': _Key(_flag, 'false'),
         'policy': _Key(_policy, 'adaptive'),
+        'seeds': _Key(_seeds, ''),
+        'tolerated': _Key(_integer(0, 15), '1'),
     },
     'entry': {
-        'control': _Key(_zones),
+        'control': _Key(_zones, absent={}),
+        'seeds': _Key(_seeds, ''),
+        'sessions': _Key(_optional_address, ''),
         'worker_threads': _Key(_integer(1, 256), '10'),
         'max_connections': _Key(_integer(1, 100_000), '4000'),
         'max_body': _Key(
@@ -536,6 +573,10 @@
                 self._add(section, name, 'an unknown key', allowed)
         for name, key in keys.items():
             text = present.get(name, key.default)
+            instead = _INSTEAD.get((section, name))
+            if text is None and instead in present:
+                setattr(target, name, key.absent)
+                continue
             if text is None:
                 self._add(section, name, 'nothing', self._allowed(key))
                 continue
@@ -605,7 +646,12 @@
         if members.get(name, rpc) != rpc:
             found = f'{name}={members[name]}'
             self._add('control', 'members', found, f'{name}={rpc}')
-        if getattr(control, 'bootstrap', False) and name not in members:
+        seeds = getattr(control, 'seeds', None)
+        if (
+            getattr(control, 'bootstrap', False)
+            and name not in members
+            and not seeds
+        ):
             allowed = f'{name}={rpc} among the members, for bootstrap = true'
             self._add('control', 'members', f'no {name}', allowed)
 
@@ -628,8 +674,16 @@
     def _read_secret(self, node: NodeSettings) -> None:
         self._resolve(node, 'cluster_secret_file')
         path = getattr(node, 'cluster_secret_file', None)
+        text = getattr(node, 'cluster_secret_text', '')
         if path is None:
             return
+        if text and len(text) < MIN_SECRET_BYTES:
+            found = f'a text of {len(text)} characters'
+            allowed = f'at least {MIN_SECRET_BYTES} characters'
+            self._add('node', 'cluster_secret_text', found, allowed)
+        if text:
+            node.cluster_secret = text.encode()
+            return
         allowed = f'a readable file of at least {MIN_SECRET_BYTES} bytes'
         try:
             secret = self._read(path).strip()
--- a/packages/core/src/sassafrasridge_core/state.py
+++ b/packages/core/src/sassafrasridge_core/state.py
@@ -14,6 +14,7 @@
 from sassafrasridge_core import errors
 from sassafrasridge_core import model
 from sassafrasridge_core import notes
+from sassafrasridge_core import wholeconfig
 
 # An entry process that misses more revisions gets a full copy.
 DELTA_LIMIT = 2_000
@@ -132,7 +133,8 @@
     Attributes to read: ``index`` (last applied log index), ``revision`` (of
     the configuration), ``groups``, ``groups_revision``, ``entries``,
     ``entries_revision``, ``session_secret`` (hex, empty before ``init``),
-    ``tables``, ``answers`` and ``trail``.
+    ``tables``, ``answers``, ``trail``, ``whole_number`` (of the last whole
+    configuration, -1 before it) and ``whole_source`` (its text as sent).
     """
 
     def __init__(
@@ -155,6 +157,8 @@
         self.entries_revision = 0
         self.answers = answers.AnswerLog(answer_limit)
         self.trail = audit.Trail(audit_limit)
+        self.whole_number = -1
+        self.whole_source = ''
         self._deltas: collections.deque[bytes] = collections.deque(
             maxlen=delta_limit
         )
@@ -162,6 +166,7 @@
             'init': self._init,
             'note': self._note,
             'refused_note': self._refused_note,
+            'configuration': self._configuration,
             'group': self._group,
             'entry': self._entry,
             'audit': self._audit,
@@ -301,6 +306,24 @@
         )
         return validator.validate(note)
 
+    def _configuration(self, body: _Command) -> Reply:
+        """Apply a whole configuration, unless a higher number is in force."""
+        whole = wholeconfig.parse(body.get('configuration'))
+        source = _text(body, 'source')
+        if whole.number <= self.whole_number:
+            return Reply(
+                True, 200, {'number': self.whole_number, 'changed': False}
+            )
+        changes = whole.changes(self.tables)
+        for change in changes:
+            self.tables.put(change.kind, change.key, change.values)
+        self.whole_number = whole.number
+        self.whole_source = source
+        self._commit([change.as_list() for change in changes])
+        what = f'{len(changes)} records changed'
+        self._record(body, 'configuration', True, what, whole.number)
+        return Reply(True, 200, {'number': whole.number, 'changed': True})
+
     def _refused_note(self, body: _Command) -> Reply:
         what = _text(body, 'what')
         number = body.get('number')
@@ -464,6 +487,8 @@
                 'entries_revision': self.entries_revision,
                 'answers': self.answers.dump(),
                 'trail': self.trail.dump(),
+                'whole_number': self.whole_number,
+                'whole_source': self.whole_source,
                 'deltas': [orjson.Fragment(delta) for delta in self._deltas],
             },
             option=orjson.OPT_SORT_KEYS,
@@ -510,6 +535,9 @@
         self.entries_revision = body['entries_revision']
         self.answers = answers.AnswerLog.load(body['answers'], answer_limit)
         self.trail = audit.Trail.load(body['trail'], audit_limit)
+        # Absent in snapshots of versions before whole configurations.
+        self.whole_number = body.get('whole_number', -1)
+        self.whole_source = body.get('whole_source', '')
         self._deltas.extend(orjson.dumps(delta) for delta in body['deltas'])
 
 
--- a/packages/node/src/sassafrasridge_node/admission.py
+++ b/packages/node/src/sassafrasridge_node/admission.py
@@ -143,14 +143,19 @@
 
         Raises RateLimitedError, not run.
         """
-        if admission.account == ANONYMOUS:
+        await self.charge_account(admission.account, req.deadline)
+
+    async def charge_account(self, account: str, deadline: float) -> None:
+        """Take a token of a client account; wait briefly for one.
+
+        Raises RateLimitedError, not run.
+        """
+        if account == ANONYMOUS:
             return
-        queue = self._queues.get(admission.account)
+        queue = self._queues.get(account)
         if queue is None:
-            queue = self._queues[admission.account] = RateQueue(
-                self._state, admission.account
-            )
-        await queue.take(req.deadline)
+            queue = self._queues[account] = RateQueue(self._state, account)
+        await queue.take(deadline)
 
 
 class RateQueue:
--- a/packages/node/src/sassafrasridge_node/backends.py
+++ b/packages/node/src/sassafrasridge_node/backends.py
@@ -179,6 +179,10 @@
         """Return when the target last answered or announced itself."""
         return max(self.announced_at, self.success_at)
 
+    def working_at(self) -> float:
+        """Return when the target last showed that it works."""
+        return self.success_at
+
     def leaving(self, now: float) -> bool:
         """Return whether the target takes no new work."""
         return self.info.leaving and now - self.heard_at() < LEAVING_TTL_S
--- a/packages/node/src/sassafrasridge_node/codec.py
+++ b/packages/node/src/sassafrasridge_node/codec.py
@@ -115,3 +115,32 @@
         prompt=grant.prompt,
         retry_s=grant.retry_s,
     )
+
+
+def target_to_wire(info: model.TargetInfo) -> typing.Any:
+    """Return the thrift record of a target."""
+    return rpc.idl.TargetRecord(
+        server=info.server,
+        group=info.group,
+        zone=info.zone,
+        address=info.address,
+        role=info.role,
+        slots=info.slots,
+        leaving=info.leaving,
+    )
+
+
+def target_from_wire(record: typing.Any) -> model.TargetInfo:
+    """Return the target of a thrift record."""
+    return model.TargetInfo(
+        record.server,
+        record.group,
+        record.zone,
+        record.address,
+        record.role,
+        0,
+        0,
+        record.slots,
+        0,
+        record.leaving,
+    )
--- a/packages/node/src/sassafrasridge_node/commands.py
+++ b/packages/node/src/sassafrasridge_node/commands.py
@@ -5,14 +5,18 @@
 import time
 import typing
 
+from sassafrasridge_core import directory
 from sassafrasridge_core import errors
 from sassafrasridge_core import leases
+from sassafrasridge_core import model
 from sassafrasridge_core import raft
 from sassafrasridge_core import raftmembers
 from sassafrasridge_core import state as core_state
+from sassafrasridge_core import wholeconfig
 from sassafrasridge_node import clocks
 from sassafrasridge_node import control
 from sassafrasridge_node import leadership
+from sassafrasridge_node import logs
 
 MAX_LISTED = 1000
 CATCH_UP_TIMEOUT_S = 10.0
@@ -295,7 +299,7 @@
                 'name': name,
                 'disk_id': item.disk_id,
                 'voter': item.voter,
-                'address': member.peers.get(name, ''),
+                'address': member.address(name) or '',
                 'index': index,
                 'seconds_since_answer': round(now - acked_at, 3),
             }
@@ -387,6 +391,101 @@
     return core_state.Reply(True, 200, body)
 
 
+async def submit_configuration(
+    member: control.ControlMember, body: Body
+) -> core_state.Reply:
+    """Commit a whole configuration.
+
+    One that changes nothing is answered without a new record, once a
+    majority has confirmed what is in force here.
+    """
+    whole = wholeconfig.parse(body.get('configuration'))
+    if whole.number <= member.state.whole_number:
+        _confirm(member)
+        return _ok({'number': member.state.whole_number, 'changed': False})
+    reply = await member.propose(
+        {
+            'type': 'configuration',
+            'configuration': body['configuration'],
+            'source': body['source'],
+            'operator': body['who'],
+            'address': body['address'],
+            'time': time.time(),
+        }
+    )
+    logs.change(
+        'configuration_submitted',
+        number=whole.number,
+        status=reply.status,
+        in_force=member.state.whole_number,
+        revision=member.state.revision,
+    )
+    return reply
+
+
+async def show_configuration(
+    member: control.ControlMember, body: Body
+) -> core_state.Reply:
+    """Return the text of the whole configuration in force."""
+    _confirm(member)
+    state = member.state
+    return _ok({'number': state.whole_number, 'source': state.whole_source})
+
+
+def _confirm(member: control.ControlMember) -> None:
+    """Raise NoLeaderError unless this member surely knows all commits."""
+    current = member.log.leads(clocks.boottime())
+    if not current or member.applied < member.log.commit_index:
+        raise control.NoLeaderError('this member is not sure that it leads')
+
+
+async def register(
+    member: control.ControlMember, body: Body
+) -> core_state.Reply:
+    """Record a target that announced itself to another member."""
+    names = model.TargetInfo.__slots__
+    info = model.TargetInfo(*(body[name] for name in names))
+    _confirm(member)
+    _leadership(member).register(
+        clocks.boottime(),
+        directory.Announcement(info, body['born'], body['sequence']),
+    )
+    return _ok({})
+
+
+async def unregister(
+    member: control.ControlMember, body: Body
+) -> core_state.Reply:
+    """Forget a target that told another member that it ends."""
+    _leadership(member).unregister(body['server'])
+    return _ok({})
+
+
+async def join(member: control.ControlMember, body: Body) -> core_state.Reply:
+    """Make a process with an empty disk a voter.
+
+    The answer tells how far it is; the process asks again until it votes.
+    """
+    name, disk_id = str(body['name']), str(body['disk_id'])
+    now = clocks.boottime()
+    listed = member.log.members.get(name)
+    change: raftmembers.Change | None = None
+    if listed is None or listed.disk_id != disk_id:
+        change = raft.AddLearner(name, disk_id, str(body['address']))
+    elif not listed.voter and member.log.caught_up(name):
+        change = raft.Promote(name)
+    if change is not None:
+        member.log.change_members(now, change)
+        member.wake()
+        logs.change(
+            'member_changed',
+            member=name,
+            change=type(change).__name__,
+            disk_id=disk_id,
+        )
+    return _ok({'voter': listed is not None and listed.voter})
+
+
 COMMANDS: dict[str, Handler] = {
     'submit_note': submit_note,
     'check_note': check_note,
@@ -398,4 +497,9 @@
     'record_drain': record_drain,
     'list_members': list_members,
     'change_members': change_members,
+    'submit_configuration': submit_configuration,
+    'show_configuration': show_configuration,
+    'register': register,
+    'unregister': unregister,
+    'join': join,
 }
--- a/packages/node/src/sassafrasridge_node/control.py
+++ b/packages/node/src/sassafrasridge_node/control.py
@@ -12,8 +12,10 @@
 
 import orjson
 
+from sassafrasridge_core import directory
 from sassafrasridge_core import errors
 from sassafrasridge_core import leases
+from sassafrasridge_core import membership
 from sassafrasridge_core import model
 from sassafrasridge_core import raft
 from sassafrasridge_core import raftlog
@@ -39,6 +41,17 @@
 """Entries applied between two snapshots; bounds the time of a restart."""
 
 
+MEMBER_CHECK_S = 0.25
+"""Interval at which the leader looks for members that are gone."""
+
+REGISTER_TIMEOUT_S = 0.7
+"""A target waits a second for the answer to its announcement."""
+
+KeeperFactory = collections.abc.Callable[
+    [leadership.Leadership], groups.Keeper
+]
+
+
 class LostLeadershipError(errors.RidgeError):
     """Report a change whose outcome this member can't tell."""
 
@@ -104,7 +117,7 @@
         self._wake = asyncio.Event()
         self.applied = self._snapshot_index = log.snapshot_index
         self._keeper: asyncio.Task[None] | None = None
-        self.keeper: groups.GroupKeeper | None = None
+        self.keeper: groups.Keeper | None = None
         self._relay = relays.RenewalRelay(name, self._leader_client, counters)
         self._announced: dict[
             tuple[str, str], tuple[float, model.TargetInfo]
@@ -112,6 +125,11 @@
         self._registering: set[str] = set()
         self._sending: set[asyncio.Task[None]] = set()
         self.commands: collections.abc.Mapping[str, typing.Any] = {}
+        self.rpc_address = ''
+        self.keeper_factory: KeeperFactory = self._group_keeper
+        # None: members change by operators' commands only.
+        self.tolerated: int | None = None
+        self._member_task: asyncio.Task[None] | None = None
 
     # The task.
 
@@ -150,7 +168,7 @@
             self._maybe_snapshot()
 
     def _send(self, message: raft.Message) -> None:
-        address = self.peers.get(message.recipient)
+        address = self.address(message.recipient)
         if address is None:
             return
         wire = rpc.idl.LogMessage(
@@ -162,6 +180,25 @@
         self._sending.add(task)
         task.add_done_callback(self._sending.discard)
 
+    def address(self, name: str) -> str | None:
+        """Return the thrift address of a member, None when not known."""
+        listed = self.log.members.get(name)
+        recorded = listed.address if listed is not None else ''
+        return self.peers.get(name) or recorded or None
+
+    def addresses(self) -> list[str]:
+        """Return the thrift addresses of all members, the leader's first."""
+        names = sorted(
+            self.log.members, key=lambda name: (name != self.log.leader, name)
+        )
+        found = [
+            self.address(name) or self._own_address(name) for name in names
+        ]
+        return [address for address in found if address]
+
+    def _own_address(self, name: str) -> str:
+        return self.rpc_address if name == self.name else ''
+
     async def _deliver(self, address: str, wire: typing.Any) -> None:
         # The log repeats what is lost, so a failure is not an error here.
         try:
@@ -226,20 +263,53 @@
         )
         for at, info in self._announced.values():
             self.leadership.announced(at, info)
-        self.keeper = groups.GroupKeeper(
-            self,
-            self.leadership.detector,
-            self.leadership.table,
-            self._zone,
-            self._dialer,
-            self._metrics,
-        )
+        self.leadership.members = self.addresses
+        self.keeper = self.keeper_factory(self.leadership)
         self._keeper = asyncio.ensure_future(self.keeper.run())
+        if self.tolerated is not None:
+            self._member_task = asyncio.ensure_future(
+                self._keep_members(self.tolerated)
+            )
         self._metrics.is_leader.set(1)
         logs.change('leadership_began', term=self.log.term)
         if not self.state.session_secret:
             asyncio.ensure_future(self._initialise())
 
+    def _group_keeper(self, current: leadership.Leadership) -> groups.Keeper:
+        return groups.GroupKeeper(
+            self,
+            current.detector,
+            current.table,
+            self._zone,
+            self._dialer,
+            self._metrics,
+        )
+
+    async def _keep_members(self, tolerated: int) -> None:
+        """Remove members that are gone, while this member leads."""
+        while True:
+            await asyncio.sleep(MEMBER_CHECK_S)
+            now = clocks.boottime()
+            silence_s = {
+                name: now - acked_at
+                for name, (_, acked_at) in self.log.progress().items()
+            }
+            name = membership.surplus(self.log.members, silence_s, tolerated)
+            if name is None:
+                continue
+            try:
+                self.log.change_members(now, raft.Remove(name))
+            except errors.RidgeError as exc:
+                logs.change('member_kept', member=name, reason=exc.kind)
+                continue
+            self._wake.set()
+            logs.change(
+                'member_removed',
+                member=name,
+                silent_s=round(silence_s[name], 3),
+                members=sorted(self.log.members),
+            )
+
     def _resumed(self) -> leadership.Leadership | None:
         """Return what is known from earlier in this term.
 
@@ -260,8 +330,9 @@
         self._metrics.is_leader.set(0)
         self.leadership = None
         self.keeper = None
-        if self._keeper is not None:
-            self._keeper.cancel()
+        for task in (self._keeper, self._member_task):
+            if task is not None:
+                task.cancel()
         self._fail_waiters()
 
     async def _initialise(self) -> None:
@@ -404,7 +475,7 @@
         leader = self.log.leader
         if leader is None or leader == self.name:
             return None
-        address = self.peers.get(leader)
+        address = self.address(leader)
         return None if address is None else self._pool.get(address)
 
     # Announcements.
@@ -415,6 +486,49 @@
         if self.leadership is not None:
             self.leadership.announced(now, info)
 
+    async def register(self, announcement: directory.Announcement) -> bool:
+        """Record a target that announced itself, here or at the leader.
+
+        Returns whether the leader has it; an outdated announcement counts as
+        recorded and changes nothing. Raises RidgeError when no leader has it.
+        """
+        current = self.leadership
+        if current is not None:
+            now = clocks.boottime()
+            if not self.log.leads(now):
+                raise NoLeaderError('this member is not sure that it leads')
+            current.register(now, announcement)
+            return True
+        info = announcement.info
+        body = {name: getattr(info, name) for name in info.__slots__}
+        body |= {'born': announcement.born, 'sequence': announcement.sequence}
+        return await self._tell_leader('register', body)
+
+    async def unregister(self, server: str) -> bool:
+        """Forget a target that has ended, here or at the leader."""
+        if self.leadership is not None:
+            self.leadership.unregister(server)
+            return True
+        return await self._tell_leader('unregister', {'server': server})
+
+    async def _tell_leader(
+        self, kind: str, body: dict[str, typing.Any]
+    ) -> bool:
+        reply = await self._forward(
+            kind, orjson.dumps(body), REGISTER_TIMEOUT_S
+        )
+        if not reply.ok:
+            raise NoLeaderError('the control leader did not answer')
+        return True
+
+    def leader_host(self) -> str | None:
+        """Return the IP address of the leader, None when not known."""
+        if self.leadership is not None:
+            return self.rpc_address.rpartition(':')[0]
+        leader = self.log.leader
+        address = self.address(leader) if leader is not None else None
+        return None if address is None else address.rpartition(':')[0]
+
     # Commands.
 
     async def command(
--- a/packages/node/src/sassafrasridge_node/entry.py
+++ b/packages/node/src/sassafrasridge_node/entry.py
@@ -16,6 +16,7 @@
 from sassafrasridge_node import clocks
 from sassafrasridge_node import codec
 from sassafrasridge_node import connections
+from sassafrasridge_node import logs
 from sassafrasridge_node import metrics
 
 ANNOUNCEMENT_TTL_S = 3.0
@@ -58,6 +59,9 @@
         self.shares = shares.BucketSet(times.config_ttl_s)
         self.entries: dict[str, str] = {}
         self.entries_revision = 0
+        self.targets_revision = 0
+        # Targets announce themselves to control only.
+        self.follows_directory = False
         self._serving: set[str] = set()
         self._zones: dict[str, str] = {}
         self._serving_sets: dict[str, list[str]] = {}
@@ -141,10 +145,14 @@
         """Return the bucket of a client account."""
         return self.shares.bucket(account)
 
-    def _backend(self, info: model.TargetInfo) -> backends.Backend:
-        backend = backends.Backend(
+    def new_backend(self, info: model.TargetInfo) -> backends.Backend:
+        """Return the backend of a target that was not known."""
+        return backends.Backend(
             info, self._dialer, self.metrics, self.times.lease_s
         )
+
+    def _backend(self, info: model.TargetInfo) -> backends.Backend:
+        backend = self.new_backend(info)
         kind: type[queueing.Queue] = queueing.FairQueue
         if self.plain:
             kind = queueing.FifoQueue
@@ -208,6 +216,14 @@
             known = self.groups.get(view.group)
             if known is None or view.term >= known.term:
                 self.groups[view.group] = view
+                if known is None or known.term != view.term:
+                    logs.change(
+                        'group_view_changed',
+                        group=view.group,
+                        term=view.term,
+                        primary=view.primary,
+                        changing=view.changing,
+                    )
                 self._follow_view(view)
                 if known is not None and known.primary is not None:
                     self._leave_primary(known, view)
@@ -248,6 +264,22 @@
                     )
                 )
 
+    def apply_targets(self, reply: typing.Any) -> None:
+        """Record the targets that control knows, if the reply lists them."""
+        if not self.follows_directory or reply.targets is None:
+            return
+        listed = {(t.group, t.server) for t in reply.targets}
+        for record in reply.targets:
+            self.announced(codec.target_from_wire(record))
+        if not reply.targets_complete:
+            # A new leader has not heard of every target yet.
+            return
+        self.targets_revision = reply.targets_revision
+        for key in list(self.backends):
+            if key not in listed:
+                self.backends.pop(key).pool.close()
+                self._served = None
+
     def apply_connections(self, grants: typing.Any, sent_at: float) -> None:
         """Apply the limits that answer a renewal sent at ``sent_at``."""
         for grant in grants or []:
--- a/packages/node/src/sassafrasridge_node/groups.py
+++ b/packages/node/src/sassafrasridge_node/groups.py
@@ -53,8 +53,8 @@
         """Return the names of all groups."""
 
 
-class GroupKeeper:
-    """Detect failed primaries, replace them, and keep members in place."""
+class Keeper(abc.ABC):
+    """Keep a primary in each group, one step at a time per group."""
 
     def __init__(
         self,
@@ -62,17 +62,14 @@
         detector: promotion.Detector,
         table: leases.LeaseTable,
         zone: str,
-        dialer: connections.Dialer,
         counters: metrics.Metrics,
     ) -> None:
-        self._dialer = dialer
         self._metrics = counters
         self._store = store
         self._detector = detector
         self._table = table
         self._zone = zone
         self._steps: dict[str, asyncio.Task[None]] = {}
-        self._orders: dict[tuple[str, str], float] = {}
         self.majority_lost: set[str] = set()
 
     async def run(self) -> None:
@@ -80,9 +77,7 @@
         try:
             while True:
                 live = self._live()
-                for group in (
-                    set(self._store.names()) | self._detector.groups()
-                ):
+                for group in self._groups():
                     if not self._at_rest(group, live):
                         self._start_step(group)
                 await asyncio.sleep(STEP_INTERVAL_S)
@@ -90,10 +85,54 @@
             for task in self._steps.values():
                 task.cancel()
 
+    def _groups(self) -> set[str]:
+        return set(self._store.names()) | self._detector.groups()
+
     def _live(self) -> set[str]:
         now = clocks.boottime()
         return {holder.name for holder in self._table.live(now)}
 
+    def _start_step(self, group: str) -> None:
+        task = self._steps.get(group)
+        if task is None or task.done():
+            if task is not None and not task.cancelled():
+                exc = task.exception()
+                if exc is not None:
+                    logs.change(
+                        'group_step_failed', group=group, exc=repr(exc)
+                    )
+            self._steps[group] = asyncio.ensure_future(self._step(group))
+
+    async def _confirmed(self, revision: int) -> None:
+        """Wait until every lease in force has a revision of the views."""
+        while not self._table.view_confirmed(clocks.boottime(), revision):
+            await asyncio.sleep(CONFIRM_POLL_S)
+
+    @abc.abstractmethod
+    def _at_rest(self, group: str, live: set[str]) -> bool:
+        """Return whether a step would do nothing."""
+
+    @abc.abstractmethod
+    async def _step(self, group: str) -> None:
+        """Bring a group nearer to order."""
+
+
+class GroupKeeper(Keeper):
+    """Detect failed primaries, replace them, and keep members in place."""
+
+    def __init__(
+        self,
+        store: GroupStore,
+        detector: promotion.Detector,
+        table: leases.LeaseTable,
+        zone: str,
+        dialer: connections.Dialer,
+        counters: metrics.Metrics,
+    ) -> None:
+        super().__init__(store, detector, table, zone, counters)
+        self._dialer = dialer
+        self._orders: dict[tuple[str, str], float] = {}
+
     def _at_rest(self, group: str, live: set[str]) -> bool:
         """Return whether a step would do nothing.
 
@@ -117,13 +156,6 @@
             return False
         return not self._must_change(view, targets, live)
 
-    def _start_step(self, group: str) -> None:
-        task = self._steps.get(group)
-        if task is None or task.done():
-            if task is not None and not task.cancelled():
-                task.exception()
-            self._steps[group] = asyncio.ensure_future(self._step(group))
-
     async def _step(self, group: str) -> None:
         view = self._store.view(group)
         targets = {t.server: t for t in self._detector.targets(group)}
@@ -204,8 +236,7 @@
             await asyncio.sleep(STEP_INTERVAL_S)
             return
         self.majority_lost.discard(view.group)
-        while not self._table.view_confirmed(clocks.boottime(), revision):
-            await asyncio.sleep(CONFIRM_POLL_S)
+        await self._confirmed(revision)
         done = model.GroupView(
             view.group,
             view.term,
--- /dev/null
+++ b/packages/node/src/sassafrasridge_node/joining.py
@@ -0,0 +1,60 @@
+"""Joins a control member without a vote to the members that have one."""
+
+import asyncio
+import itertools
+
+import orjson
+
+from sassafrasridge_core import raftmembers
+from sassafrasridge_node import control
+from sassafrasridge_node import logs
+from sassafrasridge_node import rpc
+
+JOIN_INTERVAL_S = 0.25
+"""Time between two requests; a new member must vote within the time that the
+deployment allows for catching up."""
+
+JOIN_TIMEOUT_S = 0.7
+
+
+async def join(
+    member: control.ControlMember, seeds: list[str], pool: rpc.ClientPool
+) -> None:
+    """Ask the known members for a vote whenever this member has none."""
+    log = member.log
+    if not raftmembers.votes(log.members, log.name, log.disk_id):
+        logs.change('joining', seeds=seeds, disk_id=log.disk_id)
+    for turn in itertools.count():
+        await asyncio.sleep(JOIN_INTERVAL_S)
+        if raftmembers.votes(log.members, log.name, log.disk_id):
+            continue
+        others = [a for a in member.addresses() if a != member.rpc_address]
+        known = list(dict.fromkeys([*others, *seeds]))
+        known = [address for address in known if address != member.rpc_address]
+        if known:
+            await _ask(member, known[turn % len(known)], pool)
+
+
+async def _ask(
+    member: control.ControlMember, address: str, pool: rpc.ClientPool
+) -> None:
+    body = {
+        'name': member.log.name,
+        'disk_id': member.log.disk_id,
+        'address': member.rpc_address,
+    }
+    try:
+        reply = await pool.get(address).call(
+            'command',
+            'join',
+            orjson.dumps(body),
+            JOIN_TIMEOUT_S,
+            timeout_s=JOIN_TIMEOUT_S,
+        )
+    except (rpc.RpcError, rpc.RemoteCallError) as exc:
+        logs.change('join_failed', address=address, reason=str(exc))
+        return
+    if not reply.ok:
+        logs.change(
+            'join_deferred', address=address, reason=reply.body.decode()
+        )
--- a/packages/node/src/sassafrasridge_node/leadership.py
+++ b/packages/node/src/sassafrasridge_node/leadership.py
@@ -4,8 +4,10 @@
 waits out the leases of earlier leaders before it gives anything away.
 """
 
+import collections.abc
 import typing
 
+from sassafrasridge_core import directory
 from sassafrasridge_core import leases
 from sassafrasridge_core import model
 from sassafrasridge_core import promotion
@@ -13,6 +15,7 @@
 from sassafrasridge_core import slots
 from sassafrasridge_core import state as core_state
 from sassafrasridge_node import codec
+from sassafrasridge_node import logs
 from sassafrasridge_node import metrics
 from sassafrasridge_node import rpc
 
@@ -24,6 +27,10 @@
 """Interval at which lapsed leases are looked for; a change of a holder that
 renews is noticed at once."""
 
+TARGETS_KNOWN_S = 4.0
+"""Time of leadership after which every target that is alive has announced
+itself: three times the longest interval between announcements."""
+
 TERM_BITS = 32
 """Lists of entry processes of different leaders have different revisions."""
 
@@ -88,6 +95,8 @@
         self.table = leases.LeaseTable(times, now)
         self.detector = promotion.Detector(suspect_after_s)
         self._live = LiveEntries(self.table, term)
+        self.directory = directory.Directory(term << TERM_BITS)
+        self.members: collections.abc.Callable[[], list[str]] = list
         self._budgets: dict[str, tuple[int, int]] = {}
         self._announced: dict[tuple[str, str], tuple[int, int]] = {}
         self._metrics = counters
@@ -148,9 +157,46 @@
         reply.entries_revision = self._live.refresh(now, holder)
         if req.entries_revision != reply.entries_revision:
             reply.entries = self._live.listed
+        self._add_targets(now, reply, req)
+        reply.members = self.members()
         self._metrics.renewals.labels('granted').inc()
         return reply
 
+    def _add_targets(
+        self, now: float, reply: typing.Any, req: typing.Any
+    ) -> None:
+        for server in self.directory.expire(now):
+            logs.change('target_expired', server=server)
+        reply.targets_revision = self.directory.revision
+        reply.targets_complete = now - self._started_at > TARGETS_KNOWN_S
+        if req.targets_revision != self.directory.revision:
+            reply.targets = [
+                codec.target_to_wire(info) for info in self.directory.targets()
+            ]
+
+    def register(
+        self, now: float, announcement: directory.Announcement
+    ) -> None:
+        """Record a target that announced itself to a control member."""
+        info = announcement.info
+        revision = self.directory.revision
+        known = self.directory.announce(now, announcement)
+        if not known or self.directory.revision != revision:
+            logs.change(
+                'target_registered' if known else 'announcement_outdated',
+                server=info.server,
+                group=info.group,
+                address=info.address,
+                role=info.role,
+                leaving=info.leaving,
+                sequence=announcement.sequence,
+            )
+
+    def unregister(self, server: str) -> None:
+        """Forget a target that has ended."""
+        self.directory.leave(server)
+        logs.change('target_left', server=server)
+
     def release(self, now: float, req: typing.Any) -> None:
         """Take back everything from a holder that shuts down."""
         name = holder_name(req)
--- a/packages/node/src/sassafrasridge_node/main.py
+++ b/packages/node/src/sassafrasridge_node/main.py
@@ -24,14 +24,20 @@
 from sassafrasridge_node import control
 from sassafrasridge_node import dataapi
 from sassafrasridge_node import entry
+from sassafrasridge_node import extension
+from sassafrasridge_node import failover
 from sassafrasridge_node import front
 from sassafrasridge_node import gateway
+from sassafrasridge_node import joining
+from sassafrasridge_node import leadership
 from sassafrasridge_node import logs
 from sassafrasridge_node import metrics
 from sassafrasridge_node import operatorapi
 from sassafrasridge_node import operators
 from sassafrasridge_node import renewal
 from sassafrasridge_node import rpc
+from sassafrasridge_node import sessionfront
+from sassafrasridge_node import sessionstate
 from sassafrasridge_node import settings
 from sassafrasridge_node import storage
 
@@ -41,6 +47,9 @@
 its listener closes."""
 
 DRAIN_POLL_S = 0.02
+TRANSACTION_SHARE = 0.4
+"""Part of the drain time after which open transactions are rolled back."""
+
 SHARE_POLICIES = {'adaptive': 'demand', 'plain': 'static'}
 
 
@@ -64,8 +73,15 @@
 class Daemon:
     """Own the parts of one process and their life cycle."""
 
-    def __init__(self, cfg: settings.Settings) -> None:
+    def __init__(
+        self,
+        cfg: settings.Settings,
+        platform: extension.Platform | None = None,
+    ) -> None:
         self.cfg = cfg
+        self.platform = platform
+        self.service: sessionfront.Service | None = None
+        self._sessions: extension.SessionServer | None = None
         self.metrics = metrics.Metrics()
         self.metrics.registry.register(rpc.MALFORMED_FRAMES)
         self.loop = asyncio.new_event_loop()
@@ -95,7 +111,9 @@
         self._pools = [control_pool, entry_pool]
         if self.cfg.control is not None:
             self._start_member(control_pool)
-        if self.cfg.entry is not None:
+        if self.cfg.entry is not None and self.platform is not None:
+            self._create_session_state(self.platform, source)
+        elif self.cfg.entry is not None:
             self.state = entry.EntryState(
                 self.cfg.node.name,
                 self.cfg.node.zone,
@@ -108,8 +126,36 @@
             )
             self.gateway = gateway.Gateway(self.state, entry_pool, self._rng)
         await self._serve_rpc(secret)
-        if self.state is not None and self.gateway is not None:
+        if self.member is not None:
+            self.member.rpc_address = self.rpc_address()
+        if self.state is not None:
             self._start_entry(control_pool)
+        if self.service is not None and self._sessions is not None:
+            self._spawn(self.service.run())
+            await self._sessions.start(self.service, self.cfg.entry.sessions)
+
+    def _create_session_state(
+        self, platform: extension.Platform, source: str
+    ) -> None:
+        cfg = self.cfg.entry
+        state = sessionstate.SessionEntryState(
+            self.cfg.node.name,
+            self.cfg.node.zone,
+            self._times,
+            self._dialer,
+            self.metrics,
+            max_queue=cfg.max_queue,
+            max_wait_s=cfg.max_wait,
+        )
+        state.dialer = platform.dialer(source)
+        state.follows_directory = True
+        self.state = state
+        self.service = sessionfront.Service(state, self.metrics, self._rng)
+        self._sessions = platform.sessions()
+
+    def rpc_address(self) -> str:
+        """Return the address under which other daemons reach this one."""
+        return self.cfg.node.advertise_rpc or self.rpc.address
 
     def source(self) -> str:
         """Return the address that connections come from, '' for any."""
@@ -130,7 +176,15 @@
         self._files = storage.Storage(
             self.cfg.node.data_folder, lambda: secrets.token_hex(8)
         )
-        members = dict.fromkeys(cfg.members) if cfg.bootstrap else {}
+        members: dict[str, typing.Any] = {}
+        if cfg.bootstrap:
+            members = dict.fromkeys(cfg.members)
+            for seed in self._seed_members(cfg.seeds):
+                members[seed] = raft.Member(address=seed)
+        if cfg.seeds:
+            name = self.cfg.node.advertise_rpc or self.cfg.node.rpc
+        if name not in members and cfg.seeds:
+            members = {}
         stored = self._files.load(members)
         state = core_state.State()
         if stored.snapshot is not None:
@@ -159,20 +213,54 @@
             self.metrics,
         )
         self.member.commands = commands.COMMANDS
+        if self.platform is not None:
+            self._use_failover(self.member, self.platform)
+        if cfg.seeds:
+            self.member.tolerated = cfg.tolerated
+            self._spawn(
+                joining.join(self.member, self._seed_members(cfg.seeds), pool)
+            )
         self._spawn(self.member.run())
 
+    def _use_failover(
+        self, member: control.ControlMember, platform: extension.Platform
+    ) -> None:
+        orders = platform.orders(self.source(), self.cfg.node.name)
+
+        def create(current: leadership.Leadership) -> failover.FailoverKeeper:
+            return failover.FailoverKeeper(
+                member,
+                current.detector,
+                current.table,
+                self.cfg.node.zone,
+                self.metrics,
+                current.directory,
+                orders,
+                current.term,
+            )
+
+        member.keeper_factory = create
+
+    def _seed_members(self, seeds: list[str]) -> list[str]:
+        """Return the thrift addresses of seeds: all use the same port."""
+        _, port = settings.split_address(self.cfg.node.rpc)
+        return [f'{settings.split_address(s)[0]}:{port}' for s in seeds]
+
     def _start_entry(self, pool: rpc.ClientPool) -> None:
-        if self.state is None or self.gateway is None:
+        if self.state is None or self.cfg.entry is None:
             return
         self.renewer = renewal.Renewer(
             self.state,
             pool,
             self.control_addresses(),
             secrets.randbits(62),
-            self.cfg.node.advertise_rpc or self.rpc.address,
+            self.rpc_address(),
+            bool(self.cfg.entry.seeds),
         )
         self._spawn(self.renewer.run())
         self._spawn(renewal.Prober(self.state).run())
+        if self.gateway is None:
+            return
         self._spawn(self.gateway.transactions.run())
         self._spawn(cleanup.Cleaner(self.state, self.gateway.writer).run())
 
@@ -182,7 +270,8 @@
             return []
         zones = self.cfg.entry.control
         order = sorted(zones, key=lambda zone: zone != self.cfg.node.zone)
-        return [address for zone in order for address in zones[zone]]
+        listed = [address for zone in order for address in zones[zone]]
+        return listed or self._seed_members(self.cfg.entry.seeds)
 
     def _spawn(
         self, coroutine: typing.Coroutine[typing.Any, typing.Any, None]
@@ -213,6 +302,8 @@
 
     async def finish_transactions(self, timeout_s: float) -> None:
         """Wait for open transactions, then roll the rest back."""
+        if self.service is not None and self._sessions is not None:
+            await self._finish_sessions(self.service, self._sessions)
         if self.gateway is None:
             return
         end = clocks.boottime() + timeout_s
@@ -221,6 +312,24 @@
             await asyncio.sleep(DRAIN_POLL_S)
         open_transactions.close_all()
 
+    async def _finish_sessions(
+        self, service: sessionfront.Service, server: extension.SessionServer
+    ) -> None:
+        """End sessions: idle ones, then transactions, then statements."""
+        grace_s = self.cfg.entry.drain_timeout
+        started = clocks.boottime()
+        server.close_idle()
+        while service.open_transactions() and (
+            clocks.boottime() < started + grace_s * TRANSACTION_SHARE
+        ):
+            await asyncio.sleep(DRAIN_POLL_S)
+        service.end_transactions()
+        server.close_idle()
+        while service.sessions and clocks.boottime() < started + grace_s:
+            await asyncio.sleep(DRAIN_POLL_S)
+        logs.change('sessions_ended', left=len(service.sessions))
+        server.close_all()
+
     async def stop(self) -> None:
         """Give the lease back and end all tasks."""
         for task in self._tasks:
@@ -240,9 +349,13 @@
 class Process:
     """Run a daemon: the engine's loop in a thread, HTTP in others."""
 
-    def __init__(self, cfg: settings.Settings) -> None:
+    def __init__(
+        self,
+        cfg: settings.Settings,
+        platform: extension.Platform | None = None,
+    ) -> None:
         self.cfg = cfg
-        self.daemon = Daemon(cfg)
+        self.daemon = Daemon(cfg, platform)
         self._thread = threading.Thread(
             target=self._run_loop, name='engine', daemon=True
         )
@@ -259,6 +372,12 @@
             coroutine, self.daemon.loop
         ).result()
 
+    def _submit(
+        self, coroutine: typing.Coroutine[typing.Any, typing.Any, typing.Any]
+    ) -> typing.Any:
+        """Run a coroutine on the engine's loop; return its future."""
+        return asyncio.run_coroutine_threadsafe(coroutine, self.daemon.loop)
+
     def _make_front(self) -> front.Front:
         host, port = settings.split_address(self.cfg.node.http)
         cfg = front.FrontConfig(host, port)
@@ -305,6 +424,11 @@
                 {'target': digest} if digest else None,
             )
         }
+        platform = daemon.platform
+        if platform is not None and daemon.state is not None:
+            grafts |= platform.entry_grafts(port.readiness)
+        if platform is not None and daemon.member is not None:
+            grafts |= platform.control_grafts(daemon.member, self._submit)
         if daemon.gateway is not None:
             data = dataapi.DataApi(daemon.gateway, daemon.metrics)
             grafts['/v1/services'] = data.services
--- a/packages/node/src/sassafrasridge_node/metrics.py
+++ b/packages/node/src/sassafrasridge_node/metrics.py
@@ -119,6 +119,22 @@
         self.connection_failures = self.counter(
             'connection_failures', 'Connections to targets that failed to open'
         )
+        self.connections_opened = self.counter(
+            'connections_opened', 'Connections to targets that were opened'
+        )
+        self.operations = self.counter(
+            'session_statements',
+            'Statements of sessions, by result',
+            ('result',),
+        )
+        self.sessions = self.gauge('sessions', 'Open sessions')
+        self.session_seconds = prometheus_client.Histogram(
+            'sassafrasridge_session_statement_seconds',
+            'Time from a complete statement to its result, by kind',
+            ('kind',),
+            buckets=TIME_BUCKETS,
+            registry=self.registry,
+        )
         self.silent_batches = self.counter(
             'silent_batches', 'Times that connections went silent together'
         )
--- a/packages/node/src/sassafrasridge_node/renewal.py
+++ b/packages/node/src/sassafrasridge_node/renewal.py
@@ -36,7 +36,9 @@
         members: list[str],
         incarnation: int,
         rpc_address: str,
+        learn_members: bool = False,
     ) -> None:
+        self._learn_members = learn_members
         self._state = state
         self._pool = pool
         self._members = members
@@ -113,6 +115,8 @@
         state = self._state
         state.apply_groups(reply)
         state.apply_entries(reply)
+        state.apply_targets(reply)
+        self._follow_members(reply.members or [])
         current = state.apply_config(reply)
         state.shares.answered(
             clocks.boottime(), reply.sequence, current, reply.shares or ()
@@ -121,6 +125,13 @@
             state.lease.granted(reply.sequence)
             state.apply_connections(reply.connections, self._sent_at)
 
+    def _follow_members(self, members: list[str]) -> None:
+        """Call the leader first, then the other members."""
+        if self._learn_members and members and members != self._members:
+            self._members = members
+            self._current = 0
+            logs.change('control_members_learned', members=members)
+
     def _report_change(self) -> None:
         valid = self._state.lease_valid()
         if valid != self._had_lease:
@@ -144,6 +155,7 @@
             observations=self._observations(),
             sequence=next(self._sequence),
             entries_revision=state.entries_revision,
+            targets_revision=state.targets_revision,
         )
 
     def _observations(self) -> list[typing.Any]:
@@ -152,7 +164,7 @@
             codec.observation_to_wire(
                 backend.info_now(),
                 min(promotion.NEVER_HEARD_S, now - backend.announced_at),
-                min(promotion.NEVER_HEARD_S, now - backend.success_at),
+                min(promotion.NEVER_HEARD_S, now - backend.working_at()),
                 backend.demand(),
                 backend.share.report(now),
                 self._state.serves(group),
--- a/packages/node/src/sassafrasridge_node/ridge.thrift
+++ b/packages/node/src/sassafrasridge_node/ridge.thrift
@@ -80,6 +80,17 @@
   4: bool draining,         // gets only calls for its open transactions
 }
 
+// A target as it announced itself to control.
+struct TargetRecord {
+  1: string server,
+  2: string group,
+  3: string zone,
+  4: string address,
+  5: string role,
+  6: i32 slots,
+  7: bool leaving,
+}
+
 struct RenewRequest {
   1: string entry,
   2: i64 incarnation,
@@ -92,6 +103,7 @@
   9: list<Observation> observations,
   10: i64 sequence,
   11: i64 entries_revision, // of the list of entry processes held
+  12: i64 targets_revision, // of the list of targets held
 }
 
 struct RenewReply {
@@ -108,6 +120,10 @@
   11: list<EntryAddress> entries, // absent when the request names its revision
   12: i64 entries_revision,
   13: i64 sequence,
+  14: list<TargetRecord> targets, // absent when the request names its revision
+  15: i64 targets_revision,
+  16: bool targets_complete,    // the list names every target that is alive
+  17: list<string> members,     // thrift addresses of control, leader first
 }
 
 struct RenewBatch {
--- /dev/null
+++ b/packages/node/src/sassafrasridge_node/sessionfront.py
@@ -0,0 +1,820 @@
+"""Sessions: what a client's connection keeps, and how its statements run.
+
+A front end decodes statements, hands them to a Session one at a time, and
+encodes the results. Values, prepared statements and the begin of a
+transaction are kept here; a target learns them with the first statement that
+needs them.
+"""
+
+import asyncio
+import hashlib
+import itertools
+import random
+import typing
+
+from sassafrasridge_core import configuration
+from sassafrasridge_core import errors
+from sassafrasridge_core import model
+from sassafrasridge_core import statements
+from sassafrasridge_node import admission
+from sassafrasridge_node import backends
+from sassafrasridge_node import clocks
+from sassafrasridge_node import connections
+from sassafrasridge_node import logs
+from sassafrasridge_node import metrics
+from sassafrasridge_node import sessionpool
+from sassafrasridge_node import sessionstate
+
+Kind = statements.Kind
+Verdict = statements.Verdict
+Failure = statements.Failure
+State = statements.State
+Result = statements.Result
+
+MAX_VALUES = 64
+MAX_PREPARED = 256
+"""Bounds of what one session may keep."""
+
+MAX_TRIES = 4
+"""Targets tried for a read, and resends of what a target turned away."""
+
+RETRY_S = 0.03
+"""Pause before a target that was busy is asked again."""
+
+HOLD_SHARE = 0.2
+"""Part of an operation's objective for which it waits for a primary; beyond
+a quarter the caller is better off with a refusal and another process."""
+
+AGE_MARGIN_S = 0.2
+"""Taken off the age that a read accepts: covers clock drift and the time
+between the client's first byte and this process."""
+
+ROLLBACK_TIMEOUT_S = 1.0
+LOG_FAILURES_PER_S = 20
+"""Log lines for failed statements; the rest is counted only."""
+
+
+class Problem(Exception):
+    """Report why a statement has no result."""
+
+    def __init__(self, failure: Failure, detail: str) -> None:
+        super().__init__(detail)
+        self.failure = failure
+        self.detail = detail
+
+
+class Access:
+    """Hold what a key and a route allowed when an operation began."""
+
+    __slots__ = ('account', 'route', 'group')
+
+    def __init__(
+        self, account: str, route: configuration.Route, group: str
+    ) -> None:
+        self.account = account
+        self.route = route
+        self.group = group
+
+
+class Prepared:
+    """Hold a prepared statement; ``name`` is the one that targets know."""
+
+    __slots__ = ('text', 'writes', 'name')
+
+    def __init__(self, text: str, writes: bool) -> None:
+        self.text = text
+        self.writes = writes
+        self.name = (
+            'p' + hashlib.blake2b(text.encode(), digest_size=8).hexdigest()
+        )
+
+
+class Transaction:
+    """Hold an open transaction; ``conn`` is None until a target is needed."""
+
+    __slots__ = (
+        'access',
+        'read_only',
+        'backend',
+        'conn',
+        'term',
+        'broken',
+        'wrote',
+        'used_at',
+    )
+
+    def __init__(self, access: Access, read_only: bool) -> None:
+        self.access = access
+        self.read_only = read_only
+        self.backend: sessionpool.SessionBackend | None = None
+        self.conn: sessionpool.SessionConnection | None = None
+        self.term = 0
+        self.broken = ''
+        self.wrote = False
+        self.used_at = clocks.boottime()
+
+
+class FailureLog:
+    """Log failed statements, at most so many a second."""
+
+    def __init__(self) -> None:
+        self._second = 0
+        self._count = 0
+        self._left_out = 0
+
+    def write(self, **fields: typing.Any) -> None:
+        """Log one failed statement, or count it as left out."""
+        second = int(clocks.boottime())
+        if second != self._second:
+            if self._left_out:
+                logs.change('failures_left_out', count=self._left_out)
+            self._second, self._count, self._left_out = second, 0, 0
+        self._count += 1
+        if self._count > LOG_FAILURES_PER_S:
+            self._left_out += 1
+        else:
+            logs.change('statement_failed', **fields)
+
+
+class Service:
+    """Open sessions, and end them at a planned stop."""
+
+    def __init__(
+        self,
+        state: sessionstate.SessionEntryState,
+        counters: metrics.Metrics,
+        rng: random.Random,
+    ) -> None:
+        self.state = state
+        self.metrics = counters
+        self.rng = rng
+        self.admitter = admission.Admitter(state)
+        self.failures = FailureLog()
+        self.sessions: set[Session] = set()
+        self._numbers = itertools.count(1)
+
+    def open(self, database: str, key: str) -> 'Session':
+        """Open a session; raise Problem when it may not exist."""
+        digest = hashlib.sha256(key.encode()).hexdigest()
+        session = Session(self, next(self._numbers), database, digest)
+        session.access()
+        self.sessions.add(session)
+        self.metrics.sessions.set(len(self.sessions))
+        return session
+
+    def closed(self, session: 'Session') -> None:
+        """Forget a session whose client has gone."""
+        session.end()
+        self.sessions.discard(session)
+        self.metrics.sessions.set(len(self.sessions))
+
+    async def run(self) -> None:
+        """End idle transactions until cancelled."""
+        while True:
+            await asyncio.sleep(0.25)
+            now = clocks.boottime()
+            for session in list(self.sessions):
+                session.expire(now)
+
+    def rest(self) -> list['Session']:
+        """Return the sessions that are between two operations."""
+        return [s for s in self.sessions if s.transaction is None]
+
+    def open_transactions(self) -> bool:
+        """Return whether any transaction is open."""
+        return any(s.transaction is not None for s in self.sessions)
+
+    def end_transactions(self) -> None:
+        """Roll back every open transaction that is idle."""
+        for session in list(self.sessions):
+            if not session.busy:
+                session.break_off('this process is shutting down')
+
+
+class Session:
+    """Own the values, prepared statements and transaction of a client."""
+
+    def __init__(
+        self, service: Service, number: int, database: str, digest: str
+    ) -> None:
+        self.number = number
+        self.database = database
+        self.busy = False
+        self.transaction: Transaction | None = None
+        self._service = service
+        self._state = service.state
+        self._digest = digest
+        self._values: dict[str, str] = {}
+        self._prepared: dict[str, Prepared] = {}
+        self._floor: model.Position | None = None
+        self._cleanups: set[asyncio.Task[None]] = set()
+
+    # What the client may do now.
+
+    def access(self) -> Access:
+        """Return what key and route allow; raise Problem."""
+        config = self._state.config
+        if config.revision == 0 or not self._state.config_valid():
+            raise Problem(Failure.BUSY, 'no configuration is in force here')
+        route = config.route(self.database)
+        service = route and config.service(route.service)
+        if route is None or service is None:
+            raise Problem(
+                Failure.UNKNOWN_SERVICE, f'no database {self.database}'
+            )
+        account = config.account_of(self._digest)
+        if account is not None:
+            return Access(account.name, route, service.group)
+        if route.open:
+            return Access(admission.ANONYMOUS, route, service.group)
+        raise Problem(Failure.UNAUTHORIZED, 'the key is not known')
+
+    async def execute(self, stmt: statements.Statement) -> Result:
+        """Run one statement and return its result."""
+        started = clocks.boottime()
+        self.busy = True
+        try:
+            result = await self._execute(stmt, started)
+        except Problem as exc:
+            result = self._failed(exc)
+        finally:
+            self.busy = False
+        if self.transaction is not None:
+            self.transaction.used_at = clocks.boottime()
+        result.state = self._session_state()
+        self._account_for(stmt, result, started)
+        return result
+
+    def _account_for(
+        self, stmt: statements.Statement, result: Result, started: float
+    ) -> None:
+        seconds = clocks.boottime() - started
+        counters = self._service.metrics
+        counters.session_seconds.labels(stmt.kind.value).observe(seconds)
+        failure = result.failure
+        counters.operations.labels(failure.value if failure else 'done').inc()
+        if failure is not None:
+            view = self._state.groups.get(self._group())
+            self._service.failures.write(
+                id=stmt.id,
+                session=self.number,
+                statement=stmt.kind.value,
+                database=self.database,
+                failure=failure.value,
+                detail=result.detail,
+                seconds=round(seconds, 4),
+                revision=self._state.config.revision,
+                lease=self._state.lease_valid(),
+                view_term=view.term if view else 0,
+                primary=view.primary if view else None,
+            )
+
+    def _group(self) -> str:
+        route = self._state.config.route(self.database)
+        service = route and self._state.config.service(route.service)
+        return service.group if service else ''
+
+    def _session_state(self) -> State:
+        if self.transaction is None:
+            return State.IDLE
+        return State.BROKEN if self.transaction.broken else State.OPEN
+
+    def _failed(self, exc: Problem) -> Result:
+        tx = self.transaction
+        if tx is not None and not tx.broken:
+            self.break_off(exc.detail)
+        return Result(failure=exc.failure, detail=exc.detail)
+
+    async def _execute(
+        self, stmt: statements.Statement, started: float
+    ) -> Result:
+        tx = self.transaction
+        if tx is not None and tx.broken:
+            return self._after_failure(stmt, tx)
+        local = self._local(stmt)
+        if local is not None:
+            return local
+        if stmt.kind in (Kind.BEGIN, Kind.BEGIN_READ):
+            return await self._begin(stmt, started)
+        if stmt.kind is Kind.ROLLBACK:
+            self.end()
+            return Result()
+        if tx is None and stmt.kind is Kind.COMMIT:
+            raise Problem(Failure.MALFORMED, 'no transaction is open')
+        if tx is not None:
+            return await self._in_transaction(stmt, tx, started)
+        return await self._single(stmt, started)
+
+    def _after_failure(
+        self, stmt: statements.Statement, tx: Transaction
+    ) -> Result:
+        if stmt.kind is Kind.ROLLBACK:
+            self.end()
+            return Result()
+        if stmt.kind is Kind.COMMIT:
+            detail = tx.broken
+            self.end()
+            return Result(failure=Failure.ABORTED, detail=detail)
+        return Result(failure=Failure.MALFORMED, detail='transaction failed')
+
+    # Statements that no target needs to see.
+
+    def _local(self, stmt: statements.Statement) -> Result | None:
+        if stmt.kind is Kind.SET:
+            if len(self._values) >= MAX_VALUES:
+                raise Problem(Failure.MALFORMED, 'too many session values')
+            self._values[stmt.name] = stmt.value
+        elif stmt.kind is Kind.PREPARE:
+            if len(self._prepared) >= MAX_PREPARED:
+                raise Problem(Failure.MALFORMED, 'too many statements')
+            self._prepared[stmt.name] = Prepared(stmt.value, stmt.writes)
+        elif stmt.kind is Kind.DEALLOCATE:
+            if self._prepared.pop(stmt.name, None) is None:
+                raise Problem(Failure.MALFORMED, f'no statement {stmt.name}')
+        else:
+            return None
+        return Result()
+
+    async def _begin(
+        self, stmt: statements.Statement, started: float
+    ) -> Result:
+        if self.transaction is not None:
+            raise Problem(Failure.MALFORMED, 'a transaction is open already')
+        access = self.access()
+        await self._charge(access, started)
+        self.transaction = Transaction(access, stmt.kind is Kind.BEGIN_READ)
+        return Result()
+
+    async def _charge(self, access: Access, started: float) -> None:
+        try:
+            await self._service.admitter.charge_account(
+                access.account,
+                started + access.route.objective_s * HOLD_SHARE,
+            )
+        except errors.RidgeError as exc:
+            raise Problem(Failure.RATE_LIMITED, exc.message)
+
+    # Single statements.
+
+    async def _single(
+        self, stmt: statements.Statement, started: float
+    ) -> Result:
+        prepared = self._find_prepared(stmt)
+        access = self.access()
+        await self._charge(access, started)
+        deadline = started + access.route.timeout_s
+        writes = stmt.kind is Kind.WRITE or (
+            prepared is not None and prepared.writes
+        )
+        if writes:
+            return await self._write(stmt, prepared, access, deadline, started)
+        return await self._read(stmt, prepared, access, deadline, started)
+
+    def _find_prepared(self, stmt: statements.Statement) -> Prepared | None:
+        if stmt.kind is not Kind.EXECUTE:
+            return None
+        found = self._prepared.get(stmt.name)
+        if found is None:
+            raise Problem(Failure.MALFORMED, f'no statement {stmt.name}')
+        return found
+
+    async def _write(
+        self,
+        stmt: statements.Statement,
+        prepared: Prepared | None,
+        access: Access,
+        deadline: float,
+        started: float,
+    ) -> Result:
+        for attempt in itertools.count(1):
+            backend = await self._leader(access, started)
+            term = self._term(access)
+            conn = await self._acquire(backend, access, deadline)
+            commands = self._setup(conn, prepared)
+            commands.append(_forward(stmt, prepared, None))
+            answer = await self._send(backend, conn, commands, deadline, True)
+            if answer.verdict is Verdict.DONE:
+                return self._acknowledge(backend, access, term, answer)
+            self._refuse_doubt(answer)
+            if attempt >= MAX_TRIES or not self._may_hold(access, started):
+                raise _problem(answer)
+            await asyncio.sleep(RETRY_S)
+        raise AssertionError
+
+    def _may_hold(self, access: Access, started: float) -> bool:
+        limit = access.route.objective_s * HOLD_SHARE
+        return clocks.boottime() < started + limit
+
+    async def _leader(
+        self, access: Access, started: float
+    ) -> sessionpool.SessionBackend:
+        """Wait briefly for a primary that may be used."""
+        limit = started + access.route.objective_s * HOLD_SHARE
+        while True:
+            backend = self._state.leader(access.group)
+            if backend is not None:
+                return backend
+            rest = limit - clocks.boottime()
+            if rest <= 0 or not self._state.lease_valid():
+                raise Problem(Failure.NO_PRIMARY, 'no primary can be used now')
+            try:
+                async with asyncio.timeout(min(rest, RETRY_S)):
+                    await self._state.view_changed.wait()
+            except TimeoutError:
+                continue
+
+    def _term(self, access: Access) -> int:
+        view = self._state.groups.get(access.group)
+        return view.term if view is not None else 0
+
+    def _acknowledge(
+        self,
+        backend: sessionpool.SessionBackend,
+        access: Access,
+        term: int,
+        answer: sessionpool.TargetAnswer,
+    ) -> Result:
+        """Return a write's result, unless the primary may be replaced."""
+        same = self._term(access) == term
+        if not same or self._state.leader(access.group) is not backend:
+            raise Problem(
+                Failure.IN_DOUBT, 'the primary was replaced meanwhile'
+            )
+        if answer.position is not None:
+            self._floor = answer.position
+        return _done(answer)
+
+    def _refuse_doubt(self, answer: sessionpool.TargetAnswer) -> None:
+        """Raise unless the target promised that nothing was run."""
+        if answer.verdict is Verdict.TIMED_OUT:
+            raise Problem(Failure.TIMED_OUT, answer.detail)
+        if answer.verdict is Verdict.FAILED:
+            raise Problem(Failure.FAILED, answer.detail)
+        if answer.verdict is Verdict.LOST:
+            raise Problem(Failure.IN_DOUBT, answer.detail)
+        if answer.verdict is Verdict.REFUSED:
+            raise Problem(Failure.MALFORMED, answer.detail)
+
+    async def _read(
+        self,
+        stmt: statements.Statement,
+        prepared: Prepared | None,
+        access: Access,
+        deadline: float,
+        started: float,
+    ) -> Result:
+        tried: set[sessionpool.SessionBackend] = set()
+        floor = self._read_floor(access)
+        problem = Problem(Failure.BUSY, 'no target can serve the read now')
+        for attempt in range(MAX_TRIES):
+            backend = self._choose(access, floor, tried)
+            if backend is None:
+                if attempt and not self._may_hold(access, started):
+                    break
+                backend = await self._leader(access, started)
+            if backend in tried:
+                await asyncio.sleep(RETRY_S)
+            tried.add(backend)
+            leads = self._state.primary(access.group) is backend
+            try:
+                conn = await self._acquire(backend, access, deadline)
+            except Problem as exc:
+                problem = exc
+                continue
+            commands = self._setup(conn, prepared)
+            commands.append(_forward(stmt, prepared, None if leads else floor))
+            answer = await self._send(backend, conn, commands, deadline, False)
+            if answer.verdict is Verdict.DONE:
+                return _done(answer)
+            problem = _problem(answer)
+            if answer.verdict in (Verdict.TIMED_OUT, Verdict.REFUSED):
+                break
+            if clocks.boottime() >= deadline:
+                break
+        raise problem
+
+    # Choice of a target.
+
+    def _read_floor(self, access: Access) -> model.Position | None:
+        """Return the position that a replica must hold; None: primary only."""
+        route = access.route
+        if route.consistency == configuration.PRIMARY:
+            return None
+        known = self._state.timeline(access.group).floor(
+            clocks.boottime(), route.max_age_s - AGE_MARGIN_S
+        )
+        if known is None:
+            return None
+        if route.consistency == configuration.SESSION and self._floor:
+            return max(known, self._floor)
+        return known
+
+    def _choose(
+        self,
+        access: Access,
+        floor: model.Position | None,
+        tried: set[sessionpool.SessionBackend],
+    ) -> sessionpool.SessionBackend | None:
+        leader = self._state.leader(access.group)
+        if floor is None:
+            return leader if leader not in tried else None
+        now = clocks.boottime()
+        found = [
+            backend
+            for backend in self._state.session_members(access.group)
+            if backend not in tried
+            and backend.pool.limit
+            and backend.circuit.ready(now)
+            and (backend is leader or not self._leads(access, backend))
+        ]
+        return min(
+            found,
+            key=lambda b: self._cost(now, b, access, floor),
+            default=None,
+        )
+
+    def _leads(
+        self, access: Access, backend: sessionpool.SessionBackend
+    ) -> bool:
+        view = self._state.groups.get(access.group)
+        return view is not None and view.primary == backend.info.server
+
+    def _cost(
+        self,
+        now: float,
+        backend: sessionpool.SessionBackend,
+        access: Access,
+        floor: model.Position,
+    ) -> float:
+        """Estimate the seconds until a target has answered a read."""
+        cost = backend.rtt_s
+        if not backend.pool.has_idle(access.account):
+            cost += 2 * backend.rtt_s
+        cost += 0.03 * max(0, backend.in_flight - 1)
+        if backend.avoid_until > now:
+            cost += 1.0
+        return cost + 0.002 * self._service.rng.random()
+
+    async def _acquire(
+        self,
+        backend: sessionpool.SessionBackend,
+        access: Access,
+        deadline: float,
+    ) -> sessionpool.SessionConnection:
+        limit = min(
+            deadline,
+            clocks.boottime() + access.route.objective_s * HOLD_SHARE,
+        )
+        try:
+            return await backend.acquire(access.account, limit, self._values)
+        except backends.UnreachableError as exc:
+            raise Problem(Failure.BUSY, f'{backend.info.server}: {exc}')
+        except sessionpool.RefusedError as exc:
+            backend.avoid(sessionpool.BUSY_S)
+            raise Problem(
+                Failure.BUSY, f'{backend.info.server}: {exc.verdict.value}'
+            )
+        except errors.UnavailableError as exc:
+            raise Problem(Failure.BUSY, exc.message)
+
+    def _setup(
+        self,
+        conn: sessionpool.SessionConnection,
+        prepared: Prepared | None,
+    ) -> list[sessionpool.Command]:
+        """Return what brings a connection to this session's state."""
+        commands: list[sessionpool.Command] = []
+        if conn.values.keys() - self._values.keys():
+            commands.append(sessionpool.Reset())
+            conn.values.clear()
+            conn.prepared.clear()
+        for name, value in self._values.items():
+            if conn.values.get(name) != value:
+                commands.append(sessionpool.SetValue(name, value))
+                conn.values[name] = value
+        if prepared is not None and prepared.name not in conn.prepared:
+            commands.append(sessionpool.Prepare(prepared.name, prepared.text))
+            conn.prepared.add(prepared.name)
+        return commands
+
+    async def _send(
+        self,
+        backend: sessionpool.SessionBackend,
+        conn: sessionpool.SessionConnection,
+        commands: list[sessionpool.Command],
+        deadline: float,
+        writes: bool,
+        keep: bool = False,
+    ) -> sessionpool.TargetAnswer:
+        """Run commands; give the connection back unless ``keep`` is set."""
+        sent_at = clocks.boottime()
+        token = object()
+        if writes:
+            backend.write_started(token)
+        try:
+            answer = await conn.run(commands, max(0.001, deadline - sent_at))
+        except connections.ConnectionLostError as exc:
+            backend.circuit.failure(clocks.boottime())
+            backend.release(conn, clean=False)
+            verdict = Verdict.LOST
+            if clocks.boottime() >= deadline:
+                verdict = Verdict.TIMED_OUT
+            if not exc.sent:
+                verdict = Verdict.BUSY
+            return sessionpool.TargetAnswer(
+                verdict, [], '', str(exc), State.BROKEN, None
+            )
+        except asyncio.CancelledError:
+            backend.release(conn, clean=False)
+            raise
+        finally:
+            backend.write_ended(token)
+        self._learn(backend, answer, sent_at)
+        clean = answer.state is State.IDLE and not answer.failed_setup
+        if not keep:
+            backend.release(conn, clean=clean)
+        elif answer.failed_setup:
+            backend.release(conn, clean=False)
+        return answer
+
+    def _learn(
+        self,
+        backend: sessionpool.SessionBackend,
+        answer: sessionpool.TargetAnswer,
+        sent_at: float,
+    ) -> None:
+        backend.answered(answer.position)
+        now = clocks.boottime()
+        if answer.verdict is Verdict.DONE:
+            backend.circuit.success(now, now - sent_at)
+            self._state.sample(backend, sent_at)
+        elif answer.verdict is Verdict.FAILED:
+            backend.circuit.failure(now)
+        elif answer.verdict is Verdict.BEHIND:
+            backend.avoid(sessionpool.BEHIND_S)
+        elif answer.verdict in statements.NOT_RUN:
+            backend.avoid(sessionpool.BUSY_S)
+
+    # Transactions.
+
+    async def _in_transaction(
+        self, stmt: statements.Statement, tx: Transaction, started: float
+    ) -> Result:
+        prepared = self._find_prepared(stmt)
+        deadline = started + tx.access.route.timeout_s
+        if tx.conn is None:
+            await self._bind(tx, deadline, started)
+        conn, backend = tx.conn, tx.backend
+        if conn is None or backend is None or conn.closed:
+            raise Problem(Failure.ABORTED, 'the connection was lost')
+        commits = stmt.kind is Kind.COMMIT
+        writes = stmt.kind is Kind.WRITE or bool(prepared and prepared.writes)
+        tx.wrote = tx.wrote or writes
+        commands = self._setup(conn, prepared)
+        if commits and not tx.read_only and not self._still_leads(tx):
+            raise Problem(Failure.ABORTED, 'the primary was replaced')
+        commands.append(_forward(stmt, prepared, None))
+        answer = await self._send(
+            backend, conn, commands, deadline, commits and tx.wrote, keep=True
+        )
+        if conn.closed:
+            tx.conn = None
+        if commits:
+            return self._committed(tx, backend, answer)
+        if answer.verdict is Verdict.DONE:
+            return _done(answer)
+        raise self._statement_problem(answer)
+
+    def _still_leads(self, tx: Transaction) -> bool:
+        same = self._term(tx.access) == tx.term
+        return same and self._state.leader(tx.access.group) is tx.backend
+
+    def _statement_problem(self, answer: sessionpool.TargetAnswer) -> Problem:
+        """Return why a statement failed; its transaction is rolled back."""
+        if answer.verdict in (Verdict.LOST, Verdict.TIMED_OUT):
+            # Without a commit, closing the connection keeps nothing.
+            return Problem(Failure.ABORTED, answer.detail)
+        return _problem(answer)
+
+    async def _bind(
+        self, tx: Transaction, deadline: float, started: float
+    ) -> None:
+        """Choose a target for the transaction and begin it there."""
+        access = tx.access
+        floor = self._read_floor(access) if tx.read_only else None
+        backend = self._choose(access, floor, set())
+        if backend is None:
+            backend = await self._leader(access, started)
+        leads = self._state.primary(access.group) is backend
+        tx.term = self._term(access)
+        conn = await self._acquire(backend, access, deadline)
+        commands = self._setup(conn, None)
+        commands.append(
+            sessionpool.Begin(tx.read_only, None if leads else floor)
+        )
+        answer = await self._send(
+            backend, conn, commands, deadline, False, keep=True
+        )
+        if answer.verdict is Verdict.DONE:
+            tx.backend, tx.conn = backend, conn
+            return
+        backend.release(conn, clean=False)
+        raise self._statement_problem(answer)
+
+    def _committed(
+        self,
+        tx: Transaction,
+        backend: sessionpool.SessionBackend,
+        answer: sessionpool.TargetAnswer,
+    ) -> Result:
+        conn, self.transaction = tx.conn, None
+        if conn is not None:
+            clean = answer.state is State.IDLE and not answer.failed_setup
+            backend.release(conn, clean=clean)
+        if answer.verdict is Verdict.DONE:
+            if not tx.wrote:
+                return _done(answer)
+            return self._acknowledge(backend, tx.access, tx.term, answer)
+        if not tx.wrote and answer.verdict is not Verdict.REFUSED:
+            raise Problem(Failure.ABORTED, answer.detail)
+        self._refuse_doubt(answer)
+        raise Problem(Failure.ABORTED, answer.detail)
+
+    def break_off(self, reason: str) -> None:
+        """Roll back the transaction; the client learns of it with COMMIT."""
+        tx = self.transaction
+        if tx is None or tx.broken:
+            return
+        self._let_go(tx)
+        tx.broken = reason
+
+    def end(self) -> None:
+        """End the transaction, rolling back what is open."""
+        tx, self.transaction = self.transaction, None
+        if tx is not None:
+            self._let_go(tx)
+
+    def _let_go(self, tx: Transaction) -> None:
+        conn, backend = tx.conn, tx.backend
+        tx.conn = None
+        if conn is None or backend is None:
+            return
+        if conn.closed or conn.calling:
+            # An answer may be outstanding, so the connection is in doubt.
+            backend.release(conn, clean=False)
+            return
+        task = asyncio.ensure_future(_roll_back(backend, conn))
+        self._cleanups.add(task)
+        task.add_done_callback(self._cleanups.discard)
+
+    def expire(self, now: float) -> None:
+        """Roll back a transaction that was idle for too long."""
+        tx = self.transaction
+        if tx is None or tx.broken or self.busy:
+            return
+        if now - tx.used_at > tx.access.route.idle_s:
+            self.break_off('the transaction was idle for too long')
+
+
+async def _roll_back(
+    backend: sessionpool.SessionBackend, conn: sessionpool.SessionConnection
+) -> None:
+    try:
+        answer = await conn.run([sessionpool.Rollback()], ROLLBACK_TIMEOUT_S)
+    except connections.ConnectionLostError:
+        backend.release(conn, clean=False)
+        return
+    backend.release(conn, clean=answer.state is State.IDLE)
+
+
+def _forward(
+    stmt: statements.Statement,
+    prepared: Prepared | None,
+    floor: model.Position | None,
+) -> sessionpool.Forward:
+    name = '' if prepared is None else prepared.name
+    return sessionpool.Forward(stmt, floor, name)
+
+
+def _done(answer: sessionpool.TargetAnswer) -> Result:
+    position = answer.position
+    text = '' if position is None else f'{position.term}.{position.index}'
+    return Result(answer.rows, answer.signature, position=text)
+
+
+_FAILURES = {
+    Verdict.BUSY: Failure.BUSY,
+    Verdict.NOT_PREPARED: Failure.BUSY,
+    Verdict.BEHIND: Failure.NOT_FRESH,
+    Verdict.NOT_PRIMARY: Failure.NO_PRIMARY,
+    Verdict.WRONG_SERVER: Failure.BUSY,
+    Verdict.TOO_MANY_CONNECTIONS: Failure.BUSY,
+    Verdict.REFUSED: Failure.MALFORMED,
+    Verdict.FAILED: Failure.FAILED,
+    Verdict.TIMED_OUT: Failure.TIMED_OUT,
+    Verdict.LOST: Failure.FAILED,
+}
+
+
+def _problem(answer: sessionpool.TargetAnswer) -> Problem:
+    return Problem(_FAILURES[answer.verdict], answer.detail)
--- /dev/null
+++ b/packages/node/src/sassafrasridge_node/sessionstate.py
@@ -0,0 +1,81 @@
+"""State of an entry process that serves sessions."""
+
+from sassafrasridge_core import model
+from sassafrasridge_node import backends
+from sassafrasridge_node import clocks
+from sassafrasridge_node import entry
+from sassafrasridge_node import sessionpool
+
+
+class SessionEntryState(entry.EntryState):
+    """Hold the state of an entry process whose targets are all served here.
+
+    ``dialer`` opens the connections of client accounts; it is set before the
+    first target is known.
+    """
+
+    dialer: sessionpool.SessionDialer
+
+    def new_backend(self, info: model.TargetInfo) -> backends.Backend:
+        """Return the backend of a target that was not known."""
+        backend = sessionpool.SessionBackend(
+            info, self.dialer, self.metrics, self.times.lease_s
+        )
+        backend.leads = lambda: self._is_primary(info.group, info.server)
+        backend.probe_account = self._any_account
+        return backend
+
+    def _is_primary(self, group: str, server: str) -> bool:
+        view = self.groups.get(group)
+        return view is not None and view.primary == server
+
+    def _any_account(self) -> str:
+        return next((a.name for a in self.config.accounts()), '')
+
+    def serves(self, group: str) -> bool:
+        """Return whether this process keeps connections to the group."""
+        return True
+
+    def _follow_view(self, view: model.GroupView) -> None:
+        # Targets come from the directory, which knows zones and slots too.
+        return
+
+    def _leave_primary(
+        self, known: model.GroupView, view: model.GroupView
+    ) -> None:
+        # Positions of the former primary may name commits that were undone.
+        if view.primary != known.primary or view.changing:
+            self.timeline(view.group).forget()
+
+    def leader(self, group: str) -> sessionpool.SessionBackend | None:
+        """Return the primary, if this process may send work to it."""
+        if not self.lease_valid():
+            return None
+        found = self.primary(group)
+        if not isinstance(found, sessionpool.SessionBackend):
+            return None
+        return None if found.pool.limit == 0 else found
+
+    def session_members(self, group: str) -> list[sessionpool.SessionBackend]:
+        """Return the targets of a group that take new work."""
+        now = clocks.boottime()
+        return [
+            backend
+            for backend in self.members(group)
+            if isinstance(backend, sessionpool.SessionBackend)
+            and not backend.leaving(now)
+        ]
+
+    def sample(
+        self, backend: sessionpool.SessionBackend, sent_at: float
+    ) -> None:
+        """Record the position that an answer of the primary told.
+
+        It proves something only while no other primary can acknowledge
+        writes, which the lease ensures.
+        """
+        group, position = backend.info.group, backend.position
+        if position is None or not self.lease_valid():
+            return
+        if self.primary(group) is backend:
+            self.timeline(group).sample(sent_at, position.term, position.index)
