Let a new member answer before it knows a membership; count silence from its listing

It had no membership, so its answers had no address, and the leader removed it as silent. Ruled out: the log's catch-up (the leader sent, no answer came).

--- a/packages/core/src/sassafrasridge_core/membership.py
+++ b/packages/core/src/sassafrasridge_core/membership.py
@@ -33,3 +33,43 @@
     if len(answering) < 2 * tolerated + 1:
         return None
     return next((n for n in silent if n in members), None)
+
+
+class SilenceTracker:
+    """Measure how long members have been silent towards the leader.
+
+    A member counts from when this leader first saw it listed with its disk:
+    a learner that was just added has not been asked anything yet.
+    """
+
+    __slots__ = ('_listed_at',)
+
+    def __init__(self) -> None:
+        self._listed_at: dict[tuple[str, str], float] = {}
+
+    def silence(
+        self,
+        now: float,
+        members: raftmembers.Members,
+        progress: collections.abc.Mapping[str, tuple[int, float]],
+    ) -> dict[str, float]:
+        """Return the silence in seconds of each member with a progress.
+
+        >>> tracker = SilenceTracker()
+        >>> listed = {'b': raftmembers.Member('disk')}
+        >>> tracker.silence(5.0, listed, {'b': (0, float('-inf'))})
+        {'b': 0.0}
+        >>> tracker.silence(7.0, listed, {'b': (3, 6.5)})
+        {'b': 0.5}
+        """
+        identities = {(n, m.disk_id) for n, m in members.items()}
+        self._listed_at = {
+            identity: self._listed_at.get(identity, now)
+            for identity in identities
+        }
+        return {
+            name: now
+            - max(acked_at, self._listed_at[name, members[name].disk_id])
+            for name, (_, acked_at) in progress.items()
+            if name in members
+        }
--- a/packages/node/src/sassafrasridge_node/control.py
+++ b/packages/node/src/sassafrasridge_node/control.py
@@ -181,7 +181,13 @@
         task.add_done_callback(self._sending.discard)
 
     def address(self, name: str) -> str | None:
-        """Return the thrift address of a member, None when not known."""
+        """Return the thrift address of a member, None when not known.
+
+        Where members change without an operator, the name is the address: a
+        new member must answer a leader before it knows any membership.
+        """
+        if self.tolerated is not None:
+            return name
         listed = self.log.members.get(name)
         recorded = listed.address if listed is not None else ''
         return self.peers.get(name) or recorded or None
@@ -287,13 +293,13 @@
 
     async def _keep_members(self, tolerated: int) -> None:
         """Remove members that are gone, while this member leads."""
+        tracker = membership.SilenceTracker()
         while True:
             await asyncio.sleep(MEMBER_CHECK_S)
             now = clocks.boottime()
-            silence_s = {
-                name: now - acked_at
-                for name, (_, acked_at) in self.log.progress().items()
-            }
+            silence_s = tracker.silence(
+                now, self.log.members, self.log.progress()
+            )
             name = membership.surplus(self.log.members, silence_s, tolerated)
             if name is None:
                 continue
--- a/packages/node/src/sassafrasridge_node/joining.py
+++ b/packages/node/src/sassafrasridge_node/joining.py
@@ -24,6 +24,7 @@
     log = member.log
     if not raftmembers.votes(log.members, log.name, log.disk_id):
         logs.change('joining', seeds=seeds, disk_id=log.disk_id)
+    reason = ''
     for turn in itertools.count():
         await asyncio.sleep(JOIN_INTERVAL_S)
         if raftmembers.votes(log.members, log.name, log.disk_id):
@@ -31,13 +32,18 @@
         others = [a for a in member.addresses() if a != member.rpc_address]
         known = list(dict.fromkeys([*others, *seeds]))
         known = [address for address in known if address != member.rpc_address]
-        if known:
-            await _ask(member, known[turn % len(known)], pool)
+        if not known:
+            continue
+        address = known[turn % len(known)]
+        last, reason = reason, await _ask(member, address, pool)
+        if reason and reason != last:
+            logs.change('join_deferred', address=address, reason=reason)
 
 
 async def _ask(
     member: control.ControlMember, address: str, pool: rpc.ClientPool
-) -> None:
+) -> str:
+    """Ask for a vote; return why there is none yet, '' on progress."""
     body = {
         'name': member.log.name,
         'disk_id': member.log.disk_id,
@@ -52,9 +58,7 @@
             timeout_s=JOIN_TIMEOUT_S,
         )
     except (rpc.RpcError, rpc.RemoteCallError) as exc:
-        logs.change('join_failed', address=address, reason=str(exc))
-        return
-    if not reply.ok:
-        logs.change(
-            'join_deferred', address=address, reason=reply.body.decode()
-        )
+        return type(exc).__name__
+    if reply.ok:
+        return ''
+    return str(orjson.loads(reply.body)['error']['kind'])
--- a/packages/node/src/sassafrasridge_node/sessionfront.py
+++ b/packages/node/src/sassafrasridge_node/sessionfront.py
@@ -45,6 +45,10 @@
 """Part of an operation's objective for which it waits for a primary; beyond
 a quarter the caller is better off with a refusal and another process."""
 
+RATE_HOLD_SHARE = 0.5
+"""Part of the objective for which it waits for a token of its account: one
+that another process holds arrives within two renewals."""
+
 AGE_MARGIN_S = 0.2
 """Taken off the age that a read accepts: covers clock drift and the time
 between the client's first byte and this process."""
@@ -349,7 +353,7 @@
         try:
             await self._service.admitter.charge_account(
                 access.account,
-                started + access.route.objective_s * HOLD_SHARE,
+                started + access.route.objective_s * RATE_HOLD_SHARE,
             )
         except errors.RidgeError as exc:
             raise Problem(Failure.RATE_LIMITED, exc.message)
