--- a/packages/node/src/sassafrasridge_node/control.py
+++ b/packages/node/src/sassafrasridge_node/control.py
@@ -47,6 +47,12 @@
 REGISTER_TIMEOUT_S = 0.7
 """A target waits a second for the answer to its announcement."""
 
+REOPEN_INTERVAL_S = 0.5
+"""Time between two attempts to use a disk that failed."""
+
+Opener = collections.abc.Callable[
+    [], tuple[storage.Storage, raft.Raft, core_state.State]
+]
 KeeperFactory = collections.abc.Callable[
     [leadership.Leadership], groups.Keeper
 ]
@@ -126,6 +132,9 @@
         self._sending: set[asyncio.Task[None]] = set()
         self.commands: collections.abc.Mapping[str, typing.Any] = {}
         self.rpc_address = ''
+        # Reads the disk again after it failed; None: the process ends then.
+        self.opener: Opener | None = None
+        self.suspended = False
         self.keeper_factory: KeeperFactory = self._group_keeper
         # None: members change by operators' commands only.
         self.tolerated: int | None = None
@@ -141,18 +150,47 @@
         """Drive the log until cancelled."""
         try:
             while True:
-                self._wake.clear()
-                self.log.tick(clocks.boottime())
-                self._drain()
-                self._update_leadership()
                 try:
-                    async with asyncio.timeout(TICK_S):
-                        await self._wake.wait()
-                except TimeoutError:
-                    continue
+                    await self._step()
+                except errors.StorageError as exc:
+                    await self._reopen(exc)
         finally:
             self._end_leadership()
 
+    async def _step(self) -> None:
+        self._wake.clear()
+        self.log.tick(clocks.boottime())
+        self._drain()
+        self._update_leadership()
+        try:
+            async with asyncio.timeout(TICK_S):
+                await self._wake.wait()
+        except TimeoutError:
+            return
+
+    async def _reopen(self, exc: errors.StorageError) -> None:
+        """Take no part until the disk works, then go on from its contents.
+
+        What the log holds in memory was not persisted, so it is dropped.
+        """
+        if self.opener is None:
+            raise exc
+        logs.change('disk_failed', reason=exc.message)
+        self.suspended = True
+        self._end_leadership()
+        self._resumable = None
+        self._files.close()
+        while True:
+            await asyncio.sleep(REOPEN_INTERVAL_S)
+            try:
+                self._files, self.log, self.state = self.opener()
+                break
+            except errors.StorageError as failure:
+                logs.change('disk_failed', reason=failure.message)
+        self.applied = self._snapshot_index = self.log.snapshot_index
+        self.suspended = False
+        logs.change('disk_works', disk_id=self.log.disk_id)
+
     def _drain(self) -> None:
         while True:
             ready = self.log.ready()
@@ -410,6 +448,8 @@
 
     async def log_message(self, message: typing.Any) -> bool:
         """Take a message of the replicated log."""
+        if self.suspended:
+            return False
         try:
             decoded = raftmessages.decode(message.body)
         except raft.MalformedMessageError:
--- a/packages/node/src/sassafrasridge_node/main.py
+++ b/packages/node/src/sassafrasridge_node/main.py
@@ -173,30 +173,9 @@
         if cfg is None:
             return
         name = self.cfg.node.name
-        self._files = storage.Storage(
-            self.cfg.node.data_folder, lambda: secrets.token_hex(8)
-        )
-        members: dict[str, typing.Any] = {}
-        if cfg.bootstrap:
-            members = dict.fromkeys(cfg.members)
-            for seed in self._seed_members(cfg.seeds):
-                members[seed] = raft.Member(address=seed)
         if cfg.seeds:
             name = self.cfg.node.advertise_rpc or self.cfg.node.rpc
-        if name not in members and cfg.seeds:
-            members = {}
-        stored = self._files.load(members)
-        state = core_state.State()
-        if stored.snapshot is not None:
-            state = core_state.State.decode(stored.snapshot.data)
-        log = raft.Raft(
-            name,
-            self._files.disk_id,
-            stored,
-            raft.RaftConfig(),
-            clocks.boottime(),
-            self._rng,
-        )
+        self._files, log, state = self._open_log(name, cfg)
         peers = {n: a for n, a in cfg.members.items() if n != name}
         self.member = control.ControlMember(
             name,
@@ -217,11 +196,45 @@
             self._use_failover(self.member, self.platform)
         if cfg.seeds:
             self.member.tolerated = cfg.tolerated
+            self.member.opener = lambda: self._open_log(name, cfg)
             self._spawn(
                 joining.join(self.member, self._seed_members(cfg.seeds), pool)
             )
         self._spawn(self.member.run())
 
+    def _open_log(
+        self, name: str, cfg: settings.ControlSettings
+    ) -> tuple[storage.Storage, raft.Raft, core_state.State]:
+        """Return the log and the state that the disk holds."""
+        files = storage.Storage(
+            self.cfg.node.data_folder, lambda: secrets.token_hex(8)
+        )
+        stored = files.load(self._first_members(name, cfg))
+        state = core_state.State()
+        if stored.snapshot is not None:
+            state = core_state.State.decode(stored.snapshot.data)
+        log = raft.Raft(
+            name,
+            files.disk_id,
+            stored,
+            raft.RaftConfig(),
+            clocks.boottime(),
+            self._rng,
+        )
+        return files, log, state
+
+    def _first_members(
+        self, name: str, cfg: settings.ControlSettings
+    ) -> dict[str, typing.Any]:
+        """Return the membership of a deployment that starts now."""
+        if not cfg.bootstrap:
+            return {}
+        members: dict[str, typing.Any] = dict.fromkeys(cfg.members)
+        for seed in self._seed_members(cfg.seeds):
+            members[seed] = raft.Member(address=seed)
+        # A process that is no seed joins the others.
+        return members if name in members or not cfg.seeds else {}
+
     def _use_failover(
         self, member: control.ControlMember, platform: extension.Platform
     ) -> None:
--- a/packages/node/src/sassafrasridge_node/sessionpool.py
+++ b/packages/node/src/sassafrasridge_node/sessionpool.py
@@ -43,7 +43,7 @@
 """Assumed distance of a target before the first connection to it."""
 
 
-class Command(abc.ABC):
+class Command:
     """Stand for one thing that is sent to a target on a connection."""
 
     __slots__ = ()
--- a/packages/node/src/sassafrasridge_node/settings.py
+++ b/packages/node/src/sassafrasridge_node/settings.py
@@ -5,6 +5,7 @@
 from sassafrasridge_core import settings
 
 Settings = settings.Settings
+ControlSettings = settings.ControlSettings
 InvalidSettingsError = settings.InvalidSettingsError
 split_address = settings.split_address
 
