Give shares and connections at once when every registered process has renewed

Cause: after a power loss of all machines a new leader gave no tokens and no connections for 4 s (1.2 s), because holders of an earlier leader might exist; all of them had renewed within 0.2 s. Names are exclusive on the platform, so a renewal ends the earlier incarnation.

--- a/packages/core/src/sassafrasridge_core/directory.py
+++ b/packages/core/src/sassafrasridge_core/directory.py
@@ -13,6 +13,11 @@
 a link, so that a partitioned target stays known."""
 
 
+COMPLETE_AFTER_S = 4.0
+"""Time after which every target that is alive has announced itself: three
+times the longest interval between announcements."""
+
+
 class Announcement:
     """Describe what a target says of itself.
 
@@ -42,12 +47,14 @@
     """Keep the newest announcement of every target.
 
     ``revision`` rises with every change that entry processes must learn.
+    ``started_at`` is when it began to hear of targets.
     """
 
-    __slots__ = ('revision', '_entries', '_gone')
+    __slots__ = ('revision', '_started_at', '_entries', '_gone')
 
-    def __init__(self, revision: int = 0) -> None:
+    def __init__(self, started_at: float, revision: int = 0) -> None:
         self.revision = revision
+        self._started_at = started_at
         self._entries: dict[str, _Entry] = {}
         # Start times of incarnations that left, by target.
         self._gone: dict[str, int] = {}
@@ -108,6 +115,10 @@
             self.revision += 1
         return silent
 
+    def complete(self, now: float) -> bool:
+        """Return whether a target that is not listed is surely gone."""
+        return now - self._started_at > COMPLETE_AFTER_S
+
     def heard_at(self, server: str) -> float:
         """Return when a target was heard last, -inf when never."""
         entry = self._entries.get(server)
--- a/packages/core/src/sassafrasridge_core/leases.py
+++ b/packages/core/src/sassafrasridge_core/leases.py
@@ -113,6 +113,10 @@
         self._elected_at = elected_at
         self.holders: dict[str, Holder] = {}
 
+    def open(self) -> None:
+        """Note that every holder of an earlier leader's lease is known."""
+        self._elected_at = float('-inf')
+
     def _past(self, start: float, duration: float, now: float) -> bool:
         return now > start + duration * (1 + DRIFT)
 
--- a/packages/core/src/sassafrasridge_core/pools.py
+++ b/packages/core/src/sassafrasridge_core/pools.py
@@ -152,6 +152,11 @@
             free = min(free, self._freed_capacity)
         return max(0.0, free)
 
+    def open(self, now: float) -> None:
+        """Give away from now on what no record holds."""
+        if now < self._open_at:
+            self._at = self._open_at = now
+
     def settle(self, now: float) -> None:
         """Refill the pool up to now; to be called before every change."""
         if self._at < self._open_at <= now:
--- a/packages/core/src/sassafrasridge_core/settings.py
+++ b/packages/core/src/sassafrasridge_core/settings.py
@@ -106,16 +106,25 @@
     ``policy`` is how rates are shared: 'adaptive' by demand, 'plain' in
     equal, constant parts. With ``seeds``, HTTP addresses of some members,
     the members change without an operator, and ``tolerated`` losses of
-    members at a time must be borne.
+    members at a time must be borne. With ``exclusive_names`` the deployment
+    never runs two entry processes of one name at a time.
     """
 
-    __slots__ = ('members', 'bootstrap', 'policy', 'seeds', 'tolerated')
+    __slots__ = (
+        'members',
+        'bootstrap',
+        'policy',
+        'seeds',
+        'tolerated',
+        'exclusive_names',
+    )
 
     members: dict[str, str]
     bootstrap: bool
     policy: str
     seeds: list[str]
     tolerated: int
+    exclusive_names: bool
 
 
 class EntrySettings:
@@ -435,6 +444,7 @@
         'policy': _Key(_policy, 'adaptive'),
         'seeds': _Key(_seeds, ''),
         'tolerated': _Key(_integer(0, 15), '1'),
+        'exclusive_names': _Key(_flag, 'false'),
     },
     'entry': {
         'control': _Key(_zones, absent={}),
--- a/packages/core/src/sassafrasridge_core/shares.py
+++ b/packages/core/src/sassafrasridge_core/shares.py
@@ -148,6 +148,15 @@
         pool.burst = burst
         pool.clamp(now)
 
+    def open(self, now: float) -> None:
+        """End the first time to live early: every holder is known.
+
+        The pools start empty, as at its regular end.
+        """
+        self._open_at = min(self._open_at, now)
+        for pool in self._pools.values():
+            pool.open(now)
+
     def withdraw_account(self, now: float, name: str) -> None:
         """Take back all shares of an account as holders renew."""
         self.set_account(now, name, 0.0, 0.0)
--- a/packages/core/src/sassafrasridge_core/slots.py
+++ b/packages/core/src/sassafrasridge_core/slots.py
@@ -271,6 +271,10 @@
         # Counts changes of demands and of limits that may be in effect.
         self._changes = 0
 
+    def open(self, now: float) -> None:
+        """End the first lease duration early: every holder is known."""
+        self._open_at = min(self._open_at, now)
+
     def renew(
         self,
         now: float,
--- a/packages/node/src/sassafrasridge_node/control.py
+++ b/packages/node/src/sassafrasridge_node/control.py
@@ -135,6 +135,7 @@
         # Reads the disk again after it failed; None: the process ends then.
         self.opener: Opener | None = None
         self.suspended = False
+        self.exclusive_names = False
         self.keeper_factory: KeeperFactory = self._group_keeper
         # None: members change by operators' commands only.
         self.tolerated: int | None = None
@@ -304,6 +305,7 @@
             now,
             self._policy,
             self._metrics,
+            self.exclusive_names,
         )
         for at, info in self._announced.values():
             self.leadership.announced(at, info)
@@ -485,6 +487,8 @@
         if req.draining and not req.accounts and not req.observations:
             current.release(now, req)
             return relays.refusal(req, 'released')
+        if current.is_retired(req):
+            return relays.refusal(req, 'retired')
         if req.entry not in self.state.entries:
             await self._register(req)
             return relays.refusal(req, 'registering')
--- a/packages/node/src/sassafrasridge_node/failover.py
+++ b/packages/node/src/sassafrasridge_node/failover.py
@@ -216,7 +216,7 @@
         the leader has heard of every target.
         """
         known = _addresses(self._targets.group(view.group).values())
-        if not self._table.shares_settled(clocks.boottime()):
+        if not self._targets.complete(clocks.boottime()):
             return {**view.members, **known}
         return known or view.members
 
@@ -246,7 +246,7 @@
             return None
         if info is not None and info.leaving:
             return 'primary_leaving'
-        if info is None and self._table.shares_settled(now):
+        if info is None and self._targets.complete(now):
             return 'primary_gone'
         if now < self._changed_at.get(view.group, float('-inf')) + GRACE_S:
             return None
@@ -320,7 +320,7 @@
         """Return the group's targets, with members heard of earlier only."""
         found = self._targets.group(view.group)
         for server, address in view.members.items():
-            if server not in found and not self._table.shares_settled(
+            if server not in found and not self._targets.complete(
                 clocks.boottime()
             ):
                 found[server] = model.TargetInfo(
--- a/packages/node/src/sassafrasridge_node/leadership.py
+++ b/packages/node/src/sassafrasridge_node/leadership.py
@@ -8,6 +8,7 @@
 import typing
 
 from sassafrasridge_core import directory
+from sassafrasridge_core import incarnations
 from sassafrasridge_core import leases
 from sassafrasridge_core import model
 from sassafrasridge_core import promotion
@@ -27,10 +28,6 @@
 """Interval at which lapsed leases are looked for; a change of a holder that
 renews is noticed at once."""
 
-TARGETS_KNOWN_S = 4.0
-"""Time of leadership after which every target that is alive has announced
-itself: three times the longest interval between announcements."""
-
 TERM_BITS = 32
 """Lists of entry processes of different leaders have different revisions."""
 
@@ -90,12 +87,17 @@
         now: float,
         policy: str,
         counters: metrics.Metrics,
+        exclusive_names: bool = False,
     ) -> None:
+        self._incarnations: incarnations.Incarnations | None = None
+        if exclusive_names:
+            self._incarnations = incarnations.Incarnations()
+        self._opened = False
         self.term = term
         self.table = leases.LeaseTable(times, now)
         self.detector = promotion.Detector(suspect_after_s)
         self._live = LiveEntries(self.table, term)
-        self.directory = directory.Directory(term << TERM_BITS)
+        self.directory = directory.Directory(now, term << TERM_BITS)
         self.members: collections.abc.Callable[[], list[str]] = list
         self._budgets: dict[str, tuple[int, int]] = {}
         self._announced: dict[tuple[str, str], tuple[int, int]] = {}
@@ -121,6 +123,7 @@
         one batch would not fit into a frame.
         """
         self.expire(now)
+        self._follow_incarnation(now, req)
         name = holder_name(req)
         holder = self.table.grant(now, name, req.entry)
         holder.zone = req.zone
@@ -168,7 +171,7 @@
         for server in self.directory.expire(now):
             logs.change('target_expired', server=server)
         reply.targets_revision = self.directory.revision
-        reply.targets_complete = now - self._started_at > TARGETS_KNOWN_S
+        reply.targets_complete = self.directory.complete(now)
         if req.targets_revision != self.directory.revision:
             reply.targets = [
                 codec.target_to_wire(info) for info in self.directory.targets()
@@ -197,12 +200,37 @@
         self.directory.leave(server)
         logs.change('target_left', server=server)
 
+    def is_retired(self, req: typing.Any) -> bool:
+        """Return whether a renewal comes from an incarnation that ended."""
+        known = self._incarnations
+        return known is not None and known.is_retired(
+            req.entry, req.incarnation
+        )
+
+    def _follow_incarnation(self, now: float, req: typing.Any) -> None:
+        known = self._incarnations
+        if known is None:
+            return
+        ended = known.renewed(req.entry, req.incarnation)
+        if ended is not None:
+            self._release(now, req.entry, ended)
+        if not self._opened and known.complete(self._state.entries):
+            self._opened = True
+            self.table.open()
+            self._allocator.open(now)
+            for ledger in self._ledgers.values():
+                ledger.open(now)
+            logs.change('holders_complete', term=self.term)
+
     def release(self, now: float, req: typing.Any) -> None:
         """Take back everything from a holder that shuts down."""
-        name = holder_name(req)
-        self._allocator.release(now, req.entry, req.incarnation)
+        self._release(now, req.entry, req.incarnation)
+
+    def _release(self, now: float, entry: str, incarnation: int) -> None:
+        name = f'{entry}#{incarnation}'
+        self._allocator.release(now, entry, incarnation)
         for ledger in self._ledgers.values():
-            ledger.release(req.entry, req.incarnation)
+            ledger.release(entry, incarnation)
         self.detector.forget(name)
         self.table.release(name)
 
@@ -256,6 +284,8 @@
             ledger = self._ledgers[key] = slots.ConnectionLedger(
                 self._started_at, self.term, self._times.lease_s
             )
+            if self._opened:
+                ledger.open(now)
         budget, running = self._budget(obs)
         limit = ledger.renew(
             now,
--- a/packages/node/src/sassafrasridge_node/main.py
+++ b/packages/node/src/sassafrasridge_node/main.py
@@ -196,6 +196,7 @@
             self._use_failover(self.member, self.platform)
         if cfg.seeds:
             self.member.tolerated = cfg.tolerated
+            self.member.exclusive_names = cfg.exclusive_names
             self.member.opener = lambda: self._open_log(name, cfg)
             self._spawn(
                 joining.join(self.member, self._seed_members(cfg.seeds), pool)
