--- a/packages/core/src/sassafrasridge_core/settings.py
+++ b/packages/core/src/sassafrasridge_core/settings.py
@@ -15,6 +15,9 @@
 POLICIES = ('adaptive', 'plain')
 LEVELS = ('debug', 'info', 'warning', 'error')
 MIN_SECRET_BYTES = 16
+STANDARD_OUTPUT = '-'
+"""Stands for standard output in place of a log file."""
+
 # Targets announce themselves every 0.25 s; one lost announcement alone must
 # not make a primary suspect.
 MIN_SUSPECT_S = 0.5
@@ -183,7 +186,10 @@
 
 
 class LogSettings:
-    """Hold section [log]; an empty ``file`` means standard error."""
+    """Hold section [log].
+
+    An empty ``file`` means standard error, ``-`` standard output.
+    """
 
     __slots__ = ('file', 'level')
 
@@ -678,7 +684,7 @@
 
     def _resolve(self, target: object, name: str) -> None:
         path = getattr(target, name, '')
-        if path:
+        if path and path != STANDARD_OUTPUT:
             setattr(target, name, str(self._folder / path))
 
     def _read_secret(self, node: NodeSettings) -> None:
--- a/packages/node/src/sassafrasridge_node/logs.py
+++ b/packages/node/src/sassafrasridge_node/logs.py
@@ -1,6 +1,9 @@
 """Structured logs: JSON lines for state changes only."""
 
+import queue
 import sys
+import threading
+import time
 import traceback
 import typing
 
@@ -14,11 +17,63 @@
 MAX_FRAMES = 12
 
 
+STANDARD_OUTPUT = '-'
+MAX_QUEUED = 2000
+"""Lines that wait for a slow reader; later ones are counted and dropped."""
+
+
+class _QueuedFile:
+    """Write lines in a thread of its own, so that no task waits for a pipe."""
+
+    def __init__(self, file: typing.TextIO) -> None:
+        self._file = file
+        self._lines: queue.Queue[str] = queue.Queue(MAX_QUEUED)
+        self.dropped = 0
+        threading.Thread(target=self._run, name='logs', daemon=True).start()
+
+    def write(self, text: str) -> None:
+        """Queue a line, or drop it when too many wait."""
+        try:
+            self._lines.put_nowait(text)
+        except queue.Full:
+            self.dropped += 1
+
+    def flush(self) -> None:
+        """Do nothing: lines are written as soon as possible."""
+
+    def drain(self, timeout_s: float) -> None:
+        """Wait until what was queued is written, at most for a time."""
+        end = time.monotonic() + timeout_s
+        while self._lines.unfinished_tasks and time.monotonic() < end:
+            time.sleep(0.01)
+
+    def _run(self) -> None:
+        while True:
+            line = self._lines.get()
+            dropped, self.dropped = self.dropped, 0
+            if dropped:
+                self._file.write(f'{{"log_lines_dropped":{dropped}}}\n')
+            self._file.write(line)
+            if self._lines.empty():
+                self._file.flush()
+            self._lines.task_done()
+
+
+_queued: list[_QueuedFile] = []
+
+
+def drain(timeout_s: float = 0.5) -> None:
+    """Wait until queued lines are written, before the process ends."""
+    for file in _queued:
+        file.drain(timeout_s)
+
+
 class LogSink:
-    """Write log messages to a file or to standard error.
+    """Write log messages to a file, to standard output or standard error.
 
-    With ``path`` None, lines go to standard error. Levels above info leave
-    out changes of state. ``fields`` are added to every message, such as the
+    With ``path`` None, lines go to standard error, with ``-`` to standard
+    output without ever waiting for its reader. Levels above info leave out
+    changes of state. ``fields`` are added to every message, such as the
     process's name and zone.
     """
 
@@ -27,10 +82,15 @@
     ) -> None:
         self._changes = level in LEVELS_WITH_CHANGES
         self._file: typing.TextIO | None = None
-        if path is not None:
+        target: typing.Any = sys.stderr
+        if path == STANDARD_OUTPUT:
+            target = _QueuedFile(sys.stdout)
+            _queued.append(target)
+        elif path is not None:
             # Line buffered: a crash loses no complete line.
-            self._file = open(path, 'a', buffering=1, encoding='utf-8')
-        self._write = eliot.FileDestination(file=self._file or sys.stderr)
+            target = open(path, 'a', buffering=1, encoding='utf-8')
+            self._file = target
+        self._write = eliot.FileDestination(file=target)
         eliot.add_destinations(self._destination)
         if fields:
             eliot.add_global_fields(**fields)
--- /dev/null
+++ b/packages/testkit/src/sassafrasridge_testkit/linecluster.py
@@ -0,0 +1,309 @@
+"""Run the product on a stand-in of the users' platform, on 127.0.0.0/8."""
+
+import http.client
+import pathlib
+import sys
+import time
+import typing
+
+import orjson
+
+from sassafrasridge_testkit import linecaller
+from sassafrasridge_testkit import processes
+
+ZONES = ('z0', 'z1', 'z2')
+SECRET = 'a secret of the tests only'
+
+ENTRY = """[node]
+name = {name}
+zone = {zone}
+region = {zone}
+http = {http}
+rpc = {host}:{rpc}
+roles = entry
+cluster_secret_text = {secret}
+[entry]
+seeds = {seeds}
+sessions = {sessions}
+worker_threads = 2
+drain_timeout = 3s
+[timing]
+suspect_after = 1200ms
+"""
+
+CONTROL = """[node]
+name = {name}
+zone = {zone}
+region = {zone}
+http = {http}
+rpc = {host}:{rpc}
+data_folder = {folder}
+roles = control
+cluster_secret_text = {secret}
+[control]
+seeds = {seeds}
+bootstrap = {bootstrap}
+tolerated = 1
+exclusive_names = true
+[timing]
+suspect_after = 1200ms
+"""
+
+Json = dict[str, typing.Any]
+
+
+class Node:
+    """One process of the product."""
+
+    def __init__(
+        self, name: str, host: str, http_address: str, process: typing.Any
+    ) -> None:
+        self.name = name
+        self.host = host
+        self.http = http_address
+        self.process: processes.Process = process
+        self.sessions = ''
+
+    def call(
+        self, method: str, path: str, body: object = None
+    ) -> tuple[int, bytes]:
+        """Send a request; status 0 when there was no answer."""
+        host, port = self.http.rsplit(':', 1)
+        conn = http.client.HTTPConnection(host, int(port), timeout=3)
+        data = body if isinstance(body, bytes) else None
+        if body is not None and data is None:
+            data = orjson.dumps(body)
+        try:
+            conn.request(method, path, data)
+            answer = conn.getresponse()
+            return answer.status, answer.read()
+        except OSError:
+            return 0, b''
+        finally:
+            conn.close()
+
+
+class LineCluster:
+    """Control members, entry processes and the stand-in platform."""
+
+    def __init__(
+        self, folder: pathlib.Path, entries: int = 2, groups: int = 2
+    ) -> None:
+        self.folder = folder
+        self.rpc = processes.free_port('127.0.0.1')
+        self.control_port = processes.free_port('127.0.0.1')
+        self.group_names = [f'group{n}' for n in range(groups)]
+        self.version = 0
+        self._hosts = (f'127.0.1.{n}' for n in range(1, 200))
+        seeds = [next(self._hosts) for _ in ZONES]
+        self.seeds = ', '.join(f'{h}:{self.control_port}' for h in seeds)
+        self.cloud = f'127.0.0.1:{processes.free_port()}'
+        self.control = [
+            self._control(host, zone, bootstrap=True)
+            for host, zone in zip(seeds, ZONES, strict=True)
+        ]
+        self.entries = [
+            self._entry(f'entry{n}', ZONES[n % 3]) for n in range(entries)
+        ]
+        self.platform = self._platform()
+
+    def _write(self, name: str, text: str) -> str:
+        path = self.folder / f'{name}.ini'
+        path.write_text(text)
+        return str(path)
+
+    def _process(self, name: str, text: str) -> processes.Process:
+        argv = [
+            sys.executable,
+            '-m',
+            'sassafrasridge_platform.program',
+            '--settings',
+            self._write(name, text),
+            '--cloud',
+            self.cloud,
+        ]
+        return processes.Process(name, argv, self.folder)
+
+    def _control(self, host: str, zone: str, bootstrap: bool) -> Node:
+        name = f'control-{host}'
+        address = f'{host}:{self.control_port}'
+        text = CONTROL.format(
+            name=name,
+            zone=zone,
+            http=address,
+            host=host,
+            rpc=self.rpc,
+            folder=self.folder / f'data-{host}',
+            secret=SECRET,
+            seeds=self.seeds,
+            bootstrap=str(bootstrap).lower(),
+        )
+        return Node(name, host, address, self._process(name, text))
+
+    def add_control(self, zone: str) -> Node:
+        """Start a control member at a new address with an empty disk."""
+        node = self._control(next(self._hosts), zone, bootstrap=False)
+        self.control.append(node)
+        node.process.start()
+        return node
+
+    def _entry(self, name: str, zone: str) -> Node:
+        host = next(self._hosts)
+        address = f'{host}:{processes.free_port()}'
+        sessions = f'{host}:{processes.free_port()}'
+        text = ENTRY.format(
+            name=name,
+            zone=zone,
+            http=address,
+            host=host,
+            rpc=self.rpc,
+            secret=SECRET,
+            seeds=self.seeds,
+            sessions=sessions,
+        )
+        node = Node(name, host, address, self._process(name, text))
+        node.sessions = sessions
+        return node
+
+    def _platform(self) -> processes.Process:
+        argv = [
+            sys.executable,
+            '-m',
+            'sassafrasridge_testkit.linegroup',
+            '--listen',
+            self.cloud,
+            '--control',
+            ','.join(n.http for n in self.control),
+        ]
+        for name in self.group_names:
+            addresses = [f'127.0.0.1:{processes.free_port()}' for _ in ZONES]
+            argv += ['--group', f'{name}={",".join(addresses)}']
+        return processes.Process('platform', argv, self.folder)
+
+    # Life cycle.
+
+    def start(self) -> None:
+        """Start everything and wait until it serves."""
+        for node in [*self.control, *self.entries]:
+            node.process.launch()
+        self.platform.launch()
+        for node in [*self.control, *self.entries]:
+            node.process.wait_ready()
+        self.platform.wait_ready()
+        self.configure()
+        self.wait_serving()
+
+    def stop(self) -> None:
+        """End every process."""
+        for node in [*self.entries, *self.control]:
+            node.process.kill()
+        self.platform.kill()
+
+    def wait_serving(self, timeout_s: float = 15.0) -> None:
+        """Wait until every entry process serves writes in every group."""
+        for node in self.entries:
+            for name in self.group_names:
+                processes.wait_until(
+                    lambda n=node, g=name: self._writes(n, g),
+                    timeout_s,
+                    f'{node.name} serves {name}',
+                )
+
+    def _writes(self, node: Node, group: str) -> bool:
+        try:
+            caller = self.caller(node, f'{group}-primary')
+            caller.query('STORE ready yes')
+            caller.close()
+            return True
+        except (OSError, linecaller.Failed):
+            time.sleep(0.05)
+            return False
+
+    # The operator and the clients.
+
+    def body(self, **changes: typing.Any) -> Json:
+        """Return the configuration of the next version."""
+        self.version += 1
+        kinds = ('primary', 'bounded_staleness', 'read_your_writes')
+        routes = [
+            {
+                'name': f'{group}-{kind}',
+                'host': f'{group}-{kind}',
+                'pathPrefix': '/',
+                'type': kind,
+                'timeoutMs': 2000,
+                'targetLatencyMs': 1500,
+                'priority': 1,
+                'service': group,
+                'maxAttempts': 2,
+                'maxStalenessMs': 1500,
+                'public': False,
+            }
+            for group in self.group_names
+            for kind in kinds
+        ]
+        services = [
+            {'name': g, 'maxConnections': 30, 'syncReplicas': 1}
+            for g in self.group_names
+        ]
+        tenants = [
+            {
+                'name': name,
+                'apiKeys': [f'key-{name}'],
+                'priority': 1,
+                'ratePerS': 500,
+                'burst': 500,
+            }
+            for name in ('acme', 'birch')
+        ]
+        return {
+            'version': self.version,
+            'routes': routes,
+            'services': services,
+            'limits': {'txIdleMs': 1500},
+            'tenants': tenants,
+            **changes,
+        }
+
+    def configure(self, body: Json | None = None) -> Json:
+        """Send a configuration until it is acknowledged; return it."""
+        body = body or self.body()
+
+        def accepted() -> bool:
+            return any(
+                node.call('PUT', '/api/config', body)[0] == 200
+                for node in self.control
+                if node.process.running
+            )
+
+        processes.wait_until(accepted, 15.0, 'configuration acknowledged')
+        return body
+
+    def caller(
+        self, node: Node, database: str, account: str = 'acme'
+    ) -> linecaller.LineCaller:
+        """Open a session."""
+        return linecaller.LineCaller(node.sessions, database, f'key-{account}')
+
+    # The platform.
+
+    def ask(self, path: str, **body: typing.Any) -> Json:
+        """Send a request to the stand-in's control address."""
+        node = Node('platform', '', self.cloud, None)
+        status, raw = node.call('POST', path, body)
+        if status != 200:
+            raise AssertionError(f'{path}: {status}')
+        answer: Json = orjson.loads(raw)
+        return answer
+
+    def servers(self, group: str) -> list[Json]:
+        """Return the state of a group's servers."""
+        state = self.ask('/state')
+        return [s for s in state['servers'] if s['group'] == group]
+
+    def primary(self, group: str) -> Json | None:
+        """Return the running primary of the highest term."""
+        found = [
+            s for s in self.servers(group) if s['primary'] and s['running']
+        ]
+        return max(found, key=lambda s: s['term'], default=None)
