Write logs to standard output through a bounded queue; close the files of a disk that fails to load

Cause: the log thread took bytes and ended on the first line; a failed reload kept the folder's lock.

--- a/packages/node/src/sassafrasridge_node/logs.py
+++ b/packages/node/src/sassafrasridge_node/logs.py
@@ -33,6 +33,9 @@
 
     def write(self, text: str) -> None:
         """Queue a line, or drop it when too many wait."""
+        if not isinstance(text, str):
+            # eliot finds out this way whether a file takes text or bytes.
+            raise TypeError('lines are texts')
         try:
             self._lines.put_nowait(text)
         except queue.Full:
--- a/packages/node/src/sassafrasridge_node/main.py
+++ b/packages/node/src/sassafrasridge_node/main.py
@@ -210,10 +210,14 @@
         files = storage.Storage(
             self.cfg.node.data_folder, lambda: secrets.token_hex(8)
         )
-        stored = files.load(self._first_members(name, cfg))
-        state = core_state.State()
-        if stored.snapshot is not None:
-            state = core_state.State.decode(stored.snapshot.data)
+        try:
+            stored = files.load(self._first_members(name, cfg))
+            state = core_state.State()
+            if stored.snapshot is not None:
+                state = core_state.State.decode(stored.snapshot.data)
+        except errors.StorageError:
+            files.close()
+            raise
         log = raft.Raft(
             name,
             files.disk_id,
--- a/tests/integration/test_platform.py
+++ b/tests/integration/test_platform.py
@@ -265,8 +265,10 @@
             former = cluster.primary('group0')['server']
             cluster.ask('/faults', server=former, leaving=True)
             processes.wait_until(
-                lambda: (cluster.primary('group0') or {}).get('server')
-                not in (None, former),
+                lambda: (
+                    (cluster.primary('group0') or {}).get('server')
+                    not in (None, former)
+                ),
                 8.0,
                 'another primary',
             )
--- a/tests/node/test_logs.py
+++ b/tests/node/test_logs.py
@@ -1,6 +1,7 @@
 """Tests of the structured log."""
 
 import json
+import threading
 
 from sassafrasridge_node import logs
 
@@ -17,3 +18,34 @@
         assert len(lines) == 1
         assert lines[0]['message_type'] == 'sassafrasridge:lease_lost'
         assert (lines[0]['entry'], lines[0]['revision']) == ('e1', 7)
+
+    def test_standard_output_gets_lines_from_a_thread(self, capfd):
+        """Guards against a writer thread that ends on its first line."""
+        sink = logs.LogSink(logs.STANDARD_OUTPUT, entry='e2')
+        logs.change('lease_lost', revision=7)
+        logs.change('lease_gained', revision=8)
+        logs.drain(5.0)
+        sink.close()
+        lines = capfd.readouterr().out.splitlines()
+        kinds = [json.loads(line)['message_type'] for line in lines]
+        assert kinds == [
+            'sassafrasridge:lease_lost',
+            'sassafrasridge:lease_gained',
+        ]
+
+    def test_a_reader_that_stands_still_delays_nobody(self):
+        """Guards against tasks that wait for a full pipe."""
+        gate = threading.Event()
+
+        class Slow:
+            def write(self, text):
+                gate.wait(10)
+
+            def flush(self):
+                pass
+
+        file = logs._QueuedFile(Slow())
+        for number in range(logs.MAX_QUEUED + 50):
+            file.write(f'{number}\n')
+        assert file.dropped >= 49
+        gate.set()
