Use the members of a view until targets announce themselves; a shorter first election

Cause: after a restart of everything an entry process had a lease at 39.6 s and no targets until their next heartbeat (up to 1.2 s); members that start together waited a full election timeout.

--- a/packages/core/src/sassafrasridge_core/raft.py
+++ b/packages/core/src/sassafrasridge_core/raft.py
@@ -51,6 +51,9 @@
     'Stored',
 ]
 
+START_SPREAD = 0.4
+"""Part of the spread of election timeouts that is used after a start."""
+
 FOLLOWER = 'follower'
 CANDIDATE = 'candidate'
 LEADER = 'leader'
@@ -105,7 +108,7 @@
         self._messages: list[Message] = []
         self._deadline = now
         if raftmembers.voters(self.members) != [name]:
-            self._wait(now)
+            self._wait_after_start(now)
 
     @property
     def term(self) -> int:
@@ -287,6 +290,16 @@
             self._cfg.election_min_s, self._cfg.election_max_s
         )
 
+    def _wait_after_start(self, now: float) -> None:
+        """Wait as long as a voter must, and little longer.
+
+        Members that start together have no leader to wait for.
+        """
+        least, most = self._cfg.election_min_s, self._cfg.election_max_s
+        self._deadline = now + self._rng.uniform(
+            least, least + START_SPREAD * (most - least)
+        )
+
     def _follow(self, now: float, term: int) -> None:
         """Become a follower, of ``term`` when it is a later one."""
         if term > self.term:
--- a/packages/node/src/sassafrasridge_node/sessionstate.py
+++ b/packages/node/src/sassafrasridge_node/sessionstate.py
@@ -37,8 +37,20 @@
         return True
 
     def _follow_view(self, view: model.GroupView) -> None:
-        # Targets come from the directory, which knows zones and slots too.
-        return
+        """Use the members of the view until the directory tells more.
+
+        After a restart of everything, the leader hears of targets only with
+        their next announcements.
+        """
+        for server, address in view.members.items():
+            if (view.group, server) in self.backends:
+                continue
+            role = 'primary' if server == view.primary else 'replica'
+            self.announced(
+                model.TargetInfo(
+                    server, view.group, '', address, role, 0, 0, 0, 0
+                )
+            )
 
     def _leave_primary(
         self, known: model.GroupView, view: model.GroupView
