--- /dev/null
+++ b/tests/core/test_directory.py
@@ -0,0 +1,76 @@
+"""Tests of the directory of targets."""
+
+import hypothesis
+from hypothesis import strategies
+
+from sassafrasridge_core import directory
+from sassafrasridge_core import model
+
+
+def announce(
+    server, born, sequence, address='10.0.0.1:1', leaving=False, role='replica'
+):
+    info = model.TargetInfo(
+        server, 'g', 'z', address, role, 0, 0, 5, 0, leaving
+    )
+    return directory.Announcement(info, born, sequence)
+
+
+class TestDirectory:
+    def test_a_late_announcement_of_an_earlier_incarnation_names_nothing(self):
+        """Guards against work sent to a server that crashed long ago."""
+        found = directory.Directory(0.0)
+        assert found.announce(1.0, announce('new', 200, 1))
+        assert not found.announce(2.0, announce('old', 100, 90))
+        assert [i.server for i in found.targets()] == ['new']
+
+    def test_the_same_id_starts_its_sequence_anew(self):
+        found = directory.Directory(0.0)
+        found.announce(1.0, announce('a', 100, 50))
+        assert found.announce(2.0, announce('a', 200, 1))
+        assert not found.announce(3.0, announce('a', 100, 51))
+
+    def test_a_repeated_sequence_changes_nothing(self):
+        found = directory.Directory(0.0)
+        found.announce(1.0, announce('a', 100, 2, leaving=True))
+        assert not found.announce(2.0, announce('a', 100, 1, leaving=False))
+        assert found.group('g')['a'].leaving
+
+    def test_a_target_that_left_stays_away_until_it_starts_again(self):
+        found = directory.Directory(0.0)
+        found.announce(1.0, announce('a', 100, 1))
+        found.leave('a')
+        assert not found.announce(2.0, announce('a', 100, 2))
+        assert found.announce(3.0, announce('a', 101, 1))
+
+    def test_only_changes_raise_the_revision(self):
+        found = directory.Directory(0.0, 7)
+        found.announce(1.0, announce('a', 100, 1))
+        revision = found.revision
+        found.announce(2.0, announce('a', 100, 2))
+        assert found.revision == revision
+        found.announce(3.0, announce('a', 100, 3, leaving=True))
+        assert found.revision == revision + 1
+
+    def test_a_young_directory_is_not_complete(self):
+        """Guards against a promotion decided on half of the members."""
+        found = directory.Directory(10.0)
+        assert not found.complete(10.0 + directory.COMPLETE_AFTER_S)
+        assert found.complete(10.1 + directory.COMPLETE_AFTER_S)
+
+    @hypothesis.given(
+        strategies.lists(
+            strategies.tuples(
+                strategies.sampled_from('abc'),
+                strategies.integers(0, 3),
+                strategies.integers(0, 5),
+                strategies.sampled_from(('10.0.0.1:1', '10.0.0.2:1')),
+            )
+        )
+    )
+    def test_an_address_belongs_to_one_target(self, said):
+        found = directory.Directory(0.0)
+        for now, (server, born, sequence, address) in enumerate(said):
+            found.announce(now, announce(server, born, sequence, address))
+        addresses = [info.address for info in found.targets()]
+        assert len(addresses) == len(set(addresses))
--- /dev/null
+++ b/tests/core/test_incarnations.py
@@ -0,0 +1,56 @@
+"""Tests of exclusive names of entry processes."""
+
+from sassafrasridge_core import incarnations
+from sassafrasridge_core import leases
+from sassafrasridge_core import shares
+from sassafrasridge_core import slots
+
+
+class TestIncarnations:
+    def test_a_delayed_renewal_of_an_ended_one_is_known_as_such(self):
+        """Guards against a lease that comes back after its process ended."""
+        known = incarnations.Incarnations()
+        known.renewed('a', 7)
+        assert known.renewed('a', 3) == 7
+        assert known.is_retired('a', 7)
+        assert not known.is_retired('a', 3)
+
+    def test_complete_needs_every_registered_name(self):
+        known = incarnations.Incarnations()
+        known.renewed('a', 1)
+        assert not known.complete(['a', 'b'])
+        known.renewed('b', 1)
+        assert known.complete(['a', 'b'])
+
+
+class TestEarlyOpening:
+    """Load after a restart of everything: nobody holds a share any more."""
+
+    def test_a_new_leader_serves_at_the_full_rate_at_once(self):
+        """Guards against 4 s without tokens after a power loss."""
+        allocator = shares.allocator('demand', 0.0, 3, 4.0)
+        allocator.set_account(0.0, 'acme', 100.0, 100.0)
+        allocator.open(0.1)
+        pool = allocator.pool('acme')
+        pool.settle(1.1)
+        assert pool.free_rate(1.1) == 100.0
+        assert 99.0 <= pool.tokens <= 100.0
+
+    def test_without_it_nothing_is_given_for_one_time_to_live(self):
+        allocator = shares.allocator('demand', 0.0, 3, 4.0)
+        allocator.set_account(0.0, 'acme', 100.0, 100.0)
+        pool = allocator.pool('acme')
+        pool.settle(1.1)
+        assert pool.free_rate(1.1) == 0.0
+
+    def test_views_are_confirmed_without_waiting_for_unknown_leases(self):
+        table = leases.LeaseTable(leases.LeaseTimes(), 10.0)
+        assert not table.settled(10.1)
+        table.open()
+        assert table.settled(10.1)
+
+    def test_connections_are_divided_at_once(self):
+        ledger = slots.ConnectionLedger(0.0, 1, 1.2)
+        ledger.open(0.0)
+        limit = ledger.renew(0.1, 'a', 1, 0, 0, 2.0, 30, 5)
+        assert limit.connections > 0
--- /dev/null
+++ b/tests/core/test_wholeconfig.py
@@ -0,0 +1,168 @@
+"""Tests of whole configurations and their place in the replicated state."""
+
+import copy
+
+import hypothesis
+from hypothesis import strategies
+import orjson
+import pytest
+
+from sassafrasridge_core import configuration
+from sassafrasridge_core import state
+from sassafrasridge_core import wholeconfig
+
+DIGEST = 'ab' * 32
+
+
+def body(number=1, **changes):
+    found = {
+        'number': number,
+        'services': [{'name': 'orders', 'connections': 30}],
+        'routes': [
+            {
+                'path': 'db1',
+                'prefix': '/',
+                'service': 'orders',
+                'open': False,
+                'consistency': configuration.SESSION,
+                'max_age_s': 1.5,
+                'timeout_s': 1.0,
+                'objective_s': 0.8,
+                'idle_s': 3.0,
+                'priority': 1,
+            }
+        ],
+        'accounts': [
+            {
+                'name': 'acme',
+                'rate': 60,
+                'burst': 60,
+                'priority': 1,
+                'key_digests': [DIGEST],
+            }
+        ],
+    }
+    return {**found, **changes}
+
+
+def submit(replicated, index, configuration_body):
+    command = {
+        'type': 'configuration',
+        'configuration': configuration_body,
+        'source': orjson.dumps(configuration_body).decode(),
+        'operator': 'ann',
+        'time': 1.0,
+    }
+    return replicated.apply(index, orjson.dumps(command))
+
+
+class TestParse:
+    @pytest.mark.parametrize(
+        'path, value, named',
+        [
+            (('routes', 0, 'service'), 'missing', 'service of route db1'),
+            (('routes', 0, 'timeout_s'), 0, 'timeout_s'),
+            (('routes', 0, 'consistency'), None, 'consistency'),
+            (('services', 0, 'connections'), 'many', 'connections'),
+            (('accounts', 0, 'rate'), -1, 'rate'),
+            (('accounts', 0, 'key_digests'), ['short'], 'key'),
+            (('number',), '7', 'number'),
+        ],
+    )
+    def test_a_mistake_is_named(self, path, value, named):
+        wrong = body()
+        place = wrong
+        for step in path[:-1]:
+            place = place[step]
+        place[path[-1]] = value
+        with pytest.raises(wholeconfig.InvalidConfigurationError) as caught:
+            wholeconfig.parse(wrong)
+        assert named in str(caught.value)
+
+    def test_every_mistake_is_listed(self):
+        wrong = body()
+        wrong['routes'][0]['service'] = 'missing'
+        wrong['accounts'][0]['rate'] = 'fast'
+        with pytest.raises(wholeconfig.InvalidConfigurationError) as caught:
+            wholeconfig.parse(wrong)
+        assert len(caught.value.mistakes) == 2
+
+    def test_a_shared_key_and_a_repeated_route_are_mistakes(self):
+        wrong = body()
+        other = copy.deepcopy(wrong['accounts'][0])
+        wrong['accounts'].append({**other, 'name': 'birch'})
+        wrong['routes'].append(copy.deepcopy(wrong['routes'][0]))
+        with pytest.raises(wholeconfig.InvalidConfigurationError) as caught:
+            wholeconfig.parse(wrong)
+        assert len(caught.value.mistakes) == 2
+
+    @hypothesis.given(
+        strategies.recursive(
+            strategies.none()
+            | strategies.booleans()
+            | strategies.integers()
+            | strategies.text(max_size=5),
+            lambda children: (
+                strategies.lists(children, max_size=3)
+                | strategies.dictionaries(
+                    strategies.sampled_from(
+                        ('number', 'routes', 'services', 'accounts', 'name')
+                    ),
+                    children,
+                    max_size=4,
+                )
+            ),
+            max_leaves=10,
+        )
+    )
+    def test_any_value_is_parsed_or_refused(self, value):
+        """Guards against an operator's input that stops a control member."""
+        try:
+            wholeconfig.parse(value)
+        except wholeconfig.InvalidConfigurationError:
+            return
+
+
+class TestState:
+    def test_the_highest_number_is_in_force_whatever_the_order(self):
+        replicated = state.State()
+        submit(replicated, 1, body(5))
+        older = submit(replicated, 2, body(4, accounts=[]))
+        assert older.ok
+        assert older.body == {'number': 5, 'changed': False}
+        assert [a.name for a in replicated.accounts()] == ['acme']
+
+    def test_other_content_under_the_same_number_changes_nothing(self):
+        replicated = state.State()
+        submit(replicated, 1, body(5))
+        submit(replicated, 2, body(5, accounts=[]))
+        assert orjson.loads(replicated.whole_source) == body(5)
+        assert [a.name for a in replicated.accounts()] == ['acme']
+
+    def test_an_invalid_one_changes_nothing(self):
+        replicated = state.State()
+        assert not submit(replicated, 1, body(5, routes='none')).ok
+        assert replicated.whole_number == -1
+
+    def test_entry_processes_follow_by_deltas(self):
+        replicated, view = state.State(), state.ConfigView()
+        secret = {'type': 'init', 'session_secret': '00' * 32}
+        replicated.apply(1, orjson.dumps(secret))
+        view.load(replicated.full())
+        submit(replicated, 2, body(5))
+        for delta in replicated.deltas_since(view.revision):
+            view.apply(delta)
+        assert view.account_of(DIGEST).name == 'acme'
+        assert view.route('db1').consistency == configuration.SESSION
+        submit(replicated, 3, body(6, accounts=[], routes=[]))
+        for delta in replicated.deltas_since(view.revision):
+            view.apply(delta)
+        assert view.account_of(DIGEST) is None
+        assert view.route('db1') is None
+
+    def test_a_snapshot_keeps_number_and_text(self):
+        replicated = state.State()
+        submit(replicated, 1, body(5))
+        again = state.State.decode(replicated.encode())
+        assert again.encode() == replicated.encode()
+        assert again.whole_number == 5
--- /dev/null
+++ b/tests/node/test_failover.py
@@ -0,0 +1,241 @@
+"""Tests of changes of primary where targets replicate by themselves."""
+
+import asyncio
+
+import pytest
+
+from sassafrasridge_core import directory
+from sassafrasridge_core import leases
+from sassafrasridge_core import model
+from sassafrasridge_core import promotion
+from sassafrasridge_node import clocks
+from sassafrasridge_node import failover
+from sassafrasridge_node import groups
+from sassafrasridge_node import metrics
+
+Position = model.Position
+
+
+class Store(groups.GroupStore):
+    def __init__(self):
+        self.views = {}
+        self.history = []
+
+    def view(self, group):
+        return self.views.get(group)
+
+    def revision(self):
+        return len(self.history)
+
+    async def commit(self, view):
+        self.views[view.group] = view
+        self.history.append(view)
+
+    def names(self):
+        return list(self.views)
+
+
+class FakeServer:
+    def __init__(self, index, primary=False):
+        self.primary = primary
+        self.term = 1
+        self.held_term = 0
+        self.received = Position(1, index)
+        self.reachable = True
+
+
+class Orders(failover.GroupOrders):
+    """Targets in memory; ``said`` lists the orders in turn."""
+
+    def __init__(self, servers):
+        self.servers = servers
+        self.said = []
+        self.answer = failover.Promotion.ACCEPTED
+        self.takes_effect = True
+
+    def _status(self, name):
+        server = self.servers[name]
+        if not server.reachable:
+            return None
+        return failover.ServerStatus(
+            name,
+            server.primary,
+            server.term,
+            server.held_term,
+            server.received,
+        )
+
+    async def status(self, info):
+        return self._status(info.server)
+
+    async def pause(self, info, term):
+        self.said.append(('pause', info.server))
+        if self.servers[info.server].reachable:
+            self.servers[info.server].held_term = term
+        return self._status(info.server)
+
+    async def resume(self, info):
+        self.said.append(('resume', info.server))
+        self.servers[info.server].held_term = 0
+        return self._status(info.server)
+
+    async def step_down(self, info, term):
+        self.said.append(('step_down', info.server))
+        if self.servers[info.server].reachable:
+            self.servers[info.server].primary = False
+        return self._status(info.server)
+
+    async def promote(self, info, token):
+        self.said.append(('promote', info.server))
+        if self.takes_effect:
+            for server in self.servers.values():
+                server.primary = server.primary and not server.reachable
+            chosen = self.servers[info.server]
+            chosen.primary, chosen.held_term = True, 0
+            chosen.term = max(s.term for s in self.servers.values()) + 1
+        return self.answer
+
+
+class Setting:
+    """A keeper of the group ``g`` with primary a and replicas b and c."""
+
+    def __init__(self, servers):
+        self.orders = Orders(servers)
+        self.store = Store()
+        self.detector = promotion.Detector(0.5)
+        self.table = leases.LeaseTable(leases.LeaseTimes(), float('-inf'))
+        self.directory = directory.Directory(float('-inf'))
+        for name, server in servers.items():
+            self.announce(name, server)
+        self.keeper = failover.FailoverKeeper(
+            self.store,
+            self.detector,
+            self.table,
+            'z',
+            metrics.Metrics(),
+            self.directory,
+            self.orders,
+            3,
+        )
+        self.store.views['g'] = model.GroupView(
+            'g', 1, 'a', {n: f'10.0.0.1:{ord(n)}' for n in servers}
+        )
+
+    def announce(self, name, server, sequence=1, leaving=False):
+        info = model.TargetInfo(
+            name,
+            'g',
+            'z',
+            f'10.0.0.1:{ord(name)}',
+            'primary' if server.primary else 'replica',
+            0,
+            0,
+            5,
+            0,
+            leaving,
+        )
+        self.directory.announce(
+            clocks.boottime(), directory.Announcement(info, 1, sequence)
+        )
+
+    def fail(self, name):
+        now = clocks.boottime()
+        for observer in ('e1#1', 'e2#1'):
+            self.table.grant(now, observer, observer[:2]).view_revision = 99
+            info = model.TargetInfo(name, 'g', '', '', '', 0, 0, 0, 0)
+            sighting = promotion.Sighting(now, 1e6, 5.0, info)
+            self.detector.report(observer, 'g', name, sighting)
+
+    def step(self):
+        asyncio.run(self.keeper._step('g'))
+        return self.store.views['g']
+
+
+@pytest.fixture
+def servers():
+    return {
+        'a': FakeServer(9, primary=True),
+        'b': FakeServer(7),
+        'c': FakeServer(9),
+    }
+
+
+class TestProof:
+    def test_a_missing_replica_may_hold_what_the_others_lack(self):
+        """Guards against losing an acknowledged commit."""
+        at = failover.ServerStatus('b', False, 1, 2, Position(1, 7))
+        assert not failover.prove(['a', 'b', 'c'], 'a', [at], None).candidates
+
+    def test_the_former_position_excludes_replicas_behind_it(self):
+        at = failover.ServerStatus('b', False, 1, 2, Position(1, 7))
+        former = failover.ServerStatus('a', False, 1, 0, Position(1, 9))
+        assert not failover.prove('abc', 'a', [at], former).candidates
+
+
+class TestFailoverKeeper:
+    def test_a_silent_primary_is_replaced_by_the_furthest(self, servers):
+        setting = Setting(servers)
+        servers['a'].reachable = False
+        setting.fail('a')
+        view = setting.step()
+        assert (view.primary, view.changing, view.term) == ('c', False, 3)
+        assert setting.orders.said.index(('pause', 'b')) < (
+            setting.orders.said.index(('promote', 'c'))
+        )
+
+    def test_nothing_is_promoted_while_a_replica_is_silent_too(self, servers):
+        """Guards against a replica that lacks an acknowledged commit."""
+        setting = Setting(servers)
+        servers['a'].reachable = servers['c'].reachable = False
+        setting.fail('a')
+        view = setting.step()
+        assert view.changing
+        assert ('promote', 'b') not in setting.orders.said
+        assert ('resume', 'b') in setting.orders.said
+
+    def test_a_primary_that_works_again_is_kept(self, servers):
+        """Guards against a group that stays without a primary."""
+        setting = Setting(servers)
+        servers['c'].reachable = False
+        setting.store.views['g'] = model.GroupView(
+            'g', 2, 'a', setting.store.views['g'].members, changing=True
+        )
+        view = setting.step()
+        assert (view.primary, view.changing) == ('a', False)
+
+    def test_a_leaving_primary_hands_over_before_it_ends(self, servers):
+        setting = Setting(servers)
+        setting.announce('a', servers['a'], sequence=2, leaving=True)
+        view = setting.step()
+        assert view.primary == 'c'
+        assert not servers['a'].primary
+
+    def test_a_refused_promotion_resumes_the_replicas(self, servers):
+        setting = Setting(servers)
+        servers['a'].reachable = False
+        setting.orders.answer = failover.Promotion.REFUSED
+        setting.orders.takes_effect = False
+        setting.fail('a')
+        assert setting.step().changing
+        assert ('resume', 'c') in setting.orders.said
+
+    def test_a_promotion_whose_answer_was_lost_is_found(self, servers):
+        """Guards against a second promotion after a change of leader."""
+        setting = Setting(servers)
+        servers['a'].reachable = False
+        servers['c'].primary, servers['c'].term = True, 2
+        setting.store.views['g'] = model.GroupView(
+            'g', 2, 'a', setting.store.views['g'].members, changing=True
+        )
+        assert setting.step().primary == 'c'
+        assert ('promote', 'c') not in setting.orders.said
+
+    def test_a_new_leader_asks_members_it_has_not_heard_of(self, servers):
+        """Guards against a proof from an incomplete directory."""
+        setting = Setting(servers)
+        setting.directory._started_at = clocks.boottime()
+        setting.directory.leave('c')
+        servers['a'].reachable = servers['c'].reachable = False
+        setting.fail('a')
+        assert setting.step().changing
+        assert not [o for o in setting.orders.said if o[0] == 'promote']
