--- a/Makefile
+++ b/Makefile
@@ -7,10 +7,10 @@
 
 install: $(STAMP)
 
-$(STAMP): requirements.txt packages/core/pyproject.toml packages/node/pyproject.toml packages/cli/pyproject.toml packages/testkit/pyproject.toml
+$(STAMP): requirements.txt packages/core/pyproject.toml packages/node/pyproject.toml packages/cli/pyproject.toml packages/testkit/pyproject.toml platform/pyproject.toml
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
 	$(BIN)/pip install -q -r requirements.txt
-	$(BIN)/pip install -q --no-deps -e packages/core -e packages/node -e packages/cli -e packages/testkit
+	$(BIN)/pip install -q --no-deps -e packages/core -e packages/node -e packages/cli -e packages/testkit -e platform
 	touch $(STAMP)
 
 test: install
--- a/tests/node/test_sessionfront.py
+++ b/tests/node/test_sessionfront.py
@@ -10,7 +10,6 @@
 from sassafrasridge_core import configuration
 from sassafrasridge_core import leases
 from sassafrasridge_core import model
-from sassafrasridge_core import state as core_state
 from sassafrasridge_core import statements
 from sassafrasridge_node import clocks
 from sassafrasridge_node import connections
