--- a/packages/core/src/sassafrasridge_core/leases.py
+++ b/packages/core/src/sassafrasridge_core/leases.py
@@ -59,6 +59,10 @@
         for older in [seq for seq in self._sent if seq < sequence]:
             del self._sent[older]
 
+    def age(self, now: float) -> float:
+        """Return seconds since the last granted renewal was sent."""
+        return now - self._start
+
     def end(self) -> None:
         """Give the lease up for good."""
         self.ended = True
--- a/packages/node/src/sassafrasridge_node/main.py
+++ b/packages/node/src/sassafrasridge_node/main.py
@@ -339,6 +339,7 @@
 
     def drain(self) -> None:
         """Begin a planned stop."""
+        logs.change('stopping')
         if self.state is not None:
             self.state.draining = True
         self.loop.call_later(READINESS_NOTICE_S, self.stopping.set)
--- a/packages/node/src/sassafrasridge_node/renewal.py
+++ b/packages/node/src/sassafrasridge_node/renewal.py
@@ -64,6 +64,7 @@
         self._current = 0
         self._wake = asyncio.Event()
         self._had_lease = False
+        self._problem = ''
         self._sent_at = 0.0
         state.renew_now = self._wake.set
 
@@ -122,11 +123,25 @@
         if reply is None or not reply.granted:
             state.shares.answered(clocks.boottime(), req.sequence, False, ())
             state.metrics.renewals.labels('refused').inc()
+            self._note_control(reply.reason if reply else 'no_answer')
             if reply is None or reply.reason == 'no_leader':
                 self._next_member()
             return
+        self._note_control('')
         self._apply(reply)
 
+    def _note_control(self, problem: str) -> None:
+        """Log when control ceases to grant renewals, or grants them again."""
+        if problem == self._problem:
+            return
+        self._problem = problem
+        logs.change(
+            'control_lost' if problem else 'control_regained',
+            member=self._members[self._current],
+            reason=problem,
+            lease_age_s=round(self._state.lease.age(clocks.boottime()), 3),
+        )
+
     def _next_member(self) -> None:
         self._current += 1
         if self._current >= len(self._members):
--- a/packages/node/src/sassafrasridge_node/sessionfront.py
+++ b/packages/node/src/sassafrasridge_node/sessionfront.py
@@ -61,8 +61,8 @@
 between the client's first byte and this process."""
 
 ROLLBACK_TIMEOUT_S = 1.0
-LOG_FAILURES_PER_S = 20
-"""Log lines for failed statements; the rest is counted only."""
+LOG_DECISIONS_PER_S = 20
+"""Log lines on single statements; the rest is counted only."""
 
 
 class Problem(Exception):
@@ -125,26 +125,26 @@
         self.used_at = clocks.boottime()
 
 
-class FailureLog:
-    """Log failed statements, at most so many a second."""
+class DecisionLog:
+    """Log decisions on single statements, at most so many a second."""
 
     def __init__(self) -> None:
         self._second = 0
         self._count = 0
         self._left_out = 0
 
-    def write(self, **fields: typing.Any) -> None:
-        """Log one failed statement, or count it as left out."""
+    def write(self, event: str, **fields: typing.Any) -> None:
+        """Log one decision, or count it as left out."""
         second = int(clocks.boottime())
         if second != self._second:
             if self._left_out:
-                logs.change('failures_left_out', count=self._left_out)
+                logs.change('decisions_left_out', count=self._left_out)
             self._second, self._count, self._left_out = second, 0, 0
         self._count += 1
-        if self._count > LOG_FAILURES_PER_S:
+        if self._count > LOG_DECISIONS_PER_S:
             self._left_out += 1
         else:
-            logs.change('statement_failed', **fields)
+            logs.change(event, **fields)
 
 
 class Service:
@@ -160,7 +160,7 @@
         self.metrics = counters
         self.rng = rng
         self.admitter = admission.Admitter(state)
-        self.failures = FailureLog()
+        self.decisions = DecisionLog()
         self.sessions: set[Session] = set()
         self._numbers = itertools.count(1)
 
@@ -265,21 +265,53 @@
         failure = result.failure
         counters.operations.labels(failure.value if failure else 'done').inc()
         if failure is not None:
-            view = self._state.groups.get(self._group())
-            self._service.failures.write(
+            self._service.decisions.write(
+                'statement_failed',
                 id=stmt.id,
-                session=self.number,
                 statement=stmt.kind.value,
-                database=self.database,
                 failure=failure.value,
                 detail=result.detail,
                 seconds=round(seconds, 4),
-                revision=self._state.config.revision,
-                lease=self._state.lease_valid(),
-                view_term=view.term if view else 0,
-                primary=view.primary if view else None,
+                **self._inputs(),
             )
 
+    def _inputs(self) -> dict[str, typing.Any]:
+        """Return what decisions of this session rest on now, for the log."""
+        group = self._group()
+        view = self._state.groups.get(group)
+        now = clocks.boottime()
+        return {
+            'session': self.number,
+            'database': self.database,
+            'revision': self._state.config.revision,
+            'lease': self._state.lease_valid(),
+            'lease_age_s': round(self._state.lease.age(now), 3),
+            'view_term': view.term if view else 0,
+            'primary': view.primary if view else None,
+            'changing': view.changing if view else None,
+        }
+
+    def _moved(
+        self,
+        stmt: statements.Statement,
+        backend: sessionpool.SessionBackend,
+        floor: model.Position | None,
+        problem: Problem,
+    ) -> None:
+        """Log that a statement goes on to another target or is repeated."""
+        self._service.metrics.retries.inc()
+        self._service.decisions.write(
+            'statement_moved',
+            id=stmt.id,
+            target=backend.info.server,
+            floor=repr(floor) if floor else None,
+            target_position=repr(backend.position),
+            target_age_s=round(clocks.boottime() - backend.success_at, 3),
+            reason=problem.failure.value,
+            detail=problem.detail,
+            **self._inputs(),
+        )
+
     def _group(self) -> str:
         route = self._state.config.route(self.database)
         service = route and self._state.config.service(route.service)
@@ -409,6 +441,7 @@
             self._refuse_doubt(answer)
             if attempt >= MAX_TRIES or not self._may_hold(access, started):
                 raise _problem(answer)
+            self._moved(stmt, backend, None, _problem(answer))
             await asyncio.sleep(RETRY_S)
         raise AssertionError
 
@@ -491,6 +524,7 @@
                 conn = await self._acquire(backend, access, deadline)
             except Problem as exc:
                 problem = exc
+                self._moved(stmt, backend, floor, problem)
                 continue
             commands = self._setup(conn, prepared)
             commands.append(_forward(stmt, prepared, None if leads else floor))
@@ -502,6 +536,7 @@
                 break
             if clocks.boottime() >= deadline:
                 break
+            self._moved(stmt, backend, floor, problem)
         raise problem
 
     # Choice of a target.
--- a/packages/node/src/sassafrasridge_node/sessionpool.py
+++ b/packages/node/src/sassafrasridge_node/sessionpool.py
@@ -11,6 +11,7 @@
 from sassafrasridge_node import backends
 from sassafrasridge_node import clocks
 from sassafrasridge_node import connections
+from sassafrasridge_node import logs
 from sassafrasridge_node import metrics
 
 OPEN_TIMEOUT_S = 0.5
@@ -305,6 +306,7 @@
         self._writes: dict[object, float] = {}
         self._lent: set[SessionConnection] = set()
         self._active: dict[str, float] = {}
+        self._reachable = True
         self.status_due = False
         self.leads: typing.Callable[[], bool] = lambda: False
         self.probe_account: typing.Callable[[], str] = str
@@ -418,10 +420,12 @@
         except connections.ConnectionLostError as exc:
             self.circuit.failure(clocks.boottime())
             self._metrics.connection_failures.inc()
+            self._note_reachable(False, str(exc))
             raise backends.UnreachableError(str(exc))
         finally:
             self.pool.opening -= 1
             self._pump()
+        self._note_reachable(True)
         self.rtt_s = conn.rtt_s
         self.pool.connections.add(conn)
         conn.on_close = lambda: self.pool.discard(conn)
@@ -429,6 +433,20 @@
         self._metrics.connections_opened.inc()
         return conn
 
+    def _note_reachable(self, reachable: bool, reason: str = '') -> None:
+        """Log when connections to the target begin or cease to open."""
+        if reachable == self._reachable:
+            return
+        self._reachable = reachable
+        logs.change(
+            'target_regained' if reachable else 'target_lost',
+            server=self.info.server,
+            group=self.info.group,
+            address=self.info.address,
+            last_answer_age_s=round(clocks.boottime() - self.success_at, 3),
+            reason=reason,
+        )
+
     def release(  # type: ignore[override]
         self, conn: SessionConnection, *, clean: bool
     ) -> None:
