--- a/packages/node/src/sassafrasridge_node/rpc.py
+++ b/packages/node/src/sassafrasridge_node/rpc.py
@@ -25,6 +25,7 @@
 from thriftpy2.transport import TCyMemoryBuffer
 
 from sassafrasridge_core import errors
+from sassafrasridge_node import thriftcheck
 
 MAX_FRAME_BYTES = 4 * 1024 * 1024
 DIGEST_BYTES = 16
@@ -162,6 +163,8 @@
 
 
 def _reader(payload: bytes) -> cybin.TCyBinaryProtocol:
+    """Return a decoder; raise ValueError when decoding is not safe."""
+    thriftcheck.check_message(payload)
     protocol = cybin.TCyBinaryProtocol(TCyMemoryBuffer(payload))
     return protocol
 
--- /dev/null
+++ b/tests/node/test_thriftcheck.py
@@ -0,0 +1,63 @@
+"""Tests of the check before decoding."""
+
+import random
+
+import hypothesis
+from hypothesis import strategies
+import pytest
+
+from sassafrasridge_node import rpc
+from sassafrasridge_node import thriftcheck
+
+
+def message():
+    req = rpc.idl.RenewRequest(
+        entry='e1',
+        incarnation=7,
+        observations=[rpc.idl.Observation(group='g', server='s', demand=1.0)],
+        accounts=[rpc.idl.AccountReport(account='a', tokens=2.5)],
+    )
+    return rpc._encode('renew', 1, 5, req)
+
+
+class TestCheckMessage:
+    def test_what_daemons_send_passes(self):
+        thriftcheck.check_message(message())
+
+    @hypothesis.given(strategies.integers(0, 400))
+    def test_a_cut_message_is_refused(self, size):
+        whole = message()
+        hypothesis.assume(size < len(whole))
+        with pytest.raises(ValueError):
+            thriftcheck.check_message(whole[:size])
+
+    @hypothesis.given(strategies.binary(max_size=200))
+    def test_random_bytes_raise_nothing_else(self, data):
+        try:
+            thriftcheck.check_message(data)
+        except ValueError:
+            return
+
+    def test_a_huge_count_is_refused_before_it_is_looped_over(self):
+        """Guards against a list of two thousand million empty structures."""
+        head = rpc._encode('renew', 1, 5, rpc.idl.RenewRequest())[:-1]
+        claimed = bytes((15, 0, 9, 12)) + (2**31 - 1).to_bytes(4, 'big')
+        with pytest.raises(ValueError):
+            thriftcheck.check_message(head + claimed + b'\0' * 100)
+
+    def test_deep_nesting_is_refused(self):
+        head = rpc._encode('renew', 1, 5, rpc.idl.RenewRequest())[:-1]
+        with pytest.raises(ValueError):
+            thriftcheck.check_message(head + bytes((12, 0, 1)) * 10_000)
+
+    def test_damaged_messages_take_no_longer_than_whole_ones(self):
+        rng = random.Random(20260)
+        whole = message()
+        for _ in range(2000):
+            damaged = bytearray(whole)
+            for _ in range(rng.randint(1, 4)):
+                damaged[rng.randrange(len(damaged))] = rng.randrange(256)
+            try:
+                thriftcheck.check_message(bytes(damaged))
+            except ValueError:
+                continue
