--- a/packages/node/src/sassafrasridge_node/sessionpool.py
+++ b/packages/node/src/sassafrasridge_node/sessionpool.py
@@ -17,6 +17,9 @@
 OPEN_TIMEOUT_S = 0.5
 """A target opens a connection within a round trip and some 30 ms."""
 
+ROUND_TRIPS_TO_OPEN = 2
+"""Connecting and introducing the account take one round trip each."""
+
 PROBE_EVERY_S = 0.5
 """A primary that answered nothing for so long is asked for its status."""
 
@@ -411,13 +414,18 @@
         return await self.acquire(account, deadline, values)
 
     async def _open(self, account: str, deadline: float) -> SessionConnection:
-        now = clocks.boottime()
+        rest_s = deadline - clocks.boottime()
+        if rest_s < ROUND_TRIPS_TO_OPEN * self.rtt_s and self.pool.connections:
+            raise backends.refused(model.DEADLINE)
         self.pool.opening += 1
         try:
             conn = await self._session_dialer.open(
-                self.info, account, min(OPEN_TIMEOUT_S, deadline - now)
+                self.info, account, min(OPEN_TIMEOUT_S, max(0.001, rest_s))
             )
         except connections.ConnectionLostError as exc:
+            if rest_s < OPEN_TIMEOUT_S and clocks.boottime() >= deadline:
+                # The time was too short to blame the target.
+                raise backends.refused(model.DEADLINE)
             self.circuit.failure(clocks.boottime())
             self._metrics.connection_failures.inc()
             self._note_reachable(False, str(exc))
