--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,12 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-.PHONY: install demo test lint format fuzz known-red measure figures slopes capacity
+# SEED repeats one run; COUNT runs that many seeds.
+COUNT ?= 5
+soak: install
+	$(BIN)/python -m sassafrasridge_testkit.soak --count $(COUNT) $(if $(SEED),--seed $(SEED))
+
+.PHONY: soak install demo test lint format fuzz known-red measure figures slopes capacity
 
 install: $(STAMP)
 
--- a/packages/node/src/sassafrasridge_node/sessionpool.py
+++ b/packages/node/src/sassafrasridge_node/sessionpool.py
@@ -5,6 +5,7 @@
 import collections
 import typing
 
+from sassafrasridge_core import errors
 from sassafrasridge_core import model
 from sassafrasridge_core import slots
 from sassafrasridge_core import statements
@@ -506,13 +507,14 @@
         try:
             if conn is None:
                 conn = await self._open(
-                    self.probe_account(), clocks.boottime() + STATUS_TIMEOUT_S
+                    self.probe_account(), clocks.boottime() + PROBE_EVERY_S
                 )
             answered = await conn.status(STATUS_TIMEOUT_S)
         except (
             connections.ConnectionLostError,
             backends.UnreachableError,
             RefusedError,
+            errors.UnavailableError,
         ):
             answered = False
         if conn is not None:
--- a/packages/testkit/src/sassafrasridge_testkit/linecaller.py
+++ b/packages/testkit/src/sassafrasridge_testkit/linecaller.py
@@ -1,6 +1,5 @@
 """A blocking client of the line protocol, for tests."""
 
-import itertools
 import secrets
 import socket
 import typing
@@ -34,14 +33,24 @@
         self._sock = socket.create_connection((host, int(port)), timeout_s)
         self._file = self._sock.makefile('rwb')
         self._prefix = secrets.token_hex(6)
-        self._ids = itertools.count()
+        self._number = 0
+        self.database = database
+        self.wrote = False
         self._send(f'STARTUP {database} {key}')
         self._answer()
 
     def query(self, text: str) -> Answer:
         """Run a statement; raise Failed, or OSError when cut off."""
-        self._send(f'QUERY {self._prefix}{next(self._ids)} {text}')
-        return self._answer()
+        id = self.next_id()
+        self._number += 1
+        self._send(f'QUERY {id} {text}')
+        answer = self._answer()
+        self.wrote = self.wrote or text.startswith('STORE')
+        return answer
+
+    def next_id(self) -> str:
+        """Return the id of the next statement."""
+        return f'{self._prefix}-{self._number}'
 
     def close(self) -> None:
         """Close the connection without a word."""
--- a/packages/testkit/src/sassafrasridge_testkit/linegroup.py
+++ b/packages/testkit/src/sassafrasridge_testkit/linegroup.py
@@ -288,6 +288,8 @@
             if other is not self
         ):
             await asyncio.sleep(ACK_POLL_S)
+            if not self.running:
+                raise ConnectionResetError('the server crashed')
 
 
 class Group:
--- /dev/null
+++ b/packages/testkit/src/sassafrasridge_testkit/soak.py
@@ -0,0 +1,321 @@
+"""A randomized fault soak of the product on the stand-in platform.
+
+Real processes are killed, paused, stopped and restarted, lose their disks,
+and targets crash, fall silent and leave, while clients work and an oracle
+judges what they were told. ``python -m sassafrasridge_testkit.soak --seed N``
+repeats a run; ``--count`` runs that many seeds.
+"""
+
+import argparse
+import pathlib
+import random
+import sys
+import tempfile
+import threading
+import time
+import typing
+
+from sassafrasridge_testkit import linecaller
+from sassafrasridge_testkit import linecluster
+from sassafrasridge_testkit import processes
+
+DEFAULT_SECONDS = 12.0
+CLIENTS = 6
+RECOVERY_S = 15.0
+"""Time in which everything must serve again after the last fault."""
+
+PROMISES = frozenset(
+    ('BUSY', 'ABORTED', 'LAGGING', 'READONLY', 'MISROUTED', 'TOOMANY')
+)
+
+
+class Record:
+    """What a client was told of its writes, by statement id."""
+
+    def __init__(self) -> None:
+        self.acknowledged: dict[str, str] = {}
+        self.promised: dict[str, str] = {}
+        self.problems: list[str] = []
+        self.statements = 0
+
+
+class Client(threading.Thread):
+    """Write rising numbers to an item of its own, and read them back."""
+
+    def __init__(
+        self, cluster: linecluster.LineCluster, number: int, seed: int
+    ) -> None:
+        super().__init__(daemon=True)
+        self.record = Record()
+        self.stopping = threading.Event()
+        self._cluster = cluster
+        self._rng = random.Random(f'{seed}-{number}')
+        self._item = f'item{number}'
+        self._group = cluster.group_names[number % len(cluster.group_names)]
+        self._value = 0
+        self._least = 0
+
+    def run(self) -> None:
+        """Work until told to stop."""
+        while not self.stopping.is_set():
+            kind = self._rng.choice(('primary', 'read_your_writes'))
+            node = self._rng.choice(self._cluster.entries)
+            try:
+                caller = self._cluster.caller(node, f'{self._group}-{kind}')
+            except (OSError, linecaller.Failed):
+                time.sleep(0.05)
+                continue
+            try:
+                for _ in range(self._rng.randint(1, 20)):
+                    self._operation(caller)
+                    if self.stopping.is_set():
+                        break
+            except OSError:
+                continue
+            finally:
+                caller.close()
+
+    def _operation(self, caller: linecaller.LineCaller) -> None:
+        self.record.statements += 1
+        try:
+            if self._rng.random() < 0.5:
+                self._write(caller, self._rng.random() < 0.3)
+            else:
+                self._read(caller)
+        except linecaller.Failed:
+            time.sleep(0.02)
+
+    def _write(self, caller: linecaller.LineCaller, transaction: bool) -> None:
+        self._value += 1
+        text = f'STORE {self._item} {self._value}'
+        id = caller.next_id()
+        try:
+            if transaction:
+                caller.query('BEGIN')
+                id = caller.next_id()
+                caller.query(text)
+                caller.query('COMMIT')
+            else:
+                caller.query(text)
+        except linecaller.Failed as exc:
+            if exc.code in PROMISES:
+                self.record.promised[id] = f'{exc.code} {text}'
+            if exc.state not in ('I', ''):
+                caller.query('ROLLBACK')
+            raise
+        self.record.acknowledged[id] = text
+        self._least = self._value
+
+    def _read(self, caller: linecaller.LineCaller) -> None:
+        least = self._least
+        if not caller.wrote and caller.database.endswith('your_writes'):
+            # Another session may be served data of the stated age.
+            least = 0
+        rows = caller.query(f'FETCH {self._item}').rows
+        found = 0 if rows == ['none'] else int(rows[0])
+        if found < least:
+            self.record.problems.append(
+                f'{caller.database}: read {found}, acknowledged {least}'
+            )
+
+
+class Faults:
+    """Choose and inject faults; every fault ends by itself."""
+
+    def __init__(
+        self, cluster: linecluster.LineCluster, rng: random.Random
+    ) -> None:
+        self._cluster = cluster
+        self._rng = rng
+        self.log: list[str] = []
+
+    def inject(self) -> None:
+        """Inject one fault, or two that overlap."""
+        kinds = (
+            self._kill_entry,
+            self._stop_entry,
+            self._pause,
+            self._kill_control,
+            self._crash_target,
+            self._silence_target,
+            self._leave,
+            self._change_configuration,
+        )
+        threads = [
+            threading.Thread(target=self._rng.choice(kinds), daemon=True)
+            for _ in range(self._rng.choice((1, 1, 2)))
+        ]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join(30)
+
+    def _note(self, text: str) -> None:
+        self.log.append(f'{time.monotonic():.2f} {text}')
+
+    def _restart(self, node: linecluster.Node, planned: bool) -> None:
+        self._note(f'{"stop" if planned else "kill"} {node.name}')
+        if planned:
+            node.process.stop(8.0)
+        else:
+            node.process.kill()
+        time.sleep(self._rng.uniform(0.0, 1.0))
+        if not node.process.running:
+            node.process.start()
+
+    def _kill_entry(self) -> None:
+        self._restart(self._rng.choice(self._cluster.entries), False)
+
+    def _stop_entry(self) -> None:
+        self._restart(self._rng.choice(self._cluster.entries), True)
+
+    def _kill_control(self) -> None:
+        self._restart(self._rng.choice(self._cluster.control), False)
+
+    def _pause(self) -> None:
+        nodes = [*self._cluster.entries, *self._cluster.control]
+        node = self._rng.choice(nodes)
+        self._note(f'pause {node.name}')
+        node.process.pause()
+        time.sleep(self._rng.uniform(0.2, 3.0))
+        node.process.resume()
+
+    def _target(self) -> str:
+        group = self._rng.choice(self._cluster.group_names)
+        found: str = self._rng.choice(self._cluster.servers(group))['server']
+        return found
+
+    def _crash_target(self) -> None:
+        server = self._target()
+        self._note(f'crash {server}')
+        self._cluster.ask('/faults', server=server, crash=True)
+        time.sleep(self._rng.uniform(0.5, 4.0))
+        self._cluster.ask('/faults', server=server, start=True)
+
+    def _silence_target(self) -> None:
+        server = self._target()
+        self._note(f'silence {server}')
+        self._cluster.ask('/faults', server=server, dark=True)
+        time.sleep(self._rng.uniform(0.5, 4.0))
+        self._cluster.ask('/faults', server=server, dark=False)
+
+    def _leave(self) -> None:
+        server = self._target()
+        self._note(f'{server} leaves')
+        self._cluster.ask('/faults', server=server, leaving=True)
+        time.sleep(2.5)
+        self._cluster.ask('/faults', server=server, leaving=False)
+
+    def _change_configuration(self) -> None:
+        self._note('configuration')
+        self._cluster.configure()
+
+
+def judge(
+    cluster: linecluster.LineCluster, records: list[Record]
+) -> list[str]:
+    """Return what broke a promise."""
+    problems = [problem for record in records for problem in record.problems]
+    kept: dict[str, int] = {}
+    for group in cluster.group_names:
+        primary = cluster.primary(group)
+        if primary is None:
+            problems.append(f'{group} has no primary')
+            continue
+        for _, _, _, ids in primary['commits']:
+            for id in ids:
+                kept[id] = kept.get(id, 0) + 1
+        for server in cluster.servers(group):
+            for account, _, text in server['statements']:
+                if 'key-' in account + text:
+                    problems.append('a target saw a key')
+    problems += [f'{id} took effect twice' for id, n in kept.items() if n > 1]
+    for record in records:
+        for id, text in record.acknowledged.items():
+            if id not in kept:
+                problems.append(f'{id} {text}: acknowledged and lost')
+        for id, text in record.promised.items():
+            if id in kept:
+                problems.append(f'{id} {text}: promised and kept')
+    version = cluster.version
+    for node in cluster.control:
+        status, raw = node.call('GET', '/api/config')
+        if status == 200 and b'"version":%d,' % version not in raw:
+            problems.append(f'{node.name} has an older configuration')
+    return problems
+
+
+def run(
+    seed: int, seconds: float, folder: pathlib.Path
+) -> tuple[list[str], list[str], int]:
+    """Run one seed; return problems, the faults and the statements."""
+    cluster = linecluster.LineCluster(folder, entries=3, groups=2)
+    rng = random.Random(seed)
+    faults = Faults(cluster, rng)
+    try:
+        cluster.start()
+        clients = [Client(cluster, n, seed) for n in range(CLIENTS)]
+        for client in clients:
+            client.start()
+        end = time.monotonic() + seconds
+        while time.monotonic() < end:
+            faults.inject()
+            time.sleep(rng.uniform(0.0, 1.0))
+        for client in clients:
+            client.stopping.set()
+        for client in clients:
+            client.join(10)
+        problems = _recover(cluster)
+        problems += judge(cluster, [client.record for client in clients])
+        return problems, faults.log, sum(c.record.statements for c in clients)
+    finally:
+        cluster.stop()
+
+
+def _recover(cluster: linecluster.LineCluster) -> list[str]:
+    try:
+        cluster.configure()
+        cluster.wait_serving(RECOVERY_S)
+    except processes.DeadlinePassed as exc:
+        return [f'not serving {RECOVERY_S} s after the last fault: {exc}']
+    return []
+
+
+def main(argv: list[str] | None = None) -> int:
+    """Run seeds; return 1 when one of them failed."""
+    parser = argparse.ArgumentParser(description='Run the fault soak.')
+    parser.add_argument('--seed', type=int, default=None)
+    parser.add_argument('--count', type=int, default=1)
+    parser.add_argument('--seconds', type=float, default=DEFAULT_SECONDS)
+    args = parser.parse_args(argv)
+    first = args.seed
+    if first is None:
+        first = random.SystemRandom().randrange(1_000_000)
+    failed = 0
+    for seed in range(first, first + args.count):
+        folder = pathlib.Path(tempfile.mkdtemp(prefix=f'soak-{seed}-'))
+        problems, log, statements = run(seed, args.seconds, folder)
+        failed += bool(problems)
+        _report(seed, problems, log, statements, folder)
+    return 1 if failed else 0
+
+
+def _report(
+    seed: int,
+    problems: list[str],
+    log: list[str],
+    statements: int,
+    folder: pathlib.Path,
+) -> None:
+    write: typing.Callable[[str], object] = sys.stdout.write
+    verdict = 'FAILED' if problems else 'ok'
+    write(f'seed {seed}: {verdict}, {statements} statements\n')
+    if problems:
+        write(f'  logs in {folder}\n')
+    for line in [*problems[:10], *(log if problems else [])]:
+        write(f'  {line}\n')
+    sys.stdout.flush()
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- a/tests/node/test_sessionfront.py
+++ b/tests/node/test_sessionfront.py
@@ -378,6 +378,20 @@
         assert asyncio.run(work()).failure is Failure.ABORTED
 
 
+class TestProbe:
+    def test_a_target_that_does_not_answer_ends_the_probe_quietly(self):
+        """Guards against a probe whose failure nobody handles."""
+        setting = Setting()
+
+        async def open_late(info, account, timeout_s):
+            await asyncio.sleep(timeout_s)
+            raise connections.ConnectionLostError('silent', sent=False)
+
+        setting.open = open_late
+        backend = setting.backend('p')
+        assert asyncio.run(backend.probe()) is False
+
+
 class TestLoad:
     """Many accounts on few connections: who waits, who is evicted."""
 
