--- a/packages/node/src/sassafrasridge_node/extension.py
+++ b/packages/node/src/sassafrasridge_node/extension.py
@@ -13,8 +13,10 @@
     """Accept sessions on an address."""
 
     @abc.abstractmethod
-    async def start(self, service: sessionfront.Service, address: str) -> None:
-        """Listen for sessions."""
+    async def start(
+        self, service: sessionfront.Service, address: str, max_clients: int
+    ) -> None:
+        """Listen for sessions; refuse those beyond a number."""
 
     @abc.abstractmethod
     def close_idle(self) -> None:
--- a/packages/node/src/sassafrasridge_node/main.py
+++ b/packages/node/src/sassafrasridge_node/main.py
@@ -148,7 +148,10 @@
             self._start_entry(control_pool)
         if self.service is not None and self._sessions is not None:
             self._spawn(self.service.run())
-            await self._sessions.start(self.service, self.cfg.entry.sessions)
+            cfg = self.cfg.entry
+            await self._sessions.start(
+                self.service, cfg.sessions, cfg.max_connections
+            )
 
     def _create_session_state(
         self, platform: extension.Platform, source: str
--- /dev/null
+++ b/tests/platform/test_sessions.py
@@ -0,0 +1,100 @@
+"""Tests of the server of sessions, with a service that answers at once."""
+
+import asyncio
+
+from sassafrasridge_core import statements
+from sassafrasridge_platform import sessions
+
+
+class FakeSession:
+    transaction = None
+
+    async def execute(self, stmt):
+        return statements.Result(['x' * 100_000], 'signed')
+
+
+class FakeService:
+    def __init__(self):
+        self.left = 0
+
+    def open(self, database, key):
+        return FakeSession()
+
+    def closed(self, session):
+        self.left += 1
+
+
+async def start(max_clients):
+    service, server = FakeService(), sessions.LineServer()
+    await server.start(service, '127.0.0.1:0', max_clients)
+    port = server._listener.sockets[0].getsockname()[1]
+    return service, server, port
+
+
+async def connect(port):
+    reader, writer = await asyncio.open_connection(
+        '127.0.0.1', port, limit=1 << 20
+    )
+    writer.write(b'STARTUP db key\r\n')
+    return reader, writer
+
+
+class TestLineServer:
+    def test_sessions_beyond_the_limit_are_refused_with_a_promise(self):
+        """Guards against running out of descriptors."""
+
+        async def run():
+            _, server, port = await start(1)
+            first, _ = await connect(port)
+            assert await first.readline() == b'READY I -\r\n'
+            second, _ = await connect(port)
+            assert (await second.readline()).startswith(b'ERROR BUSY')
+            assert await second.read() == b''
+            server.close_all()
+
+        asyncio.run(run())
+
+    def test_a_client_that_reads_nothing_is_not_served_on(self):
+        """Guards against answers that pile up in memory."""
+
+        async def run():
+            _, server, port = await start(5)
+            reader, writer = await connect(port)
+            await reader.readline()
+            reader._transport.pause_reading()
+            writer.write(b'QUERY 1 FETCH x\r\n' * 60)
+            await asyncio.sleep(0.3)
+            (client,) = server.clients
+            assert client._transport.get_write_buffer_size() < 1_000_000
+            assert client._waiting
+            reader._transport.resume_reading()
+            for _ in range(60):
+                assert (await reader.readline()).startswith(b'DATAROW')
+                await reader.readline()
+                await reader.readline()
+            server.close_all()
+
+        asyncio.run(run())
+
+    def test_malformed_input_gets_an_error_and_a_close(self):
+        async def run():
+            service, server, port = await start(5)
+            reader, writer = await connect(port)
+            await reader.readline()
+            writer.write(b'DROP everything\r\n')
+            assert (await reader.readline()).startswith(b'ERROR MALFORMED')
+            assert await reader.read() == b''
+            assert service.left == 1
+            server.close_all()
+
+        asyncio.run(run())
+
+    def test_idle_sessions_close_on_a_planned_stop(self):
+        async def run():
+            _, server, port = await start(5)
+            reader, _ = await connect(port)
+            await reader.readline()
+            server.close_idle()
+            assert await reader.read() == b''
+
+        asyncio.run(run())
