--- a/tests/platform/test_lines.py
+++ b/tests/platform/test_lines.py
@@ -93,6 +93,12 @@
             b'QUERY 5c0e WAITLSN 3.7 FETCH 1a4\r\n'
         )
 
+    def test_a_request_without_a_key_names_nobody(self):
+        """Guards against a startup with a field that is missing."""
+        info = model.TargetInfo('i-1', 'svc', '', '', '', 0, 0, 0, 0)
+        startup = lines.encode_target_startup(info, '')
+        assert startup == b'STARTUP svc - i-1\r\n'
+
     def test_a_prepared_name_is_replaced(self):
         stmt = lines.parse_statement('5c0e', 'EXECUTE s1 1a4 x y')
         command = sessionpool.Forward(stmt, None, 'p77')
