--- a/packages/node/src/sassafrasridge_node/main.py
+++ b/packages/node/src/sassafrasridge_node/main.py
@@ -540,9 +540,18 @@
         version=importlib.metadata.version('sassafrasridge-node'),
     )
     args = parser.parse_args(argv)
+    run(args.settings, check_only=args.check)
+
+
+def run(
+    path: str,
+    platform: extension.Platform | None = None,
+    check_only: bool = False,
+) -> None:
+    """Run the process that a settings file describes, then end it."""
     try:
-        cfg = settings.load(args.settings)
-        if args.check:
+        cfg = settings.load(path)
+        if check_only:
             return
         logs.LogSink(
             cfg.log.file or None,
@@ -550,7 +559,7 @@
             node=cfg.node.name,
             zone=cfg.node.zone,
         )
-        code = Process(cfg, path=args.settings).run()
+        code = Process(cfg, platform, path).run()
     except errors.RidgeError as exc:
         sys.stderr.write(exc.render() + '\n')
         sys.exit(exc.exit_code)
