End open transactions whose key was withdrawn or can't be verified; name the weights of a read's cost

Cause: keys were checked when a transaction began, so one that lasted longer than the bound of a withdrawal went on. Found by reading; two tests fail without the check.

--- a/packages/node/src/sassafrasridge_node/sessionfront.py
+++ b/packages/node/src/sassafrasridge_node/sessionfront.py
@@ -60,7 +60,23 @@
 """Taken off the age that a read accepts: covers clock drift and the time
 between the client's first byte and this process."""
 
+STATEMENT_S = 0.03
+"""Time that a statement in flight adds at a target; between the mean work of
+the users' two services."""
+
+AVOIDED_S = 1.0
+"""Added for a target that turned work away a moment ago: more than any
+distance, so that it is the last choice."""
+
+TIE_S = 0.002
+"""Spreads reads over targets at the same distance."""
+
+EXPIRE_INTERVAL_S = 0.25
+"""Interval at which idle transactions are looked for."""
+
 ROLLBACK_TIMEOUT_S = 1.0
+"""A round trip between regions and the target's own work, many times over."""
+
 LOG_DECISIONS_PER_S = 20
 """Log lines on single statements; the rest is counted only."""
 
@@ -182,7 +198,7 @@
     async def run(self) -> None:
         """End idle transactions until cancelled."""
         while True:
-            await asyncio.sleep(0.25)
+            await asyncio.sleep(EXPIRE_INTERVAL_S)
             now = clocks.boottime()
             for session in list(self.sessions):
                 session.expire(now)
@@ -574,9 +590,7 @@
             and (backend is leader or not self._leads(access, backend))
         ]
         return min(
-            found,
-            key=lambda b: self._cost(now, b, access, floor),
-            default=None,
+            found, key=lambda b: self._cost(now, b, access), default=None
         )
 
     def _leads(
@@ -590,16 +604,15 @@
         now: float,
         backend: sessionpool.SessionBackend,
         access: Access,
-        floor: model.Position,
     ) -> float:
         """Estimate the seconds until a target has answered a read."""
         cost = backend.rtt_s
         if not backend.pool.has_idle(access.account):
-            cost += 2 * backend.rtt_s
-        cost += 0.03 * max(0, backend.in_flight - 1)
+            cost += sessionpool.ROUND_TRIPS_TO_OPEN * backend.rtt_s
+        cost += STATEMENT_S * max(0, backend.in_flight - 1)
         if backend.avoid_until > now:
-            cost += 1.0
-        return cost + 0.002 * self._service.rng.random()
+            cost += AVOIDED_S
+        return cost + TIE_S * self._service.rng.random()
 
     async def _acquire(
         self,
@@ -706,6 +719,7 @@
     async def _in_transaction(
         self, stmt: statements.Statement, tx: Transaction, started: float
     ) -> Result:
+        self._check_key(tx.access)
         prepared = self._find_prepared(stmt)
         deadline = started + tx.access.route.timeout_s
         if tx.conn is None:
@@ -731,6 +745,22 @@
             return _done(answer)
         raise self._statement_problem(answer)
 
+    def _check_key(self, access: Access) -> None:
+        """Raise Problem unless the key of an open transaction still holds.
+
+        A changed route applies from the next transaction on; a withdrawn key
+        ends this one.
+        """
+        if not self._state.config_valid():
+            raise Problem(
+                Failure.ABORTED, 'this process is cut off from control'
+            )
+        if access.account == admission.ANONYMOUS:
+            return
+        account = self._state.config.account_of(self._digest)
+        if account is None or account.name != access.account:
+            raise Problem(Failure.UNAUTHORIZED, 'the key was withdrawn')
+
     def _still_leads(self, tx: Transaction) -> bool:
         same = self._term(tx.access) == tx.term
         return same and self._state.leader(tx.access.group) is tx.backend
--- a/tests/node/test_sessionfront.py
+++ b/tests/node/test_sessionfront.py
@@ -364,6 +364,31 @@
         sent = setting.targets['p'].sent()
         assert isinstance(sent[-1], sessionpool.Rollback)
 
+    def test_a_withdrawn_key_ends_an_open_transaction(self):
+        """Guards against transactions that outlive their key."""
+        setting = Setting()
+        session = setting.session()
+        setting.run(BEGIN, write(), session=session)
+        setting.state.config._tables.put('key', 'k', None)
+        refused, ended = setting.run(read(), COMMIT, session=session)
+        assert refused.failure is Failure.UNAUTHORIZED
+        assert ended.failure is Failure.ABORTED
+        commits = [
+            c
+            for c in setting.targets['p'].sent()
+            if isinstance(c, sessionpool.Forward) and c.statement is COMMIT
+        ]
+        assert not commits
+
+    def test_it_ends_where_no_configuration_is_certain(self):
+        """Guards against a key that was withdrawn elsewhere meanwhile."""
+        setting = Setting()
+        session = setting.session()
+        setting.run(BEGIN, read(), session=session)
+        setting.state.lease._start -= 4.1
+        (refused,) = setting.run(read(), session=session)
+        assert refused.failure is Failure.ABORTED
+
     def test_an_idle_one_is_rolled_back(self):
         setting = Setting()
         session = setting.session()
