--- a/packages/core/src/sassafrasridge_core/slots.py
+++ b/packages/core/src/sassafrasridge_core/slots.py
@@ -218,14 +218,12 @@
         'renewed_at',
         'answer',
         'basis',
-        'decided_at',
     )
 
     def __init__(self, entry: str) -> None:
         self.answer = VersionedLimit(0, -1, 0, 0)
         # What the answer was decided from.
         self.basis: tuple[int, int, int] | None = None
-        self.decided_at = -math.inf
         self.entry = entry
         self.version = -1
         self.limit = 0
@@ -259,22 +257,12 @@
     """Keep one target's connection limits at the leader.
 
     A new leader creates one with its term. For one lease duration it gives
-    no holder more than that one presents. With ``plan_every_s`` the division
-    is planned for all holders at once, so often: planning for each renewal
-    costs time that grows with the square of the holders.
+    no holder more than that one presents.
     """
 
     def __init__(
-        self,
-        now: float,
-        term: int,
-        lease_s: float = LEASE_S,
-        plan_every_s: float = 0.0,
+        self, now: float, term: int, lease_s: float = LEASE_S
     ) -> None:
-        self._plan_every_s = plan_every_s
-        self._plan: dict[tuple[str, int], Limit] = {}
-        self._planned_at = -math.inf
-        self._planned_for = (0, 0)
         self._reclaim_s = lease_s * (1 + CLOCK_DRIFT) + RECLAIM_MARGIN_S
         self._open_at = now + self._reclaim_s
         self._version = term << TERM_SHIFT
@@ -320,10 +308,7 @@
         if holder.answer.version == version and holder.basis == basis:
             # The same basis gives the same limit, which the holder has.
             return holder.answer._replace(base=version)
-        if holder.answer.version == version and self._is_settled(now, holder):
-            return holder.answer._replace(base=version)
         connections, in_flight = self._decide(now, key, budget, slots)
-        holder.decided_at = now
         self._version += 1
         most = holder.most()
         holder.grants.append((self._version, connections))
@@ -337,43 +322,9 @@
             holder.basis = (budget, slots, self._changes)
         return holder.answer
 
-    def _is_settled(self, now: float, holder: _Holder) -> bool:
-        """Return whether a holder keeps its limit until the next plan.
-
-        What it has counts as held, so it may always keep it.
-        """
-        return (
-            holder.answer.connections > 0
-            and now < holder.decided_at + self._plan_every_s
-        )
-
-    def _decide_by_plan(
-        self, now: float, key: tuple[str, int], budget: int, slots: int
-    ) -> tuple[int, int]:
-        """Move a holder towards the plan, by what is free at most."""
-        if (
-            key not in self._plan
-            or now >= self._planned_at + self._plan_every_s
-            or self._planned_for != (budget, slots)
-        ):
-            names = {key: f'{key[0]}/{key[1]}' for key in self._holders}
-            demands = {names[k]: h.demand for k, h in self._holders.items()}
-            limits = self._allocator.limits(budget, slots, demands, {})
-            self._plan = {k: limits[names[k]] for k in self._holders}
-            self._planned_at = now
-            self._planned_for = (budget, slots)
-        wish, own = self._plan[key], self._holders[key].most()
-        free = max(0, budget - self.held())
-        connections = min(wish.connections, own + free)
-        if now < self._open_at:
-            connections = min(connections, self._holders[key].limit)
-        return connections, min(wish.in_flight, connections)
-
     def _decide(
         self, now: float, key: tuple[str, int], budget: int, slots: int
     ) -> tuple[int, int]:
-        if self._plan_every_s:
-            return self._decide_by_plan(now, key, budget, slots)
         names = {key: f'{key[0]}/{key[1]}' for key in self._holders}
         demands = {
             names[k]: holder.demand for k, holder in self._holders.items()
--- a/packages/node/src/sassafrasridge_node/leadership.py
+++ b/packages/node/src/sassafrasridge_node/leadership.py
@@ -93,8 +93,6 @@
         if exclusive_names:
             self._incarnations = incarnations.Incarnations()
         self._opened = False
-        # Interval of plans of connections; 0: with every renewal.
-        self.plan_every_s = 0.0
         self.term = term
         self.table = leases.LeaseTable(times, now)
         self.detector = promotion.Detector(suspect_after_s)
@@ -284,10 +282,7 @@
         ledger = self._ledgers.get(key)
         if ledger is None:
             ledger = self._ledgers[key] = slots.ConnectionLedger(
-                self._started_at,
-                self.term,
-                self._times.lease_s,
-                self.plan_every_s,
+                self._started_at, self.term, self._times.lease_s
             )
             if self._opened:
                 ledger.open(now)
--- a/packages/node/src/sassafrasridge_node/main.py
+++ b/packages/node/src/sassafrasridge_node/main.py
@@ -47,10 +47,6 @@
 its listener closes."""
 
 DRAIN_POLL_S = 0.02
-CONNECTION_PLAN_S = 1.0
-"""Interval at which connections to targets are divided anew where they belong
-to accounts; an account's connections are of use for several seconds."""
-
 TRANSACTION_SHARE = 0.4
 """Part of the drain time after which open transactions are rolled back."""
 
@@ -269,7 +265,6 @@
         orders = platform.orders(self.source(), self.cfg.node.name)
 
         def create(current: leadership.Leadership) -> failover.FailoverKeeper:
-            current.plan_every_s = CONNECTION_PLAN_S
             return failover.FailoverKeeper(
                 member,
                 current.detector,
