Give each test cluster a network of its own

Seen once: test_replaced_members_join_without_a_command failed, an entry process could not bind 127.0.1.4 (address in use), and again in one of three repeats, right after another run of the tests had been interrupted. All clusters used the same addresses, and a process binds its outgoing connections to its own one.

--- a/packages/testkit/src/sassafrasridge_testkit/linecluster.py
+++ b/packages/testkit/src/sassafrasridge_testkit/linecluster.py
@@ -1,6 +1,8 @@
 """Run the product on a stand-in of the users' platform, on 127.0.0.0/8."""
 
 import http.client
+import itertools
+import os
 import pathlib
 import sys
 import time
@@ -51,6 +53,8 @@
 
 Json = dict[str, typing.Any]
 
+_networks = itertools.count(1)
+
 
 class Node:
     """One process of the product."""
@@ -94,7 +98,10 @@
         self.control_port = processes.free_port('127.0.0.1')
         self.group_names = [f'group{n}' for n in range(groups)]
         self.version = 0
-        self._hosts = (f'127.0.1.{n}' for n in range(1, 200))
+        # A network of its own: another cluster's outgoing connections could
+        # take the port of a process that is being restarted.
+        network = f'127.{16 + os.getpid() % 200}.{next(_networks) % 250}'
+        self._hosts = (f'{network}.{n}' for n in range(1, 200))
         seeds = [next(self._hosts) for _ in ZONES]
         self.seeds = ', '.join(f'{h}:{self.control_port}' for h in seeds)
         self.cloud = f'127.0.0.1:{processes.free_port()}'
