Wait for the removal of a member to be committed before the next loss in its test

Traced: the test killed the leader right after it had proposed the removal, so two of four voters were lost at once, one more than tolerated, and the two that were left could not elect a leader. A change that is acknowledged later proves that the removal is committed.

--- a/tests/integration/test_platform.py
+++ b/tests/integration/test_platform.py
@@ -305,6 +305,9 @@
             processes.wait_until(
                 lambda: 'member_removed' in _logs(cluster), 8.0, 'removal'
             )
+            # A change that is acknowledged now is committed after the
+            # removal. Before that, a second loss is one more than tolerated.
+            cluster.configure()
             # Two of the three that are left can now decide.
             cluster.control[2].process.kill()
             newer = cluster.configure()
