Look at the present log when a control member asks for its vote

Cause: the task kept the log that the member had at its start. After a failed disk was read again it watched a log that no longer changed, so a member removed meanwhile never asked to return. Found by reading; the test fails without the change.

--- a/packages/node/src/sassafrasridge_node/joining.py
+++ b/packages/node/src/sassafrasridge_node/joining.py
@@ -21,17 +21,15 @@
     member: control.ControlMember, seeds: list[str], pool: rpc.ClientPool
 ) -> None:
     """Ask the known members for a vote whenever this member has none."""
-    log = member.log
-    if not raftmembers.votes(log.members, log.name, log.disk_id):
-        logs.change('joining', seeds=seeds, disk_id=log.disk_id)
+    if not _votes(member):
+        logs.change('joining', seeds=seeds, disk_id=member.log.disk_id)
     reason = ''
     for turn in itertools.count():
         await asyncio.sleep(JOIN_INTERVAL_S)
-        if raftmembers.votes(log.members, log.name, log.disk_id):
+        if _votes(member):
             continue
-        others = [a for a in member.addresses() if a != member.rpc_address]
-        known = list(dict.fromkeys([*others, *seeds]))
-        known = [address for address in known if address != member.rpc_address]
+        listed = dict.fromkeys([*member.addresses(), *seeds])
+        known = [a for a in listed if a != member.rpc_address]
         if not known:
             continue
         address = known[turn % len(known)]
@@ -40,6 +38,12 @@
             logs.change('join_deferred', address=address, reason=reason)
 
 
+def _votes(member: control.ControlMember) -> bool:
+    # The member has another log after its disk failed and works again.
+    log = member.log
+    return raftmembers.votes(log.members, log.name, log.disk_id)
+
+
 async def _ask(
     member: control.ControlMember, address: str, pool: rpc.ClientPool
 ) -> str:
