Say once what the session code said twice, and drop what nothing uses

No behaviour is meant to change. - One method builds the commands of a statement (reads, writes, transactions), one checks that lease and view are those of the dispatch, and the target itself says whether it leads. - Targets are connected to by connections.Dialer, for both protocols. - The directory is applied by the state of sessions, not by a flag in the state of all entry processes. - failover: one list of members while the directory is incomplete, one grace period, and replicas are resumed once when a change is called off. - control: one check that a member leads. main: one way onto the engine's loop. - Labelled metrics of statements are looked up once, as those of requests are. - Dropped: Result.close, Directory.heard_at, AccountPool.fail_all.

--- a/packages/core/src/sassafrasridge_core/directory.py
+++ b/packages/core/src/sassafrasridge_core/directory.py
@@ -119,11 +119,6 @@
         """Return whether a target that is not listed is surely gone."""
         return now - self._started_at > COMPLETE_AFTER_S
 
-    def heard_at(self, server: str) -> float:
-        """Return when a target was heard last, -inf when never."""
-        entry = self._entries.get(server)
-        return float('-inf') if entry is None else entry.heard_at
-
     def targets(self) -> collections.abc.Iterable[model.TargetInfo]:
         """Return all known targets."""
         return [e.announcement.info for e in self._entries.values()]
--- a/packages/core/src/sassafrasridge_core/statements.py
+++ b/packages/core/src/sassafrasridge_core/statements.py
@@ -117,7 +117,6 @@
         'detail',
         'state',
         'position',
-        'close',
     )
 
     def __init__(
@@ -128,7 +127,6 @@
         detail: str = '',
         state: State = State.IDLE,
         position: str = '',
-        close: bool = False,
     ) -> None:
         self.rows = rows or []
         self.signature = signature
@@ -136,4 +134,3 @@
         self.detail = detail
         self.state = state
         self.position = position
-        self.close = close
--- a/packages/node/src/sassafrasridge_node/commands.py
+++ b/packages/node/src/sassafrasridge_node/commands.py
@@ -434,9 +434,9 @@
 
 def _confirm(member: control.ControlMember) -> None:
     """Raise NoLeaderError unless this member surely knows all commits."""
-    current = member.log.leads(clocks.boottime())
-    if not current or member.applied < member.log.commit_index:
-        raise control.NoLeaderError('this member is not sure that it leads')
+    member.require_lead()
+    if member.applied < member.log.commit_index:
+        raise control.NoLeaderError('this member has not applied all commits')
 
 
 async def register(
--- a/packages/node/src/sassafrasridge_node/connections.py
+++ b/packages/node/src/sassafrasridge_node/connections.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import collections.abc
 import itertools
 import typing
 
@@ -20,6 +21,9 @@
 """Integers that a target's accepted answers must have."""
 
 
+_Protocol = typing.TypeVar('_Protocol', bound=asyncio.BaseProtocol)
+
+
 class ConnectionLostError(Exception):
     """Report a connection that failed during a call.
 
@@ -215,16 +219,24 @@
         self, address: str, timeout_s: float = CONNECT_TIMEOUT_S
     ) -> TargetConnection:
         """Open a connection; raise ConnectionLostError when it fails."""
+        return await self.connect(
+            lambda: TargetConnection(address), address, timeout_s
+        )
+
+    async def connect(
+        self,
+        create: collections.abc.Callable[[], _Protocol],
+        address: str,
+        timeout_s: float,
+    ) -> _Protocol:
+        """Connect a protocol; raise ConnectionLostError when it fails."""
         host, port = address.rsplit(':', 1)
         loop = asyncio.get_running_loop()
         local = (self.source, 0) if self.source else None
         try:
             async with asyncio.timeout(timeout_s):
                 _, conn = await loop.create_connection(
-                    lambda: TargetConnection(address),
-                    host,
-                    int(port),
-                    local_addr=local,
+                    create, host, int(port), local_addr=local
                 )
         except (OSError, ValueError) as exc:
             raise ConnectionLostError(
--- a/packages/node/src/sassafrasridge_node/control.py
+++ b/packages/node/src/sassafrasridge_node/control.py
@@ -544,16 +544,19 @@
         """
         current = self.leadership
         if current is not None:
-            now = clocks.boottime()
-            if not self.log.leads(now):
-                raise NoLeaderError('this member is not sure that it leads')
-            current.register(now, announcement)
+            self.require_lead()
+            current.register(clocks.boottime(), announcement)
             return True
         info = announcement.info
         body = {name: getattr(info, name) for name in info.__slots__}
         body |= {'born': announcement.born, 'sequence': announcement.sequence}
         return await self._tell_leader('register', body)
 
+    def require_lead(self) -> None:
+        """Raise NoLeaderError unless a majority confirmed the lead lately."""
+        if not self.log.leads(clocks.boottime()):
+            raise NoLeaderError('this member is not sure that it leads')
+
     async def unregister(self, server: str) -> bool:
         """Forget a target that has ended, here or at the leader."""
         if self.leadership is not None:
--- a/packages/node/src/sassafrasridge_node/entry.py
+++ b/packages/node/src/sassafrasridge_node/entry.py
@@ -60,8 +60,6 @@
         self.entries: dict[str, str] = {}
         self.entries_revision = 0
         self.targets_revision = 0
-        # Targets announce themselves to control only.
-        self.follows_directory = False
         self._serving: set[str] = set()
         self._zones: dict[str, str] = {}
         self._serving_sets: dict[str, list[str]] = {}
@@ -265,20 +263,7 @@
                 )
 
     def apply_targets(self, reply: typing.Any) -> None:
-        """Record the targets that control knows, if the reply lists them."""
-        if not self.follows_directory or reply.targets is None:
-            return
-        listed = {(t.group, t.server) for t in reply.targets}
-        for record in reply.targets:
-            self.announced(codec.target_from_wire(record))
-        if not reply.targets_complete:
-            # A new leader has not heard of every target yet.
-            return
-        self.targets_revision = reply.targets_revision
-        for key in list(self.backends):
-            if key not in listed:
-                self.backends.pop(key).pool.close()
-                self._served = None
+        """Ignore the directory: targets announce themselves here."""
 
     def apply_connections(self, grants: typing.Any, sent_at: float) -> None:
         """Apply the limits that answer a renewal sent at ``sent_at``."""
--- a/packages/node/src/sassafrasridge_node/failover.py
+++ b/packages/node/src/sassafrasridge_node/failover.py
@@ -210,20 +210,17 @@
         )
 
     def _members(self, view: model.GroupView) -> dict[str, str]:
-        """Return the members that the view should name.
+        """Return the members that the view should name."""
+        return _addresses(self._known(view).values()) or view.members
 
-        A member that is not in the directory of a new leader is kept until
-        the leader has heard of every target.
-        """
-        known = _addresses(self._targets.group(view.group).values())
-        if not self._targets.complete(clocks.boottime()):
-            return {**view.members, **known}
-        return known or view.members
+    def _is_new(self, view: model.GroupView, now: float) -> bool:
+        """Return whether the primary was changed a moment ago."""
+        changed_at = self._changed_at.get(view.group, float('-inf'))
+        return now < changed_at + GRACE_S
 
     def _usurpers(self, view: model.GroupView) -> list[model.TargetInfo]:
         """Return targets that lead although they were replaced."""
-        grace = self._changed_at.get(view.group, float('-inf')) + GRACE_S
-        if clocks.boottime() < grace:
+        if self._is_new(view, clocks.boottime()):
             return []
         return [
             info
@@ -248,7 +245,7 @@
             return 'primary_leaving'
         if info is None and self._targets.complete(now):
             return 'primary_gone'
-        if now < self._changed_at.get(view.group, float('-inf')) + GRACE_S:
+        if self._is_new(view, now):
             return None
         if self._detector.failed(now, view.group, view.primary or '', live):
             return 'primary_failed'
@@ -317,12 +314,16 @@
         return True
 
     def _known(self, view: model.GroupView) -> dict[str, model.TargetInfo]:
-        """Return the group's targets, with members heard of earlier only."""
+        """Return the group's targets.
+
+        A member that is not in the directory of a new leader is kept until
+        the leader has heard of every target.
+        """
         found = self._targets.group(view.group)
+        if self._targets.complete(clocks.boottime()):
+            return found
         for server, address in view.members.items():
-            if server not in found and not self._targets.complete(
-                clocks.boottime()
-            ):
+            if server not in found:
                 found[server] = model.TargetInfo(
                     server, view.group, '', address, '', 0, 0, 0, 0
                 )
@@ -350,7 +351,6 @@
             clocks.boottime(), view.group, info.server, self._live()
         ):
             return False
-        await self._resume(targets, [])
         await self._finish(view, targets, leading[0], clocks.boottime())
         return True
 
--- a/packages/node/src/sassafrasridge_node/main.py
+++ b/packages/node/src/sassafrasridge_node/main.py
@@ -167,7 +167,6 @@
             max_wait_s=cfg.max_wait,
         )
         state.dialer = platform.dialer(source)
-        state.follows_directory = True
         self.state = state
         self.service = sessionfront.Service(state, self.metrics, self._rng)
         self._sessions = platform.sessions()
@@ -417,9 +416,7 @@
     def _call(
         self, coroutine: typing.Coroutine[typing.Any, typing.Any, typing.Any]
     ) -> typing.Any:
-        return asyncio.run_coroutine_threadsafe(
-            coroutine, self.daemon.loop
-        ).result()
+        return self._submit(coroutine).result()
 
     def _submit(
         self, coroutine: typing.Coroutine[typing.Any, typing.Any, typing.Any]
--- a/packages/node/src/sassafrasridge_node/metrics.py
+++ b/packages/node/src/sassafrasridge_node/metrics.py
@@ -9,6 +9,7 @@
 import prometheus_client
 from prometheus_client import registry
 
+from sassafrasridge_core import statements
 from sassafrasridge_node import logs
 
 # Kinds of errors that may be label values; all others count as 'other'.
@@ -122,19 +123,28 @@
         self.connections_opened = self.counter(
             'connections_opened', 'Connections to targets that were opened'
         )
-        self.operations = self.counter(
+        operations = self.counter(
             'session_statements',
             'Statements of sessions, by result',
             ('result',),
         )
+        # By failure; None stands for a statement that was done.
+        self.operations = {
+            failure: operations.labels(failure.value if failure else 'done')
+            for failure in (None, *statements.Failure)
+        }
         self.sessions = self.gauge('sessions', 'Open sessions')
-        self.session_seconds = prometheus_client.Histogram(
+        session_seconds = prometheus_client.Histogram(
             'sassafrasridge_session_statement_seconds',
             'Time from a complete statement to its result, by kind',
             ('kind',),
             buckets=TIME_BUCKETS,
             registry=self.registry,
         )
+        self.session_seconds = {
+            kind: session_seconds.labels(kind.value)
+            for kind in statements.Kind
+        }
         self.silent_batches = self.counter(
             'silent_batches', 'Times that connections went silent together'
         )
--- a/packages/node/src/sassafrasridge_node/sessionfront.py
+++ b/packages/node/src/sassafrasridge_node/sessionfront.py
@@ -277,9 +277,9 @@
     ) -> None:
         seconds = clocks.boottime() - started
         counters = self._service.metrics
-        counters.session_seconds.labels(stmt.kind.value).observe(seconds)
+        counters.session_seconds[stmt.kind].observe(seconds)
         failure = result.failure
-        counters.operations.labels(failure.value if failure else 'done').inc()
+        counters.operations[failure].inc()
         if failure is not None:
             self._service.decisions.write(
                 'statement_failed',
@@ -449,8 +449,7 @@
             backend = await self._leader(access, started)
             term = self._term(access)
             conn = await self._acquire(backend, access, deadline)
-            commands = self._setup(conn, prepared)
-            commands.append(_forward(stmt, prepared, None))
+            commands = self._commands(conn, stmt, prepared, None)
             answer = await self._send(backend, conn, commands, deadline, True)
             if answer.verdict is Verdict.DONE:
                 return self._acknowledge(backend, access, term, answer)
@@ -495,8 +494,7 @@
         answer: sessionpool.TargetAnswer,
     ) -> Result:
         """Return a write's result, unless the primary may be replaced."""
-        same = self._term(access) == term
-        if not same or self._state.leader(access.group) is not backend:
+        if not self._still_leads(backend, access, term):
             raise Problem(
                 Failure.IN_DOUBT, 'the primary was replaced meanwhile'
             )
@@ -542,8 +540,8 @@
                 problem = exc
                 self._moved(stmt, backend, floor, problem)
                 continue
-            commands = self._setup(conn, prepared)
-            commands.append(_forward(stmt, prepared, None if leads else floor))
+            needed = None if leads else floor
+            commands = self._commands(conn, stmt, prepared, needed)
             answer = await self._send(backend, conn, commands, deadline, False)
             if answer.verdict is Verdict.DONE:
                 return _done(answer)
@@ -587,18 +585,12 @@
             if backend not in tried
             and backend.pool.limit
             and backend.circuit.ready(now)
-            and (backend is leader or not self._leads(access, backend))
+            and (backend is leader or not backend.leads())
         ]
         return min(
             found, key=lambda b: self._cost(now, b, access), default=None
         )
 
-    def _leads(
-        self, access: Access, backend: sessionpool.SessionBackend
-    ) -> bool:
-        view = self._state.groups.get(access.group)
-        return view is not None and view.primary == backend.info.server
-
     def _cost(
         self,
         now: float,
@@ -656,6 +648,18 @@
             conn.prepared.add(prepared.name)
         return commands
 
+    def _commands(
+        self,
+        conn: sessionpool.SessionConnection,
+        stmt: statements.Statement,
+        prepared: Prepared | None,
+        floor: model.Position | None,
+    ) -> list[sessionpool.Command]:
+        """Return what runs a statement in this session's state."""
+        name = '' if prepared is None else prepared.name
+        forward = sessionpool.Forward(stmt, floor, name)
+        return [*self._setup(conn, prepared), forward]
+
     async def _send(
         self,
         backend: sessionpool.SessionBackend,
@@ -730,10 +734,13 @@
         commits = stmt.kind is Kind.COMMIT
         writes = stmt.kind is Kind.WRITE or bool(prepared and prepared.writes)
         tx.wrote = tx.wrote or writes
-        commands = self._setup(conn, prepared)
-        if commits and not tx.read_only and not self._still_leads(tx):
+        if (
+            commits
+            and not tx.read_only
+            and not self._still_leads(backend, tx.access, tx.term)
+        ):
             raise Problem(Failure.ABORTED, 'the primary was replaced')
-        commands.append(_forward(stmt, prepared, None))
+        commands = self._commands(conn, stmt, prepared, None)
         answer = await self._send(
             backend, conn, commands, deadline, commits and tx.wrote, keep=True
         )
@@ -761,9 +768,15 @@
         if account is None or account.name != access.account:
             raise Problem(Failure.UNAUTHORIZED, 'the key was withdrawn')
 
-    def _still_leads(self, tx: Transaction) -> bool:
-        same = self._term(tx.access) == tx.term
-        return same and self._state.leader(tx.access.group) is tx.backend
+    def _still_leads(
+        self,
+        backend: sessionpool.SessionBackend,
+        access: Access,
+        term: int,
+    ) -> bool:
+        """Return whether lease and view are those of an earlier dispatch."""
+        same = self._term(access) == term
+        return same and self._state.leader(access.group) is backend
 
     def _statement_problem(self, answer: sessionpool.TargetAnswer) -> Problem:
         """Return why a statement failed; its transaction is rolled back."""
@@ -863,15 +876,6 @@
     backend.release(conn, clean=answer.state is State.IDLE)
 
 
-def _forward(
-    stmt: statements.Statement,
-    prepared: Prepared | None,
-    floor: model.Position | None,
-) -> sessionpool.Forward:
-    name = '' if prepared is None else prepared.name
-    return sessionpool.Forward(stmt, floor, name)
-
-
 def _done(answer: sessionpool.TargetAnswer) -> Result:
     position = answer.position
     text = '' if position is None else f'{position.term}.{position.index}'
--- a/packages/node/src/sassafrasridge_node/sessionpool.py
+++ b/packages/node/src/sassafrasridge_node/sessionpool.py
@@ -280,15 +280,11 @@
         while self._idle and next(iter(self._idle)).used_at < oldest:
             self.evict()
 
-    def fail_all(self, reason: str) -> None:
-        """Close all connections; calls in progress fail."""
-        for conn in list(self.connections):
-            self.discard(conn)
-
     def close(self) -> None:
-        """Close all connections and allow no more."""
+        """Close all connections and allow no more; calls on them fail."""
         self.limit = 0
-        self.fail_all('closed')
+        for conn in list(self.connections):
+            self.discard(conn)
 
 
 class SessionBackend(backends.Backend):
--- a/packages/node/src/sassafrasridge_node/sessionstate.py
+++ b/packages/node/src/sassafrasridge_node/sessionstate.py
@@ -1,8 +1,11 @@
 """State of an entry process that serves sessions."""
 
+import typing
+
 from sassafrasridge_core import model
 from sassafrasridge_node import backends
 from sassafrasridge_node import clocks
+from sassafrasridge_node import codec
 from sassafrasridge_node import entry
 from sassafrasridge_node import sessionpool
 
@@ -32,6 +35,22 @@
     def _any_account(self) -> str:
         return next((a.name for a in self.config.accounts()), '')
 
+    def apply_targets(self, reply: typing.Any) -> None:
+        """Record the targets that control knows, if the reply lists them."""
+        if reply.targets is None:
+            return
+        listed = {(t.group, t.server) for t in reply.targets}
+        for record in reply.targets:
+            self.announced(codec.target_from_wire(record))
+        if not reply.targets_complete:
+            # A new leader has not heard of every target yet.
+            return
+        self.targets_revision = reply.targets_revision
+        for key in list(self.backends):
+            if key not in listed:
+                self.backends.pop(key).pool.close()
+                self._served = None
+
     def serves(self, group: str) -> bool:
         """Return whether this process keeps connections to the group."""
         return True
