Pass statements of sessions on to the serving set, and charge small accounts at one process

Cause: at the grown size every entry process served every group. 87 holders shared each target's connections (14.6 ms of the leader's time a renewal), 86 accounts shared 3 connections a process and target (an open for most operations), and an account's burst was smaller than the number of processes, so that every second operation needed an exchange with the leader, which was saturated. Another process passes the statement on with the session's values, prepared text and floor; a transaction stays where it began. Accounts with a small burst are charged by one process.

--- a/packages/core/src/sassafrasridge_core/placement.py
+++ b/packages/core/src/sassafrasridge_core/placement.py
@@ -1,5 +1,6 @@
-"""Which entry processes hold connections to a database group."""
+"""Which entry processes serve a database group or charge an account."""
 
+from collections.abc import Collection
 from collections.abc import Mapping
 from collections.abc import Sequence
 
@@ -7,6 +8,10 @@
 
 SERVING_SET_SIZE = 7
 
+TOKENS_PER_ENTRY = 1.0
+"""With a smaller burst per entry process, a process can't hold a whole token
+and nearly every operation would need an exchange with control."""
+
 
 def serving_set(
     group: str,
@@ -37,6 +42,23 @@
     return ranked[:size]
 
 
+def charging_entry(
+    account: str, burst: float, entries: Collection[str]
+) -> str | None:
+    """Return the entry process that charges an account for all others.
+
+    None: the burst suffices for every process to charge by itself.
+
+    >>> charging_entry('acme', 30.0, ['e1', 'e2', 'e3']) is None
+    True
+    >>> charging_entry('acme', 2.0, ['e1', 'e2', 'e3'])
+    'e2'
+    """
+    if burst >= TOKENS_PER_ENTRY * len(entries):
+        return None
+    return max(entries, key=lambda entry: (_score(account, entry), entry))
+
+
 def _zones_first(ranked: list[str], zones: Mapping[str, str]) -> list[str]:
     best: dict[str, str] = {}
     for entry in ranked:
--- a/packages/node/src/sassafrasridge_node/admission.py
+++ b/packages/node/src/sassafrasridge_node/admission.py
@@ -180,7 +180,8 @@
             raise errors.UnauthorizedError('the key is unknown or withdrawn')
         limit = min(MAX_RATE_WAIT_S, deadline - now)
         if account.rate <= 0 or len(self._waiting) / account.rate > limit:
-            raise self._limited(len(self._waiting) / max(account.rate, 1e-9))
+            wait_s = len(self._waiting) / max(account.rate, 1e-9)
+            raise limited(self._account, wait_s)
         fut: asyncio.Future[None] = asyncio.get_running_loop().create_future()
         self._waiting.append(fut)
         bucket.begin_wait()
@@ -190,16 +191,10 @@
             async with asyncio.timeout(limit):
                 await fut
         except TimeoutError:
-            raise self._limited(MAX_RATE_WAIT_S)
+            raise limited(self._account, MAX_RATE_WAIT_S)
         finally:
             bucket.end_wait()
 
-    def _limited(self, wait_s: float) -> errors.RateLimitedError:
-        return errors.RateLimitedError(
-            f'client account {self._account!r} is above its rate and burst',
-            retry_after_s=max(1.0, wait_s),
-        )
-
     def _serve(self) -> None:
         if self._server is None or self._server.done():
             self._server = asyncio.ensure_future(self._run())
@@ -220,6 +215,14 @@
             await asyncio.sleep(min(RATE_POLL_S, bucket.wait_time(now)))
 
 
+def limited(account: str, wait_s: float) -> errors.RateLimitedError:
+    """Return the error of a request above its account's limits."""
+    return errors.RateLimitedError(
+        f'client account {account!r} is above its rate and burst',
+        retry_after_s=max(1.0, wait_s),
+    )
+
+
 def no_lease() -> NoLeaseError:
     """Return the error of a process without a lease."""
     return NoLeaseError(
--- a/packages/node/src/sassafrasridge_node/entry.py
+++ b/packages/node/src/sassafrasridge_node/entry.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections.abc
+import random
 import typing
 
 from sassafrasridge_core import freshness
@@ -63,8 +64,11 @@
         self._serving: set[str] = set()
         self._zones: dict[str, str] = {}
         self._serving_sets: dict[str, list[str]] = {}
+        self._charging: dict[str, str] = {}
         self._served: list[tuple[tuple[str, str], backends.Backend]] | None
         self._served = None
+        self._members: dict[str, list[backends.Backend]] = {}
+        self._near_zones: list[str] | None = None
         self.draining = False
         self.renew_now: collections.abc.Callable[[], None] = lambda: None
         self._signer: sessions.TokenSigner | None = None
@@ -94,15 +98,27 @@
 
     def members(self, group: str) -> list[backends.Backend]:
         """Return the backends of a group."""
-        return [b for (g, _), b in self.backends.items() if g == group]
+        found = self._members.get(group)
+        if found is None:
+            found = [b for (g, _), b in self.backends.items() if g == group]
+            self._members[group] = found
+        return found
 
     def near_zones(self) -> list[str]:
         """Return the other availability zones of targets, nearest first.
 
         Distances are not known, so it is the order of their names.
         """
-        zones = {b.info.zone for b in self.backends.values()}
-        return sorted(zones - {self.zone})
+        if self._near_zones is None:
+            zones = {b.info.zone for b in self.backends.values()}
+            self._near_zones = sorted(zones - {self.zone})
+        return self._near_zones
+
+    def _backends_changed(self) -> None:
+        """Forget what was derived from the set of backends."""
+        self._served = None
+        self._members.clear()
+        self._near_zones = None
 
     def serves(self, group: str) -> bool:
         """Return whether this process keeps connections to the group."""
@@ -121,6 +137,27 @@
             self._serving_sets[group] = found
         return found
 
+    def near_serving_set(self, group: str, rng: random.Random) -> list[str]:
+        """Return the serving set, own zone first, random within a zone."""
+        return sorted(
+            self.serving_set(group),
+            key=lambda entry: (self.zone_of(entry) != self.zone, rng.random()),
+        )
+
+    def charging_entry(self, account: str) -> str | None:
+        """Return the other entry process that charges an account, if any."""
+        record = self.config.account(account)
+        if record is None:
+            return None
+        known = self._charging.get(account)
+        if known is None:
+            entries = {*self._serving, self.name}
+            known = placement.charging_entry(account, record.burst, entries)
+            if known is None:
+                return None
+            self._charging[account] = known
+        return None if known == self.name else known
+
     def served(self) -> list[tuple[tuple[str, str], backends.Backend]]:
         """Return the keys and backends of the groups served here."""
         if self._served is None:
@@ -131,6 +168,12 @@
             ]
         return self._served
 
+    def observed(
+        self,
+    ) -> collections.abc.Iterable[tuple[tuple[str, str], backends.Backend]]:
+        """Return the keys and backends that control is told of."""
+        return self.backends.items()
+
     def served_groups(self) -> set[str]:
         """Return the groups with known targets that are served here."""
         return {group for (group, _), _ in self.served()}
@@ -187,7 +230,9 @@
             backend = None
         if backend is None:
             backend = self.backends[key] = self._backend(info)
-            self._served = None
+            self._backends_changed()
+        if backend.info.zone != info.zone:
+            self._near_zones = None
         backend.learn_announcement(info)
 
     def apply_config(self, reply: typing.Any) -> bool:
@@ -204,6 +249,7 @@
             self.metrics.error('revision_gap')
         if self.config.revision != before:
             self._signer = None
+            self._charging.clear()
             self.metrics.revision.set(self.config.revision)
         return self.config.revision >= reply.revision
 
@@ -247,7 +293,7 @@
             if not self.serves(key[0]) and idle and not backend.demand():
                 backend.pool.close()
                 del self.backends[key]
-                self._served = None
+                self._backends_changed()
 
     def _follow_view(self, view: model.GroupView) -> None:
         if not self.serves(view.group):
@@ -255,12 +301,12 @@
         for server, address in view.members.items():
             key = (view.group, server)
             if key not in self.backends:
-                self._served = None
                 self.backends[key] = self._backend(
                     model.TargetInfo(
                         server, view.group, '', address, '', 0, 0, 0, 0
                     )
                 )
+                self._backends_changed()
 
     def apply_targets(self, reply: typing.Any) -> None:
         """Ignore the directory: targets announce themselves here."""
@@ -284,5 +330,6 @@
         if serving != self._serving:
             self._serving = serving
             self._serving_sets.clear()
+            self._charging.clear()
             self._served = None
             self._follow_serving_sets()
--- a/packages/node/src/sassafrasridge_node/gateway.py
+++ b/packages/node/src/sassafrasridge_node/gateway.py
@@ -78,18 +78,7 @@
             return None if owner == state.name else [owner]
         if state.serves(adm.group):
             return None
-        return self._spread(state.serving_set(adm.group))
-
-    def _spread(self, serving: list[str]) -> list[str]:
-        """Order entry processes: own zone first, random within a zone."""
-        state = self._state
-        return sorted(
-            serving,
-            key=lambda entry: (
-                state.zone_of(entry) != state.zone,
-                self._rng.random(),
-            ),
-        )
+        return state.near_serving_set(adm.group, self._rng)
 
     async def execute(
         self, req: front.DataRequest, adm: admission.Admission
--- a/packages/node/src/sassafrasridge_node/main.py
+++ b/packages/node/src/sassafrasridge_node/main.py
@@ -17,6 +17,7 @@
 from sassafrasridge_core import leases
 from sassafrasridge_core import raft
 from sassafrasridge_core import state as core_state
+from sassafrasridge_node import charging
 from sassafrasridge_node import cleanup
 from sassafrasridge_node import clocks
 from sassafrasridge_node import commands
@@ -37,6 +38,8 @@
 from sassafrasridge_node import renewal
 from sassafrasridge_node import rpc
 from sassafrasridge_node import sessionfront
+from sassafrasridge_node import sessionguests
+from sassafrasridge_node import sessionrelay
 from sassafrasridge_node import sessionstate
 from sassafrasridge_node import settings
 from sassafrasridge_node import storage
@@ -76,6 +79,8 @@
         self,
         member: control.ControlMember | None,
         data: gateway.Gateway | None,
+        guests: sessionguests.Guests | None = None,
+        admitter: charging.SharedAdmitter | None = None,
     ) -> None:
         if member is not None:
             self.renew = member.renew
@@ -84,6 +89,10 @@
             self.command = member.command
         if data is not None:
             self.relay = data.relay
+        if guests is not None:
+            self.relay = guests.relay
+        if admitter is not None:
+            self.charge = admitter.serve
 
 
 class Daemon:
@@ -98,6 +107,8 @@
         self.platform = platform
         self.service: sessionfront.Service | None = None
         self._sessions: extension.SessionServer | None = None
+        self._guests: sessionguests.Guests | None = None
+        self._admitter: charging.SharedAdmitter | None = None
         self.metrics = metrics.Metrics()
         self.metrics.registry.register(rpc.MALFORMED_FRAMES)
         self.loop = asyncio.new_event_loop()
@@ -128,7 +139,7 @@
         if self.cfg.control is not None:
             self._start_member(control_pool)
         if self.cfg.entry is not None and self.platform is not None:
-            self._create_session_state(self.platform, source)
+            self._create_session_state(self.platform, source, entry_pool)
         elif self.cfg.entry is not None:
             self.state = entry.EntryState(
                 self.cfg.node.name,
@@ -154,7 +165,10 @@
             )
 
     def _create_session_state(
-        self, platform: extension.Platform, source: str
+        self,
+        platform: extension.Platform,
+        source: str,
+        entry_pool: rpc.ClientPool,
     ) -> None:
         cfg = self.cfg.entry
         state = sessionstate.SessionEntryState(
@@ -168,7 +182,16 @@
         )
         state.dialer = platform.dialer(source)
         self.state = state
-        self.service = sessionfront.Service(state, self.metrics, self._rng)
+        self._admitter = charging.SharedAdmitter(state, entry_pool)
+        self.service = sessionfront.Service(
+            state,
+            self.metrics,
+            self._rng,
+            self._admitter,
+            sessionrelay.Relays(state, entry_pool, self._rng),
+        )
+        self._guests = sessionguests.Guests(self.service)
+        self.service.forget_ended = self._guests.forget_ended
         self._sessions = platform.sessions()
 
     def rpc_address(self) -> str:
@@ -181,7 +204,9 @@
         return '' if host == ANY_ADDRESS else host
 
     async def _serve_rpc(self, secret: bytes) -> None:
-        handler = Handler(self.member, self.gateway)
+        handler = Handler(
+            self.member, self.gateway, self._guests, self._admitter
+        )
         self.rpc = rpc.Server(rpc.idl.Daemon, handler, secret)
         host, port = settings.split_address(self.cfg.node.rpc)
         await self.rpc.start(host, port)
--- a/packages/node/src/sassafrasridge_node/renewal.py
+++ b/packages/node/src/sassafrasridge_node/renewal.py
@@ -207,7 +207,7 @@
                 backend.share.report(now),
                 self._state.serves(group),
             )
-            for (group, _), backend in self._state.backends.items()
+            for (group, _), backend in self._state.observed()
         ]
 
     async def release(self) -> None:
@@ -239,8 +239,9 @@
         """Probe until cancelled."""
         while True:
             now = clocks.boottime()
-            for (group, server), backend in self._state.served():
+            for backend in self._state.backends.values():
                 backend.refresh_limits(now)
+            for (group, server), backend in self._state.served():
                 self._start(group, server, backend)
             await asyncio.sleep(PROBE_INTERVAL_S)
 
--- a/packages/node/src/sassafrasridge_node/ridge.thrift
+++ b/packages/node/src/sassafrasridge_node/ridge.thrift
@@ -150,7 +150,7 @@
 }
 
 struct StatementCall {
-  1: string kind,           // statements, begin, execute, commit, rollback
+  1: string kind,           // session, or as in front.DataRequest
   2: binary body,           // JSON request
   3: double deadline_s,     // time left
   4: i32 hops,
@@ -163,6 +163,17 @@
   4: double retry_after_s,
 }
 
+// Takes one token of a client account for another entry process.
+struct ChargeCall {
+  1: string account,
+  2: double wait_s,         // time that the operation can wait
+}
+
+struct ChargeReply {
+  1: string outcome,        // taken, limited, unable
+  2: double retry_after_s,
+}
+
 service Control {
   RenewReply renew(1: RenewRequest req),
   RenewBatchReply renew_batch(1: RenewBatch batch),
@@ -173,6 +184,7 @@
 
 service Entry {
   StatementReply relay(1: StatementCall call),
+  ChargeReply charge(1: ChargeCall call),
 }
 
 // What one daemon serves: all calls, whatever its roles.
@@ -183,4 +195,5 @@
   bool log_message(1: LogMessage message),
   CommandReply command(1: string kind, 2: binary body, 3: double deadline_s),
   StatementReply relay(1: StatementCall call),
+  ChargeReply charge(1: ChargeCall call),
 }
--- a/packages/node/src/sassafrasridge_node/sessionfront.py
+++ b/packages/node/src/sassafrasridge_node/sessionfront.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+import collections.abc
 import hashlib
 import itertools
 import random
@@ -23,6 +24,7 @@
 from sassafrasridge_node import logs
 from sassafrasridge_node import metrics
 from sassafrasridge_node import sessionpool
+from sassafrasridge_node import sessionrelay
 from sassafrasridge_node import sessionstate
 
 Kind = statements.Kind
@@ -117,13 +119,19 @@
 
 
 class Transaction:
-    """Hold an open transaction; ``conn`` is None until a target is needed."""
+    """Hold an open transaction; ``conn`` is None until a target is needed.
+
+    ``owner`` is the other entry process that runs it under ``number``, if
+    there is one.
+    """
 
     __slots__ = (
         'access',
         'read_only',
         'backend',
         'conn',
+        'owner',
+        'number',
         'term',
         'broken',
         'wrote',
@@ -135,6 +143,8 @@
         self.read_only = read_only
         self.backend: sessionpool.SessionBackend | None = None
         self.conn: sessionpool.SessionConnection | None = None
+        self.owner = ''
+        self.number = 0
         self.term = 0
         self.broken = ''
         self.wrote = False
@@ -171,13 +181,17 @@
         state: sessionstate.SessionEntryState,
         counters: metrics.Metrics,
         rng: random.Random,
+        admitter: admission.Admitter,
+        relays: sessionrelay.Relays,
     ) -> None:
         self.state = state
         self.metrics = counters
         self.rng = rng
-        self.admitter = admission.Admitter(state)
+        self.admitter = admitter
+        self.relays = relays
         self.decisions = DecisionLog()
         self.sessions: set[Session] = set()
+        self.forget_ended: typing.Callable[[], None] = lambda: None
         self._numbers = itertools.count(1)
 
     def open(self, database: str, key: str) -> 'Session':
@@ -185,9 +199,13 @@
         digest = hashlib.sha256(key.encode()).hexdigest()
         session = Session(self, next(self._numbers), database, digest)
         session.access()
+        self.add(session)
+        return session
+
+    def add(self, session: 'Session') -> None:
+        """Take care of a session until it is closed."""
         self.sessions.add(session)
         self.metrics.sessions.set(len(self.sessions))
-        return session
 
     def closed(self, session: 'Session') -> None:
         """Forget a session whose client has gone."""
@@ -202,6 +220,7 @@
             now = clocks.boottime()
             for session in list(self.sessions):
                 session.expire(now)
+            self.forget_ended()
 
     def rest(self) -> list['Session']:
         """Return the sessions that are between two operations."""
@@ -233,7 +252,7 @@
         self._digest = digest
         self._values: dict[str, str] = {}
         self._prepared: dict[str, Prepared] = {}
-        self._floor: model.Position | None = None
+        self.floor: model.Position | None = None
         self._cleanups: set[asyncio.Task[None]] = set()
 
     # What the client may do now.
@@ -256,9 +275,11 @@
             return Access(admission.ANONYMOUS, route, service.group)
         raise Problem(Failure.UNAUTHORIZED, 'the key is not known')
 
-    async def execute(self, stmt: statements.Statement) -> Result:
-        """Run one statement and return its result."""
-        started = clocks.boottime()
+    async def execute(
+        self, stmt: statements.Statement, waited_s: float = 0.0
+    ) -> Result:
+        """Run one statement that arrived a time ago; return its result."""
+        started = clocks.boottime() - waited_s
         self.busy = True
         try:
             result = await self._execute(stmt, started)
@@ -268,7 +289,7 @@
             self.busy = False
         if self.transaction is not None:
             self.transaction.used_at = clocks.boottime()
-        result.state = self._session_state()
+        result.state = self.session_state()
         self._account_for(stmt, result, started)
         return result
 
@@ -333,7 +354,8 @@
         service = route and self._state.config.service(route.service)
         return service.group if service else ''
 
-    def _session_state(self) -> State:
+    def session_state(self) -> State:
+        """Return where the session is between two statements."""
         if self.transaction is None:
             return State.IDLE
         return State.BROKEN if self.transaction.broken else State.OPEN
@@ -401,9 +423,13 @@
             raise Problem(Failure.MALFORMED, 'a transaction is open already')
         access = self.access()
         await self._charge(access, started)
-        self.transaction = Transaction(access, stmt.kind is Kind.BEGIN_READ)
+        self.begin(access, stmt.kind is Kind.BEGIN_READ)
         return Result()
 
+    def begin(self, access: Access, read_only: bool) -> None:
+        """Open a transaction, on a target once one is needed."""
+        self.transaction = Transaction(access, read_only)
+
     async def _charge(self, access: Access, started: float) -> None:
         try:
             await self._service.admitter.charge_account(
@@ -425,6 +451,10 @@
         writes = stmt.kind is Kind.WRITE or (
             prepared is not None and prepared.writes
         )
+        if not self._state.serves(access.group):
+            return await self._relay_single(
+                stmt, prepared, access, deadline, started, writes
+            )
         if writes:
             return await self._write(stmt, prepared, access, deadline, started)
         return await self._read(stmt, prepared, access, deadline, started)
@@ -499,7 +529,7 @@
                 Failure.IN_DOUBT, 'the primary was replaced meanwhile'
             )
         if answer.position is not None:
-            self._floor = answer.position
+            self.floor = answer.position
         return _done(answer)
 
     def _refuse_doubt(self, answer: sessionpool.TargetAnswer) -> None:
@@ -565,8 +595,8 @@
         )
         if known is None:
             return None
-        if route.consistency == configuration.SESSION and self._floor:
-            return max(known, self._floor)
+        if route.consistency == configuration.SESSION and self.floor:
+            return max(known, self.floor)
         return known
 
     def _choose(
@@ -718,6 +748,79 @@
         elif answer.verdict in statements.NOT_RUN:
             backend.avoid(sessionpool.BUSY_S)
 
+    # Statements that another entry process runs.
+
+    def _relayed(
+        self,
+        stmt: statements.Statement,
+        prepared: Prepared | None,
+        started: float,
+    ) -> sessionrelay.RelayedStatement:
+        return sessionrelay.RelayedStatement(
+            self.database,
+            self._digest,
+            stmt,
+            self._values,
+            prepared and (prepared.text, prepared.writes),
+            self.floor,
+            waited_s=clocks.boottime() - started,
+        )
+
+    async def _relay_single(
+        self,
+        stmt: statements.Statement,
+        prepared: Prepared | None,
+        access: Access,
+        deadline: float,
+        started: float,
+        writes: bool,
+    ) -> Result:
+        relays = self._service.relays
+        _, answer = await relays.run(
+            relays.candidates(access.group),
+            self._relayed(stmt, prepared, started),
+            deadline,
+            Failure.IN_DOUBT if writes else Failure.FAILED,
+        )
+        return self._relay_result(answer)
+
+    async def _relay_in_transaction(
+        self,
+        stmt: statements.Statement,
+        prepared: Prepared | None,
+        tx: Transaction,
+        deadline: float,
+        started: float,
+    ) -> Result:
+        relays = self._service.relays
+        req = self._relayed(stmt, prepared, started)
+        owners = [tx.owner]
+        if not tx.owner:
+            tx.number = relays.new_number()
+            req.begin = Kind.BEGIN_READ if tx.read_only else Kind.BEGIN
+            owners = relays.candidates(tx.access.group)
+        req.transaction = tx.number
+        commits = stmt.kind is Kind.COMMIT
+        # Without a commit, a transaction whose process is silent is lost.
+        unanswered = Failure.ABORTED
+        if commits and tx.wrote:
+            unanswered = Failure.IN_DOUBT
+        tx.owner, answer = await relays.run(owners, req, deadline, unanswered)
+        if not answer.open:
+            tx.owner = ''
+        if commits:
+            self.transaction = None
+        elif answer.result.failure is None and not answer.open:
+            raise Problem(Failure.ABORTED, 'the transaction has ended')
+        return self._relay_result(answer)
+
+    def _relay_result(self, answer: sessionrelay.RelayedResult) -> Result:
+        if answer.result.failure is not None:
+            raise Problem(answer.result.failure, answer.result.detail)
+        if answer.floor is not None:
+            self.floor = answer.floor
+        return answer.result
+
     # Transactions.
 
     async def _in_transaction(
@@ -726,14 +829,19 @@
         self._check_key(tx.access)
         prepared = self._find_prepared(stmt)
         deadline = started + tx.access.route.timeout_s
+        commits = stmt.kind is Kind.COMMIT
+        writes = stmt.kind is Kind.WRITE or bool(prepared and prepared.writes)
+        tx.wrote = tx.wrote or writes
+        serves = self._state.serves(tx.access.group)
+        if tx.owner or (tx.conn is None and not serves):
+            return await self._relay_in_transaction(
+                stmt, prepared, tx, deadline, started
+            )
         if tx.conn is None:
             await self._bind(tx, deadline, started)
         conn, backend = tx.conn, tx.backend
         if conn is None or backend is None or conn.closed:
             raise Problem(Failure.ABORTED, 'the connection was lost')
-        commits = stmt.kind is Kind.COMMIT
-        writes = stmt.kind is Kind.WRITE or bool(prepared and prepared.writes)
-        tx.wrote = tx.wrote or writes
         if (
             commits
             and not tx.read_only
@@ -846,13 +954,23 @@
     def _let_go(self, tx: Transaction) -> None:
         conn, backend = tx.conn, tx.backend
         tx.conn = None
+        if tx.owner:
+            relays = self._service.relays
+            self._clean_up(relays.roll_back(tx.owner, tx.number))
+            tx.owner = ''
+            return
         if conn is None or backend is None:
             return
         if conn.closed or conn.calling:
             # An answer may be outstanding, so the connection is in doubt.
             backend.release(conn, clean=False)
             return
-        task = asyncio.ensure_future(_roll_back(backend, conn))
+        self._clean_up(_roll_back(backend, conn))
+
+    def _clean_up(
+        self, work: collections.abc.Coroutine[typing.Any, typing.Any, None]
+    ) -> None:
+        task = asyncio.ensure_future(work)
         self._cleanups.add(task)
         task.add_done_callback(self._cleanups.discard)
 
--- a/packages/node/src/sassafrasridge_node/sessionpool.py
+++ b/packages/node/src/sassafrasridge_node/sessionpool.py
@@ -308,6 +308,7 @@
         self._active: dict[str, float] = {}
         self._reachable = True
         self.status_due = False
+        self.serving = True
         self.leads: typing.Callable[[], bool] = lambda: False
         self.probe_account: typing.Callable[[], str] = str
 
@@ -374,6 +375,12 @@
 
     # Connections.
 
+    def refresh_limits(self, now: float) -> None:
+        """Apply the limits in effect; without service here, keep nothing."""
+        if not self.serving and self.in_flight == 0:
+            self._had_grant = False
+        super().refresh_limits(now)
+
     async def acquire(
         self, account: str, deadline: float, values: dict[str, str]
     ) -> SessionConnection:
--- a/packages/node/src/sassafrasridge_node/sessionstate.py
+++ b/packages/node/src/sassafrasridge_node/sessionstate.py
@@ -1,5 +1,6 @@
 """State of an entry process that serves sessions."""
 
+import collections.abc
 import typing
 
 from sassafrasridge_core import model
@@ -26,6 +27,7 @@
         )
         backend.leads = lambda: self._is_primary(info.group, info.server)
         backend.probe_account = self._any_account
+        backend.serving = self.serves(info.group)
         return backend
 
     def _is_primary(self, group: str, server: str) -> bool:
@@ -49,11 +51,22 @@
         for key in list(self.backends):
             if key not in listed:
                 self.backends.pop(key).pool.close()
-                self._served = None
+                self._backends_changed()
 
-    def serves(self, group: str) -> bool:
-        """Return whether this process keeps connections to the group."""
-        return True
+    def observed(
+        self,
+    ) -> collections.abc.Iterable[tuple[tuple[str, str], backends.Backend]]:
+        """Return what is served here; control knows the targets itself."""
+        return self.served()
+
+    def _follow_serving_sets(self) -> None:
+        """Give up connections to groups that others serve now.
+
+        Statements in progress end within the lease, which is not renewed.
+        """
+        for key, backend in self.backends.items():
+            if isinstance(backend, sessionpool.SessionBackend):
+                backend.serving = self.serves(key[0])
 
     def _follow_view(self, view: model.GroupView) -> None:
         """Use the members of the view until the directory tells more.
--- a/tests/node/test_sessionfront.py
+++ b/tests/node/test_sessionfront.py
@@ -11,11 +11,13 @@
 from sassafrasridge_core import leases
 from sassafrasridge_core import model
 from sassafrasridge_core import statements
+from sassafrasridge_node import admission
 from sassafrasridge_node import clocks
 from sassafrasridge_node import connections
 from sassafrasridge_node import metrics
 from sassafrasridge_node import sessionfront
 from sassafrasridge_node import sessionpool
+from sassafrasridge_node import sessionrelay
 from sassafrasridge_node import sessionstate
 
 Kind = statements.Kind
@@ -107,7 +109,11 @@
         self.state.lease.sent(now, 1)
         self.state.lease.granted(1)
         self.service = sessionfront.Service(
-            self.state, self.state.metrics, random.Random(1)
+            self.state,
+            self.state.metrics,
+            random.Random(1),
+            admission.Admitter(self.state),
+            sessionrelay.Relays(self.state, None, random.Random(1)),
         )
 
     def configure(self, consistency):
--- /dev/null
+++ b/tests/node/test_sessionrelay.py
@@ -0,0 +1,309 @@
+"""Tests of statements that run at another entry process, without sockets."""
+
+import asyncio
+import random
+
+import pytest
+
+from sassafrasridge_core import configuration
+from sassafrasridge_core import model
+from sassafrasridge_core import statements
+from sassafrasridge_node import clocks
+from sassafrasridge_node import rpc
+from sassafrasridge_node import sessionguests
+from sassafrasridge_node import sessionpool
+from sassafrasridge_node import sessionrelay
+from tests.node import test_sessionfront as front
+
+Kind = statements.Kind
+Failure = statements.Failure
+State = statements.State
+
+SILENT = 'silent'
+UNREACHED = 'unreached'
+
+
+class Peer:
+    """Call the guests of one process; fail as told."""
+
+    def __init__(self, setting):
+        self.setting = setting
+        self.guests = sessionguests.Guests(setting.service)
+        self.faults = []
+        self.calls = 0
+
+    async def call(self, api, call, timeout_s):
+        self.calls += 1
+        fault = self.faults.pop(0) if self.faults else ''
+        if fault == UNREACHED:
+            raise rpc.RpcError('refused', sent=False)
+        reply = await getattr(self.guests, api)(call)
+        if fault == SILENT:
+            raise rpc.RpcError('no answer', sent=True)
+        return reply
+
+
+class Pair:
+    """One process that serves sessions and two that serve the group."""
+
+    def __init__(self, consistency=configuration.PRIMARY):
+        self.near = front.Setting(consistency)
+        self.peers = {
+            name: Peer(front.Setting(consistency)) for name in ('s1', 's2')
+        }
+        state = self.near.state
+        state.serves = lambda group: False
+        state.near_serving_set = lambda group, rng: list(self.peers)
+        state.entries = {name: name for name in self.peers}
+        self.near.service.relays = sessionrelay.Relays(
+            state, self, random.Random(1)
+        )
+        self.first, self.second = self.peers.values()
+
+    def get(self, address):
+        return self.peers[address]
+
+    def run(self, *stmts, session=None):
+        return self.near.run(*stmts, session=session)
+
+
+def forwarded(peer, target='p'):
+    """Return the statements that a target got from a process."""
+    return [
+        command.statement
+        for command in peer.setting.targets[target].sent()
+        if isinstance(command, sessionpool.Forward)
+    ]
+
+
+class TestSingleStatements:
+    def test_the_other_process_runs_them_for_the_account(self):
+        pair = Pair()
+        results = pair.run(front.write(), front.read())
+        assert [r.failure for r in results] == [None, None]
+        assert [s.id for s in forwarded(pair.first)] == ['w1', 'r1']
+        assert pair.near.targets['p'].commands == []
+        conn = pair.first.setting.targets['p'].commands[0][0]
+        assert conn.account == 'acme'
+
+    def test_values_and_prepared_statements_go_along(self):
+        pair = Pair()
+        results = pair.run(
+            front.simple(Kind.SET, 'zone', 'x'),
+            front.simple(Kind.PREPARE, 'q', 'FETCH shape'),
+            front.simple(Kind.EXECUTE, 'q', 'i'),
+        )
+        assert [r.failure for r in results] == [None, None, None]
+        sent = pair.first.setting.targets['p'].sent()
+        assert [type(c).__name__ for c in sent] == [
+            'SetValue',
+            'Prepare',
+            'Forward',
+        ]
+
+    def test_a_write_without_an_answer_is_in_doubt_and_sent_once(self):
+        """Guards against a write that runs twice through two processes."""
+        pair = Pair()
+        pair.first.faults = [SILENT]
+        (result,) = pair.run(front.write())
+        assert result.failure is Failure.IN_DOUBT
+        assert pair.second.calls == 0
+
+    def test_a_read_without_an_answer_goes_to_the_next_process(self):
+        pair = Pair()
+        pair.first.faults = [SILENT]
+        (result,) = pair.run(front.read())
+        assert result.failure is None
+        assert pair.second.calls == 1
+
+    def test_a_write_that_was_not_sent_goes_to_the_next_process(self):
+        pair = Pair()
+        pair.first.faults = [UNREACHED]
+        first, second = pair.run(front.write(), front.write())
+        assert first.failure is None and second.failure is None
+        # The process that could not be reached is asked last.
+        assert (pair.first.calls, pair.second.calls) == (1, 2)
+
+    def test_nobody_reached_promises_that_nothing_ran(self):
+        pair = Pair()
+        pair.first.faults = [UNREACHED]
+        pair.second.faults = [UNREACHED]
+        (result,) = pair.run(front.write())
+        assert result.failure is Failure.BUSY
+
+    def test_own_writes_are_read_through_another_process(self):
+        """Guards against a floor that stays where the write ran."""
+        pair = Pair(configuration.SESSION)
+        for peer in pair.peers.values():
+            state = peer.setting.state
+            state.timeline('g').sample(clocks.boottime(), 1, 5)
+        session = pair.near.session()
+        pair.run(front.write(), session=session)
+        assert session.floor == model.Position(1, 10)
+        pair.first.faults = [UNREACHED]
+        pair.run(front.read(), session=session)
+        (req,) = forwarded(pair.second, 'r') or forwarded(pair.second, 'p')
+        assert req.id == 'r1'
+        for target in pair.second.setting.targets.values():
+            for command in target.sent():
+                if command.floor is not None:
+                    assert command.floor >= model.Position(1, 10)
+
+    def test_a_key_that_the_other_process_does_not_know_is_refused(self):
+        pair = Pair()
+        for peer in pair.peers.values():
+            config = peer.setting.state.config
+            config.account_of = lambda digest: None
+        (result,) = pair.run(front.write())
+        assert result.failure is Failure.UNAUTHORIZED
+
+
+class TestTransactions:
+    def test_all_statements_run_on_one_connection(self):
+        pair = Pair()
+        results = pair.run(
+            front.BEGIN, front.read(), front.write(), front.COMMIT
+        )
+        assert [r.failure for r in results] == [None] * 4
+        assert [r.state for r in results] == [
+            State.OPEN,
+            State.OPEN,
+            State.OPEN,
+            State.IDLE,
+        ]
+        commands = pair.first.setting.targets['p'].commands
+        assert len({id(conn) for conn, *_ in commands}) == 1
+        assert pair.first.guests._guests == {}
+        assert pair.first.setting.service.sessions == set()
+
+    def test_a_rollback_ends_it_at_the_other_process(self):
+        pair = Pair()
+        results = pair.run(front.BEGIN, front.write(), front.ROLLBACK)
+        assert [r.failure for r in results] == [None] * 3
+        last = pair.first.setting.targets['p'].sent()[-1]
+        assert isinstance(last, sessionpool.Rollback)
+        assert pair.first.guests._guests == {}
+
+    def test_a_client_that_leaves_ends_it_at_the_other_process(self):
+        pair = Pair()
+
+        async def work():
+            session = pair.near.session()
+            for stmt in (front.BEGIN, front.write()):
+                await session.execute(stmt)
+            pair.near.service.closed(session)
+            await asyncio.sleep(0.01)
+
+        asyncio.run(work())
+        assert pair.first.guests._guests == {}
+
+    def test_a_commit_without_an_answer_is_in_doubt(self):
+        """Guards against a promise about a commit that may have run."""
+        pair = Pair()
+        pair.first.faults = ['', SILENT]
+        *_, result = pair.run(front.BEGIN, front.write(), front.COMMIT)
+        assert result.failure is Failure.IN_DOUBT
+        assert result.state is State.IDLE
+
+    @pytest.mark.parametrize('fault', [SILENT, UNREACHED])
+    def test_a_statement_without_an_answer_aborts_it(self, fault):
+        pair = Pair()
+        pair.first.faults = ['', fault]
+        results = pair.run(
+            front.BEGIN, front.write(), front.read(), front.COMMIT
+        )
+        assert [r.failure for r in results] == [
+            None,
+            None,
+            Failure.ABORTED,
+            Failure.ABORTED,
+        ]
+        assert len(forwarded(pair.second)) == 0
+
+    def test_the_first_statement_without_an_answer_leaves_nothing_open(self):
+        """Guards against a transaction that nobody ends."""
+        pair = Pair()
+        pair.first.faults = [SILENT]
+        results = pair.run(front.BEGIN, front.write())
+        assert results[1].failure is Failure.ABORTED
+        assert pair.first.guests._guests == {}
+
+    def test_an_idle_one_is_ended_where_it_runs(self):
+        """Guards against transactions of a process that is gone."""
+        pair = Pair()
+        session = pair.near.session()
+        pair.run(front.BEGIN, front.write(), session=session)
+        (guest,) = pair.first.guests._guests.values()
+
+        async def expire():
+            guest.expire(guest.transaction.used_at + 60)
+            pair.first.guests.forget_ended()
+            await asyncio.sleep(0.01)
+
+        asyncio.run(expire())
+        assert pair.first.guests._guests == {}
+        (result,) = pair.run(front.COMMIT, session=session)
+        assert result.failure is Failure.ABORTED
+
+    def test_a_rollback_waits_for_the_statement_that_runs(self):
+        """Guards against a connection that nobody gives back."""
+        pair = Pair()
+        guests, target = pair.first.guests, pair.first.setting.targets['p']
+        stmt = front.write()
+        digest = pair.near.session()._digest
+        req = sessionrelay.RelayedStatement(
+            'db', digest, stmt, {}, begin=Kind.BEGIN, transaction=7
+        )
+        end = sessionrelay.RelayedStatement(
+            '', '', front.ROLLBACK, {}, transaction=7
+        )
+
+        async def work():
+            running = asyncio.ensure_future(guests.run(req))
+            await asyncio.sleep(0)
+            await guests.run(end)
+            await running
+            await asyncio.sleep(0.01)
+
+        asyncio.run(work())
+        assert isinstance(target.sent()[-1], sessionpool.Rollback)
+        assert guests._guests == {}
+        assert pair.first.setting.backend('p').in_flight == 0
+
+    def test_too_many_are_refused_as_not_run(self, monkeypatch):
+        monkeypatch.setattr(sessionguests, 'MAX_GUESTS', 1)
+        pair = Pair()
+        session = pair.near.session()
+        pair.run(front.BEGIN, front.write(), session=session)
+        (result,) = pair.run(front.write())
+        assert result.failure is Failure.BUSY
+
+
+class TestEncoding:
+    def test_a_statement_survives_the_way(self):
+        stmt = statements.Statement(
+            Kind.EXECUTE, 'i', 'EXECUTE q x', 'q', 'x', True
+        )
+        sent = sessionrelay.RelayedStatement(
+            'db',
+            'digest',
+            stmt,
+            {'a': 'b'},
+            ('STORE s', True),
+            model.Position(3, 4),
+            Kind.BEGIN_READ,
+            5,
+            0.25,
+        )
+        found = sessionrelay.RelayedStatement.decode(sent.encode())
+        assert found.encode() == sent.encode()
+        assert found.floor == sent.floor and found.prepared == sent.prepared
+
+    def test_a_result_survives_the_way(self):
+        sent = sessionrelay.RelayedResult(
+            statements.Result(['r'], 's', Failure.BUSY, 'd', position='1.2'),
+            model.Position(1, 2),
+            True,
+        )
+        found = sessionrelay.RelayedResult.decode(sent.encode())
+        assert found.encode() == sent.encode()
