Let new sessions wait for the first lease of a process that has just started

Ruled out: shorter elections: a restarted voter must refuse votes for one election time, as its former process may have confirmed a leader. Change: Service.open_soon waits up to 0.5 s for the first lease.

--- a/packages/node/src/sassafrasridge_node/entry.py
+++ b/packages/node/src/sassafrasridge_node/entry.py
@@ -55,6 +55,8 @@
         self.groups: dict[str, model.GroupView] = {}
         self.view_revision = 0
         self.view_changed = asyncio.Event()
+        # Set once a first lease with a configuration was granted.
+        self.configured = asyncio.Event()
         self.backends: dict[tuple[str, str], backends.Backend] = {}
         self.timelines: dict[str, freshness.PrimaryTimeline] = {}
         self.shares = shares.BucketSet(times.config_ttl_s)
--- a/packages/node/src/sassafrasridge_node/renewal.py
+++ b/packages/node/src/sassafrasridge_node/renewal.py
@@ -161,6 +161,8 @@
         )
         if current:
             state.lease.granted(reply.sequence)
+            if state.config.revision:
+                state.configured.set()
             state.apply_connections(reply.connections, self._sent_at)
 
     def _follow_members(self, members: list[str]) -> None:
--- a/packages/node/src/sassafrasridge_node/sessionfront.py
+++ b/packages/node/src/sassafrasridge_node/sessionfront.py
@@ -51,6 +51,11 @@
 """Part of the objective for which it waits for a token of its account: one
 that another process holds arrives within two renewals."""
 
+START_HOLD_S = 0.5
+"""Time for which a new session waits for this process's first lease. After a
+start of all VMs an election and a renewal take about one second; callers that
+are refused at once use up their retries before that."""
+
 CONNECTION_HOLD_SHARE = 0.4
 """Part of the objective for which it waits for a connection."""
 
@@ -194,6 +199,18 @@
         self.forget_ended: typing.Callable[[], None] = lambda: None
         self._numbers = itertools.count(1)
 
+    async def open_soon(self, database: str, key: str) -> 'Session':
+        """Open a session; a process that has just started waits briefly.
+
+        Raises Problem.
+        """
+        try:
+            async with asyncio.timeout(START_HOLD_S):
+                await self.state.configured.wait()
+        except TimeoutError:
+            self.decisions.write('session_refused', database=database)
+        return self.open(database, key)
+
     def open(self, database: str, key: str) -> 'Session':
         """Open a session; raise Problem when it may not exist."""
         digest = hashlib.sha256(key.encode()).hexdigest()
--- a/tests/node/test_sessionfront.py
+++ b/tests/node/test_sessionfront.py
@@ -476,3 +476,44 @@
             backend.release(held, clean=True)
 
         asyncio.run(work())
+
+
+class TestStart:
+    """Guards against callers that use up their retries at a new process."""
+
+    def test_a_session_waits_for_the_first_lease(self):
+        setting = Setting()
+
+        async def work():
+            opening = asyncio.ensure_future(
+                setting.service.open_soon('db', KEY)
+            )
+            await asyncio.sleep(0.02)
+            assert not opening.done()
+            setting.state.configured.set()
+            return await opening
+
+        assert asyncio.run(work()).database == 'db'
+
+    def test_without_a_lease_it_is_refused_soon(self, monkeypatch):
+        monkeypatch.setattr(sessionfront, 'START_HOLD_S', 0.02)
+        setting = Setting()
+        setting.state.config_valid = lambda: False
+        with pytest.raises(sessionfront.Problem) as caught:
+            asyncio.run(setting.service.open_soon('db', KEY))
+        assert caught.value.failure is Failure.BUSY
+
+    def test_a_client_that_leaves_meanwhile_leaves_nothing(self):
+        setting = Setting()
+
+        async def work():
+            opening = asyncio.ensure_future(
+                setting.service.open_soon('db', KEY)
+            )
+            await asyncio.sleep(0.02)
+            opening.cancel()
+            setting.state.configured.set()
+            await asyncio.sleep(0.02)
+
+        asyncio.run(work())
+        assert setting.service.sessions == set()
--- a/tests/platform/test_sessions.py
+++ b/tests/platform/test_sessions.py
@@ -17,7 +17,7 @@
     def __init__(self):
         self.left = 0
 
-    def open(self, database, key):
+    async def open_soon(self, database, key):
         return FakeSession()
 
     def closed(self, session):
