Bound the wait for the first lease by the time since the start

Change: sessions wait until 1.2 s after the start of the process, whatever the time at which they arrived; later ones are refused at once. What remains: targets turn connections away while those of the lost VMs linger, and accounts start without tokens.

--- a/packages/node/src/sassafrasridge_node/sessionfront.py
+++ b/packages/node/src/sassafrasridge_node/sessionfront.py
@@ -51,10 +51,10 @@
 """Part of the objective for which it waits for a token of its account: one
 that another process holds arrives within two renewals."""
 
-START_HOLD_S = 0.5
-"""Time for which a new session waits for this process's first lease. After a
-start of all VMs an election and a renewal take about one second; callers that
-are refused at once use up their retries before that."""
+START_HOLD_S = 1.2
+"""Time after the start of this process in which new sessions wait for its
+first lease. After a start of all VMs an election takes up to 1 s and a renewal
+up to 0.2 s; callers that are refused at once use up their retries before."""
 
 CONNECTION_HOLD_SHARE = 0.4
 """Part of the objective for which it waits for a connection."""
@@ -196,6 +196,7 @@
         self.relays = relays
         self.decisions = DecisionLog()
         self.sessions: set[Session] = set()
+        self._started_at = clocks.boottime()
         self.forget_ended: typing.Callable[[], None] = lambda: None
         self._numbers = itertools.count(1)
 
@@ -204,11 +205,13 @@
 
         Raises Problem.
         """
-        try:
-            async with asyncio.timeout(START_HOLD_S):
-                await self.state.configured.wait()
-        except TimeoutError:
-            self.decisions.write('session_refused', database=database)
+        rest_s = self._started_at + START_HOLD_S - clocks.boottime()
+        if rest_s > 0 and not self.state.configured.is_set():
+            try:
+                async with asyncio.timeout(rest_s):
+                    await self.state.configured.wait()
+            except TimeoutError:
+                self.decisions.write('session_refused', database=database)
         return self.open(database, key)
 
     def open(self, database: str, key: str) -> 'Session':
--- a/tests/node/test_sessionfront.py
+++ b/tests/node/test_sessionfront.py
@@ -499,9 +499,23 @@
         monkeypatch.setattr(sessionfront, 'START_HOLD_S', 0.02)
         setting = Setting()
         setting.state.config_valid = lambda: False
-        with pytest.raises(sessionfront.Problem) as caught:
-            asyncio.run(setting.service.open_soon('db', KEY))
-        assert caught.value.failure is Failure.BUSY
+        for _ in range(2):
+            with pytest.raises(sessionfront.Problem) as caught:
+                asyncio.run(setting.service.open_soon('db', KEY))
+            assert caught.value.failure is Failure.BUSY
+
+    def test_later_it_is_refused_at_once(self):
+        """Guards against waiting for a process that control can't reach."""
+        setting = Setting()
+        setting.state.config_valid = lambda: False
+        setting.service._started_at -= sessionfront.START_HOLD_S
+
+        async def work():
+            async with asyncio.timeout(0.1):
+                await setting.service.open_soon('db', KEY)
+
+        with pytest.raises(sessionfront.Problem):
+            asyncio.run(work())
 
     def test_a_client_that_leaves_meanwhile_leaves_nothing(self):
         setting = Setting()
