Wait briefly for a place at a target that is full, and send nothing that has no time

Statements were sent with 40 ms left and ended as timed out. Change: a full target gets no new connection for 0.5 s, idle ones of other accounts make room, others wait in the fair queue; a write or the begin of a transaction waits as for a primary. Nothing is sent when less than a round trip is left.

--- a/packages/node/src/sassafrasridge_node/sessionfront.py
+++ b/packages/node/src/sassafrasridge_node/sessionfront.py
@@ -496,9 +496,9 @@
         started: float,
     ) -> Result:
         for attempt in itertools.count(1):
-            backend = await self._leader(access, started)
-            term = self._term(access)
-            conn = await self._acquire(backend, access, deadline)
+            backend, term, conn = await self._acquire_primary(
+                stmt, access, deadline, started
+            )
             commands = self._commands(conn, stmt, prepared, None)
             answer = await self._send(backend, conn, commands, deadline, True)
             if answer.verdict is Verdict.DONE:
@@ -510,6 +510,27 @@
             await asyncio.sleep(RETRY_S)
         raise AssertionError
 
+    async def _acquire_primary(
+        self,
+        stmt: statements.Statement,
+        access: Access,
+        deadline: float,
+        started: float,
+    ) -> tuple[sessionpool.SessionBackend, int, sessionpool.SessionConnection]:
+        """Return the primary, its term and a connection; wait briefly."""
+        while True:
+            backend = await self._leader(access, started)
+            term = self._term(access)
+            try:
+                conn = await self._acquire(backend, access, deadline)
+            except Problem as exc:
+                if not self._may_hold(access, started):
+                    raise
+                self._moved(stmt, backend, None, exc)
+                await asyncio.sleep(RETRY_S)
+                continue
+            return backend, term, conn
+
     def _may_hold(self, access: Access, started: float) -> bool:
         limit = access.route.objective_s * HOLD_SHARE
         return clocks.boottime() < started + limit
@@ -667,7 +688,7 @@
         )
         limit = min(deadline, clocks.boottime() + wait_s)
         try:
-            return await backend.acquire(access.account, limit, self._values)
+            conn = await backend.acquire(access.account, limit, self._values)
         except backends.UnreachableError as exc:
             raise Problem(Failure.BUSY, f'{backend.info.server}: {exc}')
         except sessionpool.RefusedError as exc:
@@ -677,6 +698,11 @@
             )
         except errors.UnavailableError as exc:
             raise Problem(Failure.BUSY, exc.message)
+        if deadline - clocks.boottime() < conn.rtt_s:
+            # No answer could arrive in time, so nothing is sent.
+            backend.release(conn, clean=True)
+            raise Problem(Failure.BUSY, 'too little time is left')
+        return conn
 
     def _setup(
         self,
@@ -858,7 +884,7 @@
                 stmt, prepared, tx, deadline, started
             )
         if tx.conn is None:
-            await self._bind(tx, deadline, started)
+            await self._bind(stmt, tx, deadline, started)
         conn, backend = tx.conn, tx.backend
         if conn is None or backend is None or conn.closed:
             raise Problem(Failure.ABORTED, 'the connection was lost')
@@ -914,17 +940,24 @@
         return _problem(answer)
 
     async def _bind(
-        self, tx: Transaction, deadline: float, started: float
+        self,
+        stmt: statements.Statement,
+        tx: Transaction,
+        deadline: float,
+        started: float,
     ) -> None:
         """Choose a target for the transaction and begin it there."""
         access = tx.access
         floor = self._read_floor(access) if tx.read_only else None
-        backend = self._choose(access, floor, set())
+        backend = self._choose(access, floor, set()) if floor else None
         if backend is None:
-            backend = await self._leader(access, started)
+            backend, tx.term, conn = await self._acquire_primary(
+                stmt, access, deadline, started
+            )
+        else:
+            tx.term = self._term(access)
+            conn = await self._acquire(backend, access, deadline)
         leads = self._state.primary(access.group) is backend
-        tx.term = self._term(access)
-        conn = await self._acquire(backend, access, deadline)
         commands = self._setup(conn, None)
         commands.append(
             sessionpool.Begin(tx.read_only, None if leads else floor)
--- a/packages/node/src/sassafrasridge_node/sessionpool.py
+++ b/packages/node/src/sassafrasridge_node/sessionpool.py
@@ -34,6 +34,10 @@
 BUSY_S = 0.05
 """Time for which a target that turned a statement away is avoided."""
 
+FULL_S = 0.5
+"""Time for which no connection is added at a target that has too many: those
+of lost VMs end within 3 s, one after the other."""
+
 BEHIND_S = 0.15
 """Time for which a replica that lacked a position is avoided, a multiple of
 the usual delay of replicas."""
@@ -309,6 +313,7 @@
         self._reachable = True
         self.status_due = False
         self.serving = True
+        self._full_until = float('-inf')
         self.leads: typing.Callable[[], bool] = lambda: False
         self.probe_account: typing.Callable[[], str] = str
 
@@ -380,6 +385,12 @@
         if not self.serving and self.in_flight == 0:
             self._had_grant = False
         super().refresh_limits(now)
+        if len(self.queue):
+            self._pump()
+
+    def full(self, now: float) -> bool:
+        """Return whether the target has no place for a connection more."""
+        return now < self._full_until
 
     async def acquire(
         self, account: str, deadline: float, values: dict[str, str]
@@ -390,7 +401,11 @@
         """
         conn = self.pool.take(account, values)
         if conn is None:
-            if self.pool.held >= self.pool.limit and not self.pool.evict():
+            full = self.full(clocks.boottime())
+            if full and not self.pool.held:
+                raise RefusedError(statements.Verdict.TOO_MANY_CONNECTIONS)
+            limited = full or self.pool.held >= self.pool.limit
+            if limited and not self.pool.evict():
                 return await self._wait(account, deadline, values)
             conn = await self._open(account, deadline)
         self._lent.add(conn)
@@ -434,6 +449,10 @@
             self._metrics.connection_failures.inc()
             self._note_reachable(False, str(exc))
             raise backends.UnreachableError(str(exc))
+        except RefusedError as exc:
+            if exc.verdict is statements.Verdict.TOO_MANY_CONNECTIONS:
+                self._note_full()
+            raise
         finally:
             self.pool.opening -= 1
             self._pump()
@@ -445,6 +464,17 @@
         self._metrics.connections_opened.inc()
         return conn
 
+    def _note_full(self) -> None:
+        now = clocks.boottime()
+        if not self.full(now):
+            logs.change(
+                'target_full',
+                server=self.info.server,
+                held=self.pool.held,
+                limit=self.pool.limit,
+            )
+        self._full_until = now + FULL_S
+
     def _note_reachable(self, reachable: bool, reason: str = '') -> None:
         """Log when connections to the target begin or cease to open."""
         if reachable == self._reachable:
@@ -478,7 +508,9 @@
         for ticket in self.queue.expire(now):
             if not ticket.fut.done():
                 ticket.fut.set_exception(backends.refused(model.DEADLINE))
-        room = self.pool.limit - self.pool.held + self.pool.idle
+        room = self.pool.idle
+        if not self.full(now):
+            room += self.pool.limit - self.pool.held
         while room > 0 and len(self.queue):
             ticket = self._next_ticket(now)
             if ticket is None:
--- a/tests/node/test_sessionfront.py
+++ b/tests/node/test_sessionfront.py
@@ -84,6 +84,8 @@
     """An entry process with a lease, a primary p and replicas r and s."""
 
     def __init__(self, consistency=configuration.PRIMARY, connections_each=4):
+        self.opened = 0
+        self.full_for = 0
         self.targets = {
             'p': FakeTarget(0.02),
             'r': FakeTarget(0.001),
@@ -155,6 +157,10 @@
         return self.state.backends['g', name]
 
     async def open(self, info, account, timeout_s):
+        self.opened += 1
+        if self.full_for:
+            self.full_for -= 1
+            raise sessionpool.RefusedError(Verdict.TOO_MANY_CONNECTIONS)
         return FakeConnection(self.targets[info.server], account)
 
     def session(self):
@@ -531,3 +537,66 @@
 
         asyncio.run(work())
         assert setting.service.sessions == set()
+
+
+class TestFullTarget:
+    """A target whose connections are still those of lost VMs."""
+
+    def test_a_write_waits_briefly_for_a_place(self, monkeypatch):
+        monkeypatch.setattr(sessionpool, 'FULL_S', 0.05)
+        setting = Setting()
+        setting.full_for = 1
+        (result,) = setting.run(write())
+        assert result.failure is None
+        assert setting.opened == 2
+
+    def test_no_connection_is_added_for_a_while(self):
+        """Guards against opening again and again at a full target."""
+        setting = Setting()
+        setting.full_for = 100
+        (result,) = setting.run(write())
+        assert result.failure is Failure.BUSY
+        assert setting.opened == 1
+
+    def test_connections_of_other_accounts_make_room(self):
+        setting = Setting()
+        backend = setting.backend('p')
+
+        async def work():
+            conn = await backend.acquire('a', clocks.boottime() + 1, {})
+            backend.release(conn, clean=True)
+            setting.full_for = 1
+            with pytest.raises(sessionpool.RefusedError):
+                await backend.acquire('b', clocks.boottime() + 1, {})
+            taken = await backend.acquire('b', clocks.boottime() + 1, {})
+            assert conn.closed and taken.account == 'b'
+            assert backend.pool.held == 1
+
+        asyncio.run(work())
+
+    def test_waiting_statements_use_released_connections(self):
+        setting = Setting()
+        backend = setting.backend('p')
+
+        async def work():
+            conn = await backend.acquire('a', clocks.boottime() + 1, {})
+            backend._note_full()
+            waiting = asyncio.ensure_future(
+                backend.acquire('a', clocks.boottime() + 1, {})
+            )
+            await asyncio.sleep(0.01)
+            assert not waiting.done()
+            backend.release(conn, clean=True)
+            assert await waiting is conn
+
+        asyncio.run(work())
+
+
+class TestTooLittleTime:
+    def test_nothing_is_sent_that_cannot_be_answered_in_time(self):
+        """Guards against a statement in doubt that had no chance."""
+        setting = Setting()
+        setting.targets['p'].rtt_s = 5.0
+        (result,) = setting.run(write())
+        assert result.failure is Failure.BUSY
+        assert setting.targets['p'].commands == []
