--- a/packages/core/src/sassafrasridge_core/routing.py
+++ b/packages/core/src/sassafrasridge_core/routing.py
@@ -117,11 +117,12 @@
 ) -> Candidate | model.Refusal:
     """Return the target for a read, or why there is none.
 
-    All candidates fit what the read needs. Replicas come before the primary, whose capacity is for writes. Among
-    replicas one with room comes first, then the nearest zone, and of two
-    random ones there the one with fewer statements in flight: always taking
-    the least loaded would send the requests of all entry processes to the
-    same target until their figures catch up. ``zone_order`` lists zones from
+    All candidates fit what the read needs. Replicas come before the primary,
+    whose capacity is for writes. Among replicas one with room comes first,
+    then the nearest zone, and of two random ones there the one with fewer
+    statements in flight: always taking the least loaded would send the
+    requests of all entry processes to the same target until their figures
+    catch up. ``zone_order`` lists zones from
     near to far; ``exclude`` has the servers that an attempt failed on.
     """
     known = [c for c in candidates if c.server not in exclude]
