Disturb links and disks in the fault soak, and go on logging after a full disk

By reading for it: the thread that writes log lines ended with the first line that could not be written. Change: the soak's targets, entry processes and clients are reached through the fault proxy; control members lose their disks or can't write (a limit set from outside). A third of the seeds runs nine entry processes, so that some pass statements on.

--- a/packages/node/src/sassafrasridge_node/logs.py
+++ b/packages/node/src/sassafrasridge_node/logs.py
@@ -54,13 +54,21 @@
         while True:
             line = self._lines.get()
             dropped, self.dropped = self.dropped, 0
-            if dropped:
-                self._file.write(f'{{"log_lines_dropped":{dropped}}}\n')
-            self._file.write(line)
-            if self._lines.empty():
-                self._file.flush()
+            try:
+                self._write(line, dropped)
+            except OSError:
+                # There is nowhere to say so before the disk or the reader
+                # is back; the next line tells how many are missing.
+                self.dropped += dropped + 1
             self._lines.task_done()
 
+    def _write(self, line: str, dropped: int) -> None:
+        if dropped:
+            self._file.write(f'{{"log_lines_dropped":{dropped}}}\n')
+        self._file.write(line)
+        if self._lines.empty():
+            self._file.flush()
+
 
 _queued: list[_QueuedFile] = []
 
--- a/packages/testkit/src/sassafrasridge_testkit/linecluster.py
+++ b/packages/testkit/src/sassafrasridge_testkit/linecluster.py
@@ -4,12 +4,14 @@
 import itertools
 import os
 import pathlib
+import shutil
 import sys
 import time
 import typing
 
 import orjson
 
+from sassafrasridge_testkit import harness
 from sassafrasridge_testkit import linecaller
 from sassafrasridge_testkit import processes
 
@@ -22,6 +24,7 @@
 region = {zone}
 http = {http}
 rpc = {host}:{rpc}
+advertise_rpc = {peers}
 roles = entry
 cluster_secret_text = {secret}
 [entry]
@@ -91,9 +94,17 @@
     """Control members, entry processes and the stand-in platform."""
 
     def __init__(
-        self, folder: pathlib.Path, entries: int = 2, groups: int = 2
+        self,
+        folder: pathlib.Path,
+        entries: int = 2,
+        groups: int = 2,
+        proxied: bool = False,
     ) -> None:
         self.folder = folder
+        self.proxy: harness.FaultProxy | None = None
+        self.links: list[str] = []
+        if proxied:
+            self.proxy = self._start_proxy()
         self.rpc = processes.free_port('127.0.0.1')
         self.control_port = processes.free_port('127.0.0.1')
         self.group_names = [f'group{n}' for n in range(groups)]
@@ -114,6 +125,18 @@
         ]
         self.platform = self._platform()
 
+    def _start_proxy(self) -> harness.FaultProxy:
+        argv = [sys.executable, '-m', 'sassafrasridge_testkit.faultproxy']
+        process = processes.Process('proxy', argv, self.folder)
+        return harness.FaultProxy(process.start())
+
+    def _link(self, name: str, address: str) -> str:
+        """Return an address that leads to another through the proxy."""
+        if self.proxy is None:
+            return address
+        self.links.append(name)
+        return self.proxy.add_link(name, address)
+
     def _write(self, name: str, text: str) -> str:
         path = self.folder / f'{name}.ini'
         path.write_text(text)
@@ -154,6 +177,14 @@
         node.process.start()
         return node
 
+    def lose_disk(self, node: Node) -> None:
+        """Kill a control member and start it again with an empty disk."""
+        node.process.kill()
+        shutil.rmtree(self.folder / f'data-{node.host}')
+        zone = ZONES[self.control.index(node) % len(ZONES)]
+        self._control(node.host, zone, bootstrap=False)
+        node.process.start()
+
     def _entry(self, name: str, zone: str) -> Node:
         host = next(self._hosts)
         address = f'{host}:{processes.free_port()}'
@@ -164,12 +195,13 @@
             http=address,
             host=host,
             rpc=self.rpc,
+            peers=self._link(f'peers of {name}', f'{host}:{self.rpc}'),
             secret=SECRET,
             seeds=self.seeds,
             sessions=sessions,
         )
         node = Node(name, host, address, self._process(name, text))
-        node.sessions = sessions
+        node.sessions = self._link(f'clients of {name}', sessions)
         return node
 
     def _platform(self) -> processes.Process:
@@ -183,7 +215,11 @@
             ','.join(n.http for n in self.control),
         ]
         for name in self.group_names:
-            addresses = [f'127.0.0.1:{processes.free_port()}' for _ in ZONES]
+            addresses = []
+            for place in range(len(ZONES)):
+                address = f'127.0.0.1:{processes.free_port()}'
+                announced = self._link(f'{name}-{place}', address)
+                addresses.append(f'{address}@{announced}')
             argv += ['--group', f'{name}={",".join(addresses)}']
         return processes.Process('platform', argv, self.folder)
 
@@ -205,6 +241,8 @@
         for node in [*self.entries, *self.control]:
             node.process.kill()
         self.platform.kill()
+        if self.proxy is not None:
+            self.proxy.process.kill()
 
     def wait_serving(self, timeout_s: float = 15.0) -> None:
         """Wait until every entry process serves writes in every group."""
--- a/packages/testkit/src/sassafrasridge_testkit/linegroup.py
+++ b/packages/testkit/src/sassafrasridge_testkit/linegroup.py
@@ -59,12 +59,18 @@
     """One database server."""
 
     def __init__(
-        self, group: 'Group', name: str, zone: str, address: str
+        self,
+        group: 'Group',
+        name: str,
+        zone: str,
+        address: str,
+        announced: str = '',
     ) -> None:
         self.group = group
         self.name = name
         self.zone = zone
         self.address = address
+        self.announced = announced or address
         self.primary = False
         self.term = 1
         self.held_term = 0
@@ -375,7 +381,7 @@
         server.sequence += 1
         body = {
             'service': server.group.name,
-            'address': server.address,
+            'address': server.announced,
             'zone': server.zone,
             'version': 'v1',
             'capacity': SLOTS,
@@ -481,8 +487,11 @@
     for number, text in enumerate(args.group):
         name, addresses = text.split('=')
         group = platform.groups[name] = Group(platform, name)
-        for place, address in enumerate(addresses.split(',')):
-            server = Server(group, f'{name}-{place}', f'z{place}', address)
+        for place, pair in enumerate(addresses.split(',')):
+            address, _, announced = pair.partition('@')
+            server = Server(
+                group, f'{name}-{place}', f'z{place}', address, announced
+            )
             server.primary = place == number % 3
             await server.start()
             group.servers.append(server)
@@ -511,7 +520,12 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument('--listen', required=True)
     parser.add_argument('--control', required=True)
-    parser.add_argument('--group', action='append', default=[])
+    parser.add_argument(
+        '--group',
+        action='append',
+        default=[],
+        help='name=address@announced,... (without @: the address itself)',
+    )
     asyncio.run(_serve(parser.parse_args()))
 
 
--- a/packages/testkit/src/sassafrasridge_testkit/soak.py
+++ b/packages/testkit/src/sassafrasridge_testkit/soak.py
@@ -1,14 +1,17 @@
 """A randomized fault soak of the product on the stand-in platform.
 
-Real processes are killed, paused, stopped and restarted, lose their disks,
-and targets crash, fall silent and leave, while clients work and an oracle
-judges what they were told. ``python -m sassafrasridge_testkit.soak --seed N``
+Real processes are killed, paused, stopped and restarted, lose their disks or
+can't write to them, links are delayed, reset, silenced or cut one way, and
+targets crash, fall silent and leave, while clients work and an oracle judges
+what they were told. ``python -m sassafrasridge_testkit.soak --seed N``
 repeats a run; ``--count`` runs that many seeds.
 """
 
 import argparse
+import contextlib
 import pathlib
 import random
+import resource
 import sys
 import tempfile
 import threading
@@ -21,6 +24,23 @@
 
 DEFAULT_SECONDS = 12.0
 CLIENTS = 6
+ENTRIES = (3, 3, 9)
+"""Entry processes of a run; with nine, some pass statements on."""
+
+DIRECTIONS = ('to_target', 'to_client')
+CALM: dict[str, typing.Any] = {
+    'delay_ms': 0,
+    'jitter_ms': 0,
+    'hold': [],
+    'lose': [],
+    'cut': False,
+    'refuse': False,
+    'reset_chance': 0,
+}
+
+REJOIN_S = 10.0
+"""Time for a member to take part again: an election and a few renewals."""
+
 RECOVERY_S = 15.0
 """Time in which everything must serve again after the last fault."""
 
@@ -128,10 +148,17 @@
         self._cluster = cluster
         self._rng = rng
         self.log: list[str] = []
+        # No other member may be missing while one lost its disk.
+        self._members = threading.Lock()
 
     def inject(self) -> None:
         """Inject one fault, or two that overlap."""
         kinds = (
+            self._disturb_link,
+            self._disturb_link,
+            self._reset_link,
+            self._lose_disk,
+            self._fill_disk,
             self._kill_entry,
             self._stop_entry,
             self._pause,
@@ -170,11 +197,79 @@
         self._restart(self._rng.choice(self._cluster.entries), True)
 
     def _kill_control(self) -> None:
-        self._restart(self._rng.choice(self._cluster.control), False)
+        with self._members:
+            self._restart(self._rng.choice(self._cluster.control), False)
+
+    def _lose_disk(self) -> None:
+        with self._members:
+            node = self._rng.choice(self._cluster.control)
+            self._note(f'{node.name} loses its disk')
+            self._cluster.lose_disk(node)
+            self._wait_for(node)
+
+    def _fill_disk(self) -> None:
+        with self._members:
+            node = self._rng.choice(self._cluster.control)
+            self._note(f'{node.name} can not write')
+            pid = node.process.pid
+            before = resource.prlimit(pid, resource.RLIMIT_FSIZE)
+            resource.prlimit(pid, resource.RLIMIT_FSIZE, (1, before[1]))
+            time.sleep(self._rng.uniform(0.5, 2.0))
+            if node.process.running:
+                resource.prlimit(pid, resource.RLIMIT_FSIZE, before)
+            else:
+                self._note(f'{node.name} ended')
+                node.process.start()
+            self._wait_for(node)
+
+    def _wait_for(self, node: linecluster.Node) -> None:
+        """Wait until a member takes part again."""
+        with contextlib.suppress(processes.DeadlinePassed):
+            processes.wait_until(
+                lambda: node.call('GET', '/api/config')[0] == 200,
+                REJOIN_S,
+                f'{node.name} takes part',
+            )
+            return
+        self._note(f'{node.name} does not take part')
+
+    def _link(self) -> str:
+        return self._rng.choice(self._cluster.links)
+
+    def _disturb_link(self) -> None:
+        link, direction = self._link(), self._rng.choice(DIRECTIONS)
+        rules = self._rng.choice(
+            (
+                {'delay_ms': self._rng.uniform(5, 200), 'jitter_ms': 50},
+                {'hold': [direction]},
+                {'lose': [direction]},
+                {'cut': True},
+                {'refuse': True},
+                {'reset_chance': 0.05},
+            )
+        )
+        self._note(f'link {link}: {rules}')
+        self._cluster.proxy.rules(link, **rules)
+        time.sleep(self._rng.uniform(0.2, 3.0))
+        self._cluster.proxy.rules(link, **CALM)
+
+    def _reset_link(self) -> None:
+        link = self._link()
+        silence = self._rng.random() < 0.5
+        self._note(f'link {link}: {"silenced" if silence else "reset"}')
+        if silence:
+            self._cluster.proxy.silence(link)
+        else:
+            self._cluster.proxy.reset(link)
 
     def _pause(self) -> None:
-        nodes = [*self._cluster.entries, *self._cluster.control]
-        node = self._rng.choice(nodes)
+        if self._rng.random() < 0.3:
+            with self._members:
+                self._pause_one(self._rng.choice(self._cluster.control))
+        else:
+            self._pause_one(self._rng.choice(self._cluster.entries))
+
+    def _pause_one(self, node: linecluster.Node) -> None:
         self._note(f'pause {node.name}')
         node.process.pause()
         time.sleep(self._rng.uniform(0.2, 3.0))
@@ -249,8 +344,10 @@
     seed: int, seconds: float, folder: pathlib.Path
 ) -> tuple[list[str], list[str], int]:
     """Run one seed; return problems, the faults and the statements."""
-    cluster = linecluster.LineCluster(folder, entries=3, groups=2)
     rng = random.Random(seed)
+    cluster = linecluster.LineCluster(
+        folder, rng.choice(ENTRIES), groups=2, proxied=True
+    )
     faults = Faults(cluster, rng)
     try:
         cluster.start()
--- a/tests/node/test_logs.py
+++ b/tests/node/test_logs.py
@@ -49,3 +49,33 @@
             file.write(f'{number}\n')
         assert file.dropped >= 49
         gate.set()
+
+
+class FullDisk:
+    """A file that can't be written to for a while."""
+
+    def __init__(self):
+        self.full = True
+        self.written = []
+
+    def write(self, text):
+        if self.full:
+            raise OSError(28, 'no space')
+        self.written.append(text)
+
+    def flush(self):
+        return None
+
+
+class TestQueuedFile:
+    def test_a_full_disk_loses_lines_and_not_the_log(self):
+        """Guards against a process that never logs again."""
+        disk = FullDisk()
+        file = logs._QueuedFile(disk)
+        file.write('one\n')
+        file.write('two\n')
+        file.drain(1.0)
+        disk.full = False
+        file.write('three\n')
+        file.drain(1.0)
+        assert disk.written == ['{"log_lines_dropped":2}\n', 'three\n']
