--- a/packages/testkit/src/sassafrasridge_testkit/soak.py
+++ b/packages/testkit/src/sassafrasridge_testkit/soak.py
@@ -150,6 +150,8 @@
         self.log: list[str] = []
         # No other member may be missing while one lost its disk.
         self._members = threading.Lock()
+        # The proxy has one control connection.
+        self._control = threading.Lock()
 
     def inject(self) -> None:
         """Inject one fault, or two that overlap."""
@@ -249,18 +251,23 @@
             )
         )
         self._note(f'link {link}: {rules}')
-        self._cluster.proxy.rules(link, **rules)
+        self._set_rules(link, rules)
         time.sleep(self._rng.uniform(0.2, 3.0))
-        self._cluster.proxy.rules(link, **CALM)
+        self._set_rules(link, CALM)
+
+    def _set_rules(self, link: str, rules: dict[str, typing.Any]) -> None:
+        with self._control:
+            self._cluster.proxy.rules(link, **rules)
 
     def _reset_link(self) -> None:
         link = self._link()
         silence = self._rng.random() < 0.5
         self._note(f'link {link}: {"silenced" if silence else "reset"}')
-        if silence:
-            self._cluster.proxy.silence(link)
-        else:
-            self._cluster.proxy.reset(link)
+        with self._control:
+            if silence:
+                self._cluster.proxy.silence(link)
+            else:
+                self._cluster.proxy.reset(link)
 
     def _pause(self) -> None:
         if self._rng.random() < 0.3:
