Drop what an entry process saw of targets that it no longer watches

Cause: serving sets change as processes start and end. Ruled out: probes that come too rarely (promotions stopped nowhere and began while the sets formed), a real silence (all members answered each time). Change: a renewal names all that its process watches; the rest is forgotten. Test: test_observer_that_stopped_watching_is_no_witness, which needs the new call and so could only fail without it.

--- a/packages/core/src/sassafrasridge_core/promotion.py
+++ b/packages/core/src/sassafrasridge_core/promotion.py
@@ -61,12 +61,14 @@
 class Detector:
     """Decide from several observers whether a target has failed."""
 
-    __slots__ = ('_suspect_after_s', '_groups')
+    __slots__ = ('_suspect_after_s', '_groups', '_watched')
 
     def __init__(self, suspect_after_s: float) -> None:
         self._suspect_after_s = suspect_after_s
         # Sightings by group, server and observer.
         self._groups: dict[str, dict[str, dict[str, Sighting]]] = {}
+        # Groups and servers by observer.
+        self._watched: dict[str, set[tuple[str, str]]] = {}
 
     def report(
         self, observer: str, group: str, server: str, sighting: Sighting
@@ -76,9 +78,27 @@
         sightings = servers.setdefault(server, {})
         sighting.follow(sightings.get(observer))
         sightings[observer] = sighting
+        self._watched.setdefault(observer, set()).add((group, server))
+
+    def keep(
+        self,
+        observer: str,
+        targets: collections.abc.Set[tuple[str, str]],
+    ) -> None:
+        """Drop what an observer reported of targets that it left out now.
+
+        It no longer watches them: its last report would count as silence.
+        """
+        watched = self._watched.get(observer)
+        if not watched or watched <= targets:
+            return
+        for group, server in watched - targets:
+            self._sightings(group, server).pop(observer, None)
+        watched &= targets
 
     def forget(self, observer: str) -> None:
         """Drop all reports of an observer."""
+        self._watched.pop(observer, None)
         for servers in self._groups.values():
             for sightings in servers.values():
                 sightings.pop(observer, None)
--- a/packages/node/src/sassafrasridge_node/leadership.py
+++ b/packages/node/src/sassafrasridge_node/leadership.py
@@ -141,6 +141,9 @@
             self.detector.report(
                 name, obs.group, obs.server, codec.sighting_from_wire(now, obs)
             )
+        self.detector.keep(
+            name, {(o.group, o.server) for o in req.observations or []}
+        )
         self._add_config(reply, req, relayed)
         reply.shares = [
             codec.grant_to_wire(grant)
--- a/tests/core/test_promotion.py
+++ b/tests/core/test_promotion.py
@@ -90,6 +90,17 @@
         self.detector.forget('y')
         assert not self.failed(10.0, 'x', 'y')
 
+    def test_observer_that_stopped_watching_is_no_witness(self):
+        """Guards against changes of primary as serving sets move."""
+        for observer in ('w', 'x', 'y', 'z'):
+            self.report(observer, 10.0, 0.0)
+        for observer in ('x', 'y', 'z'):
+            self.detector.keep(observer, {('other', 'b')})
+        self.report('w', 15.0, 0.0)
+        self.detector.keep('w', {('g', 'a')})
+        assert not self.failed(15.0, 'w', 'x', 'y', 'z')
+        assert self.failed(16.0, 'w')
+
     def test_observer_that_never_heard_is_no_witness_at_once(self):
         """Guards against replacing a primary because processes started."""
         never = promotion.NEVER_HEARD_S
