Give a control member its parts in the constructor

No change of behaviour: commands, opener, tolerated, exclusive_names and the maker of the keeper were set as attributes after the member was made.

--- a/packages/node/src/sassafrasridge_node/control.py
+++ b/packages/node/src/sassafrasridge_node/control.py
@@ -54,7 +54,7 @@
     [], tuple[storage.Storage, raft.Raft, core_state.State]
 ]
 KeeperFactory = collections.abc.Callable[
-    [leadership.Leadership], groups.Keeper
+    ['ControlMember', leadership.Leadership], groups.Keeper
 ]
 
 
@@ -87,7 +87,12 @@
 
 
 class ControlMember(groups.GroupStore):
-    """Own one member's log, state and, while it leads, its leadership."""
+    """Own one member's log, state and, while it leads, its leadership.
+
+    ``opener`` reads the disk again after it failed; without one the process
+    ends then. With ``tolerated`` members come and go by themselves, so that
+    the loss of so many is tolerated; without, by operators' commands only.
+    """
 
     def __init__(
         self,
@@ -103,6 +108,12 @@
         policy: str,
         dialer: connections.Dialer,
         counters: metrics.Metrics,
+        *,
+        commands: collections.abc.Mapping[str, typing.Any] | None = None,
+        opener: Opener | None = None,
+        tolerated: int | None = None,
+        exclusive_names: bool = False,
+        create_keeper: KeeperFactory | None = None,
     ) -> None:
         self.name = name
         self._dialer = dialer
@@ -130,15 +141,13 @@
         ] = {}
         self._registering: set[str] = set()
         self._sending: set[asyncio.Task[None]] = set()
-        self.commands: collections.abc.Mapping[str, typing.Any] = {}
+        self._commands = commands or {}
         self.rpc_address = ''
-        # Reads the disk again after it failed; None: the process ends then.
-        self.opener: Opener | None = None
+        self._opener = opener
         self.suspended = False
-        self.exclusive_names = False
-        self.keeper_factory: KeeperFactory = self._group_keeper
-        # None: members change by operators' commands only.
-        self.tolerated: int | None = None
+        self._exclusive_names = exclusive_names
+        self._create_keeper = create_keeper or _group_keeper
+        self._tolerated = tolerated
         self._member_task: asyncio.Task[None] | None = None
 
     # The task.
@@ -174,7 +183,7 @@
 
         What the log holds in memory was not persisted, so it is dropped.
         """
-        if self.opener is None:
+        if self._opener is None:
             raise exc
         logs.change('disk_failed', reason=exc.message)
         self.suspended = True
@@ -184,7 +193,7 @@
         while True:
             await asyncio.sleep(REOPEN_INTERVAL_S)
             try:
-                self._files, self.log, self.state = self.opener()
+                self._files, self.log, self.state = self._opener()
                 break
             except errors.StorageError as failure:
                 logs.change('disk_failed', reason=failure.message)
@@ -225,7 +234,7 @@
         Where members change without an operator, the name is the address: a
         new member must answer a leader before it knows any membership.
         """
-        if self.tolerated is not None:
+        if self._tolerated is not None:
             return name
         listed = self.log.members.get(name)
         recorded = listed.address if listed is not None else ''
@@ -305,23 +314,24 @@
             now,
             self._policy,
             self._metrics,
-            self.exclusive_names,
+            self._exclusive_names,
         )
         for at, info in self._announced.values():
             self.leadership.announced(at, info)
         self.leadership.members = self.addresses
-        self.keeper = self.keeper_factory(self.leadership)
+        self.keeper = self._create_keeper(self, self.leadership)
         self._keeper = asyncio.ensure_future(self.keeper.run())
-        if self.tolerated is not None:
+        if self._tolerated is not None:
             self._member_task = asyncio.ensure_future(
-                self._keep_members(self.tolerated)
+                self._keep_members(self._tolerated)
             )
         self._metrics.is_leader.set(1)
         logs.change('leadership_began', term=self.log.term)
         if not self.state.session_secret:
             asyncio.ensure_future(self._initialise())
 
-    def _group_keeper(self, current: leadership.Leadership) -> groups.Keeper:
+    def group_keeper(self, current: leadership.Leadership) -> groups.Keeper:
+        """Return the keeper of groups that take orders by HTTP."""
         return groups.GroupKeeper(
             self,
             current.detector,
@@ -590,7 +600,7 @@
         """Carry out an operator's command, here or at the leader."""
         if self.leadership is None:
             return await self._forward(kind, body, deadline_s)
-        handler = self.commands.get(kind)
+        handler = self._commands.get(kind)
         if handler is None:
             return _command_error(
                 errors.BadRequestError(f'command {kind!r} does not exist')
@@ -637,3 +647,9 @@
         body=orjson.dumps(exc.as_json()),
         status=exc.status,
     )
+
+
+def _group_keeper(
+    member: ControlMember, current: leadership.Leadership
+) -> groups.Keeper:
+    return member.group_keeper(current)
--- a/packages/node/src/sassafrasridge_node/main.py
+++ b/packages/node/src/sassafrasridge_node/main.py
@@ -220,6 +220,9 @@
             name = self.cfg.node.advertise_rpc or self.cfg.node.rpc
         self._files, log, state = self._open_log(name, cfg)
         peers = {n: a for n, a in cfg.members.items() if n != name}
+        create_keeper = None
+        if self.platform is not None:
+            create_keeper = self._failover_factory(self.platform)
         self.member = control.ControlMember(
             name,
             self.cfg.node.zone,
@@ -233,14 +236,13 @@
             SHARE_POLICIES[cfg.policy],
             self._dialer,
             self.metrics,
+            commands=commands.COMMANDS,
+            opener=(lambda: self._open_log(name, cfg)) if cfg.seeds else None,
+            tolerated=cfg.tolerated if cfg.seeds else None,
+            exclusive_names=bool(cfg.seeds) and cfg.exclusive_names,
+            create_keeper=create_keeper,
         )
-        self.member.commands = commands.COMMANDS
-        if self.platform is not None:
-            self._use_failover(self.member, self.platform)
         if cfg.seeds:
-            self.member.tolerated = cfg.tolerated
-            self.member.exclusive_names = cfg.exclusive_names
-            self.member.opener = lambda: self._open_log(name, cfg)
             self._spawn(
                 joining.join(self.member, self._seed_members(cfg.seeds), pool)
             )
@@ -283,12 +285,14 @@
         # A process that is no seed joins the others.
         return members if name in members or not cfg.seeds else {}
 
-    def _use_failover(
-        self, member: control.ControlMember, platform: extension.Platform
-    ) -> None:
+    def _failover_factory(
+        self, platform: extension.Platform
+    ) -> control.KeeperFactory:
         orders = platform.orders(self.source(), self.cfg.node.name)
 
-        def create(current: leadership.Leadership) -> failover.FailoverKeeper:
+        def create(
+            member: control.ControlMember, current: leadership.Leadership
+        ) -> failover.FailoverKeeper:
             return failover.FailoverKeeper(
                 member,
                 current.detector,
@@ -300,7 +304,7 @@
                 current.term,
             )
 
-        member.keeper_factory = create
+        return create
 
     def _seed_members(self, seeds: list[str]) -> list[str]:
         """Return the thrift addresses of seeds: all use the same port."""
