Ask the next process when one that serves a group stands still during a read

Cause: a read that was passed on waited all its time for one process, so a frozen or cut-off member of the serving set cost every read a refusal until control took it off the list. Change: a read waits for half of the time left, at least 0.3 s, then goes on; the connection stays, since other calls on it may still be answered. Test: test_a_read_does_not_wait_all_its_time_for_one_process, seen to fail.

--- a/packages/node/src/sassafrasridge_node/sessionrelay.py
+++ b/packages/node/src/sassafrasridge_node/sessionrelay.py
@@ -6,6 +6,7 @@
 session's process chose.
 """
 
+import asyncio
 import random
 import typing
 
@@ -28,6 +29,11 @@
 """Time beyond a statement's own in which its refusal arrives: longer than
 the farthest round trip and a queue of calls at the other process."""
 
+READ_TRY_SHARE = 0.5
+MIN_READ_TRY_S = 0.3
+"""Part of the time left, and the least, for which one process may take for a
+read before the next is asked: several times a usual answer."""
+
 AVOID_S = 1.0
 """Time for which a silent process is asked last; control takes it off the
 list of live processes within a lease and a renewal."""
@@ -239,8 +245,15 @@
             if address is None or now >= deadline:
                 continue
             req.waited_s = now - arrived
+            left_s = deadline - now
+            reads = unanswered is Failure.FAILED
             try:
-                return owner, await self._call(address, req, deadline - now)
+                async with asyncio.timeout(_try_s(left_s) if reads else None):
+                    return owner, await self._call(address, req, left_s)
+            except TimeoutError:
+                # The connection stays: other calls on it may be answered.
+                self._note_failure(owner, req, True, 'no answer yet')
+                failure, detail = unanswered, 'no answer in time'
             except rpc.RpcError as exc:
                 self._note_failure(owner, req, exc.sent, exc.message)
                 if not exc.sent:
@@ -293,6 +306,15 @@
             self._note_failure(owner, req, True, str(exc))
 
 
+def _try_s(left_s: float) -> float:
+    """Return how long one process may take for a read.
+
+    >>> _try_s(2.0), _try_s(0.4)
+    (1.0, 0.3)
+    """
+    return max(MIN_READ_TRY_S, left_s * READ_TRY_SHARE)
+
+
 def reply_to(result: RelayedResult) -> typing.Any:
     """Return the reply to a call."""
     return rpc.idl.StatementReply(
--- a/tests/node/test_sessionrelay.py
+++ b/tests/node/test_sessionrelay.py
@@ -20,6 +20,7 @@
 State = statements.State
 
 SILENT = 'silent'
+STUCK = 'stuck'
 UNREACHED = 'unreached'
 
 
@@ -38,6 +39,9 @@
         if fault == UNREACHED:
             raise rpc.RpcError('refused', sent=False)
         reply = await getattr(self.guests, api)(call)
+        if fault == STUCK:
+            await asyncio.sleep(timeout_s)
+            raise rpc.RpcError('no answer', sent=True)
         if fault == SILENT:
             raise rpc.RpcError('no answer', sent=True)
         return reply
@@ -116,6 +120,14 @@
         assert result.failure is None
         assert pair.second.calls == 1
 
+    def test_a_read_does_not_wait_all_its_time_for_one_process(self):
+        """Guards against reads lost to a process that stands still."""
+        pair = Pair()
+        pair.first.faults = [STUCK]
+        (result,) = pair.run(front.read())
+        assert result.failure is None
+        assert pair.second.calls == 1
+
     def test_a_write_that_was_not_sent_goes_to_the_next_process(self):
         pair = Pair()
         pair.first.faults = [UNREACHED]
