Run a relayed statement where it arrives

Cause, found by reading: a process that had just left a serving set would have passed a statement on again, and two processes with different lists of live processes could have passed it back and forth. Test: test_they_are_passed_on_once, seen to fail.

--- a/packages/node/src/sassafrasridge_node/sessionfront.py
+++ b/packages/node/src/sassafrasridge_node/sessionfront.py
@@ -471,7 +471,7 @@
         writes = stmt.kind is Kind.WRITE or (
             prepared is not None and prepared.writes
         )
-        if not self._state.serves(access.group):
+        if not self._serves(access.group):
             return await self._relay_single(
                 stmt, prepared, access, deadline, started, writes
             )
@@ -796,6 +796,10 @@
 
     # Statements that another entry process runs.
 
+    def _serves(self, group: str) -> bool:
+        """Return whether statements for a group are run here."""
+        return self._state.serves(group)
+
     def _relayed(
         self,
         stmt: statements.Statement,
@@ -878,7 +882,7 @@
         commits = stmt.kind is Kind.COMMIT
         writes = stmt.kind is Kind.WRITE or bool(prepared and prepared.writes)
         tx.wrote = tx.wrote or writes
-        serves = self._state.serves(tx.access.group)
+        serves = self._serves(tx.access.group)
         if tx.owner or (tx.conn is None and not serves):
             return await self._relay_in_transaction(
                 stmt, prepared, tx, deadline, started
--- a/packages/node/src/sassafrasridge_node/sessionguests.py
+++ b/packages/node/src/sassafrasridge_node/sessionguests.py
@@ -33,6 +33,12 @@
     ) -> None:
         """The process of the session has charged the account."""
 
+    def _serves(self, group: str) -> bool:
+        """Run it here in any case: two processes that see different serving
+        sets would pass a statement back and forth.
+        """
+        return True
+
     def load(self, req: sessionrelay.RelayedStatement) -> None:
         """Take over what the session holds."""
         self._values = dict(req.values)
--- a/tests/node/test_sessionrelay.py
+++ b/tests/node/test_sessionrelay.py
@@ -169,6 +169,15 @@
         (result,) = pair.run(front.write())
         assert result.failure is Failure.UNAUTHORIZED
 
+    def test_they_are_passed_on_once(self):
+        """Guards against two processes that each take the other to serve."""
+        pair = Pair()
+        for peer in pair.peers.values():
+            peer.setting.state.serves = lambda group: False
+        (result,) = pair.run(front.write())
+        assert result.failure is None
+        assert (pair.first.calls, pair.second.calls) == (1, 0)
+
 
 class TestTransactions:
     def test_all_statements_run_on_one_connection(self):
