Split the choice of targets from sessions, and make a log test independent of its order

No change of behaviour: sessionrouting.Router chooses targets, logs.DecisionLog bounds lines on decisions. test_logs failed when tests that log ran before it, as eliot hands its first destination what was logged until then (seen with tests/node/test_session*.py before it); a fixture drops that.

--- a/packages/node/src/sassafrasridge_node/logs.py
+++ b/packages/node/src/sassafrasridge_node/logs.py
@@ -18,6 +18,9 @@
 
 
 STANDARD_OUTPUT = '-'
+LOG_DECISIONS_PER_S = 20
+"""Log lines on single statements; the rest is counted only."""
+
 MAX_QUEUED = 2000
 """Lines that wait for a slow reader; later ones are counted and dropped."""
 
@@ -136,3 +139,26 @@
         exception=kind.__name__ if kind else None,
         frames=[f'{f.filename}:{f.lineno}:{f.name}' for f in frames],
     )
+
+
+class DecisionLog:
+    """Log decisions on single statements, at most so many a second."""
+
+    def __init__(self, now: typing.Callable[[], float]) -> None:
+        self._now = now
+        self._second = 0
+        self._count = 0
+        self._left_out = 0
+
+    def write(self, event: str, **fields: typing.Any) -> None:
+        """Log one decision, or count it as left out."""
+        second = int(self._now())
+        if second != self._second:
+            if self._left_out:
+                change('decisions_left_out', count=self._left_out)
+            self._second, self._count, self._left_out = second, 0, 0
+        self._count += 1
+        if self._count > LOG_DECISIONS_PER_S:
+            self._left_out += 1
+        else:
+            change(event, **fields)
--- a/packages/node/src/sassafrasridge_node/sessionfront.py
+++ b/packages/node/src/sassafrasridge_node/sessionfront.py
@@ -13,7 +13,6 @@
 import random
 import typing
 
-from sassafrasridge_core import configuration
 from sassafrasridge_core import errors
 from sassafrasridge_core import model
 from sassafrasridge_core import statements
@@ -25,6 +24,7 @@
 from sassafrasridge_node import metrics
 from sassafrasridge_node import sessionpool
 from sassafrasridge_node import sessionrelay
+from sassafrasridge_node import sessionrouting
 from sassafrasridge_node import sessionstate
 
 Kind = statements.Kind
@@ -63,30 +63,12 @@
 """Time in which a target between regions opens a connection: three round
 trips of 40 ms and the target's own work."""
 
-AGE_MARGIN_S = 0.2
-"""Taken off the age that a read accepts: covers clock drift and the time
-between the client's first byte and this process."""
-
-STATEMENT_S = 0.03
-"""Time that a statement in flight adds at a target; between the mean work of
-the users' two services."""
-
-AVOIDED_S = 1.0
-"""Added for a target that turned work away a moment ago: more than any
-distance, so that it is the last choice."""
-
-TIE_S = 0.002
-"""Spreads reads over targets at the same distance."""
-
 EXPIRE_INTERVAL_S = 0.25
 """Interval at which idle transactions are looked for."""
 
 ROLLBACK_TIMEOUT_S = 1.0
 """A round trip between regions and the target's own work, many times over."""
 
-LOG_DECISIONS_PER_S = 20
-"""Log lines on single statements; the rest is counted only."""
-
 
 class Problem(Exception):
     """Report why a statement has no result."""
@@ -97,19 +79,6 @@
         self.detail = detail
 
 
-class Access:
-    """Hold what a key and a route allowed when an operation began."""
-
-    __slots__ = ('account', 'route', 'group')
-
-    def __init__(
-        self, account: str, route: configuration.Route, group: str
-    ) -> None:
-        self.account = account
-        self.route = route
-        self.group = group
-
-
 class Prepared:
     """Hold a prepared statement; ``name`` is the one that targets know."""
 
@@ -143,7 +112,7 @@
         'used_at',
     )
 
-    def __init__(self, access: Access, read_only: bool) -> None:
+    def __init__(self, access: sessionrouting.Access, read_only: bool) -> None:
         self.access = access
         self.read_only = read_only
         self.backend: sessionpool.SessionBackend | None = None
@@ -156,28 +125,6 @@
         self.used_at = clocks.boottime()
 
 
-class DecisionLog:
-    """Log decisions on single statements, at most so many a second."""
-
-    def __init__(self) -> None:
-        self._second = 0
-        self._count = 0
-        self._left_out = 0
-
-    def write(self, event: str, **fields: typing.Any) -> None:
-        """Log one decision, or count it as left out."""
-        second = int(clocks.boottime())
-        if second != self._second:
-            if self._left_out:
-                logs.change('decisions_left_out', count=self._left_out)
-            self._second, self._count, self._left_out = second, 0, 0
-        self._count += 1
-        if self._count > LOG_DECISIONS_PER_S:
-            self._left_out += 1
-        else:
-            logs.change(event, **fields)
-
-
 class Service:
     """Open sessions, and end them at a planned stop."""
 
@@ -191,10 +138,10 @@
     ) -> None:
         self.state = state
         self.metrics = counters
-        self.rng = rng
+        self.router = sessionrouting.Router(state, rng)
         self.admitter = admitter
         self.relays = relays
-        self.decisions = DecisionLog()
+        self.decisions = logs.DecisionLog(clocks.boottime)
         self.sessions: set[Session] = set()
         self._started_at = clocks.boottime()
         self.forget_ended: typing.Callable[[], None] = lambda: None
@@ -269,6 +216,7 @@
         self.transaction: Transaction | None = None
         self._service = service
         self._state = service.state
+        self._router = service.router
         self._digest = digest
         self._values: dict[str, str] = {}
         self._prepared: dict[str, Prepared] = {}
@@ -277,7 +225,7 @@
 
     # What the client may do now.
 
-    def access(self) -> Access:
+    def access(self) -> sessionrouting.Access:
         """Return what key and route allow; raise Problem."""
         config = self._state.config
         if config.revision == 0 or not self._state.config_valid():
@@ -290,9 +238,11 @@
             )
         account = config.account_of(self._digest)
         if account is not None:
-            return Access(account.name, route, service.group)
+            return sessionrouting.Access(account.name, route, service.group)
         if route.open:
-            return Access(admission.ANONYMOUS, route, service.group)
+            return sessionrouting.Access(
+                admission.ANONYMOUS, route, service.group
+            )
         raise Problem(Failure.UNAUTHORIZED, 'the key is not known')
 
     async def execute(
@@ -446,11 +396,13 @@
         self.begin(access, stmt.kind is Kind.BEGIN_READ)
         return Result()
 
-    def begin(self, access: Access, read_only: bool) -> None:
+    def begin(self, access: sessionrouting.Access, read_only: bool) -> None:
         """Open a transaction, on a target once one is needed."""
         self.transaction = Transaction(access, read_only)
 
-    async def _charge(self, access: Access, started: float) -> None:
+    async def _charge(
+        self, access: sessionrouting.Access, started: float
+    ) -> None:
         try:
             await self._service.admitter.charge_account(
                 access.account,
@@ -491,7 +443,7 @@
         self,
         stmt: statements.Statement,
         prepared: Prepared | None,
-        access: Access,
+        access: sessionrouting.Access,
         deadline: float,
         started: float,
     ) -> Result:
@@ -513,7 +465,7 @@
     async def _acquire_primary(
         self,
         stmt: statements.Statement,
-        access: Access,
+        access: sessionrouting.Access,
         deadline: float,
         started: float,
     ) -> tuple[sessionpool.SessionBackend, int, sessionpool.SessionConnection]:
@@ -531,12 +483,12 @@
                 continue
             return backend, term, conn
 
-    def _may_hold(self, access: Access, started: float) -> bool:
+    def _may_hold(self, access: sessionrouting.Access, started: float) -> bool:
         limit = access.route.objective_s * HOLD_SHARE
         return clocks.boottime() < started + limit
 
     async def _leader(
-        self, access: Access, started: float
+        self, access: sessionrouting.Access, started: float
     ) -> sessionpool.SessionBackend:
         """Wait briefly for a primary that may be used."""
         limit = started + access.route.objective_s * HOLD_SHARE
@@ -553,14 +505,14 @@
             except TimeoutError:
                 continue
 
-    def _term(self, access: Access) -> int:
+    def _term(self, access: sessionrouting.Access) -> int:
         view = self._state.groups.get(access.group)
         return view.term if view is not None else 0
 
     def _acknowledge(
         self,
         backend: sessionpool.SessionBackend,
-        access: Access,
+        access: sessionrouting.Access,
         term: int,
         answer: sessionpool.TargetAnswer,
     ) -> Result:
@@ -588,15 +540,15 @@
         self,
         stmt: statements.Statement,
         prepared: Prepared | None,
-        access: Access,
+        access: sessionrouting.Access,
         deadline: float,
         started: float,
     ) -> Result:
         tried: set[sessionpool.SessionBackend] = set()
-        floor = self._read_floor(access)
+        floor = self._router.floor(access, self.floor)
         problem = Problem(Failure.BUSY, 'no target can serve the read now')
         for attempt in range(MAX_TRIES):
-            backend = self._choose(access, floor, tried)
+            backend = self._router.choose(access, floor, tried)
             if backend is None:
                 if attempt and not self._may_hold(access, started):
                     break
@@ -624,63 +576,12 @@
             self._moved(stmt, backend, floor, problem)
         raise problem
 
-    # Choice of a target.
-
-    def _read_floor(self, access: Access) -> model.Position | None:
-        """Return the position that a replica must hold; None: primary only."""
-        route = access.route
-        if route.consistency == configuration.PRIMARY:
-            return None
-        known = self._state.timeline(access.group).floor(
-            clocks.boottime(), route.max_age_s - AGE_MARGIN_S
-        )
-        if known is None:
-            return None
-        if route.consistency == configuration.SESSION and self.floor:
-            return max(known, self.floor)
-        return known
-
-    def _choose(
-        self,
-        access: Access,
-        floor: model.Position | None,
-        tried: set[sessionpool.SessionBackend],
-    ) -> sessionpool.SessionBackend | None:
-        leader = self._state.leader(access.group)
-        if floor is None:
-            return leader if leader not in tried else None
-        now = clocks.boottime()
-        found = [
-            backend
-            for backend in self._state.session_members(access.group)
-            if backend not in tried
-            and backend.pool.limit
-            and backend.circuit.ready(now)
-            and (backend is leader or not backend.leads())
-        ]
-        return min(
-            found, key=lambda b: self._cost(now, b, access), default=None
-        )
-
-    def _cost(
-        self,
-        now: float,
-        backend: sessionpool.SessionBackend,
-        access: Access,
-    ) -> float:
-        """Estimate the seconds until a target has answered a read."""
-        cost = backend.rtt_s
-        if not backend.pool.has_idle(access.account):
-            cost += sessionpool.ROUND_TRIPS_TO_OPEN * backend.rtt_s
-        cost += STATEMENT_S * max(0, backend.in_flight - 1)
-        if backend.avoid_until > now:
-            cost += AVOIDED_S
-        return cost + TIE_S * self._service.rng.random()
+    # Connections.
 
     async def _acquire(
         self,
         backend: sessionpool.SessionBackend,
-        access: Access,
+        access: sessionrouting.Access,
         deadline: float,
     ) -> sessionpool.SessionConnection:
         wait_s = max(
@@ -820,7 +721,7 @@
         self,
         stmt: statements.Statement,
         prepared: Prepared | None,
-        access: Access,
+        access: sessionrouting.Access,
         deadline: float,
         started: float,
         writes: bool,
@@ -910,7 +811,7 @@
             return _done(answer)
         raise self._statement_problem(answer)
 
-    def _check_key(self, access: Access) -> None:
+    def _check_key(self, access: sessionrouting.Access) -> None:
         """Raise Problem unless the key of an open transaction still holds.
 
         A changed route applies from the next transaction on; a withdrawn key
@@ -929,7 +830,7 @@
     def _still_leads(
         self,
         backend: sessionpool.SessionBackend,
-        access: Access,
+        access: sessionrouting.Access,
         term: int,
     ) -> bool:
         """Return whether lease and view are those of an earlier dispatch."""
@@ -952,8 +853,10 @@
     ) -> None:
         """Choose a target for the transaction and begin it there."""
         access = tx.access
-        floor = self._read_floor(access) if tx.read_only else None
-        backend = self._choose(access, floor, set()) if floor else None
+        floor = (
+            self._router.floor(access, self.floor) if tx.read_only else None
+        )
+        backend = self._router.choose(access, floor, set()) if floor else None
         if backend is None:
             backend, tx.term, conn = await self._acquire_primary(
                 stmt, access, deadline, started
--- a/packages/node/src/sassafrasridge_node/sessionguests.py
+++ b/packages/node/src/sassafrasridge_node/sessionguests.py
@@ -6,6 +6,7 @@
 from sassafrasridge_node import logs
 from sassafrasridge_node import sessionfront
 from sassafrasridge_node import sessionrelay
+from sassafrasridge_node import sessionrouting
 
 Failure = statements.Failure
 Kind = statements.Kind
@@ -29,7 +30,7 @@
     ending = False
 
     async def _charge(
-        self, access: sessionfront.Access, started: float
+        self, access: sessionrouting.Access, started: float
     ) -> None:
         """The process of the session has charged the account."""
 
--- a/tests/node/test_logs.py
+++ b/tests/node/test_logs.py
@@ -3,9 +3,23 @@
 import json
 import threading
 
+import eliot
+import pytest
+
 from sassafrasridge_node import logs
 
 
+@pytest.fixture(autouse=True)
+def no_earlier_messages():
+    """Drop what eliot kept of other tests for its first destination."""
+
+    def drop(message):
+        return None
+
+    eliot.add_destinations(drop)
+    eliot.remove_destination(drop)
+
+
 class TestLogSink:
     def test_lines_are_json_with_the_process_fields(self, tmp_path):
         """Guards against lines that can't be told apart by process."""
