Keep silent processes in one class, and let an idle guest end itself

charging and sessionrelay each kept a table of processes that gave no answer, with the same second and the same reason; peers.SilentPeers serves both, with one table each as before. Guests were scanned in a second loop through a hook that main set on the service; the loop that expires sessions reaches them already, so a guest that expires calls back. The test drops its call of the hook and asserts the same. No change of behaviour.

--- a/packages/node/src/sassafrasridge_node/charging.py
+++ b/packages/node/src/sassafrasridge_node/charging.py
@@ -7,6 +7,7 @@
 from sassafrasridge_node import clocks
 from sassafrasridge_node import entry
 from sassafrasridge_node import logs
+from sassafrasridge_node import peers
 from sassafrasridge_node import rpc
 
 TAKEN = 'taken'
@@ -17,10 +18,6 @@
 ANSWER_MARGIN_S = 0.2
 """Time beyond the wait for a token in which the answer arrives."""
 
-SILENT_S = 1.0
-"""Time for which a process that gave no answer is not asked: until control
-takes it off the list of live processes."""
-
 
 class SharedAdmitter(admission.Admitter):
     """Charge accounts here, or through the process that holds their tokens."""
@@ -28,7 +25,7 @@
     def __init__(self, state: entry.EntryState, pool: rpc.ClientPool) -> None:
         super().__init__(state)
         self._pool = pool
-        self._silent_until: dict[str, float] = {}
+        self._silent = peers.SilentPeers()
 
     async def charge_account(self, account: str, deadline: float) -> None:
         """Take a token of a client account; wait briefly for one.
@@ -46,17 +43,17 @@
     ) -> bool:
         """Return False when the holder can't tell; raise RateLimitedError."""
         address = self._state.entries.get(holder)
-        now = clocks.boottime()
-        if address is None or self._silent_until.get(holder, 0.0) > now:
+        if address is None or holder in self._silent:
             return False
-        wait_s = max(0.0, min(admission.MAX_RATE_WAIT_S, deadline - now))
+        rest_s = deadline - clocks.boottime()
+        wait_s = max(0.0, min(admission.MAX_RATE_WAIT_S, rest_s))
         call = rpc.idl.ChargeCall(account=account, wait_s=wait_s)
         try:
             reply = await self._pool.get(address).call(
                 'charge', call, timeout_s=wait_s + ANSWER_MARGIN_S
             )
         except (rpc.RpcError, rpc.RemoteCallError) as exc:
-            self._silent_until[holder] = clocks.boottime() + SILENT_S
+            self._silent.note(holder)
             logs.change(
                 'charge_failed',
                 account=account,
--- a/packages/node/src/sassafrasridge_node/main.py
+++ b/packages/node/src/sassafrasridge_node/main.py
@@ -191,7 +191,6 @@
             sessionrelay.Relays(state, entry_pool, self._rng),
         )
         self._guests = sessionguests.Guests(self.service)
-        self.service.forget_ended = self._guests.forget_ended
         self._sessions = platform.sessions()
 
     def rpc_address(self) -> str:
--- a/packages/node/src/sassafrasridge_node/sessionfront.py
+++ b/packages/node/src/sassafrasridge_node/sessionfront.py
@@ -188,7 +188,6 @@
         self.decisions = logs.DecisionLog(clocks.boottime)
         self.sessions: set[Session] = set()
         self._started_at = clocks.boottime()
-        self.forget_ended: typing.Callable[[], None] = lambda: None
         self._numbers = itertools.count(1)
 
     async def open_soon(self, database: str, key: str) -> 'Session':
@@ -231,7 +230,6 @@
             now = clocks.boottime()
             for session in list(self.sessions):
                 session.expire(now)
-            self.forget_ended()
 
     def open_transactions(self) -> bool:
         """Return whether any transaction is open."""
--- a/packages/node/src/sassafrasridge_node/sessionguests.py
+++ b/packages/node/src/sassafrasridge_node/sessionguests.py
@@ -24,10 +24,11 @@
     """Run one statement or transaction of another process's session.
 
     ``ending`` tells that the transaction is to end after the statement that
-    runs.
+    runs, and ``forget`` is called once it has ended while idle.
     """
 
     ending = False
+    forget: typing.Callable[[], None]
 
     async def _charge(
         self, access: sessionrouting.Access, started: float
@@ -57,6 +58,8 @@
     def expire(self, now: float) -> None:
         """End a transaction that its own process did not end."""
         super().expire(now - IDLE_MARGIN_S)
+        if not self.busy and not self.is_open():
+            self.forget()
 
 
 class Guests:
@@ -96,11 +99,13 @@
         return await self._run(guest, req)
 
     def _open(self, req: sessionrelay.RelayedStatement) -> Guest:
+        number = req.transaction
         guest = Guest(self._service, 0, req.database, req.digest)
+        guest.forget = lambda: self._forget(number, guest)
         access = guest.access()
         if req.begin is not None:
             guest.begin(access, req.begin is Kind.BEGIN_READ)
-            self._guests[req.transaction] = guest
+            self._guests[number] = guest
         self._service.add(guest)
         return guest
 
@@ -131,14 +136,8 @@
         self._guests.pop(number, None)
         self._service.closed(guest)
 
-    def forget_ended(self) -> None:
-        """Forget transactions that were idle for too long."""
-        for number, guest in list(self._guests.items()):
-            if guest.busy or guest.is_open():
-                continue
-            logs.change(
-                'guest_transaction_ended',
-                number=number,
-                idle_s=IDLE_MARGIN_S,
-            )
-            self._end(number, guest)
+    def _forget(self, number: int, guest: Guest) -> None:
+        logs.change(
+            'guest_transaction_ended', number=number, idle_s=IDLE_MARGIN_S
+        )
+        self._end(number, guest)
--- a/packages/node/src/sassafrasridge_node/sessionrelay.py
+++ b/packages/node/src/sassafrasridge_node/sessionrelay.py
@@ -17,6 +17,7 @@
 from sassafrasridge_node import clocks
 from sassafrasridge_node import entry
 from sassafrasridge_node import logs
+from sassafrasridge_node import peers
 from sassafrasridge_node import rpc
 
 Failure = statements.Failure
@@ -34,10 +35,6 @@
 """Part of the time left, and the least, for which one process may take for a
 read before the next is asked: several times a usual answer."""
 
-AVOID_S = 1.0
-"""Time for which a silent process is asked last; control takes it off the
-list of live processes within a lease and a renewal."""
-
 NUMBER_BITS = 62
 """Random numbers of this length don't repeat; they fit into 64 bits."""
 
@@ -208,7 +205,7 @@
         self._state = state
         self._pool = pool
         self._rng = rng
-        self._silent_until: dict[str, float] = {}
+        self._silent = peers.SilentPeers()
 
     def new_number(self) -> int:
         """Return a number for a transaction."""
@@ -216,10 +213,9 @@
 
     def candidates(self, group: str) -> list[str]:
         """Return who serves a group, the best one to ask first."""
-        now = clocks.boottime()
         return sorted(
             self._state.near_serving_set(group, self._rng),
-            key=lambda entry: self._silent_until.get(entry, 0.0) > now,
+            key=self._silent.__contains__,
         )
 
     async def run(
@@ -282,7 +278,7 @@
     def _note_failure(
         self, owner: str, req: RelayedStatement, sent: bool, reason: str
     ) -> None:
-        self._silent_until[owner] = clocks.boottime() + AVOID_S
+        self._silent.note(owner)
         self._state.metrics.retries.inc()
         logs.change(
             'relay_failed',
--- a/tests/node/test_sessionrelay.py
+++ b/tests/node/test_sessionrelay.py
@@ -258,7 +258,6 @@
 
         async def expire():
             guest.expire(guest.transaction.used_at + 60)
-            pair.first.guests.forget_ended()
             await asyncio.sleep(0.01)
 
         asyncio.run(expire())
