Refuse a relayed statement beside another of its transaction

Cause, found by reading: any statement for a transaction whose statement still ran was answered like a rollback, with success. A commit would have been called done without being run. No caller sends one today, as sessions run one statement at a time. Change: only a rollback is done; another statement is refused as aborted, and the transaction ends as before. Test: test_a_statement_beside_another_ends_it_and_is_refused, seen to fail.

--- a/packages/node/src/sassafrasridge_node/sessionguests.py
+++ b/packages/node/src/sassafrasridge_node/sessionguests.py
@@ -86,7 +86,7 @@
                     Failure.ABORTED, 'the transaction has ended'
                 )
             if guest.busy or req.statement.kind is Kind.ROLLBACK:
-                return self._roll_back(req.transaction, guest)
+                return self._roll_back(req, guest)
         else:
             if self._running + len(self._guests) >= MAX_GUESTS:
                 return sessionrelay.refusal(
@@ -124,13 +124,21 @@
         return sessionrelay.RelayedResult(result, guest.floor, still_open)
 
     def _roll_back(
-        self, number: int, guest: Guest
+        self, req: sessionrelay.RelayedStatement, guest: Guest
     ) -> sessionrelay.RelayedResult:
-        """End a transaction whose session has given it up."""
+        """End a transaction, after the statement that runs.
+
+        Only a rollback is done with that. A session runs one statement at a
+        time, so any other beside one that runs is refused.
+        """
         guest.ending = True
         if not guest.busy:
-            self._end(number, guest)
-        return sessionrelay.RelayedResult(statements.Result())
+            self._end(req.transaction, guest)
+        if req.statement.kind is Kind.ROLLBACK:
+            return sessionrelay.RelayedResult(statements.Result())
+        return sessionrelay.refusal(
+            Failure.ABORTED, 'another statement of the transaction runs'
+        )
 
     def _end(self, number: int, guest: Guest) -> None:
         self._guests.pop(number, None)
--- a/tests/node/test_sessionrelay.py
+++ b/tests/node/test_sessionrelay.py
@@ -290,6 +290,30 @@
         assert guests._guests == {}
         assert pair.first.setting.backend('p').in_flight == 0
 
+    def test_a_statement_beside_another_ends_it_and_is_refused(self):
+        """Guards against a commit that is called done and was not run."""
+        pair = Pair()
+        guests, target = pair.first.guests, pair.first.setting.targets['p']
+        digest = pair.near.session()._digest
+        first = sessionrelay.RelayedStatement(
+            'db', digest, front.write(), {}, begin=Kind.BEGIN, transaction=7
+        )
+        beside = sessionrelay.RelayedStatement(
+            'db', digest, front.COMMIT, {}, transaction=7
+        )
+
+        async def work():
+            running = asyncio.ensure_future(guests.run(first))
+            await asyncio.sleep(0)
+            answer = await guests.run(beside)
+            await running
+            await asyncio.sleep(0.01)
+            return answer
+
+        answer = asyncio.run(work())
+        assert answer.result.failure is Failure.ABORTED
+        assert isinstance(target.sent()[-1], sessionpool.Rollback)
+
     def test_too_many_are_refused_as_not_run(self, monkeypatch):
         monkeypatch.setattr(sessionguests, 'MAX_GUESTS', 1)
         pair = Pair()
