Let one piece serve where control and connections said it twice

- codec builds a target from a thrift record in one place, for sightings and for the directory.
- connections.answer_within waits for an answer and closes a connection that gave none, for both kinds of connections to targets.
- A holder's name is made by holder_name alone.
- Detector.forget uses what it knows of the observer instead of scanning all targets.
- The default keeper of groups is a method, without a function around it.
- Directory.expire looked at every target for each renewal; it looks again only when one can have expired.
- The settings of the two kinds of processes in the test kit share their head.
No change of behaviour.

--- a/packages/core/src/sassafrasridge_core/directory.py
+++ b/packages/core/src/sassafrasridge_core/directory.py
@@ -50,7 +50,15 @@
     ``started_at`` is when it began to hear of targets.
     """
 
-    __slots__ = ('revision', '_started_at', '_entries', '_gone')
+    __slots__ = (
+        'revision',
+        '_started_at',
+        '_entries',
+        '_gone',
+        '_expire_from',
+        '_groups',
+        '_groups_revision',
+    )
 
     def __init__(self, started_at: float, revision: int = 0) -> None:
         self.revision = revision
@@ -58,6 +66,11 @@
         self._entries: dict[str, _Entry] = {}
         # Start times of incarnations that left, by target.
         self._gone: dict[str, int] = {}
+        # No target can have expired before.
+        self._expire_from = started_at + EXPIRE_AFTER_S
+        # Targets by group, as of the last change that others must learn.
+        self._groups: dict[str, dict[str, model.TargetInfo]] = {}
+        self._groups_revision = -1
 
     def announce(self, now: float, announcement: Announcement) -> bool:
         """Record an announcement; return whether it was news or repeated.
@@ -105,6 +118,8 @@
 
     def expire(self, now: float) -> list[str]:
         """Forget and return targets that were silent for long."""
+        if now <= self._expire_from:
+            return []
         silent = [
             server
             for server, entry in self._entries.items()
@@ -113,6 +128,8 @@
         for server in silent:
             del self._entries[server]
             self.revision += 1
+        oldest = min((e.heard_at for e in self._entries.values()), default=now)
+        self._expire_from = oldest + EXPIRE_AFTER_S
         return silent
 
     def complete(self, now: float) -> bool:
@@ -124,8 +141,13 @@
         return [e.announcement.info for e in self._entries.values()]
 
     def group(self, group: str) -> dict[str, model.TargetInfo]:
-        """Return the known targets of a group by name."""
-        return {i.server: i for i in self.targets() if i.group == group}
+        """Return the known targets of a group by name, for the caller."""
+        if self._groups_revision != self.revision:
+            self._groups_revision = self.revision
+            self._groups = {}
+            for info in self.targets():
+                self._groups.setdefault(info.group, {})[info.server] = info
+        return dict(self._groups.get(group, {}))
 
 
 def _visible(info: model.TargetInfo) -> tuple[object, ...]:
--- a/packages/core/src/sassafrasridge_core/promotion.py
+++ b/packages/core/src/sassafrasridge_core/promotion.py
@@ -98,10 +98,8 @@
 
     def forget(self, observer: str) -> None:
         """Drop all reports of an observer."""
+        self.keep(observer, frozenset())
         self._watched.pop(observer, None)
-        for servers in self._groups.values():
-            for sightings in servers.values():
-                sightings.pop(observer, None)
 
     def targets(self, group: str) -> list[model.TargetInfo]:
         """Return the latest announcement known of each target of a group."""
--- a/packages/node/src/sassafrasridge_node/codec.py
+++ b/packages/node/src/sassafrasridge_node/codec.py
@@ -72,18 +72,7 @@
 
 def sighting_from_wire(now: float, obs: typing.Any) -> promotion.Sighting:
     """Return the sighting that a thrift report tells of."""
-    info = model.TargetInfo(
-        obs.server,
-        obs.group,
-        obs.zone,
-        obs.address,
-        obs.role,
-        obs.term,
-        obs.position,
-        obs.slots,
-        obs.connections,
-        obs.leaving,
-    )
+    info = _target_info(obs, obs.term, obs.position, obs.connections)
     return promotion.Sighting(
         now, obs.announcement_age_s, obs.success_age_s, info
     )
@@ -132,15 +121,21 @@
 
 def target_from_wire(record: typing.Any) -> model.TargetInfo:
     """Return the target of a thrift record."""
+    return _target_info(record)
+
+
+def _target_info(
+    record: typing.Any, term: int = 0, position: int = 0, connections: int = 0
+) -> model.TargetInfo:
     return model.TargetInfo(
         record.server,
         record.group,
         record.zone,
         record.address,
         record.role,
-        0,
-        0,
+        term,
+        position,
         record.slots,
-        0,
+        connections,
         record.leaving,
     )
--- a/packages/node/src/sassafrasridge_node/connections.py
+++ b/packages/node/src/sassafrasridge_node/connections.py
@@ -22,6 +22,7 @@
 
 
 _Protocol = typing.TypeVar('_Protocol', bound=asyncio.BaseProtocol)
+_Answer = typing.TypeVar('_Answer')
 
 
 class ConnectionLostError(Exception):
@@ -95,17 +96,9 @@
         self._parser = httptools.HttpResponseParser(self)
         self._transport.write(self._head(path, len(payload)) + payload)
         try:
-            async with asyncio.timeout(timeout_s):
-                answer = await self._fut
-        except TimeoutError:
-            self.close()
-            raise ConnectionLostError(
-                f'{self.address} gave no answer in {timeout_s:.3g} s',
-                sent=True,
+            answer = await answer_within(
+                timeout_s, self._fut, self.address, self.close
             )
-        except asyncio.CancelledError:
-            self.close()
-            raise
         finally:
             self._fut = None
         if answer.body.get('id') != call_id:
@@ -203,6 +196,29 @@
         fut.set_result(answer)
 
 
+async def answer_within(
+    timeout_s: float,
+    fut: 'asyncio.Future[_Answer]',
+    peer: str,
+    close: collections.abc.Callable[[], None],
+) -> _Answer:
+    """Return the answer on a connection; without one, close it.
+
+    Raises ConnectionLostError.
+    """
+    try:
+        async with asyncio.timeout(timeout_s):
+            return await fut
+    except TimeoutError:
+        close()
+        raise ConnectionLostError(
+            f'{peer} gave no answer in {timeout_s:.3g} s', sent=True
+        )
+    except asyncio.CancelledError:
+        close()
+        raise
+
+
 class Dialer:
     """Open connections to targets from this VM's own address.
 
--- a/packages/node/src/sassafrasridge_node/control.py
+++ b/packages/node/src/sassafrasridge_node/control.py
@@ -89,9 +89,11 @@
 class ControlMember(groups.GroupStore):
     """Own one member's log, state and, while it leads, its leadership.
 
-    ``opener`` reads the disk again after it failed; without one the process
-    ends then. With ``tolerated`` members come and go by themselves, so that
-    the loss of so many is tolerated; without, by operators' commands only.
+    Groups are kept as those that take orders by HTTP unless ``create_keeper``
+    says otherwise. ``opener`` reads the disk again after it failed; without
+    one the process ends then. With ``tolerated`` members come and go by
+    themselves, so that the loss of so many is tolerated; without, by
+    operators' commands only.
     """
 
     def __init__(
@@ -146,7 +148,7 @@
         self._opener = opener
         self.suspended = False
         self._exclusive_names = exclusive_names
-        self._create_keeper = create_keeper or _group_keeper
+        self._create_keeper = create_keeper or ControlMember._group_keeper
         self._tolerated = tolerated
         self._member_task: asyncio.Task[None] | None = None
 
@@ -330,8 +332,7 @@
         if not self.state.session_secret:
             asyncio.ensure_future(self._initialise())
 
-    def group_keeper(self, current: leadership.Leadership) -> groups.Keeper:
-        """Return the keeper of groups that take orders by HTTP."""
+    def _group_keeper(self, current: leadership.Leadership) -> groups.Keeper:
         return groups.GroupKeeper(
             self,
             current.detector,
@@ -647,9 +648,3 @@
         body=orjson.dumps(exc.as_json()),
         status=exc.status,
     )
-
-
-def _group_keeper(
-    member: ControlMember, current: leadership.Leadership
-) -> groups.Keeper:
-    return member.group_keeper(current)
--- a/packages/node/src/sassafrasridge_node/leadership.py
+++ b/packages/node/src/sassafrasridge_node/leadership.py
@@ -124,7 +124,7 @@
         """
         self.expire(now)
         self._follow_incarnation(now, req)
-        name = holder_name(req)
+        name = holder_name(req.entry, req.incarnation)
         holder = self.table.grant(now, name, req.entry)
         holder.zone = req.zone
         holder.address = req.address
@@ -230,7 +230,7 @@
         self._release(now, req.entry, req.incarnation)
 
     def _release(self, now: float, entry: str, incarnation: int) -> None:
-        name = f'{entry}#{incarnation}'
+        name = holder_name(entry, incarnation)
         self._allocator.release(now, entry, incarnation)
         for ledger in self._ledgers.values():
             ledger.release(entry, incarnation)
@@ -357,6 +357,6 @@
         ]
 
 
-def holder_name(req: typing.Any) -> str:
+def holder_name(entry: str, incarnation: int) -> str:
     """Return the name of a holder: one incarnation of an entry process."""
-    return f'{req.entry}#{req.incarnation}'
+    return f'{entry}#{incarnation}'
--- a/packages/testkit/src/sassafrasridge_testkit/linecluster.py
+++ b/packages/testkit/src/sassafrasridge_testkit/linecluster.py
@@ -18,41 +18,40 @@
 ZONES = ('z0', 'z1', 'z2')
 SECRET = 'a secret of the tests only'
 
-ENTRY = """[node]
+NODE = """[timing]
+suspect_after = 1200ms
+[node]
 name = {name}
 zone = {zone}
 region = {zone}
 http = {http}
 rpc = {host}:{rpc}
-advertise_rpc = {peers}
-roles = entry
 cluster_secret_text = {secret}
+"""
+
+ENTRY = (
+    NODE
+    + """roles = entry
+advertise_rpc = {peers}
 [entry]
 seeds = {seeds}
 sessions = {sessions}
 worker_threads = 2
 drain_timeout = 3s
-[timing]
-suspect_after = 1200ms
 """
+)
 
-CONTROL = """[node]
-name = {name}
-zone = {zone}
-region = {zone}
-http = {http}
-rpc = {host}:{rpc}
+CONTROL = (
+    NODE
+    + """roles = control
 data_folder = {folder}
-roles = control
-cluster_secret_text = {secret}
 [control]
 seeds = {seeds}
 bootstrap = {bootstrap}
 tolerated = 1
 exclusive_names = true
-[timing]
-suspect_after = 1200ms
 """
+)
 
 Json = dict[str, typing.Any]
 
