Overlap a promotion with the leases that run out

The wait for their leases, the promotion (300 ms) and the poll came one after the other, 0.95 s from the first committed view to the new one. Statements were refused after a fifth of their objective although the change ended within their deadline.

Ruled out: slow commits of views (4 ms), slow distribution (20 to 70 ms).

Change: the promotion is ordered once the replicas are paused, because the former primary can then acknowledge nothing; the new view still waits for all leases. A change begun by an earlier leader waits first, as before. Orders are withheld unless the leadership is confirmed: a leader that was frozen could undo the pause of its successor. Statements wait if the change is expected to end before their deadline (core.primarywait).

--- a/packages/node/src/sassafrasridge_node/control.py
+++ b/packages/node/src/sassafrasridge_node/control.py
@@ -582,6 +582,14 @@
         body |= {'born': announcement.born, 'sequence': announcement.sequence}
         return await self._send_to_leader('register', body)
 
+    def is_confirmed_leader(self, current: leadership.Leadership) -> bool:
+        """Return whether a leadership of this member is still in force."""
+        return (
+            self.leadership is current
+            and current.term == self.log.term
+            and self.log.can_serve_as_leader(clocks.boottime())
+        )
+
     def require_confirmed_leadership(self) -> None:
         """Raise NoLeaderError unless this leader was recently confirmed."""
         if not self.log.can_serve_as_leader(clocks.boottime()):
--- a/packages/node/src/sassafrasridge_node/failover.py
+++ b/packages/node/src/sassafrasridge_node/failover.py
@@ -6,9 +6,7 @@
 every acknowledged commit, and has that replica promoted.
 """
 
-import abc
 import asyncio
-import enum
 import typing
 
 from sassafrasridge_core import directory
@@ -16,6 +14,7 @@
 from sassafrasridge_core import model
 from sassafrasridge_core import promotion
 from sassafrasridge_node import clocks
+from sassafrasridge_node import grouporders
 from sassafrasridge_node import groups
 from sassafrasridge_node import logs
 from sassafrasridge_node import metrics
@@ -32,69 +31,10 @@
 RETRY_DELAY_S = 0.25
 
 
-class ServerStatus:
-    """Hold the status that a target reports.
-
-    ``held_term`` is the term for which it is paused, 0 if it isn't paused.
-    ``received`` is the position of the end of its log.
-    """
-
-    __slots__ = ('server', 'primary', 'term', 'held_term', 'received')
-
-    def __init__(
-        self,
-        server: str,
-        primary: bool,
-        term: int,
-        held_term: int,
-        received: model.Position,
-    ) -> None:
-        self.server = server
-        self.primary = primary
-        self.term = term
-        self.held_term = held_term
-        self.received = received
-
-
-class PromotionAnswer(enum.Enum):
-    """Enumerate the answers to a promotion order."""
-
-    ACCEPTED = 'accepted'
-    REFUSED = 'refused'
-    UNKNOWN = 'unknown'
-
-
-class GroupOrders(abc.ABC):
-    """Interface to targets and to the service that promotes them.
-
-    A method that returns a status returns None if the target doesn't answer.
-    """
-
-    @abc.abstractmethod
-    async def status(self, info: model.TargetInfo) -> ServerStatus | None:
-        """Request the status of a target."""
-
-    @abc.abstractmethod
-    async def pause(
-        self, info: model.TargetInfo, term: int
-    ) -> ServerStatus | None:
-        """Stop a replica from receiving commits of terms below ``term``."""
-
-    @abc.abstractmethod
-    async def resume(self, info: model.TargetInfo) -> ServerStatus | None:
-        """Let a paused replica receive commits again."""
-
-    @abc.abstractmethod
-    async def step_down(
-        self, info: model.TargetInfo, term: int
-    ) -> ServerStatus | None:
-        """Demote a primary of a term below ``term`` to a replica."""
-
-    @abc.abstractmethod
-    async def promote(
-        self, info: model.TargetInfo, token: int
-    ) -> PromotionAnswer:
-        """Have a target promoted with a fencing token."""
+ConfirmedOrders = grouporders.ConfirmedOrders
+GroupOrders = grouporders.GroupOrders
+PromotionAnswer = grouporders.PromotionAnswer
+ServerStatus = grouporders.ServerStatus
 
 
 class PromotionProof:
@@ -170,6 +110,8 @@
         self._orders = orders
         self._token = token
         self._changed_at: dict[str, float] = {}
+        # Terms of the changes that this leader began, by group.
+        self._begun_terms: dict[str, int] = {}
 
     def _group_names(self) -> set[str]:
         known = {info.group for info in self._targets.targets()}
@@ -273,6 +215,7 @@
             changing=True,
         )
         await self._commit_view(changing_view, reason)
+        self._begun_terms[view.group] = changing_view.term
         return changing_view
 
     async def _replace_primary(self, view: model.GroupView) -> bool:
@@ -299,7 +242,10 @@
         paused = await self._pause_replicas(
             targets, statuses, highest_term + 1
         )
-        await self._wait_until_confirmed(revision)
+        begun_here = self._begun_terms.get(view.group) == view.term
+        if not begun_here:
+            # Orders of the leader that began the change may still arrive.
+            await self._wait_until_confirmed(revision)
         stepped_down = None
         if paused and acting_primary is not None:
             stepped_down = await self._orders.step_down(
@@ -324,6 +270,11 @@
         ):
             await self._resume_replicas(targets, paused)
             return False
+        # The paused replicas keep the former primary from acknowledging
+        # commits, so the promotion takes effect while leases run out. The new
+        # primary gets no work before that, because holders of the former view
+        # may still read from the former primary.
+        await self._wait_until_confirmed(revision)
         await self._finish_change(view, targets, chosen, started)
         return True
 
--- /dev/null
+++ b/packages/node/src/sassafrasridge_node/grouporders.py
@@ -0,0 +1,135 @@
+"""Orders to the targets of a group, as a change of primary sends them."""
+
+import abc
+import collections.abc
+import enum
+
+from sassafrasridge_core import model
+from sassafrasridge_node import logs
+
+
+class ServerStatus:
+    """Hold the status that a target reports.
+
+    ``held_term`` is the term for which it is paused, 0 if it isn't paused.
+    ``received`` is the position of the end of its log.
+    """
+
+    __slots__ = ('server', 'primary', 'term', 'held_term', 'received')
+
+    def __init__(
+        self,
+        server: str,
+        primary: bool,
+        term: int,
+        held_term: int,
+        received: model.Position,
+    ) -> None:
+        self.server = server
+        self.primary = primary
+        self.term = term
+        self.held_term = held_term
+        self.received = received
+
+
+class PromotionAnswer(enum.Enum):
+    """Enumerate the answers to a promotion order."""
+
+    ACCEPTED = 'accepted'
+    REFUSED = 'refused'
+    UNKNOWN = 'unknown'
+
+
+class GroupOrders(abc.ABC):
+    """Interface to targets and to the service that promotes them.
+
+    A method that returns a status returns None if the target doesn't answer.
+    """
+
+    @abc.abstractmethod
+    async def status(self, info: model.TargetInfo) -> ServerStatus | None:
+        """Request the status of a target."""
+
+    @abc.abstractmethod
+    async def pause(
+        self, info: model.TargetInfo, term: int
+    ) -> ServerStatus | None:
+        """Stop a replica from receiving commits of terms below ``term``."""
+
+    @abc.abstractmethod
+    async def resume(self, info: model.TargetInfo) -> ServerStatus | None:
+        """Let a paused replica receive commits again."""
+
+    @abc.abstractmethod
+    async def step_down(
+        self, info: model.TargetInfo, term: int
+    ) -> ServerStatus | None:
+        """Demote a primary of a term below ``term`` to a replica."""
+
+    @abc.abstractmethod
+    async def promote(
+        self, info: model.TargetInfo, token: int
+    ) -> PromotionAnswer:
+        """Have a target promoted with a fencing token."""
+
+
+class ConfirmedOrders(GroupOrders):
+    """Send orders only while this member is the confirmed control leader.
+
+    A leader that was frozen would otherwise send what it had decided before,
+    and undo what its successor has ordered since.
+    """
+
+    def __init__(
+        self,
+        orders: GroupOrders,
+        is_confirmed: collections.abc.Callable[[], bool],
+    ) -> None:
+        self._orders = orders
+        self._is_confirmed = is_confirmed
+
+    async def status(self, info: model.TargetInfo) -> ServerStatus | None:
+        """Request the status of a target."""
+        return await self._orders.status(info)
+
+    async def pause(
+        self, info: model.TargetInfo, term: int
+    ) -> ServerStatus | None:
+        """Stop a replica from receiving commits of terms below ``term``."""
+        if not self._may_send('pause', info):
+            return None
+        return await self._orders.pause(info, term)
+
+    async def resume(self, info: model.TargetInfo) -> ServerStatus | None:
+        """Let a paused replica receive commits again."""
+        if not self._may_send('resume', info):
+            return None
+        return await self._orders.resume(info)
+
+    async def step_down(
+        self, info: model.TargetInfo, term: int
+    ) -> ServerStatus | None:
+        """Demote a primary of a term below ``term`` to a replica."""
+        if not self._may_send('step_down', info):
+            return None
+        return await self._orders.step_down(info, term)
+
+    async def promote(
+        self, info: model.TargetInfo, token: int
+    ) -> PromotionAnswer:
+        """Have a target promoted with a fencing token."""
+        if not self._may_send('promote', info):
+            return PromotionAnswer.REFUSED
+        return await self._orders.promote(info, token)
+
+    def _may_send(self, order: str, info: model.TargetInfo) -> bool:
+        confirmed = self._is_confirmed()
+        if not confirmed:
+            logs.log_event(
+                'order_withheld',
+                order=order,
+                group=info.group,
+                server=info.server,
+                reason='leadership_not_confirmed',
+            )
+        return confirmed
--- a/packages/node/src/sassafrasridge_node/main.py
+++ b/packages/node/src/sassafrasridge_node/main.py
@@ -310,7 +310,9 @@
                 self.cfg.node.zone,
                 self.metrics,
                 current.directory,
-                orders,
+                failover.ConfirmedOrders(
+                    orders, lambda: member.is_confirmed_leader(current)
+                ),
                 current.term,
             )
 
--- a/packages/node/src/sassafrasridge_node/sessionfront.py
+++ b/packages/node/src/sassafrasridge_node/sessionfront.py
@@ -16,6 +16,7 @@
 from sassafrasridge_core import configuration
 from sassafrasridge_core import errors
 from sassafrasridge_core import model
+from sassafrasridge_core import primarywait
 from sassafrasridge_core import statements
 from sassafrasridge_node import admission
 from sassafrasridge_node import backends
@@ -46,8 +47,9 @@
 RETRY_PAUSE_S = 0.03
 
 # Share of the route's latency objective that an operation may wait for a
-# primary. Beyond a quarter, an early refusal is better for the caller, who
-# can then try another entry process.
+# primary, unless a change is expected to end in time. Beyond a quarter, an
+# early refusal is better for the caller, who can then try another entry
+# process.
 PRIMARY_WAIT_SHARE = 0.2
 
 # Share of the latency objective that an operation may wait for a rate token
@@ -171,17 +173,19 @@
         """Return the time at which the statement times out."""
         return self.started + self.access.route.timeout_s
 
-    @property
-    def primary_wait_until(self) -> float:
+    def primary_wait_until(
+        self, changes: primarywait.ChangeTracker
+    ) -> float:
         """Return the time until which the statement may wait for a primary."""
+        until = changes.wait_until(
+            clocks.boottime(), self.access.group, self.deadline
+        )
+        if until is not None:
+            return until
         return (
             self.started + self.access.route.objective_s * PRIMARY_WAIT_SHARE
         )
 
-    def may_wait_for_primary(self) -> bool:
-        """Return whether the statement may still wait for a primary."""
-        return clocks.boottime() < self.primary_wait_until
-
 
 class SessionService:
     """Open and track sessions, and end transactions at shutdown."""
@@ -534,7 +538,7 @@
             if answer.result_code is ResultCode.DONE:
                 return self._acknowledge(backend, op.access, term, answer)
             self._raise_unless_retryable(answer)
-            if attempt >= MAX_ATTEMPTS or not op.may_wait_for_primary():
+            if attempt >= MAX_ATTEMPTS or not self._may_wait_for_primary(op):
                 raise _target_error(answer)
             self._log_retry(op.stmt, backend, None, _target_error(answer))
             await asyncio.sleep(RETRY_PAUSE_S)
@@ -554,7 +558,7 @@
             try:
                 conn = await self._acquire(backend, op)
             except SessionError as exc:
-                if not op.may_wait_for_primary():
+                if not self._may_wait_for_primary(op):
                     raise
                 self._log_retry(op.stmt, backend, None, exc)
                 await asyncio.sleep(RETRY_PAUSE_S)
@@ -569,7 +573,7 @@
             backend = self._state.usable_primary(op.access.group)
             if backend is not None:
                 return backend
-            remaining_s = op.primary_wait_until - clocks.boottime()
+            remaining_s = self._primary_wait_s(op)
             if remaining_s <= 0 or not self._state.lease_valid():
                 raise SessionError(
                     StatementFailure.NO_PRIMARY, 'no primary is available'
@@ -580,6 +584,14 @@
             except TimeoutError:
                 continue
 
+    def _primary_wait_s(self, op: Operation) -> float:
+        """Return the seconds that a statement may still wait for a primary."""
+        until = op.primary_wait_until(self._state.primary_changes)
+        return until - clocks.boottime()
+
+    def _may_wait_for_primary(self, op: Operation) -> bool:
+        return self._primary_wait_s(op) > 0
+
     def _view_term(self, access: sessionrouting.Access) -> int:
         view = self._state.groups.get(access.group)
         return view.term if view is not None else 0
@@ -625,7 +637,7 @@
         for attempt in range(MAX_ATTEMPTS):
             backend = self._router.choose_target(op.access, floor, tried)
             if backend is None:
-                if attempt and not op.may_wait_for_primary():
+                if attempt and not self._may_wait_for_primary(op):
                     break
                 backend = await self._wait_for_primary(op)
             if backend in tried:
--- a/packages/node/src/sassafrasridge_node/sessionstate.py
+++ b/packages/node/src/sassafrasridge_node/sessionstate.py
@@ -4,6 +4,7 @@
 import typing
 
 from sassafrasridge_core import model
+from sassafrasridge_core import primarywait
 from sassafrasridge_node import backends
 from sassafrasridge_node import clocks
 from sassafrasridge_node import codec
@@ -20,6 +21,10 @@
 
     dialer: sessionpool.SessionDialer
 
+    def __init__(self, *args: typing.Any, **kwargs: typing.Any) -> None:
+        super().__init__(*args, **kwargs)
+        self.primary_changes = primarywait.ChangeTracker()
+
     def new_backend(self, info: model.TargetInfo) -> backends.Backend:
         """Return a new backend for a target."""
         backend = sessionpool.SessionBackend(
@@ -96,6 +101,10 @@
         # discarded at the failover.
         if view.primary != known.primary or view.changing:
             self.timeline(view.group).forget()
+        if view.changing:
+            self.primary_changes.begin(clocks.boottime(), view.group)
+        else:
+            self.primary_changes.end(clocks.boottime(), view.group)
 
     def usable_primary(self, group: str) -> sessionpool.SessionBackend | None:
         """Return the primary, or None if this process may not use it."""
--- a/tests/node/test_failover.py
+++ b/tests/node/test_failover.py
@@ -245,3 +245,96 @@
         cluster.fail('a')
         assert cluster.step().changing
         assert not [o for o in cluster.orders.sent_orders if o[0] == 'promote']
+
+
+class TestOverlappedPromotion:
+    """Pattern: a primary fails together with part of the entry VMs.
+
+    Their leases must run out before writes go to the new primary. The
+    promotion takes as long again, so both waits have to overlap.
+    """
+
+    def run_change(self, servers, begun_elsewhere):
+        cluster = Cluster(servers)
+        times = {}
+        promote, commit = cluster.orders.promote, cluster.store.commit
+
+        async def timed_promote(info, token):
+            times['promoted'] = clocks.boottime()
+            return await promote(info, token)
+
+        async def timed_commit(view):
+            times['committed'] = clocks.boottime()
+            await commit(view)
+
+        cluster.orders.promote = timed_promote
+        cluster.store.commit = timed_commit
+        servers['a'].reachable = False
+        cluster.fail('a')
+        if begun_elsewhere:
+            cluster.store.views['g'] = model.GroupView(
+                'g', 2, 'a', cluster.store.views['g'].members, changing=True
+            )
+            cluster.store.history.append(cluster.store.views['g'])
+        granted = clocks.boottime()
+        cluster.table.grant(granted, 'cut-off#1', 'cut-off')
+        view = cluster.step()
+        assert (view.primary, view.changing) == ('c', False)
+        return (
+            times['promoted'] - granted,
+            times['committed'] - granted,
+        )
+
+    def test_leases_run_out_while_the_promotion_takes_effect(self, servers):
+        promoted_s, committed_s = self.run_change(servers, False)
+        assert promoted_s < leases.LeaseTimes().lease_s / 2
+        assert committed_s > leases.LeaseTimes().lease_s
+
+    def test_a_change_of_an_earlier_leader_waits_for_the_leases(self, servers):
+        """Guards against ordering while the earlier leader's order arrives."""
+        promoted_s, committed_s = self.run_change(servers, True)
+        assert promoted_s > leases.LeaseTimes().lease_s
+        assert committed_s > leases.LeaseTimes().lease_s
+
+
+class TestConfirmedOrders:
+    """Pattern: a control leader is frozen during a change and wakes up.
+
+    Its successor has paused the replicas, so a late order to resume them
+    would let the former primary acknowledge a commit that is then lost.
+    """
+
+    def test_a_former_leader_sends_no_order(self, servers):
+        orders = Orders(servers)
+        guarded = failover.ConfirmedOrders(orders, lambda: False)
+        info = model.TargetInfo('b', 'g', 'z', '10.0.0.1:1', '', 0, 0, 5, 0)
+
+        async def send_all():
+            assert await guarded.pause(info, 2) is None
+            assert await guarded.resume(info) is None
+            assert await guarded.step_down(info, 2) is None
+            return await guarded.promote(info, 3)
+
+        answer = asyncio.run(send_all())
+        assert answer is failover.PromotionAnswer.REFUSED
+        assert orders.sent_orders == []
+
+    def test_the_leader_sends_its_orders(self, servers):
+        orders = Orders(servers)
+        guarded = failover.ConfirmedOrders(orders, lambda: True)
+        info = model.TargetInfo('b', 'g', 'z', '10.0.0.1:1', '', 0, 0, 5, 0)
+
+        async def send_all():
+            assert (await guarded.status(info)).server == 'b'
+            await guarded.pause(info, 2)
+            await guarded.resume(info)
+            await guarded.step_down(info, 2)
+            await guarded.promote(info, 3)
+
+        asyncio.run(send_all())
+        assert [order for order, _ in orders.sent_orders] == [
+            'pause',
+            'resume',
+            'step_down',
+            'promote',
+        ]
--- a/tests/node/test_sessionfront.py
+++ b/tests/node/test_sessionfront.py
@@ -616,3 +616,43 @@
         (result,) = process.run(write())
         assert result.failure is StatementFailure.BUSY
         assert process.targets['p'].commands == []
+
+
+class TestChangeOfPrimary:
+    """Pattern: callers of a group while its primary is being replaced."""
+
+    def change(self, process, begun_s_ago):
+        state = process.state
+        changing = model.GroupView('g', 2, 'p', changing=True)
+        state.groups['g'] = changing
+        state._on_primary_change(model.GroupView('g', 1, 'p'), changing)
+        state.primary_changes._begun_at['g'] -= begun_s_ago
+
+    def write_during_change(self, process, ends_after_s):
+        async def work():
+            session = process.session()
+            fut = asyncio.ensure_future(session.execute(write()))
+            await asyncio.sleep(ends_after_s)
+            process.state.groups['g'] = model.GroupView('g', 3, 'r')
+            started = clocks.boottime()
+            result = await fut
+            return result, clocks.boottime() - started
+
+        return asyncio.run(work())
+
+    def test_a_write_waits_for_a_change_that_will_end_in_time(self):
+        process = EntryProcess()
+        self.change(process, 0.7)
+        result, _ = self.write_during_change(process, 0.15)
+        assert result.failure is None
+        assert len(process.targets['r'].sent()) == 1
+        assert process.targets['p'].sent() == []
+
+    def test_a_write_is_refused_early_if_the_change_takes_too_long(self):
+        """Guards against holding callers that can't be served in time."""
+        process = EntryProcess()
+        self.change(process, 0.0)
+        result, late_s = self.write_during_change(process, 0.15)
+        assert result.failure is StatementFailure.NO_PRIMARY
+        assert late_s < 0.05
+        assert process.targets['r'].sent() == []
