Keep serving when another entry process is silent

Change: the charging process is given 0.25 s, or longer once it has answered; timed-out calls only retire their connection; the first statement of a transaction goes to the next member and the silent one is told to roll back; 'no primary' moves on to the next member. With exclusive names, the time that a control member took to start counts for its first vote.

--- a/packages/node/src/sassafrasridge_node/charging.py
+++ b/packages/node/src/sassafrasridge_node/charging.py
@@ -23,6 +23,16 @@
 # Time allowed for the reply, in addition to the wait for a token.
 ANSWER_MARGIN_S = 0.2
 
+# A process that has the token answers within a round trip. The first call
+# waits only briefly for a token, so that a silent process is noticed while the
+# operation can still be charged here.
+FIRST_WAIT_S = 0.1
+FIRST_ANSWER_MARGIN_S = 0.15
+
+# Least time in which this process can get a token from the control leader
+# after the holder did not answer: a relayed renewal and its reply.
+CONTROL_EXCHANGE_S = 0.3
+
 
 class SharedAdmitter(admission.Admitter):
     """Charge client accounts here or through the holder of their tokens."""
@@ -39,10 +49,12 @@
         """
         if account != admission.ANONYMOUS:
             holder = self._state.charging_entry(account)
-            if holder and await self._charge_through(
-                holder, account, deadline
-            ):
-                return
+            if holder:
+                if await self._charge_through(holder, account, deadline):
+                    return
+                deadline = max(
+                    deadline, clocks.boottime() + CONTROL_EXCHANGE_S
+                )
         await super().charge_account(account, deadline)
 
     async def _charge_through(
@@ -55,12 +67,40 @@
         address = self._state.entries.get(holder)
         if address is None or holder in self._silent_peers:
             return False
-        remaining_s = deadline - clocks.boottime()
-        wait_s = max(0.0, min(admission.MAX_RATE_WAIT_S, remaining_s))
+        wait_s = _remaining_wait_s(deadline)
+        reply = await self._call(
+            holder,
+            address,
+            account,
+            min(wait_s, FIRST_WAIT_S),
+            FIRST_ANSWER_MARGIN_S,
+        )
+        if reply is not None and reply.outcome == LIMITED:
+            wait_s = _remaining_wait_s(deadline)
+            if wait_s > 0:
+                # The holder works but has no token yet.
+                reply = await self._call(
+                    holder, address, account, wait_s, ANSWER_MARGIN_S
+                )
+        if reply is None:
+            return False
+        if reply.outcome == LIMITED:
+            raise admission.rate_limited_error(account, reply.retry_after_s)
+        return bool(reply.outcome == TAKEN)
+
+    async def _call(
+        self,
+        holder: str,
+        address: str,
+        account: str,
+        wait_s: float,
+        margin_s: float,
+    ) -> typing.Any:
+        """Return the holder's reply, None if it did not answer in time."""
         call = rpc.idl.ChargeCall(account=account, wait_s=wait_s)
         try:
-            reply = await self._pool.get(address).call(
-                'charge', call, timeout_s=wait_s + ANSWER_MARGIN_S
+            return await self._pool.get(address).call(
+                'charge', call, timeout_s=wait_s + margin_s
             )
         except (rpc.RpcError, rpc.RemoteCallError) as exc:
             self._silent_peers.record_failure(holder)
@@ -71,10 +111,7 @@
                 reason=str(exc),
                 entries_revision=self._state.entries_revision,
             )
-            return False
-        if reply.outcome == LIMITED:
-            raise admission.rate_limited_error(account, reply.retry_after_s)
-        return bool(reply.outcome == TAKEN)
+            return None
 
     async def serve_charge(self, call: typing.Any) -> typing.Any:
         """Take a token on behalf of another entry process."""
@@ -93,3 +130,10 @@
             )
             return rpc.idl.ChargeReply(outcome=UNABLE, retry_after_s=0.0)
         return rpc.idl.ChargeReply(outcome=TAKEN, retry_after_s=0.0)
+
+
+def _remaining_wait_s(deadline: float) -> float:
+    """Return how long an operation can still wait for a token, in seconds."""
+    return max(
+        0.0, min(admission.MAX_RATE_WAIT_S, deadline - clocks.boottime())
+    )
--- a/packages/node/src/sassafrasridge_node/clocks.py
+++ b/packages/node/src/sassafrasridge_node/clocks.py
@@ -11,3 +11,8 @@
     suspended.
     """
     return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+# Time in s since boot at which this process started, before it imported most
+# of its modules.
+PROCESS_STARTED_AT = boottime()
--- a/packages/node/src/sassafrasridge_node/main.py
+++ b/packages/node/src/sassafrasridge_node/main.py
@@ -273,11 +273,22 @@
             files.disk_id,
             stored,
             raft_config(self.cfg.timing.log_heartbeat),
-            clocks.boottime(),
+            self._no_vote_since(cfg),
             self._rng,
         )
         return files, log, state
 
+    def _no_vote_since(self, cfg: settings.ControlSettings) -> float:
+        """Return since when this member has certainly confirmed no leader.
+
+        With exclusive names, the former process of this member had ended
+        before this one started. Counting from then makes an election after a
+        restart of all members sooner by the time that the start took.
+        """
+        if cfg.exclusive_names and self.member is None:
+            return clocks.PROCESS_STARTED_AT
+        return clocks.boottime()
+
     def _first_members(
         self, name: str, cfg: settings.ControlSettings
     ) -> dict[str, typing.Any]:
--- a/packages/node/src/sassafrasridge_node/rpc.py
+++ b/packages/node/src/sassafrasridge_node/rpc.py
@@ -285,11 +285,72 @@
         writer.write(codec.pack(encode_message(method, kind, seqid, body)))
 
 
+class _Connection:
+    """Own one connection of a client, with its calls that await a reply."""
+
+    def __init__(
+        self, writer: asyncio.StreamWriter, codec: ConnectionCodec
+    ) -> None:
+        self.pending: dict[int, asyncio.Future[typing.Any]] = {}
+        self._writer = writer
+        self._codec = codec
+        self._retired = False
+
+    def is_usable(self) -> bool:
+        """Return whether new calls may use the connection."""
+        return not self._retired and not self._writer.is_closing()
+
+    def send(self, payload: bytes) -> None:
+        """Send a message."""
+        self._writer.write(self._codec.pack(payload))
+
+    def retire(self) -> None:
+        """Take no new calls; close once no call awaits its reply."""
+        self._retired = True
+        self._close_if_unused()
+
+    def forget(self, seqid: int) -> None:
+        """Remove a call that has ended."""
+        self.pending.pop(seqid, None)
+        self._close_if_unused()
+
+    def _close_if_unused(self) -> None:
+        if self._retired and not self.pending:
+            self._writer.close()
+
+    def close(self) -> None:
+        """Close the connection and fail the pending calls."""
+        self._retired = True
+        self._writer.close()
+        for fut in self.pending.values():
+            if not fut.done():
+                fut.set_exception(ConnectionResetError('connection closed'))
+
+    async def read_replies(
+        self,
+        reader: asyncio.StreamReader,
+        complete: collections.abc.Callable[['_Connection', bytes], None],
+    ) -> None:
+        """Pass replies on until the connection ends."""
+        try:
+            while True:
+                complete(self, await self._codec.read(reader))
+        except (asyncio.IncompleteReadError, OSError):
+            pass
+        except Exception:
+            # Decoders raise many exception types on malformed input.
+            MALFORMED_FRAMES.inc()
+        finally:
+            self.close()
+
+
 class Client:
     """Call a thrift service of another daemon.
 
-    All calls share one connection, which is opened on demand. A call that
-    times out closes it, because an unresponsive connection may be broken.
+    All calls share one connection, which is opened on demand. After a call
+    that timed out, new calls open another one, because an unresponsive
+    connection may be broken. Calls that were sent earlier still get their
+    replies: the other daemon may only be slow.
     """
 
     def __init__(
@@ -304,9 +365,8 @@
         self._framing = Framing(secret)
         self._service = service
         self._seqids = itertools.count(1)
-        self._pending: dict[int, asyncio.Future[typing.Any]] = {}
-        self._writer: asyncio.StreamWriter | None = None
-        self._codec = self._framing.new_codec()
+        self._conn: _Connection | None = None
+        self._connections: set[_Connection] = set()
         self._lock = asyncio.Lock()
 
     async def call(
@@ -317,6 +377,7 @@
         Raises RpcError if no reply arrives within ``timeout_s`` seconds, and
         RemoteCallError if the other daemon reports an error.
         """
+        conn: _Connection | None = None
         sent = False
         seqid = next(self._seqids) & 0x7FFFFFFF
         fut: asyncio.Future[typing.Any] = (
@@ -324,33 +385,32 @@
         )
         try:
             async with asyncio.timeout(timeout_s):
-                writer = await self._connect()
-                self._pending[seqid] = fut
+                conn = await self._connect()
+                conn.pending[seqid] = fut
                 payload = self._encode_call(method, seqid, args)
-                writer.write(self._codec.pack(payload))
+                conn.send(payload)
                 sent = True
                 return await fut
         except TimeoutError:
-            self.close()
+            if conn is not None:
+                conn.retire()
             raise RpcError(
                 f'{method} at {self.address} gave no answer in '
                 f'{timeout_s:.3g} s',
                 sent=sent,
             )
         except OSError as exc:
-            self.close()
+            if conn is not None:
+                conn.close()
             raise RpcError(f'{method} at {self.address}: {exc}', sent=sent)
         finally:
-            self._pending.pop(seqid, None)
+            if conn is not None:
+                conn.forget(seqid)
 
     def close(self) -> None:
-        """Close the connection and fail the pending calls."""
-        if self._writer is not None:
-            self._writer.close()
-            self._writer = None
-        for fut in self._pending.values():
-            if not fut.done():
-                fut.set_exception(ConnectionResetError('connection closed'))
+        """Close all connections and fail the pending calls."""
+        for conn in list(self._connections):
+            conn.close()
 
     def _encode_call(
         self, method: str, seqid: int, args: tuple[typing.Any, ...]
@@ -365,9 +425,9 @@
         )
         return encode_message(method, kind, seqid, body)
 
-    async def _connect(self) -> asyncio.StreamWriter:
+    async def _connect(self) -> _Connection:
         async with self._lock:
-            if self._writer is None or self._writer.is_closing():
+            if self._conn is None or not self._conn.is_usable():
                 host, port = self.address.rsplit(':', 1)
                 async with asyncio.timeout(CONNECT_TIMEOUT_S):
                     reader, writer = await asyncio.open_connection(
@@ -376,36 +436,23 @@
                         limit=MAX_FRAME_BYTES,
                         local_addr=self._local_addr,
                     )
-                self._writer = writer
-                self._codec = self._framing.new_codec()
-                asyncio.ensure_future(
-                    self._read_replies(reader, writer, self._codec)
-                )
-            return self._writer
+                self._conn = _Connection(writer, self._framing.new_codec())
+                self._connections.add(self._conn)
+                asyncio.ensure_future(self._read_replies(self._conn, reader))
+            return self._conn
 
     async def _read_replies(
-        self,
-        reader: asyncio.StreamReader,
-        writer: asyncio.StreamWriter,
-        codec: ConnectionCodec,
+        self, conn: _Connection, reader: asyncio.StreamReader
     ) -> None:
         try:
-            while True:
-                self._complete_call(await codec.read(reader))
-        except (asyncio.IncompleteReadError, OSError):
-            pass
-        except Exception:
-            # Decoders raise many exception types on malformed input.
-            MALFORMED_FRAMES.inc()
+            await conn.read_replies(reader, self._complete_call)
         finally:
-            writer.close()
-            if self._writer is writer:
-                self.close()
+            self._connections.discard(conn)
 
-    def _complete_call(self, payload: bytes) -> None:
+    def _complete_call(self, conn: _Connection, payload: bytes) -> None:
         protocol = _checked_decoder(payload)
         method, kind, seqid = protocol.read_message_begin()
-        fut = self._pending.get(seqid)
+        fut = conn.pending.get(seqid)
         if fut is None or fut.done():
             return
         if kind == thrift.TMessageType.EXCEPTION:
--- a/packages/node/src/sassafrasridge_node/sessionfront.py
+++ b/packages/node/src/sassafrasridge_node/sessionfront.py
@@ -173,9 +173,7 @@
         """Return the time at which the statement times out."""
         return self.started + self.access.route.timeout_s
 
-    def primary_wait_until(
-        self, changes: primarywait.ChangeTracker
-    ) -> float:
+    def primary_wait_until(self, changes: primarywait.ChangeTracker) -> float:
         """Return the time until which the statement may wait for a primary."""
         until = changes.wait_until(
             clocks.boottime(), self.access.group, self.deadline
--- a/packages/node/src/sassafrasridge_node/sessionrelay.py
+++ b/packages/node/src/sassafrasridge_node/sessionrelay.py
@@ -37,6 +37,11 @@
 READ_ATTEMPT_SHARE = 0.5
 MIN_READ_ATTEMPT_S = 0.3
 
+# Number of processes that may say that they have no primary before the
+# statement is refused: one that is cut off from the primary or from control
+# says so, another one may still serve it.
+MAX_REFUSALS = 3
+
 # Length of random transaction numbers: collisions are negligible, and the
 # numbers fit into 64 bits.
 TRANSACTION_NUMBER_BITS = 62
@@ -210,6 +215,7 @@
         self._pool = pool
         self._rng = rng
         self._silent_peers = peers.UnresponsivePeers()
+        self._rollbacks: set[asyncio.Task[None]] = set()
 
     def new_transaction_number(self) -> int:
         """Return a random number that identifies a transaction."""
@@ -233,8 +239,10 @@
 
         Returns the name of the process tried last, and the result.
         ``unanswered`` is the failure to report for a statement that was sent
-        but not answered. FAILED marks a read, which is retried at the next
-        process; any other statement is retried only if it was not sent.
+        but not answered. A read (FAILED) and the first statement of a
+        transaction are then retried at the next process: nothing of them is
+        kept without a COMMIT. Any other statement is retried only if it was
+        not sent, or if the process answered that it has no primary.
         """
         failure, detail = (
             StatementFailure.BUSY,
@@ -242,6 +250,10 @@
         )
         if req.transaction and req.begin is None:
             failure = StatementFailure.ABORTED
+        repeatable = (
+            unanswered is StatementFailure.FAILED or req.begin is not None
+        )
+        refusals = 0
         entry_name, arrived = '', clocks.boottime() - req.waited_s
         for entry_name in entry_names:
             address = self._state.entries.get(entry_name)
@@ -250,14 +262,18 @@
                 continue
             req.waited_s = now - arrived
             remaining_s = deadline - now
-            read_only = unanswered is StatementFailure.FAILED
             try:
                 async with asyncio.timeout(
-                    _attempt_timeout_s(remaining_s) if read_only else None
+                    _attempt_timeout_s(remaining_s) if repeatable else None
                 ):
-                    return entry_name, await self._call(
-                        address, req, remaining_s
-                    )
+                    answer = await self._call(address, req, remaining_s)
+                if not _has_no_primary(answer):
+                    return entry_name, answer
+                refusals += 1
+                failure, detail = answer.result.failure, answer.result.detail
+                if refusals >= MAX_REFUSALS:
+                    return entry_name, answer
+                continue
             except TimeoutError:
                 # Keep the connection: other calls on it may still be answered.
                 self._note_failure(
@@ -275,12 +291,20 @@
             except rpc.RemoteCallError as exc:
                 self._note_failure(entry_name, req, True, str(exc))
                 failure, detail = unanswered, str(exc)
-            if failure is not StatementFailure.FAILED:
+            if not repeatable:
                 answer = failed_result(failure, detail)
                 answer.open = True
                 return entry_name, answer
+            if req.begin is not None:
+                self._abandon(entry_name, req.transaction)
         return entry_name, failed_result(failure, detail)
 
+    def _abandon(self, entry_name: str, number: int) -> None:
+        """Roll back what a process that did not answer may have begun."""
+        task = asyncio.ensure_future(self.roll_back(entry_name, number))
+        self._rollbacks.add(task)
+        task.add_done_callback(self._rollbacks.discard)
+
     async def _call(
         self, address: str, req: RelayedStatement, remaining_s: float
     ) -> RelayedResult:
@@ -323,6 +347,14 @@
             self._note_failure(entry_name, req, True, str(exc))
 
 
+def _has_no_primary(answer: RelayedResult) -> bool:
+    """Return whether a process had no primary and ran nothing."""
+    return (
+        answer.result.failure is StatementFailure.NO_PRIMARY
+        and not answer.open
+    )
+
+
 def _attempt_timeout_s(remaining_s: float) -> float:
     """Return the time in seconds that one process gets for a read.
 
--- a/tests/node/test_charging.py
+++ b/tests/node/test_charging.py
@@ -79,6 +79,72 @@
         assert len(holder.calls) == 1
 
 
+class SilentHolder(Holder):
+    """Simulate a holder behind a partition: calls run into their timeout."""
+
+    async def call(self, api, call, timeout_s):
+        self.calls.append(call)
+        await asyncio.sleep(timeout_s)
+        raise rpc.RpcError('no answer', sent=True)
+
+
+class TestHoldersCutOff:
+    """Pattern: half of the entry VMs are cut off from the others.
+
+    They charge half of the accounts for everybody. Tokens of these accounts
+    that are not in use there can be had from the control leader.
+    """
+
+    def test_the_first_operation_is_charged_here_in_time(self):
+        """Guards against refusing accounts within their rate."""
+        holder = SilentHolder()
+        found = admitter(holder)
+        state = found._state
+
+        def renew_now():
+            # The leader's answer arrives after a relayed exchange.
+            asyncio.get_running_loop().call_later(0.1, grant_tokens)
+
+        def grant_tokens():
+            bucket = state.bucket('acme')
+            bucket._validity.until = float('inf')
+            bucket._holding.tokens = bucket._holding.capacity = 1.0
+
+        state.renew_now = renew_now
+        objective_share_s = 0.3
+
+        async def work():
+            started = clocks.boottime()
+            await found.charge_account('acme', started + objective_share_s)
+            return clocks.boottime() - started
+
+        assert asyncio.run(work()) < 0.5
+        assert len(holder.calls) == 1
+
+    def test_a_holder_without_a_token_is_waited_for(self):
+        """Guards against taking a short burst for a silent process."""
+
+        class BusyHolder(Holder):
+            async def call(self, api, call, timeout_s):
+                self.calls.append(call)
+                if len(self.calls) == 1:
+                    await asyncio.sleep(call.wait_s)
+                    return rpc.idl.ChargeReply(
+                        outcome=charging.LIMITED, retry_after_s=1.0
+                    )
+                return rpc.idl.ChargeReply(outcome=charging.TAKEN)
+
+        holder = BusyHolder()
+        found = admitter(holder)
+
+        async def work():
+            await found.charge_account('acme', clocks.boottime() + 0.6)
+
+        asyncio.run(work())
+        assert len(holder.calls) == 2
+        assert holder.calls[1].wait_s > 0.4
+
+
 class TestChargingHere:
     def test_without_a_lease_the_holder_is_unable(self):
         state = front.EntryProcess().state
--- a/tests/node/test_rpc.py
+++ b/tests/node/test_rpc.py
@@ -71,6 +71,40 @@
         assert asyncio.run(run()) is False
 
 
+class TestSlowPeer:
+    """Pattern: a VM is frozen for a moment while several calls are open."""
+
+    def test_a_timed_out_call_leaves_the_others_to_their_replies(self):
+        """Guards against doubt about work because another call gave up."""
+
+        class Handler:
+            async def renew(self, req):
+                await asyncio.sleep(0.3)
+                return rpc.idl.RenewReply(granted=True, reason=req.entry)
+
+        async def run():
+            server = rpc.Server(rpc.idl.Control, Handler(), SECRET)
+            await server.start('127.0.0.1', 0)
+            client = rpc.Client(rpc.idl.Control, server.address, SECRET)
+            req = rpc.idl.RenewRequest(entry='patient')
+            patient = asyncio.ensure_future(
+                client.call('renew', req, timeout_s=2)
+            )
+            with pytest.raises(rpc.RpcError):
+                await client.call('renew', req, timeout_s=0.05)
+            later = await client.call('renew', req, timeout_s=2)
+            reply = await patient
+            open_connections = (
+                len(server._server.sockets),
+                len(client._connections),
+            )
+            client.close()
+            await server.stop()
+            return reply.reason, later.reason, open_connections[1]
+
+        assert asyncio.run(run()) == ('patient', 'patient', 1)
+
+
 class TestServer:
     def test_unknown_method_is_an_error_of_the_call(self):
         """Guards against a crash on a call that a newer release added."""
