Renew leases with a control member of the own availability zone

Cause: all entry processes renewed with the leader directly, 485 renewals a second at 200 VMs on one Python process, two thirds of them across regions.

Change: replies name the zone of the member that answered; an entry process settles at one of its own zone (core.memberchoice), which relays in batches.

--- a/packages/node/src/sassafrasridge_node/control.py
+++ b/packages/node/src/sassafrasridge_node/control.py
@@ -491,10 +491,12 @@
     async def renew(self, req: typing.Any) -> typing.Any:
         """Renew a lease, as the leader or by relaying to the leader."""
         if self.leadership is not None:
-            return await self._renew_as_leader(req)
-        reply = await self._relay.renew(req)
-        if reply.granted and reply.revision > req.revision:
-            self._add_full_copy(reply)
+            reply = await self._renew_as_leader(req)
+        else:
+            reply = await self._relay.renew(req)
+            if reply.granted and reply.revision > req.revision:
+                self._add_full_copy(reply)
+        reply.member_zone = self._zone
         return reply
 
     async def renew_batch(self, batch: typing.Any) -> typing.Any:
--- a/packages/node/src/sassafrasridge_node/main.py
+++ b/packages/node/src/sassafrasridge_node/main.py
@@ -389,7 +389,7 @@
             self.cfg.entry.control = cfg.entry.control
             self.cfg.entry.seeds = cfg.entry.seeds
         if self.renewer is not None:
-            self.renewer.fallback_members = self.control_addresses()
+            self.renewer.choice.fallback = self.control_addresses()
         logs.log_event('reloaded', control=self.control_addresses())
 
     # Stop, on the engine's loop.
--- a/packages/node/src/sassafrasridge_node/relays.py
+++ b/packages/node/src/sassafrasridge_node/relays.py
@@ -24,6 +24,11 @@
     )
 
 
+def _is_urgent(req: typing.Any) -> bool:
+    """Return whether requests of callers wait for the renewal's reply."""
+    return any(report.wanted_tokens for report in req.accounts or ())
+
+
 class RenewalRelay:
     """Collect renewals and send them to the leader in batches."""
 
@@ -44,7 +49,7 @@
         loop = asyncio.get_running_loop()
         fut: asyncio.Future[typing.Any] = loop.create_future()
         self._queued.append((req, fut))
-        if len(self._queued) >= MAX_BATCH:
+        if len(self._queued) >= MAX_BATCH or _is_urgent(req):
             self._flush()
         elif self._timer is None:
             self._timer = loop.call_later(BATCH_INTERVAL_S, self._flush)
--- a/packages/node/src/sassafrasridge_node/renewal.py
+++ b/packages/node/src/sassafrasridge_node/renewal.py
@@ -5,6 +5,7 @@
 import math
 import typing
 
+from sassafrasridge_core import memberchoice
 from sassafrasridge_core import promotion
 from sassafrasridge_node import clocks
 from sassafrasridge_node import codec
@@ -52,13 +53,10 @@
         self._learn_members = learn_members
         self._state = state
         self._pool = pool
-        self._members = members
-        # Addresses from the settings, tried when no learned address answers.
-        self.fallback_members = members
+        self.choice = memberchoice.MemberChoice(members, state.zone)
         self._incarnation = incarnation
         self._address = rpc_address
         self._sequence = itertools.count(1)
-        self._member_index = 0
         self._wake = asyncio.Event()
         self._had_lease = False
         self._control_problem = ''
@@ -112,7 +110,7 @@
             codec.report_to_wire(report)
             for report in state.shares.build_reports(now, req.sequence)
         ]
-        client = self._pool.get(self._members[self._member_index])
+        client = self._pool.get(self.choice.current)
         try:
             reply = await client.call('renew', req, timeout_s=RENEW_TIMEOUT_S)
         except (rpc.RpcError, rpc.RemoteCallError):
@@ -124,9 +122,10 @@
             state.metrics.renewals.labels('refused').inc()
             self._log_control_change(reply.reason if reply else 'no_answer')
             if reply is None or reply.reason == 'no_leader':
-                self._next_member()
+                self.choice.failed(clocks.boottime())
             return
         self._log_control_change('')
+        self.choice.granted(clocks.boottime(), reply.member_zone or '')
         self._apply(reply)
 
     def _log_control_change(self, problem: str) -> None:
@@ -136,18 +135,11 @@
         self._control_problem = problem
         logs.log_event(
             'control_lost' if problem else 'control_regained',
-            member=self._members[self._member_index],
+            member=self.choice.current,
             reason=problem,
             lease_age_s=round(self._state.lease.age(clocks.boottime()), 3),
         )
 
-    def _next_member(self) -> None:
-        self._member_index += 1
-        if self._member_index >= len(self._members):
-            self._member_index = 0
-            known = dict.fromkeys([*self._members, *self.fallback_members])
-            self._members = list(known)
-
     def _apply(self, reply: typing.Any) -> None:
         state = self._state
         state.apply_groups(reply)
@@ -165,10 +157,8 @@
             state.apply_connection_grants(reply.connections, self._sent_at)
 
     def _follow_members(self, members: list[str]) -> None:
-        """Adopt the member addresses that the leader sent, its own first."""
-        if self._learn_members and members and members != self._members:
-            self._members = members
-            self._member_index = 0
+        """Adopt the member addresses that the leader sent."""
+        if self._learn_members and self.choice.follow(members):
             logs.log_event('control_members_learned', members=members)
 
     def _log_lease_change(self) -> None:
@@ -222,7 +212,7 @@
             observations=[],
             sequence=next(self._sequence),
         )
-        client = self._pool.get(self._members[self._member_index])
+        client = self._pool.get(self.choice.current)
         try:
             await client.call('renew', req, timeout_s=RENEW_TIMEOUT_S)
         except (rpc.RpcError, rpc.RemoteCallError):
--- a/packages/node/src/sassafrasridge_node/ridge.thrift
+++ b/packages/node/src/sassafrasridge_node/ridge.thrift
@@ -125,6 +125,7 @@
   15: i64 targets_revision,
   16: bool targets_complete,    // whether the list holds every live target
   17: list<string> members,     // thrift addresses of control, leader first
+  18: string member_zone,       // zone of the member that answered
 }
 
 struct RenewBatch {
