Elect a leader at once after a restart of all control members

Cause: after a power loss the members waited 0.5 to 0.7 s for a lease that nobody could hold, and sessions were refused 1.2 s after the start. A change of primary waited 0.5 s for the status of the dead primary.

Change: a member asks for pre-votes at once; each voter says whether it has known a leader since its start; if none has, the election starts. A report counts only for the pre-vote that it answers, and a member's own vote waits unless all have restarted. Sessions wait 1.6 s. Statuses are waited for 0.25 s.

--- a/packages/core/src/sassafrasridge_core/raft.py
+++ b/packages/core/src/sassafrasridge_core/raft.py
@@ -52,9 +52,12 @@
     'Stored',
 ]
 
-# Fraction of the election timeout range from which the first timeout after a
-# start is drawn.
-START_TIMEOUT_FRACTION = 0.4
+# Longest time in s until a member asks for pre-votes after its start. Members
+# that start together have no leader to wait for.
+MAX_START_DELAY_S = 0.1
+# Longest time between pre-votes of a member that has known no leader since
+# its start, as a multiple of the shortest.
+START_RETRY_FACTOR = 1.5
 
 FOLLOWER = 'follower'
 CANDIDATE = 'candidate'
@@ -316,15 +319,13 @@
         )
 
     def _set_start_deadline(self, now: float) -> None:
-        """Set the deadline near the minimum election timeout.
+        """Set the time of the first pre-vote after the start.
 
-        A voter must wait for the minimum, because it may have confirmed a
-        leader's lease before it restarted. The rest of the range is cut
-        short: members that start together have no leader to wait for.
+        Other members grant it only if they know of no leader either, or once
+        the lease that they may have confirmed before a restart has run out.
         """
-        least, most = self._cfg.election_min_s, self._cfg.election_max_s
         self._election_deadline = now + self._rng.uniform(
-            least, least + START_TIMEOUT_FRACTION * (most - least)
+            0.0, MAX_START_DELAY_S
         )
 
     def _become_follower(self, now: float, term: int) -> None:
@@ -341,42 +342,67 @@
     def _start_prevote(self, now: float) -> None:
         """Ask for pre-votes, which do not raise the term."""
         self.leader = None
-        self._candidacy = Candidacy(self._log, self._voter, prevoting=True)
+        self._candidacy = Candidacy(
+            self._log, self._voter, prevoting=True, started_at=now
+        )
         self._schedule_prevote_retry(now)
-        self._request_votes(raftmessages.PREVOTE, self.term + 1)
+        self._request_votes(
+            raftmessages.PREVOTE,
+            self.term + 1,
+            sent_at=now,
+            restarted=not self._voter.knew_leader,
+        )
         self._check_candidacy(now, self._candidacy)
 
     def _schedule_prevote_retry(self, now: float) -> None:
-        self._election_deadline = now + self._rng.uniform(
-            self._cfg.prevote_retry_min_s, self._cfg.prevote_retry_max_s
+        least, most = (
+            self._cfg.prevote_retry_min_s,
+            self._cfg.prevote_retry_max_s,
         )
+        if not self._voter.knew_leader:
+            # Other members may have started meanwhile.
+            most = START_RETRY_FACTOR * least
+        self._election_deadline = now + self._rng.uniform(least, most)
 
-    def _start_election(self, now: float) -> None:
+    def _start_election(self, now: float, all_restarted: bool) -> None:
         self._voter.start_term_with_own_vote()
         self._candidacy = Candidacy(self._log, self._voter, prevoting=False)
         self._reset_election_deadline(now)
-        self._request_votes(raftmessages.VOTE, self.term)
+        self._request_votes(
+            raftmessages.VOTE, self.term, restarted=all_restarted
+        )
         self._check_candidacy(now, self._candidacy)
 
-    def _request_votes(self, kind: str, term: int) -> None:
+    def _request_votes(
+        self, kind: str, term: int, **fields: typing.Any
+    ) -> None:
         log_term, index = self._log.last_term_and_index
         for name in raftmembers.voters(self.members):
             if name != self.name:
                 self._send(
-                    kind, name, term=term, index=index, log_term=log_term
+                    kind,
+                    name,
+                    term=term,
+                    index=index,
+                    log_term=log_term,
+                    **fields,
                 )
 
     def _check_candidacy(self, now: float, candidacy: Candidacy) -> None:
-        if not candidacy.is_won():
-            return
-        if candidacy.prevoting:
-            self._start_election(now)
-        else:
-            self._become_leader(now, candidacy)
+        if not candidacy.prevoting:
+            if candidacy.is_won():
+                self._become_leader(now, candidacy)
+        elif candidacy.all_restarted() and not self._voter.knew_leader:
+            self._start_election(now, all_restarted=True)
+        elif candidacy.is_won() and not self._voter.heard_leader_recently(now):
+            # The own vote, too, must not end a lease that this member has
+            # confirmed.
+            self._start_election(now, all_restarted=False)
 
     def _become_leader(self, now: float, candidacy: Candidacy) -> None:
         self._candidacy = None
         self.leader = self.name
+        self._voter.knew_leader = True
         self.reported_unlisted = False
         self._leadership = Leadership(
             self.name, self._log, self._cfg, self._send, now
@@ -401,25 +427,48 @@
         if self._leadership is not None:
             if self._leadership.has_lease(now):
                 return
-        elif self._voter.heard_leader_recently(now):
+        elif self._voter.must_wait(now, message):
             return
         prevote = message.kind == raftmessages.PREVOTE
         if not prevote and message.term > self.term:
             self._become_follower(now, message.term)
-        granted = self._voter.grant_vote(message)
+        granted = acceptable = self._voter.grant_vote(message)
+        if prevote and self._voter.heard_leader_recently(now):
+            # The lease that this member may have confirmed is still waited
+            # for; its report counts only if all voters have restarted.
+            granted = False
         if granted and not prevote:
             self._reset_election_deadline(now)
         elif granted and self._candidacy is None:
             # The other member is likely to win; a concurrent campaign of
             # this member could split the votes.
-            self._election_deadline = max(
-                self._election_deadline, now + self._cfg.prevote_retry_max_s
-            )
+            self._delay_campaign(now)
+        elif acceptable and not granted and self._yields_to(message):
+            self._candidacy = None
+            self._delay_campaign(now)
         self._send(
             raftmessages.PREVOTE_ACK if prevote else raftmessages.VOTE_ACK,
             message.sender,
             term=message.term if granted else self.term,
             granted=granted,
+            sent_at=message.sent_at,
+            restarted=prevote and acceptable and not self._voter.knew_leader,
+        )
+
+    def _delay_campaign(self, now: float) -> None:
+        self._election_deadline = max(
+            self._election_deadline, now + self._cfg.prevote_retry_max_s
+        )
+
+    def _yields_to(self, message: Message) -> bool:
+        """Return whether to leave the election to another candidate.
+
+        Members that restart together all ask for pre-votes at once. Only the
+        first by log and name goes on, so that the votes aren't split.
+        """
+        own_log = self._log.last_term_and_index
+        return (message.log_term, message.index) > own_log or (
+            message.sender < self.name
         )
 
     def _record_unlisted(self, message: Message) -> None:
@@ -502,6 +551,7 @@
         self._become_follower(now, message.term)
         self.leader = message.sender
         self._voter.leader_heard_at = now
+        self._voter.knew_leader = True
         self._reset_election_deadline(now)
         self._respond(message)
         if self._voter.is_voter():
--- a/packages/core/src/sassafrasridge_core/raftelection.py
+++ b/packages/core/src/sassafrasridge_core/raftelection.py
@@ -18,12 +18,14 @@
     """Hold the term and the vote, and decide on vote requests.
 
     ``leader_heard_at`` is the time in s of the last message from a leader,
-    None before the first one.
+    None before the first one. ``knew_leader`` tells whether this member has
+    followed or been a leader since its start.
     """
 
     __slots__ = (
         'hard_state',
         'leader_heard_at',
+        'knew_leader',
         'name',
         'disk_id',
         '_log',
@@ -48,6 +50,7 @@
         # That leader's lease relies on this member refusing votes for one
         # election timeout. With term 0 it has never acknowledged one.
         self.leader_heard_at = now if hard_state.term else None
+        self.knew_leader = False
 
     def is_voter(self) -> bool:
         """Return whether this disk is a voter in the newest membership."""
@@ -73,6 +76,18 @@
             and now < self.leader_heard_at + self._min_election_timeout_s
         )
 
+    def must_wait(self, now: float, message: raftmessages.Message) -> bool:
+        """Return whether a vote request must be left without an answer.
+
+        A leader's lease may rely on that. No leader can hold a lease if every
+        voter has restarted and known none since: each of them reported so
+        within one pre-vote, and a leader elected after its report would have
+        committed an entry that the candidate doesn't have.
+        """
+        if message.restarted and not self.knew_leader:
+            return False
+        return self.heard_leader_recently(now)
+
     def start_term_with_own_vote(self) -> None:
         """Increment the term and vote for this member in it."""
         vote = _candidate_id(self.name, self.disk_id)
@@ -126,25 +141,52 @@
     """Count the pre-votes or the votes for this member.
 
     ``granted_by`` maps the names of the voters that granted their vote to
-    their disk ids.
+    their disk ids. ``started_at`` identifies this candidacy in pre-votes and
+    the responses to them.
     """
 
-    __slots__ = ('prevoting', 'granted_by', '_rejected_by', '_log')
+    __slots__ = (
+        'prevoting',
+        'granted_by',
+        'started_at',
+        '_restarted',
+        '_rejected_by',
+        '_log',
+    )
 
     def __init__(
-        self, log: raftlog.Log, voter: Voter, prevoting: bool
+        self,
+        log: raftlog.Log,
+        voter: Voter,
+        prevoting: bool,
+        started_at: float = 0.0,
     ) -> None:
         self.prevoting = prevoting
         self.granted_by: dict[str, str] = {}
+        self.started_at = started_at
+        # Voters that have restarted and known no leader since.
+        self._restarted: set[str] = set()
         self._rejected_by: set[str] = set()
         if voter.is_voter():
             self.granted_by[voter.name] = voter.disk_id
+            if not voter.knew_leader:
+                self._restarted.add(voter.name)
         self._log = log
 
     def record_response(
         self, message: raftmessages.Message, term: int
     ) -> None:
         """Record a response to a vote request sent in ``term``."""
+        if (
+            message.restarted
+            and self.prevoting
+            and message.kind == raftmessages.PREVOTE_ACK
+            and message.sent_at == self.started_at
+            and raftmembers.is_voter(
+                self._log.members, message.sender, message.disk_id
+            )
+        ):
+            self._restarted.add(message.sender)
         if (
             message.granted
             and self.prevoting == (message.kind == raftmessages.PREVOTE_ACK)
@@ -169,6 +211,11 @@
         quorum = raftmembers.quorum(self._log.members)
         return len(voters) - len(rejected) < quorum
 
+    def all_restarted(self) -> bool:
+        """Return whether every voter reported that it knew no leader."""
+        voters = raftmembers.voters(self._log.members)
+        return self.prevoting and self._restarted.issuperset(voters)
+
     def is_won(self) -> bool:
         """Return whether a quorum granted its votes."""
         return len(self.granted_by) >= raftmembers.quorum(self._log.members)
--- a/packages/core/src/sassafrasridge_core/raftmessages.py
+++ b/packages/core/src/sassafrasridge_core/raftmessages.py
@@ -62,6 +62,8 @@
     ``sent_at`` is the send time in s by the leader's clock; the response
     returns it. ``offset`` and ``total`` are byte counts of the snapshot; in a
     rejected append ``offset`` is the index that did not match.
+    ``restarted`` marks a sender that has known no leader since its start; in
+    a vote request, all voters have reported that for the pre-vote before it.
     """
 
     kind: str
@@ -79,6 +81,7 @@
     entries: list[raftlog.Entry] = dataclasses.field(default_factory=list)
     members: raftmembers.Members | None = None
     data: bytes = b''
+    restarted: bool = False
 
     def encode(self) -> bytes:
         """Return the encoded message, the inverse of :meth:`decode`."""
@@ -88,6 +91,8 @@
         }
         header['granted'] = self.granted
         header['sent_at'] = self.sent_at
+        if self.restarted:
+            header['restarted'] = True
         header['data'] = len(self.data)
         if self.members is not None:
             header['members'] = raftmembers.encode(self.members).decode()
@@ -150,6 +155,8 @@
         _checked_integer(header['offset']),
         _checked_integer(header['total']),
     )
+    # Members of earlier releases neither send nor read this field.
+    message.restarted = header.get('restarted') is True
     if message.kind not in KINDS:
         raise MalformedMessageError(f'unknown message kind {message.kind!r}')
     message.entries, start = _decode_entries(
--- a/packages/node/src/sassafrasridge_node/failover.py
+++ b/packages/node/src/sassafrasridge_node/failover.py
@@ -27,6 +27,10 @@
 PROMOTION_TIMEOUT_S = 2.5
 # Interval of status requests while waiting for a promotion.
 STATUS_POLL_INTERVAL_S = 0.1
+# Time within which a target that works answers a status request: three round
+# trips between regions and the time to open a connection. The status of a
+# failed primary is not waited for longer.
+STATUS_WAIT_S = 0.25
 # Delay before the next attempt after a change that could not be finished.
 RETRY_DELAY_S = 0.25
 
@@ -299,9 +303,17 @@
     async def _request_statuses(
         self, targets: dict[str, model.TargetInfo]
     ) -> list[ServerStatus]:
-        answers = await asyncio.gather(
-            *(self._orders.status(info) for info in targets.values())
-        )
+        """Return the statuses that arrive in time."""
+        if not targets:
+            return []
+        tasks = [
+            asyncio.ensure_future(self._orders.status(info))
+            for info in targets.values()
+        ]
+        done, late = await asyncio.wait(tasks, timeout=STATUS_WAIT_S)
+        for task in late:
+            task.cancel()
+        answers = [task.result() for task in tasks if task in done]
         return [status for status in answers if status is not None]
 
     async def _keep_working_primary(
--- a/packages/node/src/sassafrasridge_node/sessionfront.py
+++ b/packages/node/src/sassafrasridge_node/sessionfront.py
@@ -58,10 +58,11 @@
 RATE_WAIT_SHARE = 0.5
 
 # Period after the start of this process during which new sessions wait for
-# its first lease. When all VMs start together, an election takes up to 1 s
-# and a renewal up to 0.2 s; callers that are refused immediately would use up
-# their retries before that.
-START_WAIT_S = 1.2
+# its first lease. When all VMs start together but one control member is
+# missing, an election takes up to 1.2 s and a renewal up to 0.2 s; callers
+# that are refused immediately would use up their retries before that, and
+# they give up after 2 s.
+START_WAIT_S = 1.6
 
 # Share of the latency objective that an operation may wait for a connection.
 CONNECTION_WAIT_SHARE = 0.4
--- a/tests/node/test_failover.py
+++ b/tests/node/test_failover.py
@@ -297,6 +297,28 @@
         assert committed_s > leases.LeaseTimes().lease_s
 
 
+class TestSilentPrimary:
+    """Pattern: a primary goes dark, and every request to it times out."""
+
+    def test_its_status_is_not_waited_for(self, servers):
+        """Guards against a longer gap because the failed target is asked."""
+        cluster = Cluster(servers)
+        servers['a'].reachable = False
+        cluster.fail('a')
+        status = cluster.orders.status
+
+        async def slow_status(info):
+            if info.server == 'a':
+                await asyncio.sleep(2.0)
+            return await status(info)
+
+        cluster.orders.status = slow_status
+        started = clocks.boottime()
+        view = cluster.step()
+        assert view.primary == 'c'
+        assert clocks.boottime() - started < 0.5
+
+
 class TestConfirmedOrders:
     """Pattern: a control leader is frozen during a change and wakes up.
 
