Let a control member that was removed while frozen join again

Change: it joins when the others answer that it isn't listed. Orders to targets get a module of their own (grouporders); no change of behaviour.

--- a/packages/node/src/sassafrasridge_node/extension.py
+++ b/packages/node/src/sassafrasridge_node/extension.py
@@ -4,7 +4,7 @@
 import typing
 
 from sassafrasridge_node import control
-from sassafrasridge_node import failover
+from sassafrasridge_node import grouporders
 from sassafrasridge_node import sessionfront
 from sassafrasridge_node import sessionpool
 
@@ -43,7 +43,7 @@
     @abc.abstractmethod
     def failover_client(
         self, source: str, holder: str
-    ) -> failover.GroupOrders:
+    ) -> grouporders.GroupOrders:
         """Return the client through which primaries are changed.
 
         ``holder`` is the name of this process.
--- a/packages/node/src/sassafrasridge_node/failover.py
+++ b/packages/node/src/sassafrasridge_node/failover.py
@@ -35,19 +35,13 @@
 RETRY_DELAY_S = 0.25
 
 
-ConfirmedOrders = grouporders.ConfirmedOrders
-GroupOrders = grouporders.GroupOrders
-PromotionAnswer = grouporders.PromotionAnswer
-ServerStatus = grouporders.ServerStatus
-
-
 class PromotionProof:
     """Hold the replicas that provably have every acknowledged commit."""
 
     __slots__ = ('candidates', 'reason')
 
     def __init__(
-        self, candidates: list[ServerStatus], reason: str = ''
+        self, candidates: list[grouporders.ServerStatus], reason: str = ''
     ) -> None:
         self.candidates = candidates
         self.reason = reason
@@ -56,8 +50,8 @@
 def prove_candidates(
     members: typing.Collection[str],
     former: str | None,
-    paused: typing.Sequence[ServerStatus],
-    stepped_down: ServerStatus | None,
+    paused: typing.Sequence[grouporders.ServerStatus],
+    stepped_down: grouporders.ServerStatus | None,
 ) -> PromotionProof:
     """Return the replicas that are safe to promote, none without proof.
 
@@ -67,7 +61,9 @@
     candidate must have reached the position at which the former primary
     stepped down.
 
-    >>> at = lambda s, n: ServerStatus(s, False, 1, 2, model.Position(1, n))
+    >>> def at(server, index):
+    ...     received = model.Position(1, index)
+    ...     return grouporders.ServerStatus(server, False, 1, 2, received)
     >>> members = ['a', 'b', 'c']
     >>> both = prove_candidates(members, 'a', [at('b', 5), at('c', 7)], None)
     >>> [status.server for status in both.candidates]
@@ -106,7 +102,7 @@
         zone: str,
         counters: metrics.Metrics,
         targets: directory.TargetDirectory,
-        orders: GroupOrders,
+        orders: grouporders.GroupOrders,
         token: int,
     ) -> None:
         super().__init__(store, detector, table, zone, counters)
@@ -302,7 +298,7 @@
 
     async def _request_statuses(
         self, targets: dict[str, model.TargetInfo]
-    ) -> list[ServerStatus]:
+    ) -> list[grouporders.ServerStatus]:
         """Return the statuses that arrive in time."""
         if not targets:
             return []
@@ -320,7 +316,7 @@
         self,
         view: model.GroupView,
         targets: dict[str, model.TargetInfo],
-        claimants: list[ServerStatus],
+        claimants: list[grouporders.ServerStatus],
     ) -> bool:
         """End the change if the primary works; return whether it did."""
         info = targets.get(view.primary or '')
@@ -341,9 +337,9 @@
     async def _pause_replicas(
         self,
         targets: dict[str, model.TargetInfo],
-        statuses: list[ServerStatus],
+        statuses: list[grouporders.ServerStatus],
         term: int,
-    ) -> list[ServerStatus]:
+    ) -> list[grouporders.ServerStatus]:
         answers = await asyncio.gather(
             *(
                 self._orders.pause(targets[status.server], term)
@@ -356,7 +352,7 @@
     async def _resume_replicas(
         self,
         targets: dict[str, model.TargetInfo],
-        paused: list[ServerStatus],
+        paused: list[grouporders.ServerStatus],
     ) -> None:
         names = {s.server for s in paused} or set(targets)
         await asyncio.gather(
@@ -365,7 +361,7 @@
 
     def _choose_candidate(
         self, targets: dict[str, model.TargetInfo], proof: PromotionProof
-    ) -> ServerStatus | None:
+    ) -> grouporders.ServerStatus | None:
         """Choose a candidate; prefer not leaving, then in this zone."""
         return min(
             proof.candidates,
@@ -380,7 +376,7 @@
     async def _promote(
         self,
         targets: dict[str, model.TargetInfo],
-        chosen: ServerStatus,
+        chosen: grouporders.ServerStatus,
         highest_term: int,
     ) -> bool:
         """Have a target promoted; return whether it became the primary."""
@@ -393,7 +389,7 @@
             token=self._token,
             answer=answer.value,
         )
-        if answer is PromotionAnswer.REFUSED:
+        if answer is grouporders.PromotionAnswer.REFUSED:
             return False
         deadline = clocks.boottime() + PROMOTION_TIMEOUT_S
         while clocks.boottime() < deadline:
@@ -411,7 +407,7 @@
         self,
         view: model.GroupView,
         targets: dict[str, model.TargetInfo],
-        chosen: ServerStatus,
+        chosen: grouporders.ServerStatus,
         started: float,
     ) -> None:
         new_view = model.GroupView(
--- a/packages/node/src/sassafrasridge_node/joining.py
+++ b/packages/node/src/sassafrasridge_node/joining.py
@@ -20,13 +20,17 @@
 async def join(
     member: control.ControlMember, seeds: list[str], pool: rpc.ClientPool
 ) -> None:
-    """Send join requests while this member is not a voter, until cancelled."""
+    """Send join requests while this member is not a voter, until cancelled.
+
+    A member that was removed while it was frozen or cut off is still a voter
+    in its own log, but the other members answer that it isn't listed.
+    """
     if not _is_voter(member):
         logs.log_event('joining', seeds=seeds, disk_id=member.log.disk_id)
     reason = ''
     for turn in itertools.count():
         await asyncio.sleep(JOIN_INTERVAL_S)
-        if _is_voter(member):
+        if _is_voter(member) and not member.log.reported_unlisted:
             continue
         listed = dict.fromkeys([*member.addresses(), *seeds])
         known = [a for a in listed if a != member.rpc_address]
--- a/packages/node/src/sassafrasridge_node/main.py
+++ b/packages/node/src/sassafrasridge_node/main.py
@@ -29,6 +29,7 @@
 from sassafrasridge_node import failover
 from sassafrasridge_node import front
 from sassafrasridge_node import gateway
+from sassafrasridge_node import grouporders
 from sassafrasridge_node import joining
 from sassafrasridge_node import leadership
 from sassafrasridge_node import logs
@@ -321,7 +322,7 @@
                 self.cfg.node.zone,
                 self.metrics,
                 current.directory,
-                failover.ConfirmedOrders(
+                grouporders.ConfirmedOrders(
                     orders, lambda: member.is_confirmed_leader(current)
                 ),
                 current.term,
--- a/tests/core/test_raft.py
+++ b/tests/core/test_raft.py
@@ -879,6 +879,23 @@
         cluster.cut_links = set()
         cluster.write('by the two others')
 
+    def test_member_removed_while_paused_learns_of_it_and_returns(self):
+        """Guards against giving up a member that was only silent."""
+        cluster = make_cluster('abcd')
+        paused = cluster.other_names(cluster.wait_for_leader().name)[0]
+        cluster.nodes[paused].paused = True
+        cluster.change(raft.Remove(paused))
+        cluster.nodes[paused].paused = False
+        log = cluster.nodes[paused].raft
+        assert cluster.run(ELECTION_S, lambda: log.reported_unlisted)
+        cluster.replace_member(paused, f'{paused}0')
+        assert cluster.run(
+            ELECTION_S,
+            lambda: log.role == 'follower' and not log.reported_unlisted,
+        )
+        cluster.write('after')
+        cluster.converge()
+
     def test_learner_does_not_count_for_a_commit(self):
         """Guards against a commit without a majority of voters."""
         cluster = make_cluster('ab')
--- a/tests/node/test_failover.py
+++ b/tests/node/test_failover.py
@@ -10,6 +10,7 @@
 from sassafrasridge_core import promotion
 from sassafrasridge_node import clocks
 from sassafrasridge_node import failover
+from sassafrasridge_node import grouporders
 from sassafrasridge_node import groups
 from sassafrasridge_node import metrics
 
@@ -44,20 +45,20 @@
         self.reachable = True
 
 
-class Orders(failover.GroupOrders):
+class Orders(grouporders.GroupOrders):
     """In-memory targets; ``sent_orders`` lists the orders in sequence."""
 
     def __init__(self, servers):
         self.servers = servers
         self.sent_orders = []
-        self.answer = failover.PromotionAnswer.ACCEPTED
+        self.answer = grouporders.PromotionAnswer.ACCEPTED
         self.takes_effect = True
 
     def _status(self, name):
         server = self.servers[name]
         if not server.reachable:
             return None
-        return failover.ServerStatus(
+        return grouporders.ServerStatus(
             name,
             server.primary,
             server.term,
@@ -163,14 +164,14 @@
 class TestPromotionProof:
     def test_no_proof_if_a_replica_is_missing(self):
         """Guards against losing a commit that only that replica has."""
-        at = failover.ServerStatus('b', False, 1, 2, Position(1, 7))
+        at = grouporders.ServerStatus('b', False, 1, 2, Position(1, 7))
         assert not failover.prove_candidates(
             ['a', 'b', 'c'], 'a', [at], None
         ).candidates
 
     def test_replicas_behind_the_former_primary_are_excluded(self):
-        at = failover.ServerStatus('b', False, 1, 2, Position(1, 7))
-        former = failover.ServerStatus('a', False, 1, 0, Position(1, 9))
+        at = grouporders.ServerStatus('b', False, 1, 2, Position(1, 7))
+        former = grouporders.ServerStatus('a', False, 1, 0, Position(1, 9))
         assert not failover.prove_candidates(
             'abc', 'a', [at], former
         ).candidates
@@ -217,7 +218,7 @@
     def test_a_refused_promotion_resumes_the_replicas(self, servers):
         cluster = Cluster(servers)
         servers['a'].reachable = False
-        cluster.orders.answer = failover.PromotionAnswer.REFUSED
+        cluster.orders.answer = grouporders.PromotionAnswer.REFUSED
         cluster.orders.takes_effect = False
         cluster.fail('a')
         assert cluster.step().changing
@@ -328,7 +329,7 @@
 
     def test_a_former_leader_sends_no_order(self, servers):
         orders = Orders(servers)
-        guarded = failover.ConfirmedOrders(orders, lambda: False)
+        guarded = grouporders.ConfirmedOrders(orders, lambda: False)
         info = model.TargetInfo('b', 'g', 'z', '10.0.0.1:1', '', 0, 0, 5, 0)
 
         async def send_all():
@@ -338,12 +339,12 @@
             return await guarded.promote(info, 3)
 
         answer = asyncio.run(send_all())
-        assert answer is failover.PromotionAnswer.REFUSED
+        assert answer is grouporders.PromotionAnswer.REFUSED
         assert orders.sent_orders == []
 
     def test_the_leader_sends_its_orders(self, servers):
         orders = Orders(servers)
-        guarded = failover.ConfirmedOrders(orders, lambda: True)
+        guarded = grouporders.ConfirmedOrders(orders, lambda: True)
         info = model.TargetInfo('b', 'g', 'z', '10.0.0.1:1', '', 0, 0, 5, 0)
 
         async def send_all():
--- a/tests/node/test_joining.py
+++ b/tests/node/test_joining.py
@@ -9,6 +9,8 @@
 
 
 class FakeLog:
+    reported_unlisted = False
+
     def __init__(self, voter):
         self.name, self.disk_id = '10.0.0.1:1', 'disk'
         self.members = {self.name: raftmembers.Member('disk', voter)}
@@ -62,3 +64,25 @@
 
         asyncio.run(run())
         assert pool.request_count
+
+    def test_a_member_that_was_removed_while_it_was_frozen_rejoins(
+        self, monkeypatch
+    ):
+        """Guards against giving up a member that was only silent.
+
+        Its own log still lists it as a voter, because it didn't receive the
+        removal. The other members answer that it is not listed.
+        """
+        monkeypatch.setattr(joining, 'JOIN_INTERVAL_S', 0.001)
+        member, pool = FakeMember(), FakePool()
+
+        async def run():
+            task = asyncio.ensure_future(
+                joining.join(member, ['10.0.0.2:1'], pool)
+            )
+            member.log.reported_unlisted = True
+            await asyncio.sleep(0.05)
+            task.cancel()
+
+        asyncio.run(run())
+        assert pool.request_count
