Bound the statements that are sent to a target

Each account needs a connection of its own; opening one takes a slot for 12 ms, a statement for 24 ms. Statements that were rejected had just cost an opening, and their callers came back: 52,314 openings for 58,899 arrivals.

Ruled out: limits of connections (granted), failed targets, clients over their rate, leaked connections.

Change: all processes together send at most three statements for each slot, by their part of the connections; the rest waits in the fair queue. Statements without an answer for 0.3 s and transactions at rest don't count.

--- a/packages/core/src/sassafrasridge_core/settings.py
+++ b/packages/core/src/sassafrasridge_core/settings.py
@@ -116,7 +116,7 @@
     ``seeds`` are HTTP addresses of some members; if there are any, the
     membership changes without an operator and must tolerate ``tolerated``
     simultaneous losses of members. ``exclusive_names`` means that the
-    deployment never runs two entry processes of the same name at a time.
+    deployment never runs two processes of the same name at a time.
     """
 
     __slots__ = (
--- a/packages/core/src/sassafrasridge_core/slots.py
+++ b/packages/core/src/sassafrasridge_core/slots.py
@@ -21,6 +21,11 @@
 # A leader's version has the term in the bits from this one on and a counter
 # below it.
 TERM_SHIFT_BITS = 40
+# Statements that all processes together may have at a target for each of its
+# slots, running or queued there.
+STATEMENTS_PER_SLOT = 3
+# Least number of statements that a process may have at a target.
+MIN_STATEMENTS = 2
 
 
 class Limit:
@@ -72,6 +77,25 @@
     return parts
 
 
+def statement_limit(slots: int, budget: int, connections: int) -> int:
+    """Return how many statements a process may have at a target at a time.
+
+    ``connections`` is the process's part of the target's ``budget``. The
+    target queues a few statements for each slot, so that no slot is idle for
+    a round trip. Any more would be rejected there, and each of them may have
+    cost a slot the opening of its connection.
+
+    >>> statement_limit(5, 78, 11), statement_limit(5, 78, 39)
+    (3, 8)
+    >>> statement_limit(0, 78, 11)
+    11
+    """
+    if slots <= 0:
+        return connections
+    share = connections / max(1, budget, connections)
+    return max(MIN_STATEMENTS, math.ceil(STATEMENTS_PER_SLOT * slots * share))
+
+
 class ConnectionAllocator:
     """Divide a target's connections and slots according to demand."""
 
--- a/packages/node/src/sassafrasridge_node/sessionfront.py
+++ b/packages/node/src/sassafrasridge_node/sessionfront.py
@@ -747,6 +747,7 @@
         token = object()
         if writes:
             backend.write_started(token)
+        backend.statement_started(conn)
         try:
             answer = await conn.run(commands, max(0.001, deadline - sent_at))
         except connections.ConnectionLostError as exc:
@@ -765,6 +766,7 @@
             raise
         finally:
             backend.write_ended(token)
+            backend.statement_ended(conn)
         self._record_answer(backend, answer, sent_at)
         clean = (
             answer.state is TransactionState.IDLE and not answer.failed_setup
--- a/packages/node/src/sassafrasridge_node/sessionpool.py
+++ b/packages/node/src/sassafrasridge_node/sessionpool.py
@@ -50,6 +50,10 @@
 # Targets close connections that are idle for one minute.
 MAX_IDLE_S = 45.0
 
+# A statement that has had no answer for this long no longer counts as running
+# at the target: its answer is probably lost. It is many times the usual time.
+STATEMENT_STALL_S = 0.3
+
 # Round-trip time assumed before the first connection to a target.
 DEFAULT_RTT_S = 0.05
 
@@ -326,6 +330,11 @@
         self.rtt_s = DEFAULT_RTT_S
         self._pending_writes: dict[object, float] = {}
         self._in_use: set[SessionConnection] = set()
+        # Connections with a statement at the target, or about to send one, and
+        # since when.
+        self._running: dict[SessionConnection, float] = {}
+        # Waiting statements that were let go on and have no connection yet.
+        self._let_go = 0
         self._account_used_at: dict[str, float] = {}
         self._reachable = True
         self.status_due = False
@@ -333,6 +342,8 @@
         self._full_until = float('-inf')
         self.is_primary: typing.Callable[[], bool] = lambda: False
         self.probe_account: typing.Callable[[], str] = str
+        # Returns the connection limit of the target, 0 if unknown.
+        self.connection_budget: typing.Callable[[], int] = int
 
     # State of the target.
 
@@ -428,9 +439,12 @@
     ) -> SessionConnection:
         """Return a connection of the account, opening one if necessary.
 
-        Raises UnavailableError (nothing was run), UnreachableError or
+        Waits while this process has as many statements at the target as it
+        may. Raises UnavailableError (nothing was run), UnreachableError or
         TargetRefusedError.
         """
+        if self._free_statements() <= 0:
+            return await self._wait(account, deadline, values)
         conn = self.pool.take(account, values)
         if conn is None:
             full = self.is_full(clocks.boottime())
@@ -443,10 +457,29 @@
                 return await self._wait(account, deadline, values)
             conn = await self._open(account, deadline)
         self._in_use.add(conn)
-        self._account_used_at[account] = clocks.boottime()
+        now = self._running[conn] = clocks.boottime()
+        self._account_used_at[account] = now
         self.in_flight = len(self._in_use)
         return conn
 
+    def _free_statements(self) -> int:
+        """Return how many more statements may be sent to the target now."""
+        limit = slots.statement_limit(
+            self.info.slots, self.connection_budget(), self.pool.limit
+        )
+        stalled_since = clocks.boottime() - STATEMENT_STALL_S
+        running = sum(at > stalled_since for at in self._running.values())
+        return limit - running - self.pool.opening - self._let_go
+
+    def statement_started(self, conn: SessionConnection) -> None:
+        """Record that a statement is sent on a connection in use."""
+        self._running[conn] = clocks.boottime()
+
+    def statement_ended(self, conn: SessionConnection) -> None:
+        """Record an answer or failure; let a waiting statement go on."""
+        self._running.pop(conn, None)
+        self._dispatch_waiting()
+
     async def _wait(
         self, account: str, deadline: float, values: dict[str, str]
     ) -> SessionConnection:
@@ -462,10 +495,22 @@
             async with asyncio.timeout(max(0.0, deadline - now)):
                 await fut
         except TimeoutError:
-            self._dispatch_waiting()
+            self._forget_ticket(fut)
             raise backends.refusal_error(model.DEADLINE)
+        except asyncio.CancelledError:
+            self._forget_ticket(fut)
+            raise
+        self._let_go -= 1
         return await self.acquire(account, deadline, values)
 
+    def _forget_ticket(self, fut: asyncio.Future[typing.Any]) -> None:
+        """Pass on what a statement that no longer waits was given."""
+        if fut.done() and not fut.cancelled() and fut.exception() is None:
+            self._let_go -= 1
+        else:
+            fut.cancel()
+        self._dispatch_waiting()
+
     async def _open(self, account: str, deadline: float) -> SessionConnection:
         remaining_s = deadline - clocks.boottime()
         if (
@@ -536,6 +581,7 @@
         if conn not in self._in_use:
             return
         self._in_use.discard(conn)
+        self._running.pop(conn, None)
         self.in_flight = len(self._in_use)
         if clean:
             self.pool.give_back(conn)
@@ -553,11 +599,13 @@
         available = self.pool.idle
         if not self.is_full(now):
             available += self.pool.limit - self.pool.held
+        available = min(available - self._let_go, self._free_statements())
         while available > 0 and len(self.queue):
             ticket = self._next_ticket(now)
             if ticket is None:
                 return
             ticket.fut.set_result(None)
+            self._let_go += 1
             available -= 1
 
     def on_primary_replaced(self) -> None:
--- a/packages/node/src/sassafrasridge_node/sessionrouting.py
+++ b/packages/node/src/sassafrasridge_node/sessionrouting.py
@@ -13,7 +13,8 @@
 # drift and the time from the client's first byte to its arrival here.
 AGE_MARGIN_S = 0.2
 
-# Estimated delay that each statement in flight adds at a target. It lies
+# Estimated delay that each statement in flight, or waiting here to be sent,
+# adds at a target. It lies
 # between the mean statement times of the users' two services.
 STATEMENT_COST_S = 0.03
 
@@ -108,7 +109,8 @@
         cost = backend.rtt_s
         if not backend.pool.has_idle(access.account):
             cost += sessionpool.ROUND_TRIPS_TO_OPEN * backend.rtt_s
-        cost += STATEMENT_COST_S * max(0, backend.in_flight - 1)
+        ahead = backend.in_flight + len(backend.queue)
+        cost += STATEMENT_COST_S * max(0, ahead - 1)
         if backend.avoid_until > now:
             cost += AVOIDED_COST_S
         return cost + MAX_TIE_BREAK_S * self._rng.random()
--- a/packages/node/src/sassafrasridge_node/sessionstate.py
+++ b/packages/node/src/sassafrasridge_node/sessionstate.py
@@ -24,6 +24,9 @@
     def __init__(self, *args: typing.Any, **kwargs: typing.Any) -> None:
         super().__init__(*args, **kwargs)
         self.primary_changes = primarywait.ChangeTracker()
+        # Connection limits of targets by group, in a configuration revision.
+        self._budgets: dict[str, int] = {}
+        self._budgets_revision = -1
 
     def new_backend(self, info: model.TargetInfo) -> backends.Backend:
         """Return a new backend for a target."""
@@ -32,6 +35,7 @@
         )
         backend.is_primary = lambda: self._is_primary(info.group, info.server)
         backend.probe_account = self._any_account
+        backend.connection_budget = lambda: self._connection_budget(info.group)
         backend.serving = self.serves(info.group)
         return backend
 
@@ -39,6 +43,19 @@
         view = self.groups.get(group)
         return view is not None and view.primary == server
 
+    def _connection_budget(self, group: str) -> int:
+        """Return the connections that each target of a group accepts.
+
+        Returns 0 if the configuration doesn't tell.
+        """
+        if self._budgets_revision != self.config.revision:
+            self._budgets_revision = self.config.revision
+            self._budgets = {
+                service.group: service.connections or 0
+                for service in self.config.services()
+            }
+        return self._budgets.get(group, 0)
+
     def _any_account(self) -> str:
         return next((a.name for a in self.config.accounts()), '')
 
--- a/tests/node/test_sessionfront.py
+++ b/tests/node/test_sessionfront.py
@@ -498,6 +498,157 @@
         asyncio.run(work())
 
 
+class SlottedTarget:
+    """Simulate a target with slots and a queue that many processes use.
+
+    Opening a connection takes a slot for as long as running a statement.
+    """
+
+    def __init__(self, slots, queue):
+        self.capacity = slots + queue
+        self.slots = asyncio.Semaphore(slots)
+        self.waiting = 0
+        self.rejected = self.opened = self.ran = 0
+
+    async def work(self):
+        if self.waiting >= self.capacity:
+            self.rejected += 1
+            raise sessionpool.TargetRefusedError(ResultCode.BUSY)
+        self.waiting += 1
+        async with self.slots:
+            await asyncio.sleep(0.001)
+        self.waiting -= 1
+
+    async def open(self, info, account, timeout_s):
+        await self.work()
+        self.opened += 1
+        conn = FakeConnection(FakeTarget(0.0), account)
+
+        async def run(commands, timeout_s):
+            await self.work()
+            self.ran += 1
+            return sessionpool.TargetAnswer(
+                ResultCode.DONE, [], 's', '', TransactionState.IDLE, None
+            )
+
+        conn.run = run
+        return conn
+
+
+class TestBurst:
+    """Pattern: a burst of callers of many accounts at one group.
+
+    Each account needs a connection of its own. If the processes send more
+    than the target can queue, it rejects what has just cost it the opening of
+    a connection; the callers come back, and the overload outlasts the burst.
+    """
+
+    ACCOUNTS = 30
+    PROCESSES = 7
+
+    def burst(self, target):
+        processes = [EntryProcess() for _ in range(self.PROCESSES)]
+        refused = []
+
+        async def use(process, account):
+            backend = process.backend('p')
+            try:
+                conn = await backend.acquire(
+                    account, clocks.boottime() + 5, {}
+                )
+            except sessionpool.TargetRefusedError as exc:
+                refused.append(exc)
+                return
+            answer = await process.service.open('db', KEY)._send(
+                backend, conn, [], clocks.boottime() + 5, False
+            )
+            if answer.result_code is not ResultCode.DONE:
+                refused.append(answer)
+
+        async def work():
+            for process in processes:
+                backend = process.backend('p')
+                backend._session_dialer = target
+                backend.pool.limit = 11
+                backend.connection_budget = lambda: 78
+            await asyncio.gather(
+                *(
+                    use(process, f'account {number}')
+                    for process in processes
+                    for number in range(self.ACCOUNTS)
+                )
+            )
+
+        asyncio.run(work())
+        return refused
+
+    def test_nothing_is_rejected_that_could_wait_here(self):
+        """Guards against an overload that sustains itself."""
+        target = SlottedTarget(slots=5, queue=40)
+        assert self.burst(target) == []
+        assert target.rejected == 0
+        assert target.ran == self.ACCOUNTS * self.PROCESSES
+
+    def test_a_transaction_that_rests_does_not_count(self):
+        """Guards against clients that rest inside transactions."""
+        process = EntryProcess(connections_each=11)
+        backend = process.backend('p')
+
+        async def work():
+            for number in range(6):
+                session = process.session()
+                await session.execute(BEGIN)
+                result = await session.execute(write())
+                assert result.failure is None, number
+            assert backend.in_flight == 6
+            assert not backend._running
+
+        asyncio.run(work())
+
+    def test_lost_answers_do_not_hold_the_others_up(self):
+        """Guards against a queue that waits for answers that never come."""
+        process = EntryProcess(connections_each=11)
+        backend = process.backend('p')
+        backend.connection_budget = lambda: 78
+
+        async def work():
+            for _ in range(3):
+                conn = await backend.acquire('a', clocks.boottime() + 1, {})
+                backend.statement_started(conn)
+            started = clocks.boottime()
+            with pytest.raises(Exception, match='deadline'):
+                await backend.acquire('b', started + 0.05, {})
+            for conn in backend._running:
+                backend._running[conn] -= sessionpool.STATEMENT_STALL_S
+            await backend.acquire('b', clocks.boottime() + 0.05, {})
+
+        asyncio.run(work())
+
+    def test_a_statement_that_gives_up_passes_its_turn_on(self):
+        """Guards against slots that nobody uses after a timeout."""
+        process = EntryProcess(connections_each=1)
+        backend = process.backend('p')
+
+        async def work():
+            held = await backend.acquire('a', clocks.boottime() + 1, {})
+            with pytest.raises(Exception, match='deadline'):
+                await backend.acquire('b', clocks.boottime() + 0.01, {})
+            waiting = asyncio.ensure_future(
+                backend.acquire('c', clocks.boottime() + 1, {})
+            )
+            cancelled = asyncio.ensure_future(
+                backend.acquire('d', clocks.boottime() + 1, {})
+            )
+            await asyncio.sleep(0)
+            cancelled.cancel()
+            backend.release(held, clean=True)
+            conn = await waiting
+            backend.release(conn, clean=True)
+            assert (backend._let_go, len(backend.queue)) == (0, 0)
+
+        asyncio.run(work())
+
+
 class TestStart:
     """Guards against clients using up their retries at a new process."""
 
