Leave a connection of each target to control

Cause: targets reset connections over their limit while entry processes kept to theirs. The control leader's connections for orders were not counted, and former leaders kept theirs.

Change: one connection is taken off the limit, and connections for orders are closed at the end of a leadership.

--- a/packages/node/src/sassafrasridge_node/control.py
+++ b/packages/node/src/sassafrasridge_node/control.py
@@ -151,6 +151,8 @@
         self._create_reconciler = (
             create_reconciler or ControlMember._create_group_reconciler
         )
+        # The default reconciler closes its connection after each order.
+        self._order_connections = 0 if create_reconciler is None else 1
         self._tolerated_losses = tolerated
         self._membership_task: asyncio.Task[None] | None = None
 
@@ -330,6 +332,7 @@
                 self._share_policy,
                 self._metrics,
                 self._exclusive_names,
+                self._order_connections,
             )
         )
         for at, info in self._announcements.values():
--- a/packages/node/src/sassafrasridge_node/failover.py
+++ b/packages/node/src/sassafrasridge_node/failover.py
@@ -113,6 +113,13 @@
         # Terms of the changes that this leader began, by group.
         self._begun_terms: dict[str, int] = {}
 
+    async def run(self) -> None:
+        """Start a step for each group that needs one, until cancelled."""
+        try:
+            await super().run()
+        finally:
+            self._orders.close()
+
     def _group_names(self) -> set[str]:
         known = {info.group for info in self._targets.targets()}
         return set(self._store.names()) | known
--- a/packages/node/src/sassafrasridge_node/grouporders.py
+++ b/packages/node/src/sassafrasridge_node/grouporders.py
@@ -72,6 +72,10 @@
     ) -> PromotionAnswer:
         """Have a target promoted with a fencing token."""
 
+    @abc.abstractmethod
+    def close(self) -> None:
+        """Close the connections to targets, which count for their limits."""
+
 
 class ConfirmedOrders(GroupOrders):
     """Send orders only while this member is the confirmed control leader.
@@ -122,6 +126,10 @@
             return PromotionAnswer.REFUSED
         return await self._orders.promote(info, token)
 
+    def close(self) -> None:
+        """Close the connections to targets."""
+        self._orders.close()
+
     def _may_send(self, order: str, info: model.TargetInfo) -> bool:
         confirmed = self._is_confirmed()
         if not confirmed:
--- a/packages/node/src/sassafrasridge_node/leadership.py
+++ b/packages/node/src/sassafrasridge_node/leadership.py
@@ -88,7 +88,10 @@
         policy: str,
         counters: metrics.Metrics,
         exclusive_names: bool = False,
+        order_connections: int = 0,
     ) -> None:
+        # Connections that control itself may have open to a target.
+        self._order_connections = order_connections
         self._incarnations: incarnations.Incarnations | None = None
         if exclusive_names:
             self._incarnations = incarnations.Incarnations()
@@ -327,6 +330,7 @@
         connections, slot_count = self._service_budgets.get(obs.group, (0, 0))
         announced = self._announced_budget(obs)
         budget = (connections or announced[0]) - self._entries_without_lease
+        budget -= self._order_connections
         return max(1, budget), slot_count or announced[1]
 
     def _announced_budget(self, obs: typing.Any) -> tuple[int, int]:
--- a/tests/node/test_failover.py
+++ b/tests/node/test_failover.py
@@ -96,6 +96,9 @@
             chosen.term = max(s.term for s in self.servers.values()) + 1
         return self.answer
 
+    def close(self):
+        """Do nothing: there are no connections."""
+
 
 class Cluster:
     """A reconciler of group ``g`` with primary a and replicas b and c."""
@@ -248,6 +251,24 @@
         assert not [o for o in cluster.orders.sent_orders if o[0] == 'promote']
 
 
+class TestEndOfLeadership:
+    def test_connections_for_orders_are_closed(self, servers):
+        """Guards against connections of former leaders that targets count."""
+        cluster = Cluster(servers)
+        closed = []
+        cluster.orders.close = lambda: closed.append(True)
+
+        async def run():
+            task = asyncio.ensure_future(cluster.reconciler.run())
+            await asyncio.sleep(0.01)
+            assert not closed
+            task.cancel()
+            await asyncio.gather(task, return_exceptions=True)
+
+        asyncio.run(run())
+        assert closed == [True]
+
+
 class TestOverlappedPromotion:
     """Pattern: a primary fails together with part of the entry VMs.
 
--- a/tests/node/test_leadership.py
+++ b/tests/node/test_leadership.py
@@ -107,6 +107,50 @@
         assert not reply.deltas
 
 
+class TestConnectionsOfControl:
+    """Pattern: entry processes use a target's connections up to its limit."""
+
+    def limits(self, order_connections):
+        leader = leadership.Leadership(
+            core_state.State(),
+            TIMES,
+            0.8,
+            3,
+            0.0,
+            'demand',
+            COUNTERS,
+            order_connections=order_connections,
+        )
+        granted = {}
+        for turn in range(6):
+            for name in ('e1', 'e2'):
+                obs = rpc.idl.Observation(
+                    group='g',
+                    server='s',
+                    connections=10,
+                    slots=5,
+                    demand=20.0,
+                    announcement_age_s=0.0,
+                    success_age_s=0.0,
+                    term=0,
+                    position=0,
+                    limit_version=granted.get(name, (0, 0))[0],
+                    limit=granted.get(name, (0, 0))[1],
+                    serves=True,
+                )
+                reply = leader.renew(
+                    10.0 + turn, request(name, observations=[obs])
+                )
+                (grant,) = reply.connections
+                granted[name] = grant.version, grant.connections
+        return sum(connections for _, connections in granted.values())
+
+    def test_connections_for_orders_are_left_free(self):
+        """Guards against a target that resets connections over its limit."""
+        assert self.limits(0) == 10
+        assert self.limits(1) == 9
+
+
 class TestEntryLists:
     def setup_method(self):
         self.state = entry.EntryState(
