Start accounts with the tokens of the time that nobody used

Change: a process reports for how long it has held no share since its start. If that holds for all, nobody has used a rate since the last start, and the pools start with the tokens of that time, at most the burst.

--- a/packages/core/src/sassafrasridge_core/holdings.py
+++ b/packages/core/src/sassafrasridge_core/holdings.py
@@ -403,6 +403,7 @@
         '_buckets',
         '_sent_times',
         '_last_report',
+        'ever_granted',
     )
 
     def __init__(self, ttl_s: float = CONFIG_TTL_S) -> None:
@@ -411,6 +412,8 @@
         self._buckets: dict[str, Bucket] = {}
         self._sent_times: dict[int, float] = {}
         self._last_report = -math.inf
+        # Whether this incarnation has ever held a share.
+        self.ever_granted = False
 
     def bucket(self, account: str) -> Bucket:
         """Return the bucket of an account, creating it on first use.
@@ -457,7 +460,8 @@
             until = max(self._validity.until, sent_at + self._ttl_s)
             self._validity.until = until
         for grant in grants:
-            self.bucket(grant.account).apply_grant(now, grant, sent_at)
+            if self.bucket(grant.account).apply_grant(now, grant, sent_at):
+                self.ever_granted = True
 
     def urgent(self, now: float) -> bool:
         """Return whether to renew now instead of at the regular time."""
--- a/packages/core/src/sassafrasridge_core/pools.py
+++ b/packages/core/src/sassafrasridge_core/pools.py
@@ -154,10 +154,15 @@
             free = min(free, self._freed_capacity)
         return max(0.0, free)
 
-    def end_grace_period(self, now: float) -> None:
-        """End the grace period, so that all unheld shares can be granted."""
+    def end_grace_period(self, now: float, unused_s: float = 0.0) -> None:
+        """End the grace period, so that all unheld shares can be granted.
+
+        Adds the tokens that accrued while nobody held a share.
+        """
         if now < self._grace_ends_at:
             self._refilled_at = self._grace_ends_at = now
+            accrued = self.free_rate(now) * unused_s
+            self.tokens = min(self.free_capacity(now), self.tokens + accrued)
 
     def refill(self, now: float) -> None:
         """Refill the pool up to ``now``; call this before every change."""
--- a/packages/core/src/sassafrasridge_core/shares.py
+++ b/packages/core/src/sassafrasridge_core/shares.py
@@ -160,14 +160,16 @@
         pool.burst = burst
         pool.drop_excess_tokens(now)
 
-    def end_grace_period(self, now: float) -> None:
+    def end_grace_period(self, now: float, unused_s: float = 0.0) -> None:
         """End the grace period early, once every holder is known.
 
-        The pools start empty, as they do at the regular end of the period.
+        The pools start with the tokens of the last ``unused_s`` seconds, in
+        which no process held a share. At the regular end of the period they
+        start empty.
         """
         self._grace_ends_at = min(self._grace_ends_at, now)
         for pool in self._pools.values():
-            pool.end_grace_period(now)
+            pool.end_grace_period(now, unused_s)
 
     def withdraw_account(self, now: float, name: str) -> None:
         """Reclaim all shares of an account as its holders renew."""
--- a/packages/node/src/sassafrasridge_node/leadership.py
+++ b/packages/node/src/sassafrasridge_node/leadership.py
@@ -225,13 +225,23 @@
         ended = known.renewed(req.entry, req.incarnation)
         if ended is not None:
             self._release_holder(now, req.entry, ended)
-        if not self._all_holders_known and known.complete(self._state.entries):
+        if self._all_holders_known:
+            return
+        known.report_unused(
+            now, req.entry, req.incarnation, req.unused_s or 0.0
+        )
+        if known.complete(self._state.entries):
             self._all_holders_known = True
+            unused_s = known.unused_s(now, self._state.entries.keys())
             self.lease_table.end_grace_period()
-            self._allocator.end_grace_period(now)
+            self._allocator.end_grace_period(now, unused_s)
             for ledger in self._ledgers.values():
                 ledger.end_grace_period(now)
-            logs.log_event('holders_complete', term=self.term)
+            logs.log_event(
+                'holders_complete',
+                term=self.term,
+                unused_s=round(unused_s, 3),
+            )
 
     def release(self, now: float, req: typing.Any) -> None:
         """Release the lease and all grants of a holder that shuts down."""
--- a/packages/node/src/sassafrasridge_node/renewal.py
+++ b/packages/node/src/sassafrasridge_node/renewal.py
@@ -185,8 +185,15 @@
             sequence=next(self._sequence),
             entries_revision=state.entries_revision,
             targets_revision=state.targets_revision,
+            unused_s=self._unused_s(),
         )
 
+    def _unused_s(self) -> float:
+        """Return this process's age, 0 if it has held shares of rates."""
+        if self._state.shares.ever_granted:
+            return 0.0
+        return clocks.boottime() - clocks.PROCESS_STARTED_AT
+
     def _observations(self) -> list[typing.Any]:
         now = clocks.boottime()
         return [
--- a/packages/node/src/sassafrasridge_node/ridge.thrift
+++ b/packages/node/src/sassafrasridge_node/ridge.thrift
@@ -105,6 +105,7 @@
   10: i64 sequence,
   11: i64 entries_revision, // revision of the list of entry processes it holds
   12: i64 targets_revision, // revision of the list of targets it holds
+  13: double unused_s,      // age of a process that has held no shares, else 0
 }
 
 struct RenewReply {
