--- a/tests/node/test_sessionfront.py
+++ b/tests/node/test_sessionfront.py
@@ -807,3 +807,71 @@
         assert result.failure is StatementFailure.NO_PRIMARY
         assert late_s < 0.05
         assert process.targets['r'].sent() == []
+
+
+class TestRefund:
+    """Pattern: callers that are refused come back at once.
+
+    Each attempt takes a token of their account. If refused attempts kept
+    theirs, accounts within their rate would be refused for it.
+    """
+
+    def run(self, process, *stmts):
+        """Return the results, and how many tokens were given back."""
+        refunds = []
+        session = process.session()
+        process.service.admitter.refund = lambda *charge: refunds.append(
+            charge
+        )
+        results = process.run(*stmts, session=session)
+        return [r.failure for r in results], len(refunds)
+
+    def test_an_operation_without_a_primary_is_not_charged(self):
+        process = EntryProcess()
+        process.state.lease._renewal_sent_at -= 2.0
+        failures, refunds = self.run(process, write())
+        assert failures == [StatementFailure.NO_PRIMARY]
+        assert refunds == 1
+
+    def test_an_operation_that_the_target_did_not_run_is_not_charged(self):
+        process = EntryProcess()
+        process.targets['p'].result_codes = [ResultCode.BUSY] * 9
+        failures, refunds = self.run(process, write())
+        assert failures == [StatementFailure.BUSY]
+        assert refunds == 1
+
+    def test_a_transaction_that_did_not_start_is_not_charged(self):
+        process = EntryProcess()
+        process.state.lease._renewal_sent_at -= 2.0
+        failures, refunds = self.run(process, BEGIN, write(), ROLLBACK)
+        assert failures == [None, StatementFailure.NO_PRIMARY, None]
+        assert refunds == 1
+
+    def test_an_operation_that_ran_or_may_have_run_is_charged(self):
+        """Guards against more operations than the rate allows."""
+        process = EntryProcess()
+        process.targets['p'].result_codes = [ResultCode.LOST]
+        failures, refunds = self.run(process, write(), write())
+        assert failures == [StatementFailure.IN_DOUBT, None]
+        assert refunds == 0
+
+    def test_a_read_of_which_one_attempt_may_have_run_is_charged(self):
+        process = EntryProcess(configuration.BOUNDED_AGE)
+        process.state.timeline('g').sample(clocks.boottime(), 1, 10)
+        for target in process.targets.values():
+            target.result_codes = [ResultCode.BUSY] * 9
+        process.targets['r'].result_codes = [ResultCode.LOST]
+        failures, refunds = self.run(process, read())
+        assert failures == [StatementFailure.FAILED]
+        assert refunds == 0
+
+    def test_a_transaction_that_failed_later_is_charged(self):
+        process = EntryProcess()
+        process.targets['p'].result_codes = [
+            ResultCode.DONE,
+            ResultCode.DONE,
+            ResultCode.NOT_PRIMARY,
+        ]
+        failures, refunds = self.run(process, BEGIN, write(), write())
+        assert failures == [None, None, StatementFailure.NO_PRIMARY]
+        assert refunds == 0
