--- a/packages/core/src/sassafrasridge_core/holdings.py
+++ b/packages/core/src/sassafrasridge_core/holdings.py
@@ -266,15 +266,6 @@
         self._holding.tokens -= tokens
         return True
 
-    def give_back(self, now: float, tokens: float = 1.0) -> None:
-        """Give back tokens of a request that did not run, up to the capacity.
-
-        Tokens of a holding that has expired meanwhile are lost.
-        """
-        self._refill_or_expire(now)
-        held = self._holding
-        held.tokens = min(held.capacity, held.tokens + tokens)
-
     def begin_wait(self, tokens: float = 1.0) -> None:
         """Record that a request starts to wait for tokens."""
         if not self._wanted_tokens:
--- a/packages/node/src/sassafrasridge_node/admission.py
+++ b/packages/node/src/sassafrasridge_node/admission.py
@@ -152,27 +152,17 @@
         """
         await self.charge_account(admission.account, req.deadline)
 
-    async def charge_account(self, account: str, deadline: float) -> str:
+    async def charge_account(self, account: str, deadline: float) -> None:
         """Take a rate token of a client account, waiting briefly for one.
 
-        Returns the entry process that gave it, '' for this one. Raises
-        RateLimitedError; the request was not run.
+        Raises RateLimitedError; the request was not run.
         """
         if account == ANONYMOUS:
-            return ''
+            return
         queue = self._queues.get(account)
         if queue is None:
             queue = self._queues[account] = RateQueue(self._state, account)
         await queue.take(deadline)
-        return ''
-
-    def refund(self, account: str, charged_by: str) -> None:
-        """Give back the token of an operation that did not run anywhere.
-
-        ``charged_by`` is the result of charge_account().
-        """
-        if account != ANONYMOUS:
-            self._state.bucket(account).give_back(clocks.boottime())
 
 
 class RateQueue:
--- a/packages/node/src/sassafrasridge_node/charging.py
+++ b/packages/node/src/sassafrasridge_node/charging.py
@@ -4,7 +4,6 @@
 the other entry processes call to take one.
 """
 
-import asyncio
 import typing
 
 from sassafrasridge_core import errors
@@ -42,48 +41,21 @@
         super().__init__(state)
         self._pool = pool
         self._silent_peers = peers.UnresponsivePeers()
-        self._refunds: set[asyncio.Task[None]] = set()
 
-    async def charge_account(self, account: str, deadline: float) -> str:
+    async def charge_account(self, account: str, deadline: float) -> None:
         """Take a rate token of a client account, waiting briefly for one.
 
-        Returns the entry process that gave it, '' for this one. Raises
-        RateLimitedError; the request was not run.
+        Raises RateLimitedError; the request was not run.
         """
         if account != admission.ANONYMOUS:
             holder = self._state.charging_entry(account)
             if holder:
                 if await self._charge_through(holder, account, deadline):
-                    return holder
+                    return
                 deadline = max(
                     deadline, clocks.boottime() + CONTROL_EXCHANGE_S
                 )
-        return await super().charge_account(account, deadline)
-
-    def refund(self, account: str, charged_by: str) -> None:
-        """Give back the token of an operation that did not run anywhere."""
-        address = self._state.entries.get(charged_by)
-        if not charged_by:
-            super().refund(account, charged_by)
-        elif address is not None and charged_by not in self._silent_peers:
-            task = asyncio.ensure_future(self._refund(address, account))
-            self._refunds.add(task)
-            task.add_done_callback(self._refunds.discard)
-
-    async def _refund(self, address: str, account: str) -> None:
-        """Send a refund; a lost one costs the account its token."""
-        call = rpc.idl.ChargeCall(account=account, wait_s=0.0)
-        try:
-            await self._pool.get(address).call(
-                'refund', call, timeout_s=ANSWER_MARGIN_S
-            )
-        except (rpc.RpcError, rpc.RemoteCallError) as exc:
-            logs.log_event('refund_lost', account=account, reason=str(exc))
-
-    async def serve_refund(self, call: typing.Any) -> bool:
-        """Take back a token that another entry process didn't use."""
-        super().refund(call.account, '')
-        return True
+        await super().charge_account(account, deadline)
 
     async def _charge_through(
         self, holder: str, account: str, deadline: float
--- a/packages/node/src/sassafrasridge_node/main.py
+++ b/packages/node/src/sassafrasridge_node/main.py
@@ -95,7 +95,6 @@
             self.relay = relayed_sessions.relay
         if admitter is not None:
             self.charge = admitter.serve_charge
-            self.refund = admitter.serve_refund
 
 
 class Daemon:
--- a/packages/node/src/sassafrasridge_node/ridge.thrift
+++ b/packages/node/src/sassafrasridge_node/ridge.thrift
@@ -188,8 +188,6 @@
 service Entry {
   StatementReply relay(1: StatementCall call),
   ChargeReply charge(1: ChargeCall call),
-  // Gives back a token that was not used.
-  bool refund(1: ChargeCall call),
 }
 
 // The service of every daemon: all calls, regardless of its roles.
@@ -201,6 +199,4 @@
   CommandReply command(1: string kind, 2: binary body, 3: double deadline_s),
   StatementReply relay(1: StatementCall call),
   ChargeReply charge(1: ChargeCall call),
-  // Gives back a token that was not used.
-  bool refund(1: ChargeCall call),
 }
--- a/packages/node/src/sassafrasridge_node/sessionfront.py
+++ b/packages/node/src/sassafrasridge_node/sessionfront.py
@@ -35,15 +35,6 @@
 TransactionState = statements.TransactionState
 Result = statements.Result
 
-# Failures of an operation that ran nowhere, unless an earlier attempt did.
-NOT_RUN_FAILURES = frozenset(
-    (
-        StatementFailure.BUSY,
-        StatementFailure.NO_PRIMARY,
-        StatementFailure.NOT_FRESH,
-    )
-)
-
 # Limits on the state of one session.
 MAX_SESSION_VALUES = 64
 MAX_PREPARED_STATEMENTS = 256
@@ -289,9 +280,6 @@
         self._prepared: dict[str, PreparedStatement] = {}
         self.floor: model.Position | None = None
         self._cleanup_tasks: set[asyncio.Task[None]] = set()
-        # Account and charging process of the operation in progress, as long
-        # as no statement of it may have run.
-        self._unused_charge: tuple[str, str] | None = None
 
     # Authorization.
 
@@ -339,7 +327,6 @@
         try:
             result = await self._execute(stmt, started)
         except SessionError as exc:
-            self._refund(exc)
             result = self._fail(exc)
         finally:
             self.busy = False
@@ -504,24 +491,13 @@
     async def _charge(
         self, access: sessionrouting.Access, started: float
     ) -> None:
-        self._unused_charge = None
         try:
-            charged_by = await self._service.admitter.charge_account(
+            await self._service.admitter.charge_account(
                 access.account,
                 started + access.route.objective_s * RATE_WAIT_SHARE,
             )
         except errors.RidgeError as exc:
             raise SessionError(StatementFailure.RATE_LIMITED, exc.message)
-        self._unused_charge = access.account, charged_by
-
-    def _refund(self, exc: SessionError) -> None:
-        """Give back the token of an operation that ran nowhere.
-
-        The caller comes back, and would otherwise be charged twice.
-        """
-        charge, self._unused_charge = self._unused_charge, None
-        if charge is not None and exc.failure in NOT_RUN_FAILURES:
-            self._service.admitter.refund(*charge)
 
     # Statements outside a transaction.
 
@@ -657,7 +633,6 @@
         error = SessionError(
             StatementFailure.BUSY, 'no target is available for the read'
         )
-        may_have_run = False
         for attempt in range(MAX_ATTEMPTS):
             backend = self._router.choose_target(op.access, floor, tried)
             if backend is None:
@@ -683,8 +658,6 @@
             if answer.result_code is ResultCode.DONE:
                 return _success(answer)
             error = _target_error(answer)
-            if answer.result_code not in statements.NOT_RUN_CODES:
-                may_have_run = True
             if answer.result_code in (
                 ResultCode.TIMED_OUT,
                 ResultCode.REFUSED,
@@ -693,8 +666,6 @@
             if clocks.boottime() >= op.deadline:
                 break
             self._log_retry(op.stmt, backend, floor, error)
-        if may_have_run and error.failure in NOT_RUN_FAILURES:
-            raise SessionError(StatementFailure.FAILED, error.detail)
         raise error
 
     # Connections.
@@ -783,8 +754,6 @@
             backend.circuit.failure(clocks.boottime())
             backend.release(conn, clean=False)
             result_code = ResultCode.LOST
-            if exc.sent:
-                self._unused_charge = None
             if clocks.boottime() >= deadline:
                 result_code = ResultCode.TIMED_OUT
             if not exc.sent:
@@ -814,8 +783,6 @@
         answer: sessionpool.TargetAnswer,
         sent_at: float,
     ) -> None:
-        if answer.result_code not in statements.NOT_RUN_CODES:
-            self._unused_charge = None
         backend.answered(answer.position)
         now = clocks.boottime()
         if answer.result_code is ResultCode.DONE:
@@ -848,16 +815,15 @@
 
     async def _relay_single(self, op: Operation) -> Result:
         relays = self._service.relays
-        req = self._relay_request(op)
         _, answer = await relays.run(
             relays.candidates(op.access.group),
-            req,
+            self._relay_request(op),
             op.deadline,
             StatementFailure.IN_DOUBT
             if op.writes
             else StatementFailure.FAILED,
         )
-        return self._accept_relay_result(req, answer)
+        return self._accept_relay_result(answer)
 
     async def _relay_in_transaction(
         self, op: Operation, tx: Transaction
@@ -891,15 +857,11 @@
             raise SessionError(
                 StatementFailure.ABORTED, 'the transaction has ended'
             )
-        return self._accept_relay_result(req, answer)
+        return self._accept_relay_result(answer)
 
     def _accept_relay_result(
-        self,
-        req: sessionrelay.RelayedStatement,
-        answer: sessionrelay.RelayedResult,
+        self, answer: sessionrelay.RelayedResult
     ) -> Result:
-        if req.unanswered or answer.result.failure not in NOT_RUN_FAILURES:
-            self._unused_charge = None
         if answer.result.failure is not None:
             raise SessionError(answer.result.failure, answer.result.detail)
         if answer.floor is not None:
--- a/packages/node/src/sassafrasridge_node/sessionrelay.py
+++ b/packages/node/src/sassafrasridge_node/sessionrelay.py
@@ -53,8 +53,6 @@
     ``transaction`` is the number of its transaction, or 0 outside one. On the
     first relayed statement of a transaction, ``begin`` is the kind of the
     BEGIN statement. ``waited_s`` is the time since the statement arrived.
-    ``unanswered`` tells whether a process that got the statement did not
-    answer, so that it may have run there; it is not sent.
     """
 
     __slots__ = (
@@ -67,7 +65,6 @@
         'begin',
         'transaction',
         'waited_s',
-        'unanswered',
     )
 
     def __init__(
@@ -91,7 +88,6 @@
         self.begin = begin
         self.transaction = transaction
         self.waited_s = waited_s
-        self.unanswered = False
 
     def encode(self) -> bytes:
         """Return the encoded body of a call."""
@@ -295,7 +291,6 @@
             except rpc.RemoteCallError as exc:
                 self._note_failure(entry_name, req, True, str(exc))
                 failure, detail = unanswered, str(exc)
-            req.unanswered = True
             if not repeatable:
                 answer = failed_result(failure, detail)
                 answer.open = True
--- a/tests/node/test_charging.py
+++ b/tests/node/test_charging.py
@@ -145,58 +145,6 @@
         assert holder.calls[1].wait_s > 0.4
 
 
-class TestRefund:
-    def test_the_process_that_gave_the_token_gets_it_back(self):
-        """Guards against charging an operation that is sent again twice."""
-        holder = Holder()
-        found = admitter(holder)
-        refunded = []
-
-        async def call(api, call, timeout_s):
-            refunded.append((api, call.account))
-            return True
-
-        async def work():
-            charged_by = await found.charge_account(
-                'acme', clocks.boottime() + 0.05
-            )
-            assert charged_by == 'h'
-            holder.call = call
-            found.refund('acme', charged_by)
-            await asyncio.sleep(0)
-            await asyncio.sleep(0)
-
-        asyncio.run(work())
-        assert refunded == [('refund', 'acme')]
-
-    def test_a_refund_that_is_not_answered_is_given_up(self):
-        """Guards against a refund that is charged or sent twice."""
-        holder = Holder(fails=True)
-        found = admitter(holder)
-
-        async def call(api, call, timeout_s):
-            raise rpc.RemoteCallError('unknown method')
-
-        holder.call = call
-
-        async def work():
-            found.refund('acme', 'h')
-            await asyncio.sleep(0.01)
-
-        asyncio.run(work())
-        assert not found._refunds
-
-    def test_a_token_that_comes_back_can_be_used(self):
-        found = charging.SharedAdmitter(front.EntryProcess().state, None)
-        bucket = found._state.bucket('acme')
-        bucket._validity.until = float('inf')
-        bucket._holding.capacity = 2.0
-        call = rpc.idl.ChargeCall(account='acme', wait_s=0.0)
-        for _ in range(3):
-            assert asyncio.run(found.serve_refund(call))
-        assert bucket.available_tokens(clocks.boottime()) == 2.0
-
-
 class TestChargingHere:
     def test_without_a_lease_the_holder_is_unable(self):
         state = front.EntryProcess().state
