Let a statement whose turn has come go on without queueing again

After a stall of the process, statements in progress first didn't count as running and then did, so admitted ones queued a second time, lost their turn, and were refused by the queue's estimate from the rate it had measured during the stall.

Change: acquire() waits in a loop, and a turn stays valid. The wait itself was a copy of the one in Backend.connection; both now use Backend._wait_in_queue. The bound and the stall limit are unchanged.

The attribute that tests read is named _admitted.

--- a/packages/node/src/sassafrasridge_node/backends.py
+++ b/packages/node/src/sassafrasridge_node/backends.py
@@ -117,8 +117,20 @@
         is set and another target becomes primary, and UnreachableError if it
         is not set and no connection can be opened.
         """
+        return typing.cast(
+            connections.TargetConnection,
+            await self._wait_in_queue(account, deadline, primary),
+        )
+
+    async def _wait_in_queue(
+        self, account: str, deadline: float, primary: bool
+    ) -> typing.Any:
+        """Wait in the fair queue; return what the ticket's future holds.
+
+        Raises UnavailableError if the queue is full or the deadline passes.
+        """
         now = clocks.boottime()
-        fut: asyncio.Future[connections.TargetConnection] = (
+        fut: asyncio.Future[typing.Any] = (
             asyncio.get_running_loop().create_future()
         )
         ticket = Ticket(fut, primary)
@@ -136,16 +148,18 @@
             self._cancel_wait(fut)
             raise
 
-    def _cancel_wait(
-        self, fut: 'asyncio.Future[connections.TargetConnection]'
-    ) -> None:
-        # The connection may have been assigned in the same event loop step in
+    def _cancel_wait(self, fut: 'asyncio.Future[typing.Any]') -> None:
+        # The future may have got its result in the same event loop step in
         # which the waiting task was cancelled.
         if fut.done() and not fut.cancelled() and fut.exception() is None:
-            self.release(fut.result(), clean=True)
+            self._return_unused(fut.result())
         else:
             fut.cancel()
 
+    def _return_unused(self, result: typing.Any) -> None:
+        """Take back what a request got that no longer waits for it."""
+        self.release(result, clean=True)
+
     def release(
         self, conn: connections.TargetConnection, *, clean: bool
     ) -> None:
--- a/packages/node/src/sassafrasridge_node/sessionpool.py
+++ b/packages/node/src/sassafrasridge_node/sessionpool.py
@@ -333,8 +333,8 @@
         # Connections with a statement at the target, or about to send one, and
         # since when.
         self._running: dict[SessionConnection, float] = {}
-        # Waiting statements that were let go on and have no connection yet.
-        self._let_go = 0
+        # Statements whose turn has come and that have no connection yet.
+        self._admitted = 0
         self._account_used_at: dict[str, float] = {}
         self._reachable = True
         self.status_due = False
@@ -444,18 +444,21 @@
         TargetRefusedError.
         """
         if self._free_statements() <= 0:
-            return await self._wait(account, deadline, values)
-        conn = self.pool.take(account, values)
-        if conn is None:
+            await self._wait_for_turn(account, deadline)
+        while True:
+            conn = self.pool.take(account, values)
+            if conn is not None:
+                break
             full = self.is_full(clocks.boottime())
             if full and not self.pool.held:
                 raise TargetRefusedError(
                     statements.ResultCode.TOO_MANY_CONNECTIONS
                 )
             limited = full or self.pool.held >= self.pool.limit
-            if limited and not self.pool.evict():
-                return await self._wait(account, deadline, values)
-            conn = await self._open(account, deadline)
+            if not limited or self.pool.evict():
+                conn = await self._open(account, deadline)
+                break
+            await self._wait_for_turn(account, deadline)
         self._in_use.add(conn)
         now = self._running[conn] = clocks.boottime()
         self._account_used_at[account] = now
@@ -469,7 +472,7 @@
         )
         stalled_since = clocks.boottime() - STATEMENT_STALL_S
         running = sum(at > stalled_since for at in self._running.values())
-        return limit - running - self.pool.opening - self._let_go
+        return limit - running - self.pool.opening - self._admitted
 
     def statement_started(self, conn: SessionConnection) -> None:
         """Record that a statement is sent on a connection in use."""
@@ -480,37 +483,22 @@
         self._running.pop(conn, None)
         self._dispatch_waiting()
 
-    async def _wait(
-        self, account: str, deadline: float, values: dict[str, str]
-    ) -> SessionConnection:
-        now = clocks.boottime()
-        fut: asyncio.Future[typing.Any] = (
-            asyncio.get_running_loop().create_future()
-        )
-        ticket = backends.Ticket(fut, False)
-        refusal = self.queue.push(now, account, ticket, 1.0, deadline)
-        if refusal is not None:
-            raise backends.refusal_error(refusal)
-        try:
-            async with asyncio.timeout(max(0.0, deadline - now)):
-                await fut
-        except TimeoutError:
-            self._forget_ticket(fut)
-            raise backends.refusal_error(model.DEADLINE)
-        except asyncio.CancelledError:
-            self._forget_ticket(fut)
-            raise
-        self._let_go -= 1
-        return await self.acquire(account, deadline, values)
+    async def _wait_for_turn(self, account: str, deadline: float) -> None:
+        """Wait in the fair queue until a statement may be sent.
 
-    def _forget_ticket(self, fut: asyncio.Future[typing.Any]) -> None:
-        """Pass on what a statement that no longer waits was given."""
-        if fut.done() and not fut.cancelled() and fut.exception() is None:
-            self._let_go -= 1
-        else:
-            fut.cancel()
+        Its turn stays valid whatever is counted as running afterwards.
+        """
+        await self._wait_in_queue(account, deadline, primary=False)
+        self._admitted -= 1
+
+    def _cancel_wait(self, fut: asyncio.Future[typing.Any]) -> None:
+        super()._cancel_wait(fut)
         self._dispatch_waiting()
 
+    def _return_unused(self, result: typing.Any) -> None:
+        """Pass the turn of a statement that no longer waits on."""
+        self._admitted -= 1
+
     async def _open(self, account: str, deadline: float) -> SessionConnection:
         remaining_s = deadline - clocks.boottime()
         if (
@@ -599,13 +587,13 @@
         available = self.pool.idle
         if not self.is_full(now):
             available += self.pool.limit - self.pool.held
-        available = min(available - self._let_go, self._free_statements())
+        available = min(available - self._admitted, self._free_statements())
         while available > 0 and len(self.queue):
             ticket = self._next_ticket(now)
             if ticket is None:
                 return
             ticket.fut.set_result(None)
-            self._let_go += 1
+            self._admitted += 1
             available -= 1
 
     def on_primary_replaced(self) -> None:
--- a/tests/node/test_sessionfront.py
+++ b/tests/node/test_sessionfront.py
@@ -3,6 +3,7 @@
 import asyncio
 import hashlib
 import random
+import time
 
 import orjson
 import pytest
@@ -546,7 +547,8 @@
     ACCOUNTS = 30
     PROCESSES = 7
 
-    def burst(self, target):
+    def burst(self, target, stall_s=0.0):
+        """Run the burst; the event loop stands still once for ``stall_s``."""
         processes = [EntryProcess() for _ in range(self.PROCESSES)]
         refused = []
 
@@ -571,6 +573,10 @@
                 backend._session_dialer = target
                 backend.pool.limit = 11
                 backend.connection_budget = lambda: 78
+            if stall_s:
+                asyncio.get_running_loop().call_later(
+                    0.005, time.sleep, stall_s
+                )
             await asyncio.gather(
                 *(
                     use(process, f'account {number}')
@@ -589,6 +595,21 @@
         assert target.rejected == 0
         assert target.ran == self.ACCOUNTS * self.PROCESSES
 
+    def test_a_stall_of_the_processes_refuses_nothing(self):
+        """Guards against queueing twice on a busy machine.
+
+        Statements in progress during the stall no longer count as running,
+        so others are admitted. Those must go on when the former turn out to
+        be running after all: if they queued again, they would lose their
+        turn, and the queue would refuse them for the rate that it measured
+        during the stall.
+        """
+        target = SlottedTarget(slots=5, queue=40)
+        stall_s = 1.5 * sessionpool.STATEMENT_STALL_S
+        assert self.burst(target, stall_s) == []
+        assert target.rejected == 0
+        assert target.ran == self.ACCOUNTS * self.PROCESSES
+
     def test_a_transaction_that_rests_does_not_count(self):
         """Guards against clients that rest inside transactions."""
         process = EntryProcess(connections_each=11)
@@ -644,7 +665,7 @@
             backend.release(held, clean=True)
             conn = await waiting
             backend.release(conn, clean=True)
-            assert (backend._let_go, len(backend.queue)) == (0, 0)
+            assert (backend._admitted, len(backend.queue)) == (0, 0)
 
         asyncio.run(work())
 
