Work out the budgets that services set in one place

The entry process had its own loop over the services next to the one of the control leader, and differed where several services share a group: the last one won even if it set no limit. Both call slots.service_budgets now.

--- a/packages/core/src/sassafrasridge_core/slots.py
+++ b/packages/core/src/sassafrasridge_core/slots.py
@@ -13,6 +13,8 @@
 import math
 import typing
 
+from sassafrasridge_core import configuration
+
 LEASE_S = 1.2
 # Highest tolerated relative difference between the rates of two clocks.
 MAX_CLOCK_DRIFT = 0.02
@@ -77,6 +79,29 @@
     return parts
 
 
+def service_budgets(
+    services: Iterable[configuration.Service],
+) -> dict[str, tuple[int, int]]:
+    """Return the connections and slots that services set, by group.
+
+    Zero means that none is set. If several services of a group set a value,
+    the last one applies.
+
+    >>> service = configuration.Service
+    >>> service_budgets([service('a', 'g', 5, 30, ''),
+    ...                  service('b', 'g', None, 20, '')])
+    {'g': (20, 5)}
+    """
+    budgets: dict[str, tuple[int, int]] = {}
+    for service in services:
+        connections, slot_count = budgets.get(service.group, (0, 0))
+        budgets[service.group] = (
+            service.connections or connections,
+            service.slots or slot_count,
+        )
+    return budgets
+
+
 def statement_limit(slots: int, budget: int, connections: int) -> int:
     """Return how many statements a process may have at a target at a time.
 
--- a/packages/node/src/sassafrasridge_node/leadership.py
+++ b/packages/node/src/sassafrasridge_node/leadership.py
@@ -269,7 +269,9 @@
         self._allocator.tick(now)
         if self._synced_revision != self._state.revision:
             self._sync_accounts(now)
-            self._sync_service_budgets()
+            self._service_budgets = slots.service_budgets(
+                self._state.services()
+            )
 
     def record_announcement(self, at: float, info: model.TargetInfo) -> None:
         """Record an announcement that a control process received at ``at``."""
@@ -354,18 +356,6 @@
             self._announced_budgets[key] = (obs.connections, obs.slots)
         return self._announced_budgets.get(key, (1, 1))
 
-    def _sync_service_budgets(self) -> None:
-        # If several services of a group set a value, the last one applies.
-        self._service_budgets.clear()
-        for service in self._state.services():
-            connections, slot_count = self._service_budgets.get(
-                service.group, (0, 0)
-            )
-            self._service_budgets[service.group] = (
-                service.connections or connections,
-                service.slots or slot_count,
-            )
-
     def _add_config(
         self, reply: typing.Any, req: typing.Any, relayed: bool
     ) -> None:
--- a/packages/node/src/sassafrasridge_node/sessionstate.py
+++ b/packages/node/src/sassafrasridge_node/sessionstate.py
@@ -5,6 +5,7 @@
 
 from sassafrasridge_core import model
 from sassafrasridge_core import primarywait
+from sassafrasridge_core import slots
 from sassafrasridge_node import backends
 from sassafrasridge_node import clocks
 from sassafrasridge_node import codec
@@ -24,8 +25,8 @@
     def __init__(self, *args: typing.Any, **kwargs: typing.Any) -> None:
         super().__init__(*args, **kwargs)
         self.primary_changes = primarywait.ChangeTracker()
-        # Connection limits of targets by group, in a configuration revision.
-        self._budgets: dict[str, int] = {}
+        # Connections and slots by group, in a configuration revision.
+        self._budgets: dict[str, tuple[int, int]] = {}
         self._budgets_revision = -1
 
     def new_backend(self, info: model.TargetInfo) -> backends.Backend:
@@ -50,11 +51,8 @@
         """
         if self._budgets_revision != self.config.revision:
             self._budgets_revision = self.config.revision
-            self._budgets = {
-                service.group: service.connections or 0
-                for service in self.config.services()
-            }
-        return self._budgets.get(group, 0)
+            self._budgets = slots.service_budgets(self.config.services())
+        return self._budgets.get(group, (0, 0))[0]
 
     def _any_account(self) -> str:
         return next((a.name for a in self.config.accounts()), '')
