Split sessionfront into modules by subject

One class held the state of a session, its statements, its transactions and its relays in 790 lines. Each subject is now a module with a class that Session inherits from; what all sessions of a process share is in SessionContext. No behaviour changes.

--- a/packages/node/src/sassafrasridge_node/relayedsessions.py
+++ b/packages/node/src/sassafrasridge_node/relayedsessions.py
@@ -4,6 +4,7 @@
 
 from sassafrasridge_core import statements
 from sassafrasridge_node import logs
+from sassafrasridge_node import sessionbase
 from sassafrasridge_node import sessionfront
 from sassafrasridge_node import sessionrelay
 from sassafrasridge_node import sessionrouting
@@ -51,7 +52,7 @@
         if req.prepared is not None:
             text, writes = req.prepared
             name = req.statement.name
-            self._prepared[name] = sessionfront.PreparedStatement(text, writes)
+            self._prepared[name] = sessionbase.PreparedStatement(text, writes)
         if req.floor is not None:
             self.floor = req.floor
 
@@ -99,7 +100,7 @@
                 )
             try:
                 session = self._open(req)
-            except sessionfront.SessionError as exc:
+            except sessionbase.SessionError as exc:
                 return sessionrelay.failed_result(exc.failure, exc.detail)
         return await self._run(session, req)
 
--- /dev/null
+++ b/packages/node/src/sassafrasridge_node/sessiontargets.py
@@ -0,0 +1,177 @@
+"""Execution of statements on the connections of targets."""
+
+import asyncio
+
+from sassafrasridge_core import errors
+from sassafrasridge_core import model
+from sassafrasridge_core import statements
+from sassafrasridge_node import backends
+from sassafrasridge_node import clocks
+from sassafrasridge_node import connections
+from sassafrasridge_node import sessionbase
+from sassafrasridge_node import sessionpool
+
+ResultCode = statements.ResultCode
+StatementFailure = statements.StatementFailure
+TransactionState = statements.TransactionState
+Result = statements.Result
+
+# Share of the latency objective that an operation may wait for a connection.
+CONNECTION_WAIT_SHARE = 0.4
+
+# Lower limit of the wait for a connection: opening one to a target in another
+# region takes three round trips of 40 ms and processing time at the target.
+MIN_CONNECTION_WAIT_S = 0.25
+
+
+class TargetSession(sessionbase.SessionBase):
+    """Run the statements of a session on connections to targets."""
+
+    async def _acquire(
+        self, backend: sessionpool.SessionBackend, op: sessionbase.Operation
+    ) -> sessionpool.SessionConnection:
+        wait_s = max(
+            MIN_CONNECTION_WAIT_S,
+            op.access.route.objective_s * CONNECTION_WAIT_SHARE,
+        )
+        wait_until = min(op.deadline, clocks.boottime() + wait_s)
+        account = op.access.account
+        try:
+            conn = await backend.acquire(account, wait_until, self._values)
+        except backends.UnreachableError as exc:
+            raise sessionbase.SessionError(
+                StatementFailure.BUSY, f'{backend.info.server}: {exc}'
+            )
+        except sessionpool.TargetRefusedError as exc:
+            backend.avoid(sessionpool.BUSY_AVOID_S)
+            raise sessionbase.SessionError(
+                StatementFailure.BUSY,
+                f'{backend.info.server}: {exc.result_code.value}',
+            )
+        except errors.UnavailableError as exc:
+            raise sessionbase.SessionError(StatementFailure.BUSY, exc.message)
+        if op.deadline - clocks.boottime() < conn.rtt_s:
+            # An answer can't arrive before the deadline, so send nothing.
+            backend.release(conn, clean=True)
+            raise sessionbase.SessionError(
+                StatementFailure.BUSY,
+                'too little time is left before the deadline',
+            )
+        return conn
+
+    def _build_setup(
+        self,
+        conn: sessionpool.SessionConnection,
+        prepared: sessionbase.PreparedStatement | None,
+    ) -> list[sessionpool.Command]:
+        """Return the commands that apply the session to a connection."""
+        commands: list[sessionpool.Command] = []
+        if conn.values.keys() - self._values.keys():
+            commands.append(sessionpool.Reset())
+            conn.values.clear()
+            conn.prepared.clear()
+        for name, value in self._values.items():
+            if conn.values.get(name) != value:
+                commands.append(sessionpool.SetValue(name, value))
+                conn.values[name] = value
+        if prepared is not None and prepared.name not in conn.prepared:
+            commands.append(sessionpool.Prepare(prepared.name, prepared.text))
+            conn.prepared.add(prepared.name)
+        return commands
+
+    def _build_commands(
+        self,
+        conn: sessionpool.SessionConnection,
+        op: sessionbase.Operation,
+        floor: model.Position | None,
+    ) -> list[sessionpool.Command]:
+        """Return the commands that run a statement in the session."""
+        name = '' if op.prepared is None else op.prepared.name
+        forward = sessionpool.Forward(op.stmt, floor, name)
+        return [*self._build_setup(conn, op.prepared), forward]
+
+    async def _send(
+        self,
+        backend: sessionpool.SessionBackend,
+        conn: sessionpool.SessionConnection,
+        commands: list[sessionpool.Command],
+        deadline: float,
+        writes: bool,
+        keep: bool = False,
+    ) -> sessionpool.TargetAnswer:
+        """Run commands; release the connection unless ``keep`` is set."""
+        sent_at = clocks.boottime()
+        token = object()
+        if writes:
+            backend.write_started(token)
+        backend.statement_started(conn)
+        try:
+            answer = await conn.run(commands, max(0.001, deadline - sent_at))
+        except connections.ConnectionLostError as exc:
+            backend.circuit.failure(clocks.boottime())
+            backend.release(conn, clean=False)
+            result_code = ResultCode.LOST
+            if clocks.boottime() >= deadline:
+                result_code = ResultCode.TIMED_OUT
+            if not exc.sent:
+                result_code = ResultCode.BUSY
+            return sessionpool.TargetAnswer(
+                result_code, [], '', str(exc), TransactionState.BROKEN, None
+            )
+        except asyncio.CancelledError:
+            backend.release(conn, clean=False)
+            raise
+        finally:
+            backend.write_ended(token)
+            backend.statement_ended(conn)
+        self._record_answer(backend, answer, sent_at)
+        clean = (
+            answer.state is TransactionState.IDLE and not answer.failed_setup
+        )
+        if not keep:
+            backend.release(conn, clean=clean)
+        elif answer.failed_setup:
+            backend.release(conn, clean=False)
+        return answer
+
+    def _record_answer(
+        self,
+        backend: sessionpool.SessionBackend,
+        answer: sessionpool.TargetAnswer,
+        sent_at: float,
+    ) -> None:
+        backend.answered(answer.position)
+        now = clocks.boottime()
+        if answer.result_code is ResultCode.DONE:
+            backend.circuit.success(now, now - sent_at)
+            self._state.sample_position(backend, sent_at)
+        elif answer.result_code is ResultCode.FAILED:
+            backend.circuit.failure(now)
+        elif answer.result_code is ResultCode.BEHIND:
+            backend.avoid(sessionpool.BEHIND_AVOID_S)
+        elif answer.result_code in statements.NOT_RUN_CODES:
+            backend.avoid(sessionpool.BUSY_AVOID_S)
+
+
+def success(answer: sessionpool.TargetAnswer) -> Result:
+    return Result(answer.rows, answer.signature, position=answer.position)
+
+
+_FAILURE_BY_RESULT_CODE = {
+    ResultCode.BUSY: StatementFailure.BUSY,
+    ResultCode.NOT_PREPARED: StatementFailure.BUSY,
+    ResultCode.BEHIND: StatementFailure.NOT_FRESH,
+    ResultCode.NOT_PRIMARY: StatementFailure.NO_PRIMARY,
+    ResultCode.WRONG_SERVER: StatementFailure.BUSY,
+    ResultCode.TOO_MANY_CONNECTIONS: StatementFailure.BUSY,
+    ResultCode.REFUSED: StatementFailure.MALFORMED,
+    ResultCode.FAILED: StatementFailure.FAILED,
+    ResultCode.TIMED_OUT: StatementFailure.TIMED_OUT,
+    ResultCode.LOST: StatementFailure.FAILED,
+}
+
+
+def target_error(answer: sessionpool.TargetAnswer) -> sessionbase.SessionError:
+    return sessionbase.SessionError(
+        _FAILURE_BY_RESULT_CODE[answer.result_code], answer.detail
+    )
--- a/tests/node/test_sessionfront.py
+++ b/tests/node/test_sessionfront.py
@@ -16,6 +16,7 @@
 from sassafrasridge_node import clocks
 from sassafrasridge_node import connections
 from sassafrasridge_node import metrics
+from sassafrasridge_node import sessionbase
 from sassafrasridge_node import sessionfront
 from sassafrasridge_node import sessionpool
 from sassafrasridge_node import sessionrelay
@@ -694,7 +695,7 @@
         process = EntryProcess()
         process.state.config_valid = lambda: False
         for _ in range(2):
-            with pytest.raises(sessionfront.SessionError) as caught:
+            with pytest.raises(sessionbase.SessionError) as caught:
                 asyncio.run(process.service.open_when_ready('db', KEY))
             assert caught.value.failure is StatementFailure.BUSY
 
@@ -708,7 +709,7 @@
             async with asyncio.timeout(0.1):
                 await process.service.open_when_ready('db', KEY)
 
-        with pytest.raises(sessionfront.SessionError):
+        with pytest.raises(sessionbase.SessionError):
             asyncio.run(work())
 
     def test_a_disconnect_while_opening_leaves_no_session(self):
