Replace a primary sooner when its host refuses connections

Cause: a crashed primary was replaced 1.0 s after its end, because only silence counted, although its host refused every connection at once. After that, a change waited 0.25 s for the status of the dead primary although all replicas had answered, and orders to step down were repeated every 50 ms.

Entry processes report for how long connections have been refused; a majority of observers that were refused for 0.4 s counts like silence.

Ruled out: a shorter suspect time for silent primaries, which would also replace slow ones.

--- a/packages/core/src/sassafrasridge_core/promotion.py
+++ b/packages/core/src/sassafrasridge_core/promotion.py
@@ -7,6 +7,9 @@
 # Number of observers that must report silence, unless only one is live: a
 # single observer may itself be the one that is partitioned.
 MIN_OBSERVERS = 2
+# Time in s for which connections must have been refused. A refusal proves that
+# the process has ended, so only a quick restart is waited for.
+REFUSED_AFTER_S = 0.4
 # Age that an observer reports for a target from which it never heard.
 NEVER_HEARD_S = 1e6
 
@@ -14,10 +17,13 @@
 class TargetObservation:
     """Store what one observer reported about one target.
 
-    Ages are in seconds, measured at the time ``reported_at``.
+    Ages are in seconds, measured at the time ``reported_at``. ``refused_s``
+    is the time for which the target's host has refused connections, 0 if it
+    hasn't.
     """
 
     __slots__ = (
+        'refused_s',
         'reported_at',
         'announcement_age_s',
         'success_age_s',
@@ -31,7 +37,9 @@
         announcement_age_s: float,
         success_age_s: float,
         info: model.TargetInfo,
+        refused_s: float = 0.0,
     ) -> None:
+        self.refused_s = refused_s
         self.reported_at = reported_at
         self.announcement_age_s = announcement_age_s
         self.success_age_s = success_age_s
@@ -61,6 +69,14 @@
             return now - self.first_reported_at
         return now - self.heard_at()
 
+    def indicates_failure(self, now: float, suspect_after_s: float) -> bool:
+        """Return whether this observer alone would consider it failed."""
+        if self.refused_s:
+            refused_s = now - self.reported_at + self.refused_s
+            if refused_s > min(REFUSED_AFTER_S, suspect_after_s):
+                return True
+        return self.silence_s(now) > suspect_after_s
+
     def keep_first_report(self, earlier: 'TargetObservation | None') -> None:
         """Keep the time of the first report of an observer that heard none."""
         if earlier is not None and earlier.never_heard():
@@ -147,14 +163,17 @@
     ) -> bool:
         """Return whether the live observers agree that a target failed.
 
-        This requires silence at a majority of the live observers that reported
-        the target, and at two or more of them unless only one is live.
+        This requires silence or refused connections at a majority of the live
+        observers that reported the target, and at two or more of them unless
+        only one is live.
         """
         observations = self._observations(group, server)
         known = [s for name, s in observations.items() if name in live]
-        silent = sum(s.silence_s(now) > self._suspect_after_s for s in known)
+        suspecting = sum(
+            s.indicates_failure(now, self._suspect_after_s) for s in known
+        )
         required = min(MIN_OBSERVERS, max(1, len(live)))
-        return silent >= required and silent * 2 > len(known)
+        return suspecting >= required and suspecting * 2 > len(known)
 
 
 class FenceReply:
--- a/packages/node/src/sassafrasridge_node/backends.py
+++ b/packages/node/src/sassafrasridge_node/backends.py
@@ -208,6 +208,10 @@
         """Return when the target last proved that it works."""
         return self.success_at
 
+    def refused_s(self, now: float) -> float:
+        """Return for how many seconds connections have been refused."""
+        return 0.0
+
     def silent(self, now: float) -> bool:
         """Return whether the target has not been heard from for too long."""
         return now - self.heard_at() > TARGET_SILENT_AFTER_S
--- a/packages/node/src/sassafrasridge_node/codec.py
+++ b/packages/node/src/sassafrasridge_node/codec.py
@@ -45,6 +45,7 @@
     demand: float,
     limit: tuple[int, int],
     serves: bool,
+    refused_s: float = 0.0,
 ) -> typing.Any:
     """Return the thrift observation of a target.
 
@@ -67,6 +68,7 @@
         limit_version=limit[0],
         limit=limit[1],
         serves=serves,
+        refused_s=refused_s or None,
     )
 
 
@@ -76,7 +78,11 @@
     """Return the sighting of a thrift observation received at ``now``."""
     info = _target_info(obs, obs.term, obs.position, obs.connections)
     return promotion.TargetObservation(
-        now, obs.announcement_age_s, obs.success_age_s, info
+        now,
+        obs.announcement_age_s,
+        obs.success_age_s,
+        info,
+        obs.refused_s or 0.0,
     )
 
 
--- a/packages/node/src/sassafrasridge_node/connections.py
+++ b/packages/node/src/sassafrasridge_node/connections.py
@@ -28,12 +28,16 @@
 class ConnectionLostError(Exception):
     """Report a connection that could not be opened or failed in a call.
 
-    ``sent`` is set if the target may have received the request.
+    ``sent`` is set if the target may have received the request, ``refused``
+    if the target's host answered that nothing listens at the address.
     """
 
-    def __init__(self, message: str, *, sent: bool) -> None:
+    def __init__(
+        self, message: str, *, sent: bool, refused: bool = False
+    ) -> None:
         super().__init__(message)
         self.sent = sent
+        self.refused = refused
 
 
 class Answer:
@@ -262,6 +266,8 @@
                 )
         except (OSError, ValueError) as exc:
             raise ConnectionLostError(
-                f'connecting to {address}: {exc or "timed out"}', sent=False
+                f'connecting to {address}: {exc or "timed out"}',
+                sent=False,
+                refused=isinstance(exc, ConnectionRefusedError),
             )
         return conn
--- a/packages/node/src/sassafrasridge_node/failover.py
+++ b/packages/node/src/sassafrasridge_node/failover.py
@@ -31,6 +31,8 @@
 # trips between regions and the time to open a connection. The status of a
 # failed primary is not waited for longer.
 STATUS_WAIT_S = 0.25
+# Interval between two orders to step down to the same target.
+STEP_DOWN_REPEAT_S = 0.3
 # Delay before the next attempt after a change that could not be finished.
 RETRY_DELAY_S = 0.25
 
@@ -230,7 +232,9 @@
         revision = self._store.revision()
         started = clocks.boottime()
         targets = self._group_targets(view)
-        statuses = await self._request_statuses(targets)
+        statuses = await self._request_statuses(
+            targets, self._failed_primary(view)
+        )
         claimants = [s for s in statuses if s.primary]
         highest_term = max(
             (max(s.term, s.held_term) for s in statuses), default=0
@@ -303,21 +307,38 @@
                 )
         return found
 
+    def _failed_primary(self, view: model.GroupView) -> str:
+        """Return the primary's name if it counts as failed, else ''."""
+        name = view.primary or ''
+        failed = self._detector.failed(
+            clocks.boottime(), view.group, name, self._live_holder_names()
+        )
+        return name if failed else ''
+
     async def _request_statuses(
-        self, targets: dict[str, model.TargetInfo]
+        self, targets: dict[str, model.TargetInfo], failed: str = ''
     ) -> list[grouporders.ServerStatus]:
-        """Return the statuses that arrive in time."""
-        if not targets:
-            return []
-        tasks = [
-            asyncio.ensure_future(self._orders.status(info))
-            for info in targets.values()
-        ]
-        done, late = await asyncio.wait(tasks, timeout=STATUS_WAIT_S)
-        for task in late:
-            task.cancel()
-        answers = [task.result() for task in tasks if task in done]
-        return [status for status in answers if status is not None]
+        """Return the statuses that arrive in time.
+
+        The status of the ``failed`` target is not waited for once all others
+        have answered: their positions are the proof then.
+        """
+        tasks = {
+            server: asyncio.ensure_future(self._orders.status(info))
+            for server, info in targets.items()
+        }
+        others = [task for name, task in tasks.items() if name != failed]
+        deadline = clocks.boottime() + STATUS_WAIT_S
+        await _wait_for(others, deadline)
+        if not all(_has_status(task) for task in others):
+            await _wait_for(tasks.values(), deadline)
+        statuses = []
+        for task in tasks.values():
+            if _has_status(task):
+                statuses.append(task.result())
+            else:
+                task.cancel()
+        return statuses
 
     async def _keep_working_primary(
         self,
@@ -444,6 +465,8 @@
                 logs.log_event(
                     'step_down_ordered', group=view.group, server=info.server
                 )
+                # The target's next announcement tells whether it obeyed.
+                await asyncio.sleep(STEP_DOWN_REPEAT_S)
 
     async def _commit_view(
         self, view: model.GroupView, reason: str, seconds: float = 0.0
@@ -461,6 +484,22 @@
         )
 
 
+async def _wait_for(
+    tasks: typing.Collection['asyncio.Task[typing.Any]'], deadline: float
+) -> None:
+    """Wait until all tasks have ended or the deadline passes."""
+    if tasks:
+        remaining_s = max(0.0, deadline - clocks.boottime())
+        await asyncio.wait(tasks, timeout=remaining_s)
+
+
+def _has_status(
+    task: 'asyncio.Task[grouporders.ServerStatus | None]',
+) -> bool:
+    """Return whether a status request was answered."""
+    return task.done() and task.result() is not None
+
+
 def _addresses(
     targets: typing.Iterable[model.TargetInfo],
 ) -> dict[str, str]:
--- a/packages/node/src/sassafrasridge_node/renewal.py
+++ b/packages/node/src/sassafrasridge_node/renewal.py
@@ -94,7 +94,11 @@
             if group not in self._state.groups:
                 continue
             primary = self._state.primary(group)
-            if primary is None or primary.silent(now):
+            if (
+                primary is None
+                or primary.silent(now)
+                or primary.refused_s(now)
+            ):
                 return min(FAST_RENEW_INTERVAL_S, self._regular_interval_s())
         return self._regular_interval_s()
 
@@ -204,6 +208,7 @@
                 backend.demand(),
                 backend.share.report(now),
                 self._state.serves(group),
+                backend.refused_s(now),
             )
             for (group, _), backend in self._state.reported_backends()
         ]
--- a/packages/node/src/sassafrasridge_node/ridge.thrift
+++ b/packages/node/src/sassafrasridge_node/ridge.thrift
@@ -44,6 +44,7 @@
   14: i64 limit_version,    // version of the last ConnectionGrant applied
   15: i32 limit,            // connections of that ConnectionGrant
   16: bool serves,          // the entry process is in the serving set
+  17: double refused_s,     // for how long connections have been refused
 }
 
 struct MemberAddress {
--- a/packages/node/src/sassafrasridge_node/sessionpool.py
+++ b/packages/node/src/sassafrasridge_node/sessionpool.py
@@ -337,6 +337,8 @@
         self._admitted = 0
         self._account_used_at: dict[str, float] = {}
         self._reachable = True
+        # First refused connection since the last answer, if it is later.
+        self._refused_at = float('-inf')
         self.status_due = False
         self.serving = True
         self._full_until = float('-inf')
@@ -358,6 +360,20 @@
             now - self.last_progress_at() > PROBE_INTERVAL_S + STATUS_TIMEOUT_S
         )
 
+    def refused_s(self, now: float) -> float:
+        """Return for how many seconds connections have been refused.
+
+        Returns 0 if none was refused since the last answer.
+        """
+        if self._refused_at <= self.success_at:
+            return 0.0
+        return now - self._refused_at
+
+    def _record_refused(self) -> None:
+        """Record that nothing listens at the target's address."""
+        if self._refused_at <= self.success_at:
+            self._refused_at = clocks.boottime()
+
     def info_to_report(self) -> model.TargetInfo:
         """Return the target's identity for control.
 
@@ -520,6 +536,8 @@
                 raise backends.refusal_error(model.DEADLINE)
             self.circuit.failure(clocks.boottime())
             self._metrics.connection_failures.inc()
+            if exc.refused:
+                self._record_refused()
             self._set_reachable(False, str(exc))
             raise backends.UnreachableError(str(exc))
         except TargetRefusedError as exc:
--- a/tests/core/test_promotion.py
+++ b/tests/core/test_promotion.py
@@ -47,12 +47,40 @@
     def setup_method(self):
         self.detector = promotion.FailureDetector(0.8)
 
-    def report(self, observer, at, age):
+    def report(self, observer, at, age, refused_s=0.0):
         info = model.TargetInfo('a', 'g', 'z', '', 'primary', 1, 5, 2, 30)
         self.detector.report(
-            observer, 'g', 'a', promotion.TargetObservation(at, age, age, info)
+            observer,
+            'g',
+            'a',
+            promotion.TargetObservation(at, age, age, info, refused_s),
         )
 
+    def test_refused_connections_cause_a_change_before_silence(self):
+        """Guards against waiting for a process that has ended.
+
+        Load: writes that arrive while the primary's host refuses connections.
+        """
+        for observer in ('x', 'y'):
+            self.report(observer, 10.0, 0.35, refused_s=0.3)
+        self.report('z', 10.0, 0.35)
+        assert not self.failed(10.0, 'x', 'y', 'z')
+        assert self.failed(10.2, 'x', 'y', 'z')
+
+    def test_one_refused_observer_of_three_causes_no_change(self):
+        """Guards against a promotion caused by one link that resets."""
+        self.report('x', 10.0, 0.7, refused_s=0.7)
+        self.report('y', 10.0, 0.1)
+        self.report('z', 10.0, 0.1)
+        assert not self.failed(10.2, 'x', 'y', 'z')
+
+    def test_an_answer_ends_the_refusal(self):
+        """Guards against replacing a primary that restarted quickly."""
+        for observer in ('x', 'y'):
+            self.report(observer, 10.0, 0.5, refused_s=0.3)
+            self.report(observer, 10.3, 0.05)
+        assert not self.failed(10.5, 'x', 'y')
+
     def failed(self, now, *live):
         return self.detector.failed(now, 'g', 'a', set(live))
 
--- a/tests/node/test_failover.py
+++ b/tests/node/test_failover.py
@@ -53,6 +53,8 @@
         self.sent_orders = []
         self.answer = grouporders.PromotionAnswer.ACCEPTED
         self.takes_effect = True
+        # Targets whose status never arrives.
+        self.hanging = set()
 
     def _status(self, name):
         server = self.servers[name]
@@ -67,6 +69,8 @@
         )
 
     async def status(self, info):
+        if info.server in self.hanging:
+            await asyncio.Event().wait()
         return self._status(info.server)
 
     async def pause(self, info, term):
@@ -191,6 +195,15 @@
             cluster.orders.sent_orders.index(('promote', 'c'))
         )
 
+    def test_a_dead_primary_that_never_answers_delays_nothing(self, servers):
+        """Guards against waiting for the status of a primary without power."""
+        cluster = Cluster(servers)
+        cluster.orders.hanging = {'a'}
+        cluster.fail('a')
+        started = clocks.boottime()
+        assert cluster.step().primary == 'c'
+        assert clocks.boottime() - started < failover.STATUS_WAIT_S
+
     def test_nothing_is_promoted_while_a_replica_is_silent_too(self, servers):
         """Guards against promoting a replica that lacks a commit."""
         cluster = Cluster(servers)
