Commit orders that drain a zone, and take them by HTTP and command line

Operators had no way to take the targets of an availability zone out of service. The order is a record of the replicated configuration, so entry processes get it as a delta with their lease. Only an order changes it: whole configurations and release notes list other kinds. Repeats go through the log too, so that they come after orders that are still being committed. Nothing enforces the order yet.

--- a/packages/cli/src/sassafrasridge_cli/client.py
+++ b/packages/cli/src/sassafrasridge_cli/client.py
@@ -87,6 +87,10 @@
         """
         return self._call('POST', path, idempotent, json=body)
 
+    def delete(self, path: str) -> Body:
+        """Withdraw a resource; the request is sent again if necessary."""
+        return self._call('DELETE', path, True)
+
     def _call(
         self, method: str, path: str, idempotent: bool, **request_args: Any
     ) -> Body:
--- a/packages/cli/src/sassafrasridge_cli/main.py
+++ b/packages/cli/src/sassafrasridge_cli/main.py
@@ -10,6 +10,7 @@
 from sassafrasridge_cli import notes
 from sassafrasridge_cli import processes
 from sassafrasridge_cli import views
+from sassafrasridge_cli import zones
 from sassafrasridge_core import errors
 
 COMMANDS = (
@@ -29,6 +30,9 @@
     processes.MemberReplace,
     processes.MemberRemove,
     processes.SettingsCheck,
+    zones.ZoneDrain,
+    zones.ZoneRestore,
+    zones.ZoneList,
 )
 
 
--- a/packages/core/src/sassafrasridge_core/configuration.py
+++ b/packages/core/src/sassafrasridge_core/configuration.py
@@ -1,4 +1,7 @@
-"""The active configuration: accounts, keys, services, routes and grants."""
+"""The active configuration: accounts, keys, services, routes and grants.
+
+The zones that operators have taken out of service are stored with it.
+"""
 
 from collections.abc import Iterable
 from typing import Any
@@ -8,7 +11,10 @@
 SERVICE = 'service'
 ROUTE = 'route'
 GRANT = 'grant'
+# Kinds that release notes and whole configurations list.
 KINDS = (ACCOUNT, KEY, SERVICE, ROUTE, GRANT)
+# Changed only by orders of operators, so no note or configuration removes it.
+DRAINED_ZONE = 'drained_zone'
 
 PRIMARY = 'primary'
 BOUNDED_AGE = 'bounded_age'
@@ -136,7 +142,21 @@
         self.service = service
 
 
-Record = Account | Key | Service | Route | Grant
+class DrainedZone:
+    """Hold an availability zone whose targets must not be used.
+
+    ``ordered_at`` is the wall time in s at which ``operator`` ordered it.
+    """
+
+    __slots__ = ('zone', 'ordered_at', 'operator')
+
+    def __init__(self, zone: str, ordered_at: float, operator: str) -> None:
+        self.zone = zone
+        self.ordered_at = ordered_at
+        self.operator = operator
+
+
+Record = Account | Key | Service | Route | Grant | DrainedZone
 
 _RECORD_CLASSES: dict[str, type[Any]] = {
     ACCOUNT: Account,
@@ -144,6 +164,7 @@
     SERVICE: Service,
     ROUTE: Route,
     GRANT: Grant,
+    DRAINED_ZONE: DrainedZone,
 }
 
 
@@ -175,7 +196,9 @@
     __slots__ = ('_records', '_key_id_by_digest', '_grants')
 
     def __init__(self) -> None:
-        self._records: dict[str, dict[str, Any]] = {k: {} for k in KINDS}
+        self._records: dict[str, dict[str, Any]] = {
+            kind: {} for kind in _RECORD_CLASSES
+        }
         self._key_id_by_digest: dict[str, str] = {}
         self._grants: set[tuple[str, str]] = set()
 
@@ -200,6 +223,10 @@
         id = self._key_id_by_digest.get(digest)
         return None if id is None else self._records[KEY].get(id)
 
+    def drained_zones(self) -> frozenset[str]:
+        """Return the availability zones that are out of service."""
+        return frozenset(self._records[DRAINED_ZONE])
+
     def is_granted(self, account: str, service: str) -> bool:
         """Return whether the account may use the service."""
         return (account, service) in self._grants
--- a/packages/core/src/sassafrasridge_core/state.py
+++ b/packages/core/src/sassafrasridge_core/state.py
@@ -15,6 +15,7 @@
 from sassafrasridge_core import model
 from sassafrasridge_core import notes
 from sassafrasridge_core import wholeconfig
+from sassafrasridge_core import zonedrain
 
 # An entry process that lacks more revisions than this gets a full copy.
 MAX_DELTAS = 2_000
@@ -179,6 +180,7 @@
             'group': self._apply_group,
             'entry': self._apply_entry,
             'audit': self._apply_audit,
+            'zone': self._apply_zone,
         }
 
     def apply(self, index: int, command: bytes) -> Reply:
@@ -213,11 +215,10 @@
         except ValueError:
             long_enough = False
         if not long_enough:
-            message = (
+            raise errors.BadRequestError(
                 'the session secret is not a hex string of at least '
                 f'{MIN_SECRET_BYTES} bytes'
             )
-            raise errors.BadRequestError(message)
         self.session_secret = secret
         self._add_delta([['session_secret', '', secret]])
         self._append_to_trail(body, 'init', True, 'created the session secret')
@@ -408,6 +409,13 @@
         )
         return Reply(True, 200, {})
 
+    def _apply_zone(self, body: _Command) -> Reply:
+        order = zonedrain.ZoneOrder(self.tables, body)
+        if order.changes:
+            self._add_delta(order.changes)
+            self._append_to_trail(body, 'zone', True, order.summary)
+        return Reply(True, 200, order.answer)
+
     def _append_to_trail(
         self,
         body: _Command,
@@ -686,3 +694,7 @@
     def services(self) -> Iterable[configuration.Service]:
         """Return all services."""
         return self._tables.all(configuration.SERVICE)
+
+    def drained_zones(self) -> frozenset[str]:
+        """Return the availability zones that are out of service."""
+        return self._tables.drained_zones()
--- a/packages/node/src/sassafrasridge_node/commands.py
+++ b/packages/node/src/sassafrasridge_node/commands.py
@@ -1,10 +1,12 @@
 """Operator and member commands that the control leader executes."""
 
 import asyncio
+import collections
 import collections.abc
 import time
 import typing
 
+from sassafrasridge_core import configuration
 from sassafrasridge_core import directory
 from sassafrasridge_core import errors
 from sassafrasridge_core import leases
@@ -13,6 +15,7 @@
 from sassafrasridge_core import raftmembers
 from sassafrasridge_core import state as core_state
 from sassafrasridge_core import wholeconfig
+from sassafrasridge_core import zonedrain
 from sassafrasridge_node import clocks
 from sassafrasridge_node import control
 from sassafrasridge_node import leadership
@@ -447,6 +450,86 @@
         raise control.NoLeaderError('this member has not applied all commits')
 
 
+async def drain_zone(
+    member: control.ControlMember, body: Body
+) -> core_state.Reply:
+    """Commit that the targets of a zone must not be used."""
+    return await _order_zone(member, body, True)
+
+
+async def restore_zone(
+    member: control.ControlMember, body: Body
+) -> core_state.Reply:
+    """Commit that the targets of a zone may be used again."""
+    return await _order_zone(member, body, False)
+
+
+async def _order_zone(
+    member: control.ControlMember, body: Body, drained: bool
+) -> core_state.Reply:
+    """Commit an order, also if it repeats the one in force.
+
+    The log then puts it after every order that arrived earlier and is still
+    being committed.
+    """
+    zone = zonedrain.check_zone(body.get('zone'))
+    reply = await member.propose(
+        {
+            'type': 'zone',
+            'zone': zone,
+            'drained': drained,
+            'operator': body['who'],
+            'address': body['address'],
+            'time': time.time(),
+        }
+    )
+    if not reply.ok:
+        return reply
+    if reply.body['changed']:
+        logs.log_event(
+            'zone_drained' if drained else 'zone_restored',
+            zone=zone,
+            who=body['who'],
+            revision=member.state.revision,
+        )
+    # The member may have lost its leadership since the commit, and with it
+    # the list of targets. The order is in force all the same.
+    known = member.leadership and _targets_by_zone(member).get(zone, 0)
+    return _ok({**reply.body, 'targets': known})
+
+
+async def list_zones(
+    member: control.ControlMember, body: Body
+) -> core_state.Reply:
+    """Return the zones that are known or drained."""
+    _require_all_applied(member)
+    targets = _targets_by_zone(member)
+    orders = dict(member.state.tables.items(configuration.DRAINED_ZONE))
+    zones = []
+    for zone in sorted(targets.keys() | orders.keys()):
+        order = orders.get(zone)
+        zones.append(
+            {
+                'zone': zone,
+                'drained': order is not None,
+                'ordered_at': order and order.ordered_at,
+                'operator': order and order.operator,
+                'targets': targets.get(zone, 0),
+            }
+        )
+    return _ok({'zones': zones})
+
+
+def _targets_by_zone(member: control.ControlMember) -> dict[str, int]:
+    """Return the number of announced targets by zone."""
+    current = _leadership(member)
+    known = {(i.group, i.server): i for i in current.directory.targets()}
+    for group in current.detector.groups():
+        for info in current.detector.targets(group):
+            known.setdefault((group, info.server), info)
+    return dict(collections.Counter(i.zone for i in known.values() if i.zone))
+
+
 async def register(
     member: control.ControlMember, body: Body
 ) -> core_state.Reply:
@@ -508,6 +591,9 @@
     'change_members': change_members,
     'submit_configuration': submit_configuration,
     'show_configuration': show_configuration,
+    'drain_zone': drain_zone,
+    'restore_zone': restore_zone,
+    'list_zones': list_zones,
     'register': register,
     'unregister': unregister,
     'join': join,
--- a/packages/node/src/sassafrasridge_node/operatorapi.py
+++ b/packages/node/src/sassafrasridge_node/operatorapi.py
@@ -32,6 +32,9 @@
     'remove_entry',
     'list_members',
     'change_members',
+    'drain_zone',
+    'restore_zone',
+    'list_zones',
 )
 # A command occupies a worker thread while it waits for the control members,
 # so only a few may run concurrently.
@@ -380,3 +383,17 @@
         if _is_post():
             return self.api.run('change_members', _json_body())
         return self.api.run('list_members', {})
+
+    @_expose('GET', 'POST', 'DELETE')
+    def zones(self, *path: str) -> bytes:
+        method = cherrypy.request.method
+        if not path:
+            if method != 'GET':
+                raise cherrypy.HTTPError(405)
+            return self.api.run('list_zones', {})
+        if len(path) != 2 or path[1] != 'drain':
+            raise cherrypy.NotFound()
+        if method == 'GET':
+            raise cherrypy.HTTPError(405)
+        kind = 'drain_zone' if method == 'POST' else 'restore_zone'
+        return self.api.run(kind, {'zone': path[0]})
--- a/tests/cli/conftest.py
+++ b/tests/cli/conftest.py
@@ -28,6 +28,7 @@
                 fake_server.answer(self)
 
             do_POST = do_GET
+            do_DELETE = do_GET
 
             def log_message(self, *args):
                 pass
--- a/tests/core/test_state.py
+++ b/tests/core/test_state.py
@@ -11,11 +11,11 @@
 
 SECRET = 'ab' * 32
 ROUTE = {'kind': 'route', 'path': 'p'}
-TYPES = ['init', 'note', 'refused_note', 'group', 'entry', 'audit']
+TYPES = ['init', 'note', 'refused_note', 'group', 'entry', 'audit', 'zone']
 FIELDS = [
     *('session_secret', 'note', 'operator', 'address', 'time', 'digest'),
     *('confirmed_revision', 'group', 'entry', 'action', 'zone', 'kind'),
-    *('what', 'number', 'accepted'),
+    *('what', 'number', 'accepted', 'drained'),
 ]
 VALUES = st.recursive(
     st.none()
--- a/tests/node/test_operatorapi.py
+++ b/tests/node/test_operatorapi.py
@@ -34,6 +34,9 @@
             ('POST', '/drain', b'', 'drain', {}),
             ('GET', '/members', None, 'list_members', {}),
             ('POST', '/members', {'add': 'm'}, 'change_members', {'add': 'm'}),
+            ('GET', '/zones', None, 'list_zones', {}),
+            ('POST', '/zones/a%20b/drain', {}, 'drain_zone', {'zone': 'a b'}),
+            ('DELETE', '/zones/z/drain', None, 'restore_zone', {'zone': 'z'}),
         ],
     )
     def test_path_selects_the_command(
@@ -66,6 +69,9 @@
             ('GET', '/v1/audit?where=x', None, 400),
             ('GET', '/v1/audit?who=x&who=y', None, 400),
             ('DELETE', '/v1/status', None, 405),
+            ('DELETE', '/v1/zones', None, 405),
+            ('GET', '/v1/zones/z/drain', None, 405),
+            ('POST', '/v1/zones/z', {}, 404),
             ('GET', '/v2', None, 404),
         ],
     )
