Move primaries out of drained zones as planned changes

A primary in a drained zone gets no more work from entry processes, so it has to be replaced by a target outside. A working one steps down only after a replica outside has reached its position, because replicas receive nothing after that and a target of the drained zone would have to be promoted. Entry processes don't contact a drained primary, so their silence doesn't count as its failure until 2 s after it is in use again.

--- a/packages/core/src/sassafrasridge_core/zonedrain.py
+++ b/packages/core/src/sassafrasridge_core/zonedrain.py
@@ -1,5 +1,6 @@
 """Orders that take availability zones out of service, and their effect."""
 
+from collections.abc import Collection
 from collections.abc import Iterable
 import math
 from typing import Any
@@ -32,6 +33,18 @@
     )
 
 
+def usable(zone: str, drained: Collection[str]) -> bool:
+    """Return whether targets of a zone may be used; '' if it is unknown.
+
+    While any zone is drained, a target whose zone is not known yet may be in
+    it.
+
+    >>> usable('', ()), usable('', ['z1']), usable('z2', ['z1'])
+    (True, False, True)
+    """
+    return not drained or bool(zone and zone not in drained)
+
+
 class ZoneOrder:
     """Apply an order to drain or to restore a zone to the configuration.
 
@@ -78,16 +91,11 @@
 class DrainTracker:
     """Track which zones an entry process may not use.
 
-    While any order is in force, a target whose zone is not known yet may not
-    be used either, because it may be in a drained zone.
-
     >>> drains = DrainTracker()
-    >>> drains.usable('z1'), drains.usable('')
-    (True, True)
     >>> drains.update(10.0, ['z1'], renewal_age_s=0.3)
     True
-    >>> drains.usable('z1'), drains.usable(''), drains.usable('z2')
-    (False, False, True)
+    >>> drains.usable('z1'), drains.usable('z2')
+    (False, True)
     >>> drains.abort_due(11.9, 'z1'), drains.abort_due(12.0, 'z1')
     (False, True)
     """
@@ -127,7 +135,7 @@
 
     def usable(self, zone: str) -> bool:
         """Return whether targets of a zone may be used; '' if unknown."""
-        return not self._abort_at or bool(zone and not self.drained(zone))
+        return usable(zone, self._abort_at)
 
     def abort_due(self, now: float, zone: str) -> bool:
         """Return whether open transactions in a zone must be aborted."""
--- a/packages/node/src/sassafrasridge_node/control.py
+++ b/packages/node/src/sassafrasridge_node/control.py
@@ -464,6 +464,10 @@
         """Return the names of all groups."""
         return list(self.state.groups)
 
+    def drained_zones(self) -> frozenset[str]:
+        """Return the zones whose targets must not be used."""
+        return self.state.tables.drained_zones()
+
     async def commit(self, view: model.GroupView) -> None:
         """Commit the view of a group."""
         reply = await self.propose(
--- a/packages/node/src/sassafrasridge_node/failover.py
+++ b/packages/node/src/sassafrasridge_node/failover.py
@@ -31,6 +31,9 @@
 # trips between regions and the time to open a connection. The status of a
 # failed primary is not waited for longer.
 STATUS_WAIT_S = 0.25
+# Longest wait for a replica to reach the position of a primary whose zone is
+# drained, before the next attempt. The usual replication delay is below 0.1 s.
+SUCCESSOR_WAIT_S = 1.0
 # Delay before the next attempt after a change that could not be finished.
 RETRY_DELAY_S = 0.25
 
@@ -112,6 +115,8 @@
         self._changed_at: dict[str, float] = {}
         # Terms of the changes that this leader began, by group.
         self._begun_terms: dict[str, int] = {}
+        # Groups whose primary waits for a successor outside drained zones.
+        self._without_successor: set[str] = set()
 
     async def run(self) -> None:
         """Start a step for each group that needs one, until cancelled."""
@@ -199,9 +204,12 @@
             return 'primary_leaving'
         if info is None and self._targets.complete(now):
             return 'primary_gone'
+        if info is not None and self._is_drained(now, info):
+            found = any(self._may_use(target) for target in others)
+            return 'primary_drained' if found else None
         if self._changed_recently(view, now):
             return None
-        if self._detector.failed(now, view.group, view.primary or '', live):
+        if self._primary_failed(now, view, live):
             return 'primary_failed'
         if (
             info is not None
@@ -246,6 +254,10 @@
             return True
         if await self._keep_working_primary(view, targets, claimants):
             return True
+        if acting_primary is not None and not await self._has_successor(
+            targets, acting_primary, statuses, revision
+        ):
+            return False
         paused = await self._pause_replicas(
             targets, statuses, highest_term + 1
         )
@@ -326,21 +338,78 @@
         claimants: list[grouporders.ServerStatus],
     ) -> bool:
         """End the change if the primary works; return whether it did."""
+        now = clocks.boottime()
         info = targets.get(view.primary or '')
         if info is None or info.leaving or not claimants:
             return False
-        if self._detector.failed(
-            clocks.boottime(),
-            view.group,
-            info.server,
-            self._live_holder_names(),
+        if self._is_drained(now, info) and any(
+            self._may_use(t) and not t.leaving for t in targets.values()
         ):
             return False
+        if self._primary_failed(now, view, self._live_holder_names()):
+            return False
         await self._finish_change(
             view, targets, claimants[0], clocks.boottime()
         )
         return True
 
+    async def _has_successor(
+        self,
+        targets: dict[str, model.TargetInfo],
+        primary: grouporders.ServerStatus,
+        statuses: list[grouporders.ServerStatus],
+        revision: int,
+    ) -> bool:
+        """Return whether a working primary may step down.
+
+        One in a drained zone must not do so before a replica outside drained
+        zones is as far as any other: once it has stepped down, replicas
+        receive no more, and only the furthest one can be promoted.
+        """
+        now, info = clocks.boottime(), targets[primary.server]
+        if not self._is_drained(now, info):
+            return True
+        answered = {s.server for s in statuses}
+        if all(
+            self._may_use(other) and other.server in answered
+            for other in targets.values()
+            if other.server != primary.server
+        ):
+            return True
+        # Entry processes send no more writes once they have the view.
+        await self._wait_until_confirmed(revision)
+        deadline = now + SUCCESSOR_WAIT_S
+        while self._is_drained(clocks.boottime(), info):
+            statuses = await self._request_statuses(targets)
+            found = {s.server: s.received for s in statuses}
+            if any(
+                received >= found.get(primary.server, primary.received)
+                for server, received in found.items()
+                if self._may_use(targets[server])
+                and not targets[server].leaving
+            ):
+                self._without_successor.discard(info.group)
+                return True
+            if clocks.boottime() > deadline:
+                self._log_no_successor(info, sorted(set(targets) - set(found)))
+                return False
+            await asyncio.sleep(STATUS_POLL_INTERVAL_S)
+        # The order was withdrawn, so the primary may keep its role.
+        return False
+
+    def _log_no_successor(
+        self, primary: model.TargetInfo, silent: list[str]
+    ) -> None:
+        """Log once for each planned change that it waits for a replica."""
+        if primary.group not in self._without_successor:
+            self._without_successor.add(primary.group)
+            logs.log_event(
+                'no_successor_outside_drained_zones',
+                group=primary.group,
+                primary=primary.server,
+                silent=silent,
+            )
+
     async def _pause_replicas(
         self,
         targets: dict[str, model.TargetInfo],
@@ -369,10 +438,11 @@
     def _choose_candidate(
         self, targets: dict[str, model.TargetInfo], proof: PromotionProof
     ) -> grouporders.ServerStatus | None:
-        """Choose a candidate; prefer not leaving, then in this zone."""
+        """Choose a candidate; prefer usable, not leaving, in this zone."""
         return min(
             proof.candidates,
             key=lambda s: (
+                not self._may_use(targets[s.server]),
                 targets[s.server].leaving,
                 targets[s.server].zone != self._zone,
                 s.server,
--- a/packages/node/src/sassafrasridge_node/groups.py
+++ b/packages/node/src/sassafrasridge_node/groups.py
@@ -12,6 +12,7 @@
 from sassafrasridge_core import leases
 from sassafrasridge_core import model
 from sassafrasridge_core import promotion
+from sassafrasridge_core import zonedrain
 from sassafrasridge_node import clocks
 from sassafrasridge_node import connections
 from sassafrasridge_node import logs
@@ -27,6 +28,12 @@
 ORDER_REPEAT_INTERVAL_S = 0.3
 # Poll interval while waiting for entry processes to confirm a view.
 CONFIRM_POLL_INTERVAL_S = 0.01
+# Time after which a primary whose zone was drained may be considered failed.
+# Entry processes learn that they may use it again and probe it before that.
+RESTORED_GRACE_S = 2.0
+# Shortest time between two attempts to move a primary out of a drained zone.
+# Replicas that are behind can receive from the primary in between.
+DRAIN_RETRY_INTERVAL_S = 1.0
 # Number of terms whose start positions are kept. Session tokens refer to them
 # and expire long before this many terms have passed.
 MAX_TERM_STARTS = 64
@@ -55,6 +62,10 @@
     def names(self) -> list[str]:
         """Return the names of all groups."""
 
+    def drained_zones(self) -> frozenset[str]:
+        """Return the zones whose targets must not be used."""
+        return frozenset()
+
 
 class Reconciler(abc.ABC):
     """Run a reconcile loop for all groups, one step at a time per group."""
@@ -74,6 +85,8 @@
         self._zone = zone
         self._step_tasks: dict[str, asyncio.Task[None]] = {}
         self.groups_without_majority: set[str] = set()
+        # When a group's primary was last seen in a drained zone.
+        self._drained_at: dict[str, float] = {}
 
     async def run(self) -> None:
         """Start a step for each group that needs one, until cancelled."""
@@ -95,6 +108,30 @@
         now = clocks.boottime()
         return {holder.name for holder in self._lease_table.live(now)}
 
+    def _may_use(self, info: model.TargetInfo) -> bool:
+        """Return whether entry processes may use a target."""
+        return zonedrain.usable(info.zone, self._store.drained_zones())
+
+    def _is_drained(self, now: float, primary: model.TargetInfo) -> bool:
+        """Return, and record, whether a primary is in a drained zone."""
+        if primary.zone not in self._store.drained_zones():
+            return False
+        self._drained_at[primary.group] = now
+        return True
+
+    def _primary_failed(
+        self, now: float, view: model.GroupView, live: set[str]
+    ) -> bool:
+        """Return whether the primary failed.
+
+        Entry processes don't contact a target of a drained zone, so that they
+        don't hear it is no evidence.
+        """
+        drained_at = self._drained_at.get(view.group, float('-inf'))
+        return now > drained_at + RESTORED_GRACE_S and self._detector.failed(
+            now, view.group, view.primary or '', live
+        )
+
     def _start_step(self, group: str) -> None:
         task = self._step_tasks.get(group)
         if task is None or task.done():
@@ -137,6 +174,8 @@
         super().__init__(store, detector, table, zone, counters)
         self._dialer = dialer
         self._ordered_at: dict[tuple[str, str], float] = {}
+        # When a change of primary last began, by group.
+        self._begun_at: dict[str, float] = {}
 
     def _is_reconciled(self, group: str, live: set[str]) -> bool:
         """Return whether a step would change nothing.
@@ -204,9 +243,34 @@
         if info is not None and info.leaving:
             others = [t for t in targets.values() if not t.leaving]
             return any(t.server in view.members for t in others)
+        if info is not None and self._is_drained(now, info):
+            return self._may_hand_over(now, view, info, targets)
         return self._lease_table.earlier_leases_expired(
             now
-        ) and self._detector.failed(now, view.group, view.primary, live)
+        ) and self._primary_failed(now, view, live)
+
+    def _may_hand_over(
+        self,
+        now: float,
+        view: model.GroupView,
+        primary: model.TargetInfo,
+        targets: dict[str, model.TargetInfo],
+    ) -> bool:
+        """Return whether a member outside drained zones has caught up.
+
+        The furthest member is promoted, so an earlier change would promote a
+        member of a drained zone again.
+        """
+        begun_at = self._begun_at.get(view.group, float('-inf'))
+        if now < begun_at + DRAIN_RETRY_INTERVAL_S:
+            return False
+        return any(
+            info.server in view.members
+            and not info.leaving
+            and self._may_use(info)
+            and (info.term, info.position) >= (primary.term, primary.position)
+            for info in targets.values()
+        )
 
     async def _begin_primary_change(
         self, view: model.GroupView, targets: dict[str, model.TargetInfo]
@@ -219,6 +283,7 @@
             view.starts,
             changing=True,
         )
+        self._begun_at[view.group] = clocks.boottime()
         await self._store.commit(changing_view)
         logs.log_event(
             'primary_change_started',
@@ -234,8 +299,12 @@
         revision = self._store.revision()
         started = clocks.boottime()
         fenced = await self._fence_members(view)
-        leaving = {t.server for t in targets.values() if t.leaving}
-        chosen = promotion.choose_primary(view, fenced, leaving, self._zone)
+        avoid = {
+            t.server
+            for t in targets.values()
+            if t.leaving or not self._may_use(t)
+        }
+        chosen = promotion.choose_primary(view, fenced, avoid, self._zone)
         if chosen is None:
             self.groups_without_majority.add(view.group)
             await asyncio.sleep(STEP_INTERVAL_S)
--- a/tests/node/test_failover.py
+++ b/tests/node/test_failover.py
@@ -21,6 +21,10 @@
     def __init__(self):
         self.views = {}
         self.history = []
+        self.drained = frozenset()
+
+    def drained_zones(self):
+        return self.drained
 
     def view(self, group):
         return self.views.get(group)
@@ -103,7 +107,8 @@
 class Cluster:
     """A reconciler of group ``g`` with primary a and replicas b and c."""
 
-    def __init__(self, servers):
+    def __init__(self, servers, zones=None):
+        self.zones = zones or {}
         self.orders = Orders(servers)
         self.store = Store()
         self.detector = promotion.FailureDetector(0.5)
@@ -129,7 +134,7 @@
         info = model.TargetInfo(
             name,
             'g',
-            'z',
+            self.zones.get(name, 'z'),
             f'10.0.0.1:{ord(name)}',
             'primary' if server.primary else 'replica',
             0,
@@ -382,3 +387,93 @@
             'step_down',
             'promote',
         ]
+
+
+class TestDrainedZone:
+    """Pattern: the zone of primary a is drained; c is in another zone."""
+
+    ZONES = {'a': 'z1', 'b': 'z1', 'c': 'z2'}
+
+    def cluster(self, servers, zones=None):
+        cluster = Cluster(servers, zones or self.ZONES)
+        cluster.store.drained = frozenset(['z1'])
+        return cluster
+
+    def test_the_primary_moves_to_another_zone(self, servers):
+        """Guards against b, in the drained zone, because it is as far."""
+        servers['b'].received = Position(1, 9)
+        cluster = self.cluster(servers)
+        assert cluster.step().primary == 'c'
+        assert cluster.reconciler._is_reconciled('g', set())
+
+    def test_it_waits_until_the_replica_has_every_commit(self, servers):
+        """Guards against losing an acknowledged commit that only b has."""
+        servers['b'].received = Position(1, 9)
+        servers['c'].received = Position(1, 5)
+        cluster = self.cluster(servers)
+        status = cluster.orders.status
+
+        async def replicating_status(info):
+            c = servers['c']
+            c.received = Position(1, min(9, c.received.index + 1))
+            return await status(info)
+
+        cluster.orders.status = replicating_status
+        assert cluster.step().primary == 'c'
+        assert ('promote', 'b') not in cluster.orders.sent_orders
+
+    def test_without_an_answer_from_outside_it_keeps_its_role(
+        self, servers, monkeypatch
+    ):
+        """Guards against a group whose replication ends for good.
+
+        The links to the other zone are cut. Then the order is withdrawn.
+        """
+        monkeypatch.setattr(failover, 'SUCCESSOR_WAIT_S', 0.05)
+        servers['c'].reachable = False
+        cluster = self.cluster(servers)
+        assert cluster.step().changing
+        assert not cluster.orders.sent_orders
+        cluster.fail('a')
+        cluster.store.drained = frozenset()
+        view = cluster.step()
+        assert (view.primary, view.changing) == ('a', False)
+
+    def test_after_a_crash_only_a_proven_replica_is_promoted(self, servers):
+        """Guards against losing a commit for the sake of the order.
+
+        The primary crashes during its planned change. Only b, in the drained
+        zone, has the last commit; c follows it and replaces it then.
+        """
+        servers['a'].reachable = False
+        servers['b'].received = Position(1, 9)
+        servers['c'].received = Position(1, 7)
+        cluster = self.cluster(servers)
+        assert cluster.step().primary == 'b'
+        servers['c'].received = servers['b'].received
+        assert cluster.step().primary == 'c'
+
+    def test_if_all_zones_are_drained_the_primary_stays(self, servers):
+        """Guards against promotions among targets that nobody may use.
+
+        No entry process contacts the primary, so all report its silence.
+        """
+        cluster = self.cluster(servers, dict.fromkeys('abc', 'z1'))
+        cluster.fail('a')
+        assert cluster.reconciler._is_reconciled('g', {'e1#1', 'e2#1'})
+        cluster.store.drained = frozenset()
+        assert cluster.step().primary == 'a'
+        assert not cluster.orders.sent_orders
+
+    def test_a_change_in_progress_ends_outside(self, servers):
+        """Guards against a change that an order makes end where it began.
+
+        The order arrives when a failed primary is being replaced, and the
+        primary answers again.
+        """
+        cluster = self.cluster(servers)
+        cluster.store.views['g'] = model.GroupView(
+            'g', 2, 'a', cluster.store.views['g'].members, changing=True
+        )
+        view = cluster.step()
+        assert (view.primary, view.changing, view.term) == ('c', False, 3)
