Send nothing to targets of drained zones from entry processes

An entry process left the order that came with its lease unused. It now leaves such targets out of every choice, probe and new connection, closes idle connections, sends waiting statements elsewhere, aborts open transactions 2 s after it learned of the order, and refuses at once what no target is left for. Answers of statements that were sent before are still delivered. A process without a valid configuration can't learn of an order, so it stops probing and aborts its sessions' transactions.

The stubs of the writer's state and target get the methods that it now calls.

--- a/packages/core/src/sassafrasridge_core/model.py
+++ b/packages/core/src/sassafrasridge_core/model.py
@@ -53,6 +53,7 @@
 NO_TARGET = Refusal('no_target')
 RATE_LIMITED = Refusal('rate_limited')
 DRAINING = Refusal('draining')
+ZONE_DRAINED = Refusal('zone_drained')
 
 
 class TargetInfo:
--- a/packages/core/src/sassafrasridge_core/zonedrain.py
+++ b/packages/core/src/sassafrasridge_core/zonedrain.py
@@ -125,6 +125,9 @@
         }
         return True
 
+    def __bool__(self) -> bool:
+        return bool(self._abort_at)
+
     def zones(self) -> frozenset[str]:
         """Return the drained zones."""
         return frozenset(self._abort_at)
--- a/packages/node/src/sassafrasridge_node/backends.py
+++ b/packages/node/src/sassafrasridge_node/backends.py
@@ -36,6 +36,10 @@
 # and there is no older idle connection to compare with.
 CONNECTION_SILENT_AFTER_S = 1.5
 
+DRAINED_REASON = 'the availability zone is drained'
+# Limit for a target of a drained availability zone.
+DRAINED_LIMIT = slots.Limit(0, 0)
+
 # How long the leaving flag of a target stays valid after the target was last
 # heard from. A target may come back after it left.
 LEAVING_FLAG_TTL_S = 3.0
@@ -95,6 +99,8 @@
         self._had_grant = False
         self.announced_at = float('-inf')
         self.success_at = float('-inf')
+        # Whether the target must not be used, because its zone is drained.
+        self.drained = False
         self.role = info.role
         # The term for which the server accepts calls. While the server is
         # fenced, it is higher than the term of the server's log.
@@ -190,12 +196,34 @@
         limit = self.share.limit(now)
         if not limit.connections and self._had_grant:
             limit = EXPIRED_GRANT_LIMIT
+        if self.drained:
+            limit = DRAINED_LIMIT
         if limit != self.limit:
             self.limit = limit
             self.pool.limit = limit.connections
             self.pool.shrink()
             self._dispatch_waiting()
 
+    def set_drained(self, drained: bool) -> None:
+        """Stop using the target, or use it again.
+
+        Idle connections close and waiting requests are sent elsewhere at
+        once. Answers to requests that were sent are still delivered.
+        """
+        if drained == self.drained:
+            return
+        self.drained = drained
+        self.refresh_limits(clocks.boottime())
+        if not drained:
+            return
+        for ticket in self.queue.cancel(lambda _: True):
+            if not ticket.fut.done():
+                ticket.fut.set_exception(
+                    ReplacedError()
+                    if ticket.primary
+                    else UnreachableError(DRAINED_REASON)
+                )
+
     def demand(self) -> float:
         """Return the number of statements in flight or waiting."""
         return float(self.in_flight + len(self.queue))
@@ -298,6 +326,9 @@
             timer.cancel()
 
     def _start_silence_check(self, conn: connections.TargetConnection) -> None:
+        if self.drained:
+            # The check would open a connection.
+            return
         task = asyncio.ensure_future(self._check_silence(conn))
         self._silence_checks.add(task)
         task.add_done_callback(self._silence_checks.discard)
@@ -434,6 +465,7 @@
         'no_lease': 'this process has no valid lease',
         'no_target': 'no target can serve the request',
         'draining': 'this process is shutting down',
+        'zone_drained': 'all targets are in drained availability zones',
     }
     return errors.UnavailableError(
         messages.get(refusal.reason, refusal.reason),
--- a/packages/node/src/sassafrasridge_node/entry.py
+++ b/packages/node/src/sassafrasridge_node/entry.py
@@ -13,6 +13,7 @@
 from sassafrasridge_core import sessions
 from sassafrasridge_core import shares
 from sassafrasridge_core import state as core_state
+from sassafrasridge_core import zonedrain
 from sassafrasridge_node import backends
 from sassafrasridge_node import clocks
 from sassafrasridge_node import codec
@@ -23,6 +24,8 @@
 # An unused target of a group that is not served here is dropped if it has not
 # announced itself for this long.
 ANNOUNCEMENT_TTL_S = 3.0
+# Limit on the names that one log line lists.
+MAX_LOGGED_NAMES = 20
 
 
 class EntryState:
@@ -76,6 +79,7 @@
         self._members_by_group: dict[str, list[backends.Backend]] = {}
         self._near_zones: list[str] | None = None
         self.draining = False
+        self.drains = zonedrain.DrainTracker()
         self.renew_now: collections.abc.Callable[[], None] = lambda: None
         self._signer: sessions.TokenSigner | None = None
 
@@ -105,6 +109,41 @@
             return None
         return self.backends.get((group, view.primary))
 
+    def usable_primary(self, group: str) -> backends.Backend | None:
+        """Return the primary, or None if it must not be used."""
+        found = self.primary(group)
+        return None if found is None or found.drained else found
+
+    def available_targets(
+        self, group: str
+    ) -> collections.abc.Sequence[backends.Backend]:
+        """Return the targets of a group that accept new work."""
+        now = clocks.boottime()
+        return [
+            backend
+            for backend in self.members(group)
+            if not backend.drained and not backend.leaving(now)
+        ]
+
+    def out_of_service(self, group: str) -> bool:
+        """Return whether drained zones leave no target of a group."""
+        if not self.drains:
+            return False
+        now, found = clocks.boottime(), False
+        for backend in self.members(group):
+            if self.drains.drained(backend.info.zone):
+                found = True
+            elif not backend.leaving(now):
+                return False
+        return found
+
+    def may_probe(self) -> bool:
+        """Return whether targets may be probed.
+
+        Without control, reads of open routes may go on and need the answers.
+        """
+        return True
+
     def members(self, group: str) -> list[backends.Backend]:
         """Return the backends of all known targets of a group."""
         found = self._members_by_group.get(group)
@@ -218,6 +257,7 @@
             self._max_queue,
             self._max_wait_s,
         )
+        backend.set_drained(not self.drains.usable(info.zone))
         return backend
 
     def sample_primary(self, group: str, server: str, sent_at: float) -> None:
@@ -250,6 +290,7 @@
         if backend.info.zone != info.zone:
             self._near_zones = None
         backend.apply_announcement(info)
+        backend.set_drained(not self.drains.usable(info.zone))
 
     def apply_config(self, reply: typing.Any) -> bool:
         """Apply the configuration in a renewal reply.
@@ -270,8 +311,30 @@
             self._signer = None
             self._charging_entries.clear()
             self.metrics.revision.set(self.config.revision)
+            self._apply_drained_zones()
         return self.config.revision >= reply.revision
 
+    def _apply_drained_zones(self) -> None:
+        """Stop using targets of zones that are drained now."""
+        now, zones = clocks.boottime(), self.config.drained_zones()
+        if not self.drains.update(now, zones, self.lease.age(now)):
+            return
+        for backend in self.backends.values():
+            backend.set_drained(not self.drains.usable(backend.info.zone))
+        self.metrics.drained_zones.set(len(zones))
+        ended = [g for g in sorted(self.groups) if self.out_of_service(g)]
+        logs.log_event(
+            'drained_zones_changed',
+            revision=self.config.revision,
+            count=len(zones),
+            zones=sorted(zones)[:MAX_LOGGED_NAMES],
+            groups_without_targets=ended[:MAX_LOGGED_NAMES],
+        )
+        self._on_drained_zones_change()
+
+    def _on_drained_zones_change(self) -> None:
+        """React to a change of the drained zones; for subclasses."""
+
     def apply_groups(self, reply: typing.Any) -> None:
         """Apply group views; a view of an older term is ignored."""
         for record in reply.groups or []:
--- a/packages/node/src/sassafrasridge_node/metrics.py
+++ b/packages/node/src/sassafrasridge_node/metrics.py
@@ -42,6 +42,7 @@
         'unavailable',
         'unknown_service',
         'unknown_transaction',
+        'zone_drained',
     )
 )
 REQUEST_KINDS = ('statements', 'begin', 'in', 'commit', 'rollback')
@@ -149,6 +150,13 @@
         self.silent_batches = self.counter(
             'silent_batches', 'Times that connections went silent together'
         )
+        self.drained_zones = self.gauge(
+            'drained_zones', 'Availability zones that are out of service'
+        )
+        self.drained_transactions = self.counter(
+            'drained_transactions',
+            'Transactions aborted because the zone of their target is drained',
+        )
         self.is_leader = self.gauge(
             'control_leader', 'Whether this member is the control leader'
         )
--- a/packages/node/src/sassafrasridge_node/reads.py
+++ b/packages/node/src/sassafrasridge_node/reads.py
@@ -107,6 +107,8 @@
                 # entry process may be able to serve the read.
                 if not self._state.lease_valid():
                     raise
+                if self._state.out_of_service(adm.group):
+                    raise backends.refusal_error(model.ZONE_DRAINED)
                 if clocks.boottime() >= req.deadline:
                     raise
             tried.clear()
@@ -204,7 +206,7 @@
     def _require_primary(self, group: str) -> backends.Backend:
         if not self._state.lease_valid():
             raise admission.no_lease_error()
-        backend = self._state.primary(group)
+        backend = self._state.usable_primary(group)
         if backend is None:
             raise backends.refusal_error(model.NO_TARGET)
         return backend
@@ -216,7 +218,7 @@
         need: routing.ReadRequirements,
         backend: backends.Backend,
     ) -> routing.Candidate | None:
-        if backend.leaving(now):
+        if backend.drained or backend.leaving(now):
             return None
         if not self._may_be_fresh_enough(now, group, need, backend):
             return None
--- a/packages/node/src/sassafrasridge_node/renewal.py
+++ b/packages/node/src/sassafrasridge_node/renewal.py
@@ -94,7 +94,9 @@
             if group not in self._state.groups:
                 continue
             primary = self._state.primary(group)
-            if primary is None or primary.silent(now):
+            if primary is None or (
+                primary.silent(now) and not primary.drained
+            ):
                 return min(FAST_RENEW_INTERVAL_S, self._regular_interval_s())
         return self._regular_interval_s()
 
@@ -239,13 +241,16 @@
             now = clocks.boottime()
             for backend in self._state.backends.values():
                 backend.refresh_limits(now)
-            for (group, server), backend in self._state.served_backends():
-                self._start_probe(group, server, backend)
+            if self._state.may_probe():
+                for (group, server), backend in self._state.served_backends():
+                    self._start_probe(group, server, backend)
             await asyncio.sleep(PROBE_INTERVAL_S)
 
     def _start_probe(
         self, group: str, server: str, backend: typing.Any
     ) -> None:
+        if backend.drained:
+            return
         now = clocks.boottime()
         recent = now - backend.success_at < PROBE_INTERVAL_S
         if recent and not backend.status_due:
--- a/packages/node/src/sassafrasridge_node/sessionbase.py
+++ b/packages/node/src/sassafrasridge_node/sessionbase.py
@@ -87,6 +87,7 @@
         'term',
         'abort_reason',
         'has_writes',
+        'committing',
         'used_at',
     )
 
@@ -100,6 +101,7 @@
         self.term = 0
         self.abort_reason = ''
         self.has_writes = False
+        self.committing = False
         self.used_at = clocks.boottime()
 
 
@@ -292,12 +294,20 @@
         access: sessionrouting.Access,
         term: int,
     ) -> bool:
-        """Return whether a target is still the usable primary of a term."""
+        """Return whether a target is still the acting primary of a term."""
         same_term = self._view_term(access) == term
         return (
-            same_term and self._state.usable_primary(access.group) is backend
+            same_term and self._state.acting_primary(access.group) is backend
         )
 
+    def _require_target(self, access: sessionrouting.Access) -> None:
+        """Raise SessionError if drained zones leave no target."""
+        if self._state.out_of_service(access.group):
+            raise SessionError(
+                StatementFailure.BUSY,
+                'all targets are in drained availability zones',
+            )
+
     def _runs_here(self, group: str) -> bool:
         """Return whether this process runs statements for a group."""
         return self._state.serves(group)
--- a/packages/node/src/sassafrasridge_node/sessionfront.py
+++ b/packages/node/src/sassafrasridge_node/sessionfront.py
@@ -14,6 +14,7 @@
 from sassafrasridge_node import clocks
 from sassafrasridge_node import metrics
 from sassafrasridge_node import sessionbase
+from sassafrasridge_node import sessiondrain
 from sassafrasridge_node import sessionreads
 from sassafrasridge_node import sessionrelay
 from sassafrasridge_node import sessionrouting
@@ -100,6 +101,7 @@
             now = clocks.boottime()
             for session in list(self.sessions):
                 session.expire(now)
+            sessiondrain.abort_transactions(self.state, self.sessions, now)
 
     def has_open_transactions(self) -> bool:
         """Return whether any transaction is open."""
@@ -233,6 +235,7 @@
                 StatementFailure.MALFORMED, 'a transaction is already open'
             )
         access = self.authorize()
+        self._require_target(access)
         await self._charge(access, started)
         self.begin(access, stmt.kind is StatementKind.BEGIN_READ)
         return Result()
@@ -255,6 +258,7 @@
     ) -> Result:
         prepared = self._find_prepared(stmt)
         access = self.authorize()
+        self._require_target(access)
         await self._charge(access, started)
         op = sessionbase.Operation(stmt, prepared, access, started)
         if not self._runs_here(access.group):
--- a/packages/node/src/sassafrasridge_node/sessionpool.py
+++ b/packages/node/src/sassafrasridge_node/sessionpool.py
@@ -500,6 +500,8 @@
         self._admitted -= 1
 
     async def _open(self, account: str, deadline: float) -> SessionConnection:
+        if self.drained:
+            raise backends.UnreachableError(backends.DRAINED_REASON)
         remaining_s = deadline - clocks.boottime()
         if (
             remaining_s < ROUND_TRIPS_TO_OPEN * self.rtt_s
--- a/packages/node/src/sassafrasridge_node/sessionprimary.py
+++ b/packages/node/src/sassafrasridge_node/sessionprimary.py
@@ -68,6 +68,7 @@
             backend = self._state.usable_primary(op.access.group)
             if backend is not None:
                 return backend
+            self._require_target(op.access)
             remaining_s = self._primary_wait_s(op)
             if remaining_s <= 0 or not self._state.lease_valid():
                 raise sessionbase.SessionError(
--- a/packages/node/src/sassafrasridge_node/sessionstate.py
+++ b/packages/node/src/sassafrasridge_node/sessionstate.py
@@ -121,14 +121,47 @@
         else:
             self.primary_changes.end(clocks.boottime(), view.group)
 
-    def usable_primary(self, group: str) -> sessionpool.SessionBackend | None:
-        """Return the primary, or None if this process may not use it."""
+    def _on_drained_zones_change(self) -> None:
+        """Expect a change of each primary that is in a drained zone."""
+        now = clocks.boottime()
+        for group, view in self.groups.items():
+            if view.changing:
+                continue
+            found = self.primary(group)
+            if (
+                found is not None
+                and found.drained
+                and not self.out_of_service(group)
+            ):
+                self.primary_changes.begin(now, group)
+            else:
+                self.primary_changes.end(now, group)
+
+    def may_probe(self) -> bool:
+        """Return whether targets may be probed.
+
+        Without a valid configuration, this process doesn't know which zones
+        are drained.
+        """
+        return self.config_valid()
+
+    def acting_primary(self, group: str) -> sessionpool.SessionBackend | None:
+        """Return the primary whose answers this process may deliver.
+
+        It may be in a drained zone: statements that were sent before the
+        order, and open transactions, still end there.
+        """
         if not self.lease_valid():
             return None
         found = self.primary(group)
         if not isinstance(found, sessionpool.SessionBackend):
             return None
-        return None if found.pool.limit == 0 else found
+        return found if found.pool.limit or found.drained else None
+
+    def usable_primary(self, group: str) -> sessionpool.SessionBackend | None:
+        """Return the primary, or None if this process may not use it."""
+        found = self.acting_primary(group)
+        return None if found is None or found.drained else found
 
     def available_targets(
         self, group: str
@@ -139,6 +172,7 @@
             backend
             for backend in self.members(group)
             if isinstance(backend, sessionpool.SessionBackend)
+            and not backend.drained
             and not backend.leaving(now)
         ]
 
--- a/packages/node/src/sassafrasridge_node/sessiontransactions.py
+++ b/packages/node/src/sassafrasridge_node/sessiontransactions.py
@@ -66,6 +66,7 @@
             )
         commands = self._build_commands(conn, op, None)
         writes = commits and tx.has_writes
+        tx.committing = commits
         answer = await self._send(
             backend, conn, commands, op.deadline, writes, keep=True
         )
--- a/packages/node/src/sassafrasridge_node/transactions.py
+++ b/packages/node/src/sassafrasridge_node/transactions.py
@@ -35,7 +35,16 @@
 class Transaction:
     """Hold an open transaction and its connection."""
 
-    __slots__ = ('id', 'adm', 'backend', 'conn', 'term', 'busy', 'used_at')
+    __slots__ = (
+        'id',
+        'adm',
+        'backend',
+        'conn',
+        'term',
+        'busy',
+        'committing',
+        'used_at',
+    )
 
     def __init__(
         self,
@@ -51,6 +60,7 @@
         self.conn = conn
         self.term = term
         self.busy = False
+        self.committing = False
         self.used_at = clocks.boottime()
 
 
@@ -74,10 +84,18 @@
         while True:
             now = clocks.boottime()
             for tx in list(self._open.values()):
-                if not tx.busy and not self._may_continue(tx, now):
+                if self._must_leave_zone(tx, now):
+                    self._state.metrics.drained_transactions.inc()
+                    self._roll_back(tx)
+                elif not tx.busy and not self._may_continue(tx, now):
                     self._roll_back(tx)
             await asyncio.sleep(SWEEP_INTERVAL_S)
 
+    def _must_leave_zone(self, tx: Transaction, now: float) -> bool:
+        """Return whether to abort a transaction, except during its commit."""
+        zone = tx.backend.info.zone
+        return not tx.committing and self._state.drains.abort_due(now, zone)
+
     def _may_continue(self, tx: Transaction, now: float) -> bool:
         if tx.conn.closed or now - tx.used_at > IDLE_TIMEOUT_S:
             return False
@@ -129,7 +147,9 @@
     async def _try_begin(
         self, req: front.DataRequest, adm: admission.Admission
     ) -> Transaction | None:
-        backend = self._state.primary(adm.group)
+        if self._state.out_of_service(adm.group):
+            raise backends.refusal_error(model.ZONE_DRAINED)
+        backend = self._state.usable_primary(adm.group)
         if backend is None or not self._state.lease_valid():
             return None
         term = self._state.groups[adm.group].term
@@ -205,6 +225,7 @@
             return await self.resolve_outcome(req, adm, attempt, tokens)
         with self._acquire(req) as tx:
             attempt.in_doubt = True
+            tx.committing = True
             answer = await self._call_target(req, tx, 'commit', attempt)
             self._end(tx, clean=answer is not None)
         if answer is not None:
--- a/packages/node/src/sassafrasridge_node/writes.py
+++ b/packages/node/src/sassafrasridge_node/writes.py
@@ -202,16 +202,21 @@
         then fails at once, so that another entry process can serve it.
         """
         while True:
-            backend = self._state.primary(group)
+            backend = self._state.usable_primary(group)
             if backend is not None and self._state.lease_valid():
                 return backend
-            fail_now = not self._state.config_valid() and not attempt.in_doubt
+            no_target = self._state.out_of_service(group)
+            fail_now = not attempt.in_doubt and (
+                no_target or not self._state.config_valid()
+            )
             if fail_now or clocks.boottime() >= deadline:
                 if attempt.in_doubt:
                     raise self._deadline_error(attempt)
                 if not self._state.lease_valid():
                     raise admission.no_lease_error()
-                raise backends.refusal_error(model.NO_TARGET)
+                raise backends.refusal_error(
+                    model.ZONE_DRAINED if no_target else model.NO_TARGET
+                )
             await self._wait_for_view_change(group, PRIMARY_POLL_S)
 
     async def _send_once(
--- a/tests/node/test_outcomes_fuzz.py
+++ b/tests/node/test_outcomes_fuzz.py
@@ -156,7 +156,10 @@
 
     def __init__(self, group, server, behaviours):
         self.group, self.server, self.behaviours = group, server, behaviours
-        self.info = types.SimpleNamespace(group='g', server=server.name)
+        self.info = types.SimpleNamespace(
+            group='g', server=server.name, zone='z'
+        )
+        self.drained = False
         self.log_term = self.applied = 0
         self.circuit = circuits.Circuit()
         self.in_flight = 0
--- a/tests/node/test_writes.py
+++ b/tests/node/test_writes.py
@@ -27,9 +27,12 @@
         self.view_changed = asyncio.Event()
         self._config_valid = config_valid
 
-    def primary(self, group):
+    def usable_primary(self, group):
         return None
 
+    def out_of_service(self, group):
+        return False
+
     def lease_valid(self):
         return False
 
