Import at the start of an entry process only what it serves with

After a loss of all power a process needed 0.45 s of processor time until it listened, most of it for modules that serve no session: CherryPy, prometheus_client, eliot, the parser of ridge.thrift and the modules of other roles. They now load on their first use, after the start, or only for the roles that need them.

--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -1,5 +1,6 @@
 #!/usr/bin/env bash
-# Installs the packages and dependencies of the deployed roles in target/deps.
+# Installs the packages and dependencies of the deployed roles in target/deps,
+# and compiles what a process would otherwise compile at each start.
 set -euo pipefail
 deps=target/deps
 if ! [ "$deps/.installed" -nt deploy/requirements.txt ]; then
@@ -12,4 +13,5 @@
     rm -rf "$deps/$(basename "$folder")"
     cp -r "$folder" "$deps/"
 done
+PYTHONPATH="$deps" python3 -m sassafrasridge_node.idl
 python3 -m compileall -q "$deps"/sassafrasridge_*
--- a/packages/node/src/sassafrasridge_node/extension.py
+++ b/packages/node/src/sassafrasridge_node/extension.py
@@ -3,11 +3,13 @@
 import abc
 import typing
 
-from sassafrasridge_node import control
-from sassafrasridge_node import grouporders
 from sassafrasridge_node import sessionfront
 from sassafrasridge_node import sessionpool
 
+if typing.TYPE_CHECKING:
+    from sassafrasridge_node import control
+    from sassafrasridge_node import grouporders
+
 
 class SessionServer(abc.ABC):
     """Accept client sessions on an address."""
@@ -43,7 +45,7 @@
     @abc.abstractmethod
     def failover_client(
         self, source: str, holder: str
-    ) -> grouporders.GroupOrders:
+    ) -> 'grouporders.GroupOrders':
         """Return the client through which primaries are changed.
 
         ``holder`` is the name of this process.
@@ -61,7 +63,7 @@
 
     @abc.abstractmethod
     def control_wsgi_apps(
-        self, member: control.ControlMember, run: typing.Any
+        self, member: 'control.ControlMember', run: typing.Any
     ) -> dict[str, typing.Any]:
         """Return the WSGI callables of a control member, by path.
 
--- a/packages/node/src/sassafrasridge_node/front.py
+++ b/packages/node/src/sassafrasridge_node/front.py
@@ -2,23 +2,24 @@
 
 import abc
 import asyncio
-import atexit
 from collections.abc import Callable
 from collections.abc import Mapping
+import re
 import threading
 import time
 import typing
 
-import cherrypy
-
+from sassafrasridge_core import errors
 from sassafrasridge_core import model
 from sassafrasridge_node import httpserver
 from sassafrasridge_node import metrics as metrics_
 
 Json = typing.Any
+WsgiApp = Callable[..., typing.Any]
 
 # Interval of the check for unfinished requests while the front stops.
 _IDLE_POLL_S = 0.01
+_REPEATED_SLASHES = re.compile('//+')
 
 
 class DataRequest:
@@ -227,13 +228,68 @@
         self.reuse_port = reuse_port
 
 
-class Front:
-    """Run the HTTP server under CherryPy.
+class LazyApp:
+    """Load a WSGI application when its first request arrives.
 
-    CherryPy's server and application tree are global to the process, so only
-    one Front can be started at a time.
+    If that fails, each request gets an error and the next one tries again.
     """
 
+    def __init__(
+        self, load: Callable[[], WsgiApp], metrics: metrics_.Metrics
+    ) -> None:
+        self._load = load
+        self._metrics = metrics
+        self._lock = threading.Lock()
+        self._app: WsgiApp | None = None
+
+    def __call__(
+        self, environ: dict[str, typing.Any], start_response: typing.Any
+    ) -> typing.Any:
+        try:
+            with self._lock:
+                if self._app is None:
+                    self._app = self._load()
+        except Exception:
+            self._metrics.record_exception(
+                'loading of ' + environ['PATH_INFO']
+            )
+            exc = errors.UnavailableError(
+                'this interface could not be loaded',
+                remedy='Look for a failure in the log and reinstall the '
+                'dependencies of the daemon.',
+            )
+            self._metrics.count_error(exc.kind)
+            return httpserver.error_response(exc)
+        return self._app(environ, start_response)
+
+
+class _Paths:
+    """Pass each request to the WSGI application of its path prefix."""
+
+    def __init__(self) -> None:
+        self.apps: dict[str, WsgiApp] = {}
+
+    def __call__(
+        self, environ: dict[str, typing.Any], start_response: typing.Any
+    ) -> typing.Any:
+        path = _REPEATED_SLASHES.sub('/', environ['PATH_INFO'])
+        prefix = path
+        while prefix and prefix not in self.apps:
+            prefix = prefix[: prefix.rfind('/')]
+        app = self.apps.get(prefix)
+        if app is None:
+            exc = errors.UnknownServiceError(
+                'no such path', kind='not_found', remedy='Check the path.'
+            )
+            return httpserver.error_response(exc)
+        environ['SCRIPT_NAME'] = prefix
+        environ['PATH_INFO'] = path[len(prefix) :]
+        return app(environ, start_response)
+
+
+class Front:
+    """Run the HTTP server in a thread of its own."""
+
     def __init__(
         self,
         cfg: FrontConfig,
@@ -242,8 +298,14 @@
     ) -> None:
         self.cfg = cfg
         self._stopped = threading.Event()
+        self._metrics = metrics
+        self._paths = _Paths()
+        self._thread = threading.Thread(
+            target=self._serve, name='http', daemon=True
+        )
         self.server = httpserver.Server(
             (cfg.host, cfg.port),
+            self._paths,
             loop,
             metrics,
             threads=cfg.threads,
@@ -281,38 +343,26 @@
 
     def start(
         self,
-        wsgi_apps: Mapping[str, Callable[..., typing.Any]],
-        root: object | None = None,
-        root_config: dict[str, typing.Any] | None = None,
+        wsgi_apps: Mapping[str, WsgiApp],
+        load_pages: Callable[[], WsgiApp] | None = None,
     ) -> None:
-        """Serve WSGI callables by path prefix and CherryPy handlers.
+        """Serve WSGI applications by path prefix.
 
-        ``grafts`` maps path prefixes to WSGI callables; ``root`` is mounted
-        at / with the CherryPy configuration ``root_config``.
+        ``load_pages`` returns the application for all other paths; it is
+        called when the first request for one arrives. Raises OSError if the
+        address cannot be bound.
         """
-        cherrypy.config.update(
-            {
-                'engine.autoreload.on': False,
-                'checker.on': False,
-                'log.screen': False,
-                'log.access_file': '',
-                'log.error_file': '',
-                # These tools log the headers of failed requests, which
-                # include operator tokens.
-                'tools.log_headers.on': False,
-                'tools.log_tracebacks.on': False,
-            }
-        )
-        for path, app in wsgi_apps.items():
-            cherrypy.tree.graft(app, path)
-        if root is not None:
-            cherrypy.tree.mount(root, '', root_config)
-        cherrypy.server.httpserver = self.server
-        # With an address CherryPy checks that the port is free, which fails
-        # if processes share the port with SO_REUSEPORT.
-        cherrypy.server.bind_addr = None
-        cherrypy.server.subscribe()
-        cherrypy.engine.start()
+        self._paths.apps.update(wsgi_apps)
+        if load_pages is not None:
+            self._paths.apps[''] = LazyApp(load_pages, self._metrics)
+        self.server.prepare()
+        self._thread.start()
+
+    def _serve(self) -> None:
+        try:
+            self.server.serve()
+        except Exception:
+            self._metrics.record_exception('http server')
 
     def drain(self) -> None:
         """Close every connection after its next response."""
@@ -333,12 +383,7 @@
         self.drain()
         self.server.close_listener()
         finished = self._wait_until_idle(time.monotonic() + grace_s)
-        cherrypy.engine.stop()
-        cherrypy.server.unsubscribe()
-        cherrypy.server.httpserver = None
-        cherrypy.tree.apps.clear()
-        # Otherwise CherryPy's bus warns at exit that block() was not called.
-        atexit.unregister(cherrypy.engine._clean_exit)
+        self.server.stop()
         return finished
 
     def _wait_until_idle(self, deadline: float) -> bool:
--- a/packages/node/src/sassafrasridge_node/httpserver.py
+++ b/packages/node/src/sassafrasridge_node/httpserver.py
@@ -29,7 +29,6 @@
 from cheroot import connections
 from cheroot import server
 from cheroot import wsgi
-import cherrypy
 import orjson
 
 from sassafrasridge_core import errors
@@ -838,7 +837,7 @@
 
 
 class Server(wsgi.Server):
-    """Serve HTTP; CherryPy manages the life cycle.
+    """Serve HTTP for a WSGI application.
 
     Times are in seconds, ``max_header`` and ``max_body`` in bytes.
     """
@@ -848,6 +847,7 @@
     def __init__(
         self,
         bind_addr: tuple[str, int],
+        wsgi_app: Callable[..., typing.Any],
         loop: asyncio.AbstractEventLoop,
         metrics: metrics_.Metrics,
         *,
@@ -865,7 +865,7 @@
     ) -> None:
         super().__init__(
             bind_addr,
-            cherrypy.tree,
+            wsgi_app,
             numthreads=threads,
             max=threads,
             server_name='sassafrasridge',
--- a/packages/node/src/sassafrasridge_node/logs.py
+++ b/packages/node/src/sassafrasridge_node/logs.py
@@ -6,8 +6,7 @@
 import time
 import traceback
 import typing
-
-import eliot
+import uuid
 
 MESSAGE_TYPE_PREFIX = 'sassafrasridge:'
 FAILURE_MESSAGE_TYPE = MESSAGE_TYPE_PREFIX + 'failure'
@@ -70,11 +69,80 @@
             self._file.flush()
 
 
+class _Delayed:
+    """Keep messages from the start of the process until eliot is loaded.
+
+    The import of eliot takes a tenth of the processor time of a start, so
+    ``run`` of main lets it follow the start.
+    """
+
+    def __init__(self) -> None:
+        self._lock = threading.Lock()
+        self._waiting: list[dict[str, typing.Any]] | None = None
+        self._sinks: list[typing.Callable[[], None]] = []
+
+    def begin(self) -> None:
+        """Keep messages from now on."""
+        self._waiting = []
+
+    def add_sink(self, attach: typing.Callable[[], None]) -> None:
+        """Call ``attach`` once eliot is loaded, or now."""
+        if self._waiting is None:
+            attach()
+        else:
+            self._sinks.append(attach)
+
+    def keep(self, message: dict[str, typing.Any]) -> bool:
+        """Keep a message; return False if messages are not delayed now."""
+        if self._waiting is None:
+            return False
+        with self._lock:
+            if self._waiting is None:
+                return False
+            message['timestamp'] = time.time()
+            self._waiting.append(message)
+            return True
+
+    def end(self) -> None:
+        """Load eliot and write the kept messages in their order."""
+        if self._waiting is None:
+            return
+        import eliot
+
+        with self._lock:
+            for attach in self._sinks:
+                attach()
+            self._sinks.clear()
+            for message in self._waiting:
+                eliot.Logger().write(
+                    {
+                        **message,
+                        'task_uuid': str(uuid.uuid4()),
+                        'task_level': [1],
+                    }
+                )
+            self._waiting = None
+
+
+_delayed = _Delayed()
+
+
+def delay() -> None:
+    """Keep messages until ``load`` is called."""
+    _delayed.begin()
+
+
+def load() -> None:
+    """Load eliot and write the kept messages."""
+    _delayed.end()
+
+
 _background_writers: list[_BackgroundWriter] = []
 
 
 def drain(timeout_s: float = 0.5) -> None:
     """Wait until queued lines are written; call before the process exits."""
+    load()
     for file in _background_writers:
         file.drain(timeout_s)
 
@@ -101,10 +169,17 @@
             # Line buffered, so that a crash loses no complete line.
             output = open(path, 'a', buffering=1, encoding='utf-8')
             self._file = output
-        self._write = eliot.FileDestination(file=output)
+        self._output = output
+        self._fields = fields
+        _delayed.add_sink(self._attach)
+
+    def _attach(self) -> None:
+        import eliot
+
+        self._write = eliot.FileDestination(file=self._output)
         eliot.add_destinations(self._destination)
-        if fields:
-            eliot.add_global_fields(**fields)
+        if self._fields:
+            eliot.add_global_fields(**self._fields)
 
     def _destination(self, message: dict[str, typing.Any]) -> None:
         if (
@@ -115,6 +190,8 @@
 
     def close(self) -> None:
         """Stop logging and close the file."""
+        import eliot
+
         eliot.remove_destination(self._destination)
         if self._file is not None:
             self._file.close()
@@ -122,7 +199,14 @@
 
 def log_event(event: str, **fields: typing.Any) -> None:
     """Log a state change."""
-    eliot.log_message(message_type=MESSAGE_TYPE_PREFIX + event, **fields)
+    _log(message_type=MESSAGE_TYPE_PREFIX + event, **fields)
+
+
+def _log(**message: typing.Any) -> None:
+    if not _delayed.keep(message):
+        import eliot
+
+        eliot.log_message(**message)
 
 
 def record_exception(where: str) -> None:
@@ -133,7 +217,7 @@
     """
     kind, _, trace = sys.exc_info()
     frames = traceback.extract_tb(trace)[-MAX_TRACEBACK_FRAMES:]
-    eliot.log_message(
+    _log(
         message_type=FAILURE_MESSAGE_TYPE,
         where=where,
         exception=kind.__name__ if kind else None,
--- a/packages/node/src/sassafrasridge_node/main.py
+++ b/packages/node/src/sassafrasridge_node/main.py
@@ -1,8 +1,15 @@
-"""Entry point of the daemon, which creates and connects its components."""
+"""Entry point of the daemon, which creates and connects its components.
+
+Modules that only one role needs are imported where that role is created: an
+entry process has to serve soon after a loss of power, on a part of a core.
+"""
+
+from __future__ import annotations
 
 import argparse
 import asyncio
-import importlib.metadata
+import concurrent.futures
+import gc
 import os
 import random
 import secrets
@@ -15,26 +22,15 @@
 
 from sassafrasridge_core import errors
 from sassafrasridge_core import leases
-from sassafrasridge_core import raft
 from sassafrasridge_core import state as core_state
 from sassafrasridge_node import charging
-from sassafrasridge_node import cleanup
 from sassafrasridge_node import clocks
-from sassafrasridge_node import commands
 from sassafrasridge_node import connections
-from sassafrasridge_node import control
-from sassafrasridge_node import dataapi
 from sassafrasridge_node import entry
 from sassafrasridge_node import extension
-from sassafrasridge_node import failover
 from sassafrasridge_node import front
-from sassafrasridge_node import gateway
-from sassafrasridge_node import grouporders
-from sassafrasridge_node import joining
-from sassafrasridge_node import leadership
 from sassafrasridge_node import logs
 from sassafrasridge_node import metrics
-from sassafrasridge_node import operatorapi
 from sassafrasridge_node import operators
 from sassafrasridge_node import relayedsessions
 from sassafrasridge_node import renewal
@@ -43,12 +39,23 @@
 from sassafrasridge_node import sessionrelay
 from sassafrasridge_node import sessionstate
 from sassafrasridge_node import settings
-from sassafrasridge_node import storage
+from sassafrasridge_node import startup
+
+if typing.TYPE_CHECKING:
+    from sassafrasridge_core import raft
+    from sassafrasridge_node import control
+    from sassafrasridge_node import gateway
+    from sassafrasridge_node import leadership
+    from sassafrasridge_node import storage
 
+ANNOUNCE_PATH = '/v1/announce'
 ANY_ADDRESS = '0.0.0.0'  # noqa: S104
 # Time for the load balancer to notice that the process is not ready, before
 # its listener closes.
 READINESS_PROPAGATION_S = 1.0
+# Limit on how long an entry process keeps its log lines while it waits for
+# its first lease. Control has a leader again 0.8 s after a loss of power.
+LOG_DELAY_S = 1.0
 # Interval of the checks for open transactions and sessions during a drain.
 DRAIN_POLL_S = 0.02
 # Fraction of the drain time-out after which open transactions are rolled back.
@@ -63,6 +70,8 @@
 
 def raft_config(heartbeat_s: float) -> raft.RaftConfig:
     """Return the Raft time-outs for a heartbeat interval in seconds."""
+    from sassafrasridge_core import raft
+
     return raft.RaftConfig(
         heartbeat_s=heartbeat_s,
         election_min_s=heartbeat_s * ELECTION_MIN_HEARTBEATS,
@@ -112,7 +121,7 @@
         self._relayed_sessions: relayedsessions.RelayedSessions | None = None
         self._admitter: charging.SharedAdmitter | None = None
         self.metrics = metrics.Metrics()
-        self.metrics.registry.register(rpc.MALFORMED_FRAMES)
+        self.metrics.register(rpc.MALFORMED_FRAMES)
         self.loop = asyncio.new_event_loop()
         self.stop_requested = threading.Event()
         self._rng = random.Random()  # noqa: S311
@@ -153,6 +162,8 @@
                 max_queue=self.cfg.entry.max_queue,
                 max_wait_s=self.cfg.entry.max_wait,
             )
+            from sassafrasridge_node import gateway
+
             self.gateway = gateway.Gateway(self.state, entry_pool, self._rng)
         await self._serve_rpc(secret)
         if self.member is not None:
@@ -213,6 +224,10 @@
         await self.rpc.start(host, port)
 
     def _start_control_member(self, pool: rpc.ClientPool) -> None:
+        from sassafrasridge_node import commands
+        from sassafrasridge_node import control
+        from sassafrasridge_node import joining
+
         cfg = self.cfg.control
         if cfg is None:
             return
@@ -258,6 +273,9 @@
 
         Raises StorageError.
         """
+        from sassafrasridge_core import raft
+        from sassafrasridge_node import storage
+
         files = storage.Storage(
             self.cfg.node.data_folder, lambda: secrets.token_hex(8)
         )
@@ -297,6 +315,8 @@
 
         Empty if this process does not bootstrap one.
         """
+        from sassafrasridge_core import raft
+
         if not cfg.bootstrap:
             return {}
         members: dict[str, typing.Any] = dict.fromkeys(cfg.members)
@@ -308,6 +328,9 @@
     def _failover_factory(
         self, platform: extension.Platform
     ) -> control.ReconcilerFactory:
+        from sassafrasridge_node import failover
+        from sassafrasridge_node import grouporders
+
         orders = platform.failover_client(
             self.source_address(), self.cfg.node.name
         )
@@ -350,6 +373,8 @@
         self._start_task(renewal.TargetProber(self.state).run())
         if self.gateway is None:
             return
+        from sassafrasridge_node import cleanup
+
         self._start_task(self.gateway.transactions.run())
         self._start_task(
             cleanup.RequestRecordCleaner(self.state, self.gateway.writer).run()
@@ -460,6 +485,7 @@
         path: str = '',
     ) -> None:
         self.cfg = cfg
+        self._imported = startup.Point()
         self._settings_path = path
         self.daemon = Daemon(cfg, platform)
         self._thread = threading.Thread(
@@ -500,9 +526,22 @@
         self._run_on_loop(self.daemon.start())
         self._start_front()
         self._report_ready()
+        # Objects of the start live on, so collections need not visit them.
+        gc.freeze()
+        gc.enable()
+        self._await_first_lease()
+        logs.load()
         self.daemon.stop_requested.wait()
         return self._stop()
 
+    def _await_first_lease(self) -> None:
+        """Wait until an entry process serves, for a limited time."""
+        if self.daemon.state is None:
+            return
+        configured = self.daemon.state.configured
+        fut = self._submit(asyncio.wait_for(configured.wait(), LOG_DELAY_S))
+        concurrent.futures.wait([fut])
+
     def _start_front(self) -> None:
         daemon = self.daemon
         port = operators.Operators(
@@ -513,20 +552,9 @@
             daemon.drain,
             self.cfg.node.name,
         )
-        digest = self.cfg.targets.announce_token_digest
-        api = operatorapi.OperatorApi(
-            port,
-            daemon.loop,
-            daemon.metrics,
-            self.cfg.operators,
-            lambda: self._front.draining,
-        )
         wsgi_apps: dict[str, typing.Any] = {
-            operatorapi.ANNOUNCE_PATH: operatorapi.AnnounceApi(
-                port,
-                daemon.loop,
-                daemon.metrics,
-                {'target': digest} if digest else None,
+            ANNOUNCE_PATH: front.LazyApp(
+                lambda: self._announcements(port), daemon.metrics
             )
         }
         platform = daemon.platform
@@ -537,16 +565,43 @@
                 daemon.member, self._submit
             )
         if daemon.gateway is not None:
+            from sassafrasridge_node import dataapi
+
             data = dataapi.DataApi(daemon.gateway, daemon.metrics)
             wsgi_apps['/v1/services'] = data.services
             wsgi_apps['/v1/routes'] = data.routes
-        self._front.start(wsgi_apps, api.root(), api.config())
+        self._front.start(wsgi_apps, lambda: self._operator_pages(port))
+
+    def _announcements(self, port: operators.Operators) -> front.WsgiApp:
+        """Return the application that takes the announcements of targets."""
+        from sassafrasridge_node import operatorapi
+
+        digest = self.cfg.targets.announce_token_digest
+        return operatorapi.AnnounceApi(
+            port,
+            self.daemon.loop,
+            self.daemon.metrics,
+            {'target': digest} if digest else None,
+        )
+
+    def _operator_pages(self, port: operators.Operators) -> front.WsgiApp:
+        """Return the application that serves operators and metrics."""
+        from sassafrasridge_node import operatorapi
+
+        api = operatorapi.OperatorApi(
+            port,
+            self.daemon.loop,
+            self.daemon.metrics,
+            self.cfg.operators,
+            lambda: self._front.draining,
+        )
+        return typing.cast(front.WsgiApp, api.app())
 
     def _report_ready(self) -> None:
         line = {'http': self._front.address, 'rpc': self.daemon.rpc.address}
         sys.stdout.write(orjson.dumps(line).decode() + '\n')
         sys.stdout.flush()
-        logs.log_event('started', **line)
+        logs.log_event('started', **line, **startup.phases(self._imported))
 
     def _on_reload_signal(self, number: int, frame: object) -> None:
         self.daemon.loop.call_soon_threadsafe(self._reload)
@@ -575,6 +630,19 @@
         return 0 if finished else 1
 
 
+class _ShowVersion(argparse.Action):
+    """Print the version of the package and exit."""
+
+    def __call__(
+        self, parser: argparse.ArgumentParser, *_args: object
+    ) -> typing.NoReturn:
+        import importlib.metadata
+
+        sys.stdout.write(importlib.metadata.version('sassafrasridge-node'))
+        sys.stdout.write('\n')
+        parser.exit()
+
+
 def main(argv: list[str] | None = None) -> None:
     """Parse the command line and run the daemon."""
     parser = argparse.ArgumentParser(
@@ -586,11 +654,7 @@
     parser.add_argument(
         '--check', action='store_true', help='check the settings and exit'
     )
-    parser.add_argument(
-        '--version',
-        action='version',
-        version=importlib.metadata.version('sassafrasridge-node'),
-    )
+    parser.add_argument('--version', action=_ShowVersion, nargs=0)
     args = parser.parse_args(argv)
     run(args.settings, check_only=args.check)
 
@@ -609,6 +673,7 @@
         cfg = settings.load(path)
         if check_only:
             return
+        logs.delay()
         logs.LogSink(
             cfg.log.file or None,
             cfg.log.level,
@@ -617,8 +682,12 @@
         )
         code = Process(cfg, platform, path).run()
     except errors.RidgeError as exc:
+        logs.drain()
         sys.stderr.write(exc.render() + '\n')
         sys.exit(exc.exit_code)
+    except Exception:
+        logs.drain()
+        raise
     logs.drain()
     sys.stdout.flush()
     os._exit(code)
--- a/packages/node/src/sassafrasridge_node/metrics.py
+++ b/packages/node/src/sassafrasridge_node/metrics.py
@@ -5,12 +5,12 @@
 """
 
 from collections.abc import Callable
-
-import prometheus_client
-from prometheus_client import registry
+import functools
+import typing
 
 from sassafrasridge_core import statements
 from sassafrasridge_node import logs
+from sassafrasridge_node import meters
 
 # Error kinds used as label values; all others are counted as 'other'.
 ERROR_KINDS = frozenset(
@@ -64,10 +64,10 @@
 
 
 class Metrics:
-    """Hold all metrics of a daemon in a separate registry."""
+    """Hold all metrics of a daemon."""
 
     def __init__(self) -> None:
-        self.registry = registry.CollectorRegistry()
+        self._collector = meters.MeterCollector()
         self._errors = self.counter(
             'errors', 'Requests answered with an error, by kind', ('kind',)
         )
@@ -75,12 +75,9 @@
             kind: self._errors.labels(kind)
             for kind in sorted(ERROR_KINDS | {'other'})
         }
-        seconds = prometheus_client.Histogram(
-            'sassafrasridge_request_seconds',
+        seconds = self._histogram(
+            'request_seconds',
             'Time from the complete request to its result, by kind',
-            ('kind',),
-            buckets=TIME_BUCKETS,
-            registry=self.registry,
         )
         self.request_seconds = {k: seconds.labels(k) for k in REQUEST_KINDS}
         self.undelivered = self.counter(
@@ -135,12 +132,9 @@
             for failure in (None, *statements.StatementFailure)
         }
         self.sessions = self.gauge('sessions', 'Open sessions')
-        session_seconds = prometheus_client.Histogram(
-            'sassafrasridge_session_statement_seconds',
+        session_seconds = self._histogram(
+            'session_statement_seconds',
             'Time from a complete statement to its result, by kind',
-            ('kind',),
-            buckets=TIME_BUCKETS,
-            registry=self.registry,
         )
         self.session_seconds = {
             kind: session_seconds.labels(kind.value)
@@ -158,19 +152,31 @@
 
     def counter(
         self, name: str, text: str, labels: tuple[str, ...] = ()
-    ) -> prometheus_client.Counter:
+    ) -> meters.Counter:
         """Add a counter; label values must come from a fixed set."""
-        return prometheus_client.Counter(
-            f'sassafrasridge_{name}', text, labels, registry=self.registry
-        )
+        counter = meters.Counter(f'sassafrasridge_{name}', text, labels)
+        self._collector.add(counter)
+        return counter
 
     def gauge(
         self, name: str, text: str, labels: tuple[str, ...] = ()
-    ) -> prometheus_client.Gauge:
+    ) -> meters.Gauge:
         """Add a gauge; label values must come from a fixed set."""
-        return prometheus_client.Gauge(
-            f'sassafrasridge_{name}', text, labels, registry=self.registry
+        gauge = meters.Gauge(f'sassafrasridge_{name}', text, labels)
+        self._collector.add(gauge)
+        return gauge
+
+    def _histogram(self, name: str, text: str) -> meters.Histogram:
+        """Add a histogram of times by kind."""
+        histogram = meters.Histogram(
+            f'sassafrasridge_{name}', text, ('kind',), bounds=TIME_BUCKETS
         )
+        self._collector.add(histogram)
+        return histogram
+
+    def register(self, meter: meters.Meter) -> None:
+        """Add a metric of another module."""
+        self._collector.add(meter)
 
     def add_callback_gauge(
         self, name: str, text: str, read: Callable[[], float]
@@ -196,4 +202,15 @@
 
     def render(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
+        import prometheus_client
+
         return prometheus_client.generate_latest(self.registry)
+
+    @functools.cached_property
+    def registry(self) -> typing.Any:
+        """Return a registry of prometheus_client with all metrics."""
+        from prometheus_client import registry
+
+        found = registry.CollectorRegistry()
+        found.register(self._collector)
+        return found
--- a/packages/node/src/sassafrasridge_node/operatorapi.py
+++ b/packages/node/src/sassafrasridge_node/operatorapi.py
@@ -40,6 +40,17 @@
 BUSY_RETRY_S = 1.0
 MAX_FIELD_CHARS = 200
 
+_CHERRYPY_CONFIG = {
+    'engine.autoreload.on': False,
+    'checker.on': False,
+    'log.screen': False,
+    'log.access_file': '',
+    'log.error_file': '',
+    # These tools log the headers of failed requests, which include operator
+    # tokens.
+    'tools.log_headers.on': False,
+    'tools.log_tracebacks.on': False,
+}
 _AUDIT_FILTERS = frozenset(('who', 'kind', 'since', 'after'))
 _JSON = 'application/json'
 
@@ -180,12 +191,14 @@
             MAX_CONCURRENT_COMMANDS
         )
 
-    def root(self) -> object:
-        """Return the object to mount at the root of CherryPy's tree."""
-        return _Root(self)
+    def app(self) -> typing.Any:
+        """Return the WSGI application."""
+        cherrypy.config.update(_CHERRYPY_CONFIG)
+        app = cherrypy.Application(_Root(self))
+        app.merge(self._config())
+        return app
 
-    def config(self) -> dict[str, typing.Any]:
-        """Return the CherryPy configuration of the root."""
+    def _config(self) -> dict[str, typing.Any]:
         return {
             '/': {
                 # The handlers parse JSON bodies, which the server has already
--- a/packages/node/src/sassafrasridge_node/operators.py
+++ b/packages/node/src/sassafrasridge_node/operators.py
@@ -9,11 +9,13 @@
 from sassafrasridge_core import errors
 from sassafrasridge_core import model
 from sassafrasridge_node import clocks
-from sassafrasridge_node import control
 from sassafrasridge_node import entry
 from sassafrasridge_node import front
 from sassafrasridge_node import rpc
 
+if typing.TYPE_CHECKING:
+    from sassafrasridge_node import control
+
 COMMAND_TIMEOUT_S = 4.0
 MEMBERSHIP_TIMEOUT_S = 14.0
 # Limit on how long a planned stop waits for its record in the audit trail.
@@ -29,7 +31,7 @@
         pool: rpc.ClientPool,
         members: list[str],
         state: entry.EntryState | None,
-        member: control.ControlMember | None,
+        member: 'control.ControlMember | None',
         drain: collections.abc.Callable[[], None],
         name: str = '',
     ) -> None:
@@ -99,6 +101,8 @@
                 )
             except rpc.RpcError as exc:
                 if exc.sent:
+                    from sassafrasridge_node import control
+
                     raise control.unknown_outcome_error()
                 continue
             if reply.status != 503:
--- a/packages/node/src/sassafrasridge_node/rpc.py
+++ b/packages/node/src/sassafrasridge_node/rpc.py
@@ -12,20 +12,18 @@
 import collections.abc
 import hashlib
 import hmac
-import importlib.resources
 import itertools
 import struct
-import types
 import typing
 import zlib
 
-import prometheus_client
-import thriftpy2
 from thriftpy2 import thrift
 from thriftpy2.protocol import cybin
 from thriftpy2.transport import TCyMemoryBuffer
 
 from sassafrasridge_core import errors
+from sassafrasridge_node import idl as ridge_idl
+from sassafrasridge_node import meters
 from sassafrasridge_node import thriftcheck
 
 MAX_FRAME_BYTES = 4 * 1024 * 1024
@@ -43,19 +41,13 @@
 _PLAIN_MARK = b'p'
 _COMPRESSED_MARK = b'z'
 
-MALFORMED_FRAMES = prometheus_client.Counter(
+MALFORMED_FRAMES = meters.Counter(
     'sassafrasridge_rpc_malformed_frames_total',
     'Frames of other daemons that could not be decoded',
 )
 
 
-def _load_idl() -> types.ModuleType:
-    folder = importlib.resources.files('sassafrasridge_node')
-    with importlib.resources.as_file(folder / 'ridge.thrift') as path:
-        return thriftpy2.load(str(path), module_name='ridge_thrift')
-
-
-idl: typing.Any = _load_idl()
+idl: typing.Any = ridge_idl.load()
 
 
 class RpcError(errors.RidgeError):
--- /dev/null
+++ b/packages/node/src/sassafrasridge_node/startup.py
@@ -0,0 +1,50 @@
+"""Measurement of the start of a process."""
+
+import os
+import pathlib
+import resource
+import time
+
+from sassafrasridge_node import clocks
+
+# Field of /proc/PID/stat, counted after the name of the command, that holds
+# the time from boot to the start of the process in clock ticks.
+_START_FIELD = 19
+
+
+class Point:
+    """Hold the time since boot and the processor time used so far, in s."""
+
+    __slots__ = ('at', 'processor')
+
+    def __init__(self) -> None:
+        self.at = clocks.boottime()
+        self.processor = time.process_time()
+
+
+def phases(imported: Point) -> dict[str, float]:
+    """Return the phases of the start, which ends now, in milliseconds.
+
+    ``imported`` is when the modules had been imported. ``processor_ms`` is
+    the processor time of all threads, ``memory_kb`` the resident memory.
+    """
+    now = Point()
+    return {
+        'interpreter_ms': _ms(clocks.PROCESS_STARTED_AT - _started_at()),
+        'imports_ms': _ms(imported.at - clocks.PROCESS_STARTED_AT),
+        'listening_ms': _ms(now.at - imported.at),
+        'imports_processor_ms': _ms(imported.processor),
+        'processor_ms': _ms(now.processor),
+        'memory_kb': resource.getrusage(resource.RUSAGE_SELF).ru_maxrss,
+    }
+
+
+def _ms(seconds: float) -> float:
+    return round(1000 * seconds, 1)
+
+
+def _started_at() -> float:
+    """Return when the kernel created this process, in seconds since boot."""
+    stat = pathlib.Path('/proc/self/stat').read_text(encoding='ascii')
+    fields = stat.rpartition(')')[2].split()
+    return int(fields[_START_FIELD]) / os.sysconf('SC_CLK_TCK')
--- a/tests/node/conftest.py
+++ b/tests/node/conftest.py
@@ -180,8 +180,7 @@
                 dataapi.ROUTES_PATH: data.routes,
                 operatorapi.ANNOUNCE_PATH: announce,
             },
-            operators.root(),
-            operators.config(),
+            operators.app,
         )
         self.clients = contextlib.ExitStack()
 
--- a/tests/node/test_rpc.py
+++ b/tests/node/test_rpc.py
@@ -133,7 +133,7 @@
 
         async def run():
             server, client = await _started_pair()
-            before = rpc.MALFORMED_FRAMES._value.get()
+            before = rpc.MALFORMED_FRAMES.value
             reader, writer = await asyncio.open_connection(
                 *server.address.split(':')
             )
@@ -144,7 +144,7 @@
             )
             client.close()
             await server.stop()
-            return reply.granted, rpc.MALFORMED_FRAMES._value.get() - before
+            return reply.granted, rpc.MALFORMED_FRAMES.value - before
 
         assert asyncio.run(run()) == (True, 1)
 
