Derive the limit on client connections from open files and memory

deploy/entry.ini had a fixed 3,500 for 4,300 descriptors; other deployments have 1,605 descriptors and 152 MB. A process that can't serve clients with what it may use now refuses to start and names the remedy.

--- a/packages/core/src/sassafrasridge_core/settings.py
+++ b/packages/core/src/sassafrasridge_core/settings.py
@@ -32,6 +32,7 @@
 
 _DURATION = re.compile(r'([0-9]+(?:\.[0-9]+)?)(ms|s|min)')
 _SECONDS_PER_UNIT = {'ms': 0.001, 's': 1.0, 'min': 60.0}
+MAX_MEMORY_BYTES = 1 << 40
 _SIZE = re.compile(r'([0-9]+)(B|KiB|MiB)')
 _BYTES_PER_UNIT = {'B': 1, 'KiB': 1024, 'MiB': 1024 * 1024}
 _SECTION_HEADER = re.compile(r'\[(?P<name>.+)\]')
@@ -139,18 +140,20 @@
 class EntrySettings:
     """Hold section [entry].
 
-    ``control`` maps availability zones to RPC addresses. ``max_body`` is in
-    bytes, ``max_wait`` and ``drain_timeout`` are in seconds. ``seeds`` are
-    HTTP addresses of some control members, for deployments whose membership
-    changes without an operator. ``sessions`` is the address that serves
-    sessions, or empty for none. With ``policy`` 'plain', requests are served
-    first in, first out, and all reads go to the primary.
+    ``control`` maps availability zones to RPC addresses. ``max_body`` and
+    ``memory`` (0 if unknown) are in bytes, ``max_wait`` and ``drain_timeout``
+    in seconds. ``seeds`` are HTTP addresses of some control members, for
+    deployments whose membership changes without an operator. ``sessions`` is
+    the address that serves sessions, or empty for none. With ``policy``
+    'plain', requests are served first in, first out, and all reads go to the
+    primary.
     """
 
     __slots__ = (
         'control',
         'worker_threads',
         'max_connections',
+        'memory',
         'max_body',
         'max_queue',
         'max_wait',
@@ -163,6 +166,7 @@
     control: dict[str, list[str]]
     worker_threads: int
     max_connections: int
+    memory: int
     max_body: int
     max_queue: int
     max_wait: float
@@ -380,6 +384,10 @@
     return _parse_address(text) if text else ''
 
 
+def _parse_memory(text: str) -> int:
+    return parse_size(text, 1, MAX_MEMORY_BYTES) if text else 0
+
+
 def _integer_parser(low: int, high: int) -> _ValueParser:
     def parse(text: str) -> int:
         if re.fullmatch(r'[0-9]{1,9}', text) and low <= int(text) <= high:
@@ -488,6 +496,7 @@
         'sessions': _Key(_parse_optional_address, ''),
         'worker_threads': _Key(_integer_parser(1, 256), '10'),
         'max_connections': _Key(_integer_parser(1, 100_000), '4000'),
+        'memory': _Key(_parse_memory, ''),
         'max_body': _Key(
             lambda text: parse_size(text, 1024, 3 * 1024 * 1024), '1MiB'
         ),
--- a/packages/node/src/sassafrasridge_node/main.py
+++ b/packages/node/src/sassafrasridge_node/main.py
@@ -513,7 +513,7 @@
         cfg = front.FrontConfig(host, port)
         if self.cfg.entry is not None:
             cfg.threads = self.cfg.entry.worker_threads
-            cfg.max_connections = self.cfg.entry.max_connections
+            cfg.max_connections = startup.derive_limits(self.cfg.entry)
             cfg.max_body = self.cfg.entry.max_body
         return front.Front(cfg, self.daemon.loop, self.daemon.metrics)
 
@@ -601,7 +601,10 @@
         line = {'http': self._front.address, 'rpc': self.daemon.rpc.address}
         sys.stdout.write(orjson.dumps(line).decode() + '\n')
         sys.stdout.flush()
-        logs.log_event('started', **line, **startup.phases(self._imported))
+        phases = startup.phases(self._imported)
+        if self.cfg.entry is not None:
+            phases['max_connections'] = self.cfg.entry.max_connections
+        logs.log_event('started', **line, **phases)
 
     def _on_reload_signal(self, number: int, frame: object) -> None:
         self.daemon.loop.call_soon_threadsafe(self._reload)
--- a/packages/node/src/sassafrasridge_node/startup.py
+++ b/packages/node/src/sassafrasridge_node/startup.py
@@ -1,15 +1,19 @@
-"""Measurement of the start of a process."""
+"""Limits and phases of the start of a process."""
 
 import os
 import pathlib
 import resource
 import time
 
+from sassafrasridge_core import connectionlimit
+from sassafrasridge_core import settings
 from sassafrasridge_node import clocks
 
 # Field of /proc/PID/stat, counted after the name of the command, that holds
 # the time from boot to the start of the process in clock ticks.
 _START_FIELD = 19
+# More than any setting of max_connections.
+UNLIMITED_FILES = 1_000_000
 
 
 class Point:
@@ -48,3 +52,20 @@
     stat = pathlib.Path('/proc/self/stat').read_text(encoding='ascii')
     fields = stat.rpartition(')')[2].split()
     return int(fields[_START_FIELD]) / os.sysconf('SC_CLK_TCK')
+
+
+def derive_limits(cfg: settings.EntrySettings) -> int:
+    """Lower ``max_connections`` to what this process can serve.
+
+    Returns the number of HTTP connections beside those of sessions. Raises
+    ConnectionLimitError.
+    """
+    files, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if files == resource.RLIM_INFINITY:
+        files = UNLIMITED_FILES
+    limits = connectionlimit.connection_limits(
+        cfg.max_connections, files, cfg.memory
+    )
+    cfg.max_connections = limits.clients
+    # Without sessions the clients are those of the HTTP server.
+    return limits.http if cfg.sessions else limits.clients
