--- a/packages/core/src/sassafrasridge_core/freshness.py
+++ b/packages/core/src/sassafrasridge_core/freshness.py
@@ -109,6 +109,23 @@
                 return level.samples[start].position
         return None
 
+    def first_seen(self, position: model.Position) -> float | None:
+        """Return when the primary is first known to have had a position.
+
+        >>> timeline = PrimaryTimeline()
+        >>> timeline.sample(10.0, term=1, index=5)
+        >>> timeline.sample(11.0, term=1, index=8)
+        >>> timeline.first_seen(model.Position(1, 6))
+        11.0
+        """
+        for level in reversed(self._levels):
+            start = bisect.bisect_left(
+                level.samples, position, key=lambda sample: sample.position
+            )
+            if start < len(level.samples):
+                return level.samples[start].sent_at
+        return None
+
     def forget(self) -> None:
         """Drop all samples after a change of primary."""
         self._levels = [_Level(spacing, size) for spacing, size in LEVELS]
--- /dev/null
+++ b/packages/node/src/sassafrasridge_node/replicareads.py
@@ -0,0 +1,114 @@
+"""Reads with learned target times: replicas first, the primary last."""
+
+import collections.abc
+
+from sassafrasridge_core import configuration
+from sassafrasridge_core import freshness
+from sassafrasridge_core import model
+from sassafrasridge_core import sessions
+from sassafrasridge_node import clocks
+from sassafrasridge_node import sessionpool
+from sassafrasridge_node import targetload
+
+# A read goes to the primary only if its expected delay there, multiplied by
+# the factor and with the margin added, is lower than at every replica.
+# Estimates vary by about a third, and a margin below the time of a statement
+# would move reads to the primary whenever two meet at a replica.
+PRIMARY_FACTOR = 1.5
+PRIMARY_MARGIN_S = 0.03
+
+# Shortest wait for a replica: a position that is a little behind is usually
+# reached when the next entries of the log arrive.
+MIN_WAIT_S = 0.02
+# Longest wait before a replica is asked again. Its lag may have ended.
+MAX_WAIT_S = 0.5
+# Wait if a replica's lag is unknown: a multiple of the usual lag.
+UNKNOWN_LAG_WAIT_S = sessionpool.BEHIND_AVOID_S
+# Reserved after the wait for running the read on the primary, beyond its
+# expected delay.
+RUN_RESERVE_S = 0.1
+
+
+def expected_delay_s(
+    backend: sessionpool.SessionBackend,
+    route: configuration.Route,
+    fallback_s: float,
+) -> float:
+    """Return the time that a read takes at a target, without the way there.
+
+    The learned time contains the wait for statements of other processes.
+    ``fallback_s`` is the time of a statement where nothing is learned.
+    """
+    load = backend.load
+    if load is None:
+        return fallback_s
+    expected_s = load.expected_s(targetload.read_kind(route.path), fallback_s)
+    limit = max(1, backend.statement_limit())
+    ahead = backend.in_flight + len(backend.queue)
+    waiting_s = expected_s * max(0, ahead + 1 - limit) / limit
+    # Statements in flight share the target's slots.
+    slot_count = max(limit, backend.info.slots)
+    return expected_s * (1 + min(ahead, limit) / slot_count) + waiting_s
+
+
+def is_clearly_faster(primary_s: float, replica_s: float) -> bool:
+    """Return whether a read should take a slot of the primary.
+
+    >>> is_clearly_faster(0.04, 0.08), is_clearly_faster(0.04, 0.12)
+    (False, True)
+    """
+    return primary_s * PRIMARY_FACTOR + PRIMARY_MARGIN_S < replica_s
+
+
+def has_free_turn(primary: sessionpool.SessionBackend) -> bool:
+    """Return whether nothing waits at the primary and a statement may run."""
+    return not len(primary.queue) and (
+        primary.in_flight < primary.statement_limit()
+    )
+
+
+def catch_up_s(
+    backend: sessionpool.SessionBackend,
+    timeline: freshness.PrimaryTimeline,
+    floor: model.Position,
+) -> float:
+    """Return in how many seconds a replica probably reaches a position.
+
+    Its lag when it last answered is assumed to continue. Returns 0 if it has
+    reached the position, or if nothing is known.
+    """
+    position = backend.position
+    if position is None or sessions.covers(
+        floor, position.term, position.index, {}
+    ):
+        return 0.0
+    now = clocks.boottime()
+    lag_s = timeline.age(
+        backend.position_at, position.term, position.index
+    )
+    written_at = timeline.first_seen(floor)
+    if written_at is None:
+        written_at = now
+    if lag_s == float('inf'):
+        # Its position is older than every sample or of another term.
+        return max(0.0, backend.position_at + UNKNOWN_LAG_WAIT_S - now)
+    return max(0.0, written_at + lag_s - now)
+
+
+def wait_s(
+    replicas: collections.abc.Iterable[sessionpool.SessionBackend],
+    timeline: freshness.PrimaryTimeline,
+    floor: model.Position,
+    until: float,
+) -> float:
+    """Return how long a read should wait for one of the replicas.
+
+    Returns 0 if none is expected to reach the position before ``until``.
+    """
+    waits = [catch_up_s(r, timeline, floor) for r in replicas]
+    if not waits:
+        return 0.0
+    shortest_s = max(MIN_WAIT_S, min(waits))
+    if clocks.boottime() + shortest_s > until:
+        return 0.0
+    return min(shortest_s, MAX_WAIT_S)
--- a/packages/node/src/sassafrasridge_node/sessionpool.py
+++ b/packages/node/src/sassafrasridge_node/sessionpool.py
@@ -9,11 +9,13 @@
 from sassafrasridge_core import model
 from sassafrasridge_core import slots
 from sassafrasridge_core import statements
+from sassafrasridge_core import targetcapacity
 from sassafrasridge_node import backends
 from sassafrasridge_node import clocks
 from sassafrasridge_node import connections
 from sassafrasridge_node import logs
 from sassafrasridge_node import metrics
+from sassafrasridge_node import targetload
 
 # A target opens a connection within a round trip and about 30 ms.
 OPEN_TIMEOUT_S = 0.5
@@ -39,6 +41,10 @@
 # connection limit. Connections of lost VMs end within 3 s, one by one.
 FULL_BACKOFF_S = 0.5
 
+# Period after that for which connections to the target are opened one at a
+# time: a multiple of the time in which connections of lost VMs end.
+FULL_CAUTION_S = 5.0
+
 # Period for which a replica that had not reached a required log position is
 # avoided: a multiple of the usual replication delay.
 BEHIND_AVOID_S = 0.15
@@ -326,6 +332,10 @@
         self._session_dialer = dialer
         self.pool: AccountPool = AccountPool()  # type: ignore[assignment]
         self.position: model.Position | None = None
+        # When the target reported this position.
+        self.position_at = float('-inf')
+        # Set if the limit of statements is learned.
+        self.load: targetload.TargetLoad | None = None
         self.avoid_until = float('-inf')
         self.rtt_s = DEFAULT_RTT_S
         self._pending_writes: dict[object, float] = {}
@@ -407,6 +417,7 @@
         self.success_at = clocks.boottime()
         if position is not None:
             self.position = position
+            self.position_at = self.success_at
 
     def write_started(self, token: object) -> None:
         """Record a write that was sent and awaits its answer."""
@@ -471,7 +482,7 @@
                     statements.ResultCode.TOO_MANY_CONNECTIONS
                 )
             limited = full or self.pool.held >= self.pool.limit
-            if not limited or self.pool.evict():
+            if self._may_open() and (not limited or self.pool.evict()):
                 conn = await self._open(account, deadline)
                 break
             await self._wait_for_turn(account, deadline)
@@ -481,22 +492,57 @@
         self.in_flight = len(self._in_use)
         return conn
 
-    def _free_statements(self) -> int:
-        """Return how many more statements may be sent to the target now."""
+    def statement_limit(self) -> int:
+        """Return how many statements this process may have at the target."""
         limit = slots.statement_limit(
             self.info.slots, self.connection_budget(), self.pool.limit
         )
-        stalled_since = clocks.boottime() - STATEMENT_STALL_S
+        return limit if self.load is None else self.load.limit(limit)
+
+    def _free_statements(self) -> int:
+        """Return how many more statements may be sent to the target now."""
+        stall_s = STATEMENT_STALL_S
+        if self.load is not None:
+            stall_s = self.load.stall_s()
+        stalled_since = clocks.boottime() - stall_s
         running = sum(at > stalled_since for at in self._running.values())
+        limit = self.statement_limit()
         return limit - running - self.pool.opening - self._admitted
 
-    def statement_started(self, conn: SessionConnection) -> None:
+    def _may_open(self) -> bool:
+        """Return whether a connection may be opened beside those in progress.
+
+        With learned limits, connections to a target that was full recently
+        are opened one at a time.
+        """
+        return (
+            self.load is None
+            or not self.pool.opening
+            or clocks.boottime() > self._full_until + FULL_CAUTION_S
+        )
+
+    def statement_started(
+        self,
+        conn: SessionConnection,
+        kind: targetcapacity.Kind | None = None,
+    ) -> None:
         """Record that a statement is sent on a connection in use."""
         self._running[conn] = clocks.boottime()
+        if self.load is not None and kind is not None:
+            self.load.started(conn, kind, conn.rtt_s)
 
-    def statement_ended(self, conn: SessionConnection) -> None:
-        """Record an answer or failure; let a waiting statement go on."""
+    def statement_ended(
+        self,
+        conn: SessionConnection,
+        result_code: statements.ResultCode | None = None,
+    ) -> None:
+        """Record an answer or failure; let a waiting statement go on.
+
+        ``result_code`` is None if the statement was given up or not sent.
+        """
         self._running.pop(conn, None)
+        if self.load is not None:
+            self.load.ended(conn, result_code)
         self._dispatch_waiting()
 
     async def _wait_for_turn(self, account: str, deadline: float) -> None:
@@ -567,6 +613,8 @@
                 limit=self.pool.limit,
             )
         self._full_until = now + FULL_BACKOFF_S
+        if self.load is not None:
+            self.load.rejected()
 
     def _set_reachable(self, reachable: bool, reason: str = '') -> None:
         """Record whether connections can be opened, and log a change."""
@@ -604,6 +652,9 @@
                 ticket.fut.set_exception(
                     backends.refusal_error(model.DEADLINE)
                 )
+        if not self._may_open():
+            # A turn might need a connection that may not be opened yet.
+            return
         available = self.pool.idle
         if not self.is_full(now):
             available += self.pool.limit - self.pool.held
--- /dev/null
+++ b/packages/node/src/sassafrasridge_node/targetload.py
@@ -0,0 +1,168 @@
+"""The load that this process sees at a target, and what it learns from it."""
+
+import collections.abc
+import typing
+
+from prometheus_client import core as prometheus_core
+from prometheus_client import registry
+
+from sassafrasridge_core import statements
+from sassafrasridge_core import targetcapacity
+from sassafrasridge_node import clocks
+from sassafrasridge_node import logs
+
+Outcome = targetcapacity.Outcome
+ResultCode = statements.ResultCode
+StatementKind = statements.StatementKind
+
+# Added to the effect of a statement in an open transaction: a write does not
+# wait for replicas there, the commit does.
+IN_TRANSACTION = '_in_transaction'
+
+# Effects of statements that wait for replicas, which depends on where the
+# primary is.
+COMMITTING = frozenset(
+    ('write', 'execute_write', StatementKind.COMMIT.value + IN_TRANSACTION)
+)
+
+_OUTCOMES = {
+    ResultCode.DONE: Outcome.ANSWERED,
+    ResultCode.BUSY: Outcome.REJECTED,
+    ResultCode.TOO_MANY_CONNECTIONS: Outcome.REJECTED,
+    ResultCode.TIMED_OUT: Outcome.UNANSWERED,
+    ResultCode.LOST: Outcome.UNANSWERED,
+}
+
+
+def read_kind(database: str) -> targetcapacity.Kind:
+    """Return the kind of a route's reads outside a transaction."""
+    return database, StatementKind.READ.value
+
+
+def statement_kind(
+    database: str,
+    stmt: statements.Statement | None,
+    writes: bool,
+    in_transaction: bool,
+) -> targetcapacity.Kind:
+    """Return the kind of a statement; None stands for a BEGIN.
+
+    >>> stmt = statements.Statement(StatementKind.EXECUTE, '', '')
+    >>> statement_kind('db', stmt, True, False)
+    ('db', 'execute_write')
+    """
+    effect = (stmt.kind if stmt else StatementKind.BEGIN).value
+    if stmt and stmt.kind is StatementKind.EXECUTE and writes:
+        effect += '_write'
+    return database, effect + IN_TRANSACTION if in_transaction else effect
+
+
+class TargetLoad:
+    """Learn a target's capacity from the statements sent to it.
+
+    Statements are identified by the connection that they are sent on.
+    """
+
+    __slots__ = ('_server', '_group', '_capacity', '_running', '_rtt_s')
+
+    def __init__(
+        self, server: str, group: str, usual: targetcapacity.UsualTimes
+    ) -> None:
+        self._server = server
+        self._group = group
+        self._capacity = targetcapacity.CapacityEstimator(usual)
+        self._running: dict[object, targetcapacity.Running] = {}
+        # Shortest round-trip time of a connection. A longer one may be due to
+        # a delay in this process.
+        self._rtt_s = float('inf')
+
+    def started(
+        self, conn: object, kind: targetcapacity.Kind, rtt_s: float
+    ) -> None:
+        """Record that a statement is sent."""
+        self._rtt_s = min(self._rtt_s, rtt_s)
+        self._running[conn] = self._capacity.started(clocks.boottime(), kind)
+
+    def ended(self, conn: object, result_code: ResultCode | None) -> None:
+        """Record the end of a statement, None if it was given up."""
+        running = self._running.pop(conn, None)
+        if running is None:
+            return
+        now = clocks.boottime()
+        outcome = Outcome.NOT_RUN
+        if result_code is not None:
+            outcome = _OUTCOMES.get(result_code, outcome)
+        self._capacity.ended(now, running, outcome, self._rtt_s)
+        speed_class = self._capacity.new_speed_class(now)
+        if speed_class is not None:
+            logs.log_event(
+                'target_speed_changed',
+                server=self._server,
+                group=self._group,
+                speed_class=speed_class.value,
+                relative_speed=round(self.relative_speed(), 2),
+            )
+
+    def rejected(self) -> None:
+        """Record that the target rejected a connection because it is full."""
+        self._capacity.rejected(clocks.boottime())
+
+    def limit(self, most: int) -> int:
+        """Return the number of statements in flight, at most ``most``."""
+        return self._capacity.limit(clocks.boottime(), most)
+
+    def stall_s(self) -> float:
+        """Return after how many seconds an answer is overdue."""
+        return self._capacity.stall_s()
+
+    def expected_s(
+        self, kind: targetcapacity.Kind, fallback_s: float
+    ) -> float:
+        """Return the expected time of a statement at the target."""
+        return self._capacity.expected_s(clocks.boottime(), kind, fallback_s)
+
+    def relative_speed(self) -> float:
+        """Return the usual time divided by the time taken lately."""
+        return self._capacity.relative_speed(clocks.boottime())
+
+
+class MeasuredTarget(typing.Protocol):
+    """Describe what the metrics show of a target."""
+
+    info: typing.Any
+    load: TargetLoad | None
+
+    def statement_limit(self) -> int:
+        """Return how many statements may be in flight."""
+
+
+class LoadCollector(registry.Collector):
+    """Report the learned limit and relative speed of each target."""
+
+    def __init__(
+        self,
+        targets: typing.Callable[[], collections.abc.Iterable[MeasuredTarget]],
+    ) -> None:
+        self._targets = targets
+
+    def collect(
+        self,
+    ) -> collections.abc.Iterator[prometheus_core.GaugeMetricFamily]:
+        """Return the figures of the targets that are served now."""
+        limits = prometheus_core.GaugeMetricFamily(
+            'sassafrasridge_target_statement_limit',
+            'Statements that this process may have in flight at a target',
+            labels=('group', 'target'),
+        )
+        speeds = prometheus_core.GaugeMetricFamily(
+            'sassafrasridge_target_relative_speed',
+            'Usual time of statements divided by their time at a target',
+            labels=('group', 'target'),
+        )
+        for target in self._targets():
+            if target.load is not None:
+                labels = (target.info.group, target.info.server)
+                limits.add_metric(labels, target.statement_limit())
+                speeds.add_metric(labels, target.load.relative_speed())
+        yield limits
+        yield speeds
