Use learned limits and times for statements and reads

Fixed limits send as many statements to a slow target as to a fast one, and reads took the primary's slots whenever a replica was behind. The setting target_limits = learned enables the new behaviour; fixed is the default.

--- a/packages/node/src/sassafrasridge_node/main.py
+++ b/packages/node/src/sassafrasridge_node/main.py
@@ -40,6 +40,7 @@
 from sassafrasridge_node import sessionstate
 from sassafrasridge_node import settings
 from sassafrasridge_node import startup
+from sassafrasridge_node import targetload
 
 if typing.TYPE_CHECKING:
     from sassafrasridge_core import raft
@@ -194,6 +195,11 @@
             max_wait_s=cfg.max_wait,
         )
         state.dialer = platform.dialer(source)
+        if cfg.target_limits == 'learned':
+            state.learned_limits = True
+            self.metrics.registry.register(
+                targetload.LoadCollector(state.measured_targets)
+            )
         self.state = state
         self._admitter = charging.SharedAdmitter(state, entry_pool)
         self.service = sessionfront.SessionService(
--- a/packages/node/src/sassafrasridge_node/replicareads.py
+++ b/packages/node/src/sassafrasridge_node/replicareads.py
@@ -24,6 +24,9 @@
 MAX_WAIT_S = 0.5
 # Wait if a replica's lag is unknown: a multiple of the usual lag.
 UNKNOWN_LAG_WAIT_S = sessionpool.BEHIND_AVOID_S
+# Period for which a replica's lag is taken from its last answer. Afterwards it
+# is asked again, because nothing else tells that the lag has ended.
+LAG_TTL_S = 0.5
 # Reserved after the wait for running the read on the primary, beyond its
 # expected delay.
 RUN_RESERVE_S = 0.1
@@ -75,7 +78,7 @@
     """Return in how many seconds a replica probably reaches a position.
 
     Its lag when it last answered is assumed to continue. Returns 0 if it has
-    reached the position, or if nothing is known.
+    reached the position, or if nothing is known that is recent enough.
     """
     position = backend.position
     if position is None or sessions.covers(
@@ -83,9 +86,9 @@
     ):
         return 0.0
     now = clocks.boottime()
-    lag_s = timeline.age(
-        backend.position_at, position.term, position.index
-    )
+    if now - backend.position_at > LAG_TTL_S:
+        return 0.0
+    lag_s = timeline.age(backend.position_at, position.term, position.index)
     written_at = timeline.first_seen(floor)
     if written_at is None:
         written_at = now
--- a/packages/node/src/sassafrasridge_node/sessionreads.py
+++ b/packages/node/src/sassafrasridge_node/sessionreads.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from sassafrasridge_core import model
 from sassafrasridge_core import statements
 from sassafrasridge_node import clocks
 from sassafrasridge_node import sessionbase
@@ -24,6 +25,8 @@
             StatementFailure.BUSY, 'no target is available for the read'
         )
         for attempt in range(sessionbase.MAX_ATTEMPTS):
+            if attempt < sessionbase.MAX_ATTEMPTS - 1:
+                await self._wait_for_replica(op, floor, tried)
             backend = self._router.choose_target(op.access, floor, tried)
             if backend is None:
                 if attempt and not self._may_wait_for_primary(op):
@@ -57,3 +60,24 @@
                 break
             self._log_retry(op.stmt, backend, floor, error)
         raise error
+
+    async def _wait_for_replica(
+        self,
+        op: sessionbase.Operation,
+        floor: model.Position | None,
+        tried: set[sessionpool.SessionBackend],
+    ) -> None:
+        """Wait while no replica has the position, as long as that helps.
+
+        Replicas that were behind may be tried again afterwards.
+        """
+        route = op.access.route
+        until = op.started + min(route.objective_s, route.timeout_s)
+        while True:
+            wait_s = self._router.replica_wait_s(
+                op.access, floor, tried, until
+            )
+            if not wait_s:
+                return
+            await asyncio.sleep(wait_s)
+            tried.difference_update(self._router.replicas(op.access.group))
--- a/packages/node/src/sassafrasridge_node/sessionrouting.py
+++ b/packages/node/src/sassafrasridge_node/sessionrouting.py
@@ -6,6 +6,7 @@
 from sassafrasridge_core import configuration
 from sassafrasridge_core import model
 from sassafrasridge_node import clocks
+from sassafrasridge_node import replicareads
 from sassafrasridge_node import sessionpool
 from sassafrasridge_node import sessionstate
 
@@ -14,8 +15,8 @@
 AGE_MARGIN_S = 0.2
 
 # Estimated delay that each statement in flight, or waiting here to be sent,
-# adds at a target. It lies
-# between the mean statement times of the users' two services.
+# adds at a target whose time is not learned. It lies between the mean
+# statement times of the users' two services.
 STATEMENT_COST_S = 0.03
 
 # Penalty for a target that recently rejected work. It exceeds any round-trip
@@ -93,11 +94,82 @@
             and backend.circuit.ready(now)
             and (backend is primary or not backend.is_primary())
         ]
-        return min(
-            found,
-            key=lambda b: self._estimate_cost_s(now, b, access),
-            default=None,
-        )
+        if not self._state.learned_limits:
+            return min(
+                found,
+                key=lambda b: self._estimate_cost_s(now, b, access),
+                default=None,
+            )
+        return self._choose_replica_first(now, access, floor, found)
+
+    def _choose_replica_first(
+        self,
+        now: float,
+        access: Access,
+        floor: model.Position,
+        found: list[sessionpool.SessionBackend],
+    ) -> sessionpool.SessionBackend | None:
+        """Return the best replica, or the primary where that is better."""
+        timeline = self._state.timeline(access.group)
+        costs = {b: self._estimate_cost_s(now, b, access) for b in found}
+        primary = next((b for b in found if b.is_primary()), None)
+        replicas = [b for b in found if b is not primary]
+        ready = [
+            b
+            for b in replicas
+            if not replicareads.catch_up_s(b, timeline, floor)
+        ]
+        if primary is not None and not ready:
+            return primary
+        best = min(ready or replicas, key=costs.__getitem__, default=None)
+        if (
+            best is not None
+            and primary is not None
+            and replicareads.has_free_turn(primary)
+            and replicareads.is_clearly_faster(costs[primary], costs[best])
+        ):
+            return primary
+        return best
+
+    def replicas(self, group: str) -> list[sessionpool.SessionBackend]:
+        """Return the replicas of a group that accept new work."""
+        now = clocks.boottime()
+        return [
+            backend
+            for backend in self._state.available_targets(group)
+            if backend.pool.limit
+            and backend.circuit.ready(now)
+            and not backend.is_primary()
+        ]
+
+    def replica_wait_s(
+        self,
+        access: Access,
+        floor: model.Position | None,
+        tried: collections.abc.Container[sessionpool.SessionBackend],
+        until: float,
+    ) -> float:
+        """Return how long a read should wait for a replica's position.
+
+        Returns 0 if one may be tried now, or if none is expected to have the
+        position early enough to run the read by ``until``.
+        """
+        if floor is None or not self._state.learned_limits:
+            return 0.0
+        now = clocks.boottime()
+        timeline = self._state.timeline(access.group)
+        behind = []
+        for backend in self.replicas(access.group):
+            catch_up_s = replicareads.catch_up_s(backend, timeline, floor)
+            if backend not in tried and not catch_up_s:
+                return 0.0
+            if backend not in tried or catch_up_s:
+                behind.append(backend)
+        primary = self._state.usable_primary(access.group)
+        reserve_s = replicareads.RUN_RESERVE_S
+        if primary is not None:
+            reserve_s += self._estimate_cost_s(now, primary, access)
+        return replicareads.wait_s(behind, timeline, floor, until - reserve_s)
 
     def _estimate_cost_s(
         self,
@@ -109,8 +181,13 @@
         cost = backend.rtt_s
         if not backend.pool.has_idle(access.account):
             cost += sessionpool.ROUND_TRIPS_TO_OPEN * backend.rtt_s
-        ahead = backend.in_flight + len(backend.queue)
-        cost += STATEMENT_COST_S * max(0, ahead - 1)
+        if backend.load is None:
+            ahead = backend.in_flight + len(backend.queue)
+            cost += STATEMENT_COST_S * max(0, ahead - 1)
+        else:
+            cost += replicareads.expected_delay_s(
+                backend, access.route, STATEMENT_COST_S
+            )
         if backend.avoid_until > now:
             cost += AVOIDED_COST_S
         return cost + MAX_TIE_BREAK_S * self._rng.random()
--- a/packages/node/src/sassafrasridge_node/sessionstate.py
+++ b/packages/node/src/sassafrasridge_node/sessionstate.py
@@ -6,11 +6,13 @@
 from sassafrasridge_core import model
 from sassafrasridge_core import primarywait
 from sassafrasridge_core import slots
+from sassafrasridge_core import targetcapacity
 from sassafrasridge_node import backends
 from sassafrasridge_node import clocks
 from sassafrasridge_node import codec
 from sassafrasridge_node import entry
 from sassafrasridge_node import sessionpool
+from sassafrasridge_node import targetload
 
 
 class SessionEntryState(entry.EntryState):
@@ -25,6 +27,10 @@
     def __init__(self, *args: typing.Any, **kwargs: typing.Any) -> None:
         super().__init__(*args, **kwargs)
         self.primary_changes = primarywait.ChangeTracker()
+        # Set before the first target is added; see EntrySettings.
+        self.learned_limits = False
+        # Usual times of statements by group.
+        self._usual_times: dict[str, targetcapacity.UsualTimes] = {}
         # Connections and slots by group, in a configuration revision.
         self._budgets: dict[str, tuple[int, int]] = {}
         self._budgets_revision = -1
@@ -38,8 +44,15 @@
         backend.probe_account = self._any_account
         backend.connection_budget = lambda: self._connection_budget(info.group)
         backend.serving = self.serves(info.group)
+        if self.learned_limits:
+            backend.load = targetload.TargetLoad(
+                info.server, info.group, self._group_times(info.group)
+            )
         return backend
 
+    def _group_times(self, group: str) -> targetcapacity.UsualTimes:
+        return self._usual_times.setdefault(group, targetcapacity.UsualTimes())
+
     def _is_primary(self, group: str, server: str) -> bool:
         view = self.groups.get(group)
         return view is not None and view.primary == server
@@ -83,6 +96,14 @@
         """
         return self.served_backends()
 
+    def measured_targets(self) -> list[sessionpool.SessionBackend]:
+        """Return the targets whose load the metrics show."""
+        return [
+            backend
+            for _, backend in self.served_backends()
+            if isinstance(backend, sessionpool.SessionBackend)
+        ]
+
     def _on_serving_sets_change(self) -> None:
         """Stop using targets of groups that other processes serve now.
 
@@ -116,6 +137,7 @@
         # discarded at the failover.
         if view.primary != known.primary or view.changing:
             self.timeline(view.group).forget()
+            self._group_times(view.group).forget(targetload.COMMITTING)
         if view.changing:
             self.primary_changes.begin(clocks.boottime(), view.group)
         else:
--- a/packages/node/src/sassafrasridge_node/sessiontargets.py
+++ b/packages/node/src/sassafrasridge_node/sessiontargets.py
@@ -5,11 +5,13 @@
 from sassafrasridge_core import errors
 from sassafrasridge_core import model
 from sassafrasridge_core import statements
+from sassafrasridge_core import targetcapacity
 from sassafrasridge_node import backends
 from sassafrasridge_node import clocks
 from sassafrasridge_node import connections
 from sassafrasridge_node import sessionbase
 from sassafrasridge_node import sessionpool
+from sassafrasridge_node import targetload
 
 ResultCode = statements.ResultCode
 StatementFailure = statements.StatementFailure
@@ -104,17 +106,22 @@
         token = object()
         if writes:
             backend.write_started(token)
-        backend.statement_started(conn)
+        kind = _statement_kind(self.database, commands, writes, keep)
+        ended_with: ResultCode | None = None
+        backend.statement_started(conn, kind)
         try:
             answer = await conn.run(commands, max(0.001, deadline - sent_at))
+            ended_with = answer.result_code
         except connections.ConnectionLostError as exc:
             backend.circuit.failure(clocks.boottime())
-            backend.release(conn, clean=False)
             result_code = ResultCode.LOST
             if clocks.boottime() >= deadline:
                 result_code = ResultCode.TIMED_OUT
+            ended_with = result_code
             if not exc.sent:
-                result_code = ResultCode.BUSY
+                result_code, ended_with = ResultCode.BUSY, None
+            backend.statement_ended(conn, ended_with)
+            backend.release(conn, clean=False)
             return sessionpool.TargetAnswer(
                 result_code, [], '', str(exc), TransactionState.BROKEN, None
             )
@@ -123,7 +130,7 @@
             raise
         finally:
             backend.write_ended(token)
-            backend.statement_ended(conn)
+            backend.statement_ended(conn, ended_with)
         self._record_answer(backend, answer, sent_at)
         clean = (
             answer.state is TransactionState.IDLE and not answer.failed_setup
@@ -148,11 +155,26 @@
         elif answer.result_code is ResultCode.FAILED:
             backend.circuit.failure(now)
         elif answer.result_code is ResultCode.BEHIND:
-            backend.avoid(sessionpool.BEHIND_AVOID_S)
+            if backend.load is None:
+                backend.avoid(sessionpool.BEHIND_AVOID_S)
         elif answer.result_code in statements.NOT_RUN_CODES:
             backend.avoid(sessionpool.BUSY_AVOID_S)
 
 
+def _statement_kind(
+    database: str,
+    commands: list[sessionpool.Command],
+    writes: bool,
+    in_transaction: bool,
+) -> targetcapacity.Kind:
+    """Return the kind by which a statement's time is learned."""
+    stmt = next(
+        (c.statement for c in commands if isinstance(c, sessionpool.Forward)),
+        None,
+    )
+    return targetload.statement_kind(database, stmt, writes, in_transaction)
+
+
 def success(answer: sessionpool.TargetAnswer) -> Result:
     return Result(answer.rows, answer.signature, position=answer.position)
 
