--- a/packages/core/src/sassafrasridge_core/targetcapacity.py
+++ b/packages/core/src/sassafrasridge_core/targetcapacity.py
@@ -16,8 +16,7 @@
 # Relative time above which fewer statements are sent: as long waiting at the
 # target as running there, so that a slot always has a next statement.
 HIGH_RATIO = 2.0
-# Relative time below which more statements may be sent. The distance to
-# HIGH_RATIO prevents a change after every few statements.
+# Relative time below which more statements may be sent.
 LOW_RATIO = 1.5
 # Statements that a change of the limit is based on. With 10 statements a
 # second, a target at a third of its speed is noticed within 0.6 s.
@@ -25,10 +24,18 @@
 # Fewer statements are enough after this time.
 DECISION_S = 0.4
 MIN_DECISION_STATEMENTS = 3
-# Largest reduction of the limit in one step, and the steps in which it grows.
-MAX_REDUCTION = 0.5
+# Factor of the largest reduction in one step. The next step waits for the
+# answers to statements that are sent after this one, which takes up to 0.3 s
+# at a full target of a third of its speed.
+MAX_REDUCTION = 0.3
+# Factor after a rejection.
+REJECTION_FACTOR = 0.5
+# Steps in which the limit grows.
 GROWTH_FACTOR = 1.25
 MIN_GROWTH = 0.5
+# Growth between LOW_RATIO and HIGH_RATIO. Reductions are proportional and this
+# growth is not, so the limits of processes that share a target become equal.
+STEADY_GROWTH = 0.1
 
 # Statements whose mean is compared with the usual time.
 USUAL_STATEMENTS = 16
@@ -274,7 +281,7 @@
         sent before the last change of the limit have no further effect.
         """
         if started >= self._changed_at:
-            self._reduce(now, MAX_REDUCTION)
+            self._reduce(now, REJECTION_FACTOR)
 
     def _add_time(
         self, now: float, kind: Kind, seconds: float, first: bool
@@ -306,13 +313,17 @@
         self._decision = _Mean(now)
         if decision.value > HIGH_RATIO:
             self._reduce(now, max(MAX_REDUCTION, HIGH_RATIO / decision.value))
-        elif decision.value < LOW_RATIO and self._level < math.inf:
-            self._level = max(
-                self._level + MIN_GROWTH, self._level * GROWTH_FACTOR
-            )
-            self._changed_at = now
-            if self._level >= self._most_at_target():
-                self._level = math.inf
+        elif self._level < math.inf:
+            self._grow(now, decision.value)
+
+    def _grow(self, now: float, ratio: float) -> None:
+        growth = STEADY_GROWTH
+        if ratio < LOW_RATIO:
+            growth = max(MIN_GROWTH, self._level * (GROWTH_FACTOR - 1))
+        self._level += growth
+        self._changed_at = now
+        if self._level >= self._most_at_target():
+            self._level = math.inf
 
     def _reduce(self, now: float, factor: float) -> None:
         level = min(self._level, self._most_at_target())
--- a/packages/node/src/sassafrasridge_node/replicareads.py
+++ b/packages/node/src/sassafrasridge_node/replicareads.py
@@ -5,7 +5,7 @@
 from sassafrasridge_core import configuration
 from sassafrasridge_core import freshness
 from sassafrasridge_core import model
-from sassafrasridge_core import sessions
+from sassafrasridge_core import statements
 from sassafrasridge_node import clocks
 from sassafrasridge_node import sessionpool
 from sassafrasridge_node import targetload
@@ -22,11 +22,6 @@
 MIN_WAIT_S = 0.02
 # Longest wait before a replica is asked again. Its lag may have ended.
 MAX_WAIT_S = 0.5
-# Wait if a replica's lag is unknown: a multiple of the usual lag.
-UNKNOWN_LAG_WAIT_S = sessionpool.BEHIND_AVOID_S
-# Period for which a replica's lag is taken from its last answer. Afterwards it
-# is asked again, because nothing else tells that the lag has ended.
-LAG_TTL_S = 0.5
 # Reserved after the wait for running the read on the primary, beyond its
 # expected delay.
 RUN_RESERVE_S = 0.1
@@ -77,25 +72,33 @@
 ) -> float:
     """Return in how many seconds a replica probably reaches a position.
 
-    Its lag when it last answered is assumed to continue. Returns 0 if it has
-    reached the position, or if nothing is known that is recent enough.
+    Returns 0 if it was not behind lately.
     """
-    position = backend.position
-    if position is None or sessions.covers(
-        floor, position.term, position.index, {}
-    ):
-        return 0.0
     now = clocks.boottime()
-    if now - backend.position_at > LAG_TTL_S:
+    lag_s = backend.load.lag.expected_s(now) if backend.load else 0.0
+    if not lag_s:
         return 0.0
-    lag_s = timeline.age(backend.position_at, position.term, position.index)
     written_at = timeline.first_seen(floor)
-    if written_at is None:
-        written_at = now
-    if lag_s == float('inf'):
-        # Its position is older than every sample or of another term.
-        return max(0.0, backend.position_at + UNKNOWN_LAG_WAIT_S - now)
-    return max(0.0, written_at + lag_s - now)
+    return max(0.0, lag_s + (now if written_at is None else written_at) - now)
+
+
+def record_read(
+    backend: sessionpool.SessionBackend,
+    timeline: freshness.PrimaryTimeline,
+    floor: model.Position,
+    sent_at: float,
+    result_code: statements.ResultCode,
+) -> None:
+    """Learn a replica's lag from the result of a read."""
+    written_at = timeline.first_seen(floor)
+    if backend.load is None or written_at is None:
+        return
+    now = clocks.boottime()
+    age_s = sent_at + backend.rtt_s / 2 - written_at
+    if result_code is statements.ResultCode.DONE:
+        backend.load.lag.reached(now, age_s)
+    elif result_code is statements.ResultCode.BEHIND:
+        backend.load.lag.behind(now, age_s)
 
 
 def wait_s(
--- a/packages/node/src/sassafrasridge_node/sessionpool.py
+++ b/packages/node/src/sassafrasridge_node/sessionpool.py
@@ -332,8 +332,6 @@
         self._session_dialer = dialer
         self.pool: AccountPool = AccountPool()  # type: ignore[assignment]
         self.position: model.Position | None = None
-        # When the target reported this position.
-        self.position_at = float('-inf')
         # Set if the limit of statements is learned.
         self.load: targetload.TargetLoad | None = None
         self.avoid_until = float('-inf')
@@ -417,7 +415,6 @@
         self.success_at = clocks.boottime()
         if position is not None:
             self.position = position
-            self.position_at = self.success_at
 
     def write_started(self, token: object) -> None:
         """Record a write that was sent and awaits its answer."""
--- a/packages/node/src/sassafrasridge_node/targetload.py
+++ b/packages/node/src/sassafrasridge_node/targetload.py
@@ -6,6 +6,7 @@
 from prometheus_client import core as prometheus_core
 from prometheus_client import registry
 
+from sassafrasridge_core import replicalag
 from sassafrasridge_core import statements
 from sassafrasridge_core import targetcapacity
 from sassafrasridge_node import clocks
@@ -63,11 +64,19 @@
     Statements are identified by the connection that they are sent on.
     """
 
-    __slots__ = ('_server', '_group', '_capacity', '_running', '_rtt_s')
+    __slots__ = (
+        'lag',
+        '_server',
+        '_group',
+        '_capacity',
+        '_running',
+        '_rtt_s',
+    )
 
     def __init__(
         self, server: str, group: str, usual: targetcapacity.UsualTimes
     ) -> None:
+        self.lag = replicalag.ReplicaLag()
         self._server = server
         self._group = group
         self._capacity = targetcapacity.CapacityEstimator(usual)
