Retry a slow target and a lagging replica soon, and end reads at the primary

A read whose replicas were behind in all attempts was refused as not fresh, a recovered target got one read in several seconds, and reads waited in vain for replicas known to lag by seconds.

--- a/packages/core/src/sassafrasridge_core/replicalag.py
+++ b/packages/core/src/sassafrasridge_core/replicalag.py
@@ -10,6 +10,9 @@
 # Period for which a rejected read counts. Afterwards the replica is asked
 # again, because nothing else tells that its lag has ended.
 BEHIND_TTL_S = 0.5
+# Period in which another rejection confirms the highest age rejected before.
+# Without it, reads would wait in vain after each time the replica is asked.
+CONFIRM_S = 5.0
 # Period for which a served read limits the expected lag.
 REACHED_TTL_S = 2.0
 # Place of the expected lag between the highest age that was rejected and the
@@ -44,7 +47,7 @@
 
         The primary had it ``age_s`` seconds before.
         """
-        if now - self._rejected_at <= BEHIND_TTL_S:
+        if now - self._rejected_at <= CONFIRM_S:
             age_s = max(age_s, self._rejected_s)
         self._rejected_s, self._rejected_at = max(0.0, age_s), now
         if self._served_s <= self._rejected_s:
--- a/packages/core/src/sassafrasridge_core/targetcapacity.py
+++ b/packages/core/src/sassafrasridge_core/targetcapacity.py
@@ -60,7 +60,7 @@
 # single statement in it.
 RATIO_S = 0.3
 MIN_WEIGHT = 0.1
-MAX_WEIGHT = 0.4
+MAX_WEIGHT = 0.5
 
 # A target that answers nothing for this long, or for a multiple of the time
 # that a statement takes there, counts as stalled.
@@ -69,7 +69,8 @@
 
 # Without statements, a relative time approaches 1 with this time constant, so
 # that a slow target gets a read every few seconds and its recovery is noticed.
-FORGET_S = 2.0
+# With 2 s, a target at a third of its speed got one read in 6 s.
+FORGET_S = 1.0
 # Silence before that begins.
 FORGET_AFTER_S = 0.5
 # Silence after which the learned limit is dropped.
@@ -201,6 +202,7 @@
         '_level',
         '_most',
         '_ratio',
+        '_reported_ratio',
         '_mean_s',
         '_network_s',
         '_answered_at',
@@ -219,6 +221,8 @@
         self._level = math.inf
         self._most = 1
         self._ratio = 1.0
+        # Without the return to 1, for the metrics and the log.
+        self._reported_ratio = 1.0
         self._mean_s = 0.0
         self._network_s = 0.0
         self._answered_at = -math.inf
@@ -232,6 +236,7 @@
 
     def started(self, now: float, kind: Kind) -> Running:
         """Record that a statement is sent; return it for ``ended``."""
+        self._ratio = self._current_ratio(now)
         running = Running(kind, now)
         self._running[running] = None
         return running
@@ -271,6 +276,7 @@
             MAX_WEIGHT, max(MIN_WEIGHT, 1 - math.exp(-idle_s / RATIO_S))
         )
         self._ratio += weight * (ratio - self._ratio)
+        self._reported_ratio += weight * (ratio - self._reported_ratio)
         self._mean_s += weight * (seconds - self._mean_s)
         self._decide(now, running.started, ratio)
 
@@ -389,15 +395,15 @@
             return self._ratio
         return 1 + (self._ratio - 1) * math.exp(-idle_s / FORGET_S)
 
-    def relative_speed(self, now: float) -> float:
+    def relative_speed(self) -> float:
         """Return the usual time divided by the time taken lately."""
-        return 1 / max(1 / MAX_RATIO, self._current_ratio(now))
+        return 1 / max(1 / MAX_RATIO, self._reported_ratio)
 
     def new_speed_class(self, now: float) -> SpeedClass | None:
         """Return the speed class if it changed, at most every few seconds."""
         if now - self._class_at < CLASS_INTERVAL_S:
             return None
-        speed = self.relative_speed(now)
+        speed = self.relative_speed()
         found = _classify(speed)
         if found is self._class:
             return None
--- a/packages/node/src/sassafrasridge_node/main.py
+++ b/packages/node/src/sassafrasridge_node/main.py
@@ -193,10 +193,10 @@
             self.metrics,
             max_queue=cfg.max_queue,
             max_wait_s=cfg.max_wait,
+            learned_limits=cfg.target_limits == 'learned',
         )
         state.dialer = platform.dialer(source)
-        if cfg.target_limits == 'learned':
-            state.learned_limits = True
+        if state.learned_limits:
             self.metrics.registry.register(
                 targetload.LoadCollector(state.measured_targets)
             )
--- a/packages/node/src/sassafrasridge_node/sessionreads.py
+++ b/packages/node/src/sassafrasridge_node/sessionreads.py
@@ -21,6 +21,7 @@
 
     async def _read(self, op: sessionbase.Operation) -> Result:
         tried: set[sessionpool.SessionBackend] = set()
+        behind: set[sessionpool.SessionBackend] = set()
         floor = self._router.required_position(op.access, self.floor)
         error = sessionbase.SessionError(
             StatementFailure.BUSY, 'no target is available for the read'
@@ -28,6 +29,10 @@
         for attempt in range(sessionbase.MAX_ATTEMPTS):
             if attempt < sessionbase.MAX_ATTEMPTS - 1:
                 await self._wait_for_replica(op, floor, tried)
+            else:
+                # The last attempt is for a target that certainly is not
+                # behind, which is the primary if all replicas were.
+                tried |= behind
             backend = self._router.choose_target(op.access, floor, tried)
             if backend is None:
                 if attempt and not self._may_wait_for_primary(op):
@@ -61,6 +66,8 @@
             if answer.result_code is ResultCode.DONE:
                 return sessiontargets.success(answer)
             error = sessiontargets.target_error(answer)
+            if answer.result_code is ResultCode.BEHIND:
+                behind.add(backend)
             if answer.result_code in (
                 ResultCode.TIMED_OUT,
                 ResultCode.REFUSED,
--- a/packages/node/src/sassafrasridge_node/sessionstate.py
+++ b/packages/node/src/sassafrasridge_node/sessionstate.py
@@ -20,15 +20,20 @@
 
     All its targets are SessionBackend objects. ``dialer`` opens connections
     for client accounts; it must be set before the first target is added.
+    ``learned_limits`` stands for the setting target_limits = learned.
     """
 
     dialer: sessionpool.SessionDialer
 
-    def __init__(self, *args: typing.Any, **kwargs: typing.Any) -> None:
+    def __init__(
+        self,
+        *args: typing.Any,
+        learned_limits: bool = False,
+        **kwargs: typing.Any,
+    ) -> None:
         super().__init__(*args, **kwargs)
         self.primary_changes = primarywait.ChangeTracker()
-        # Set before the first target is added; see EntrySettings.
-        self.learned_limits = False
+        self.learned_limits = learned_limits
         # Usual times of statements by group.
         self._usual_times: dict[str, targetcapacity.UsualTimes] = {}
         # Connections and slots by group, in a configuration revision.
--- a/packages/node/src/sassafrasridge_node/targetload.py
+++ b/packages/node/src/sassafrasridge_node/targetload.py
@@ -132,7 +132,7 @@
 
     def relative_speed(self) -> float:
         """Return the usual time divided by the time taken lately."""
-        return self._capacity.relative_speed(clocks.boottime())
+        return self._capacity.relative_speed()
 
 
 class MeasuredTarget(typing.Protocol):
--- a/tests/core/test_targetcapacity.py
+++ b/tests/core/test_targetcapacity.py
@@ -144,7 +144,7 @@
         load = Load([usual, third(110.0)], 20.0, self.works).run(111.0)
         assert statistics.mean(load.limits(1)) <= 1.5
         assert statistics.mean(load.limits(0)) >= 2.5
-        speeds = [p[1].relative_speed(111.0) for p in load.pairs if p[0]]
+        speeds = [p[1].relative_speed() for p in load.pairs if p[0]]
         assert statistics.mean(speeds) < 0.45
 
     def test_a_slow_target_keeps_its_throughput(self):
@@ -241,5 +241,5 @@
     def test_the_usual_time_forgets_a_fast_past_slowly(self):
         """Guards against taking a slowdown of a minute for the usual speed."""
         load = Load([third(110.0)], 12.0, {'read': 0.024}).run(170.0)
-        speeds = [p[1].relative_speed(170.0) for p in load.pairs]
+        speeds = [p[1].relative_speed() for p in load.pairs]
         assert statistics.mean(speeds) < 0.5
--- /dev/null
+++ b/tests/node/test_learnedlimits.py
@@ -0,0 +1,289 @@
+"""Sessions with target_limits = learned, in virtual time, without sockets."""
+
+import asyncio
+import functools
+
+import pytest
+
+from sassafrasridge_core import configuration
+from sassafrasridge_core import model
+from sassafrasridge_core import statements
+from sassafrasridge_node import clocks
+from sassafrasridge_node import logs
+from sassafrasridge_node import metrics
+from sassafrasridge_node import sessionpool
+from sassafrasridge_node import sessionstate
+from sassafrasridge_node import targetload
+from sassafrasridge_testkit import virtualtime
+from tests.node import test_sessionfront as front
+
+ResultCode = statements.ResultCode
+Position = model.Position
+TARGETS = ('p', 'r', 's')
+
+
+class Target(front.FakeTarget):
+    """Run reads in 24 ms and writes in 8 ms, with a lag as a replica."""
+
+    def __init__(self, process, primary):
+        super().__init__(0.001)
+        self.process, self.primary = process, primary
+        self.factor = 1.0
+        self.reads = 0
+        self.rejected = 0
+
+    def applied(self):
+        if self.primary:
+            return self.process.position
+        since = clocks.boottime() - self.process.lag_s
+        known = [i for at, i in self.process.writes if at <= since]
+        return Position(1, max(known, default=0))
+
+
+class Connection(front.FakeConnection):
+    async def run(self, commands, timeout_s):
+        forward, target = commands[-1], self.target
+        writes = forward.statement.kind is statements.StatementKind.WRITE
+        if forward.floor and target.applied() < forward.floor:
+            target.rejected += 1
+            return self.answer(ResultCode.BEHIND)
+        await asyncio.sleep((0.008 if writes else 0.024) * target.factor)
+        target.reads += not writes
+        if writes:
+            self.target.process.write()
+        return self.answer(target.next_result_code())
+
+    def answer(self, result_code):
+        # A target reports the end of its log, not what it has applied.
+        return sessionpool.TargetAnswer(
+            result_code,
+            ['row'],
+            'signed',
+            '',
+            self.state,
+            self.target.process.position,
+        )
+
+
+class Process(front.EntryProcess):
+    """Simulate an entry process whose targets all answer in virtual time."""
+
+    def __init__(self, consistency, max_age_s=1.5, objective_s=2.5):
+        self.lag_s = 0.09
+        self.position = Position(1, 10)
+        self.writes = [(0.0, 10)]
+        super().__init__(consistency, connections_each=8)
+        self.configure(consistency)
+        route = self.state.config.route('db')
+        route.max_age_s, route.objective_s = max_age_s, objective_s
+        route.timeout_s = 2.0
+        self.targets = {n: Target(self, n == 'p') for n in TARGETS}
+        for name, target in self.targets.items():
+            self.backend(name).rtt_s = target.rtt_s
+        self.state.lease_valid = self.state.config_valid = lambda: True
+
+    def write(self):
+        self.position = Position(1, self.position.index + 1)
+        self.writes.append((clocks.boottime(), self.position.index))
+
+    async def open(self, info, account, timeout_s):
+        await asyncio.sleep(0.012)
+        await super().open(info, account, timeout_s)
+        return Connection(self.targets[info.server], account)
+
+    async def serve(self, seconds, rate, stmt):
+        """Run ``rate`` statements a second; return times and failures."""
+        results = []
+
+        async def run_one():
+            started = clocks.boottime()
+            (result,) = [await self.session().execute(stmt())]
+            results.append((clocks.boottime() - started, result.failure))
+
+        tasks = []
+        for _ in range(int(seconds * rate)):
+            tasks.append(asyncio.ensure_future(run_one()))
+            await asyncio.sleep(1 / rate)
+        await asyncio.gather(*tasks)
+        return results
+
+    def counts(self):
+        """Return the reads served since the last call, by target."""
+        found = {name: t.reads for name, t in self.targets.items()}
+        for target in self.targets.values():
+            target.reads = 0
+        return found
+
+
+@pytest.fixture
+def loop(monkeypatch):
+    loop = virtualtime.VirtualTimeLoop()
+    monkeypatch.setattr(clocks, 'boottime', loop.time)
+    learned = functools.partial(
+        sessionstate.SessionEntryState, learned_limits=True
+    )
+    monkeypatch.setattr(sessionstate, 'SessionEntryState', learned)
+    yield loop
+    loop.close()
+
+
+def run_for(loop, process, seconds, rate, stmt=front.read):
+    """Serve a load beside writes that keep the primary's position known."""
+
+    async def work():
+        writes = asyncio.ensure_future(process.serve(seconds, 20, front.write))
+        results = await process.serve(seconds, rate, stmt)
+        await writes
+        return results
+
+    return loop.run_until_complete(work())
+
+
+class TestReplicasFirst:
+    """Load: 40 reads and 20 writes a second in one process."""
+
+    def test_reads_leave_the_primary_to_writes(self, loop):
+        """Guards against reads that take slots only the primary has."""
+        process = Process(configuration.BOUNDED_AGE)
+        run_for(loop, process, 3, 40)
+        process.counts()
+        run_for(loop, process, 5, 40)
+        assert process.counts()['p'] == 0
+
+    def test_a_slow_replica_gets_less_but_not_nothing(self, loop):
+        """Guards against a slow target with as many reads as a fast one."""
+        process = Process(configuration.BOUNDED_AGE)
+        run_for(loop, process, 3, 40)
+        process.targets['s'].factor = 3.0
+        run_for(loop, process, 1, 40)
+        process.counts()
+        run_for(loop, process, 6, 40)
+        counts = process.counts()
+        assert 2 <= counts['s'] <= 0.35 * counts['r']
+        process.targets['s'].factor = 1.0
+        run_for(loop, process, 3, 40)
+        process.counts()
+        run_for(loop, process, 3, 40)
+        counts = process.counts()
+        assert counts['s'] >= 0.5 * counts['r']
+
+    def test_a_read_of_an_own_write_waits_for_a_replica(self, loop):
+        """Guards against each read of an own write taking a primary's slot.
+
+        Load: 20 sessions a second that write and read at once, with a
+        replica lag of 90 ms and an objective of 1 s.
+        """
+        process = Process(configuration.SESSION, objective_s=1.0)
+        run_for(loop, process, 2, 10)
+        process.counts()
+        seconds = []
+
+        async def one():
+            session = process.session()
+            await session.execute(front.write())
+            started = clocks.boottime()
+            result = await session.execute(front.read())
+            assert result.failure is None
+            seconds.append(clocks.boottime() - started)
+
+        async def all_sessions():
+            tasks = []
+            for _ in range(100):
+                tasks.append(asyncio.ensure_future(one()))
+                await asyncio.sleep(0.05)
+            await asyncio.gather(*tasks)
+
+        loop.run_until_complete(all_sessions())
+        assert max(seconds) < 1.0
+        assert process.counts()['p'] <= 10
+
+
+class TestLaggingReplicas:
+    """Load: 30 reads a second, lag at 40 to 120 times the usual 90 ms."""
+
+    @pytest.mark.parametrize('factor', [40, 120])
+    def test_reads_meet_their_objective_and_return(self, loop, factor):
+        """Guards against reads that wait in vain, and against staying away."""
+        process = Process(configuration.BOUNDED_AGE)
+        run_for(loop, process, 3, 30)
+        process.lag_s *= factor
+        results = run_for(loop, process, 4, 30)
+        results += run_for(loop, process, 6, 30)
+        assert {failure for _, failure in results} == {None}
+        assert max(seconds for seconds, _ in results) < 2.0
+        late = [seconds for seconds, _ in results[-90:]]
+        assert sum(late) / len(late) < 0.25
+        rejected = sum(t.rejected for t in process.targets.values())
+        assert rejected <= 0.3 * len(results)
+        process.lag_s = 0.09
+        run_for(loop, process, 2, 30)
+        process.counts()
+        run_for(loop, process, 3, 30)
+        assert process.counts()['p'] == 0
+
+
+class TestFullTarget:
+    def test_connections_are_opened_one_at_a_time_after_a_rejection(
+        self, loop
+    ):
+        """Guards against thousands of connections that a target rejects.
+
+        Load: eight accounts that need a connection each at the same time.
+        """
+        process = Process(configuration.PRIMARY)
+        backend = process.backend('p')
+        process.refusals_left = 1
+        opening = []
+
+        async def use(account):
+            conn = await backend.acquire(account, clocks.boottime() + 5, {})
+            opening.append(backend.pool.opening)
+            backend.statement_ended(conn, ResultCode.DONE)
+            backend.release(conn, clean=True)
+
+        async def work():
+            with pytest.raises(sessionpool.TargetRefusedError):
+                await use('a')
+            refused_at = clocks.boottime()
+            await asyncio.sleep(sessionpool.FULL_BACKOFF_S + 0.01)
+            await asyncio.gather(*(use(f'a{n}') for n in range(8)))
+            assert clocks.boottime() > refused_at + 8 * 0.012
+            assert max(opening) <= 1
+
+        loop.run_until_complete(work())
+        assert process.opened == 9
+
+
+class TestReporting:
+    def test_a_change_of_the_speed_class_is_logged_once(
+        self, loop, monkeypatch
+    ):
+        """Guards against a log line for each slow statement."""
+        events = []
+        monkeypatch.setattr(
+            logs, 'log_event', lambda name, **fields: events.append(name)
+        )
+        process = Process(configuration.BOUNDED_AGE)
+        run_for(loop, process, 3, 40)
+        process.targets['s'].factor = 3.5
+        run_for(loop, process, 8, 40)
+        assert events.count('target_speed_changed') <= 2
+        assert 'target_speed_changed' in events
+
+    def test_metrics_show_the_limit_and_the_speed(self, loop):
+        process = Process(configuration.BOUNDED_AGE)
+        process.state.metrics = metrics.Metrics()
+        process.state.serves = lambda group: True
+        process.state.metrics.registry.register(
+            targetload.LoadCollector(process.state.measured_targets)
+        )
+        text = process.state.metrics.render().decode()
+        labels = '{group="g",target="p"}'
+        assert f'target_statement_limit{labels} 4.0' in text
+        assert f'target_relative_speed{labels} 1.0' in text
+
+
+def test_by_default_nothing_is_learned():
+    """Guards against a changed behaviour of existing deployments."""
+    process = front.EntryProcess(configuration.BOUNDED_AGE)
+    assert {process.backend(n).load for n in TARGETS} == {None}
