--- a/packages/core/src/sassafrasridge_core/targetcapacity.py
+++ b/packages/core/src/sassafrasridge_core/targetcapacity.py
@@ -250,7 +250,8 @@
     ) -> None:
         """Record the end of a statement.
 
-        ``network_s`` is the round-trip time to the target in seconds.
+        ``network_s`` is the time in seconds that it spent elsewhere: on the
+        way to and from the target.
         """
         if self._running.pop(running, self) is self:
             return
--- a/packages/node/src/sassafrasridge_node/main.py
+++ b/packages/node/src/sassafrasridge_node/main.py
@@ -197,6 +197,7 @@
         )
         state.dialer = platform.dialer(source)
         if state.learned_limits:
+            self._start_task(state.loop_delay.run())
             self.metrics.registry.register(
                 targetload.LoadCollector(state.measured_targets)
             )
--- a/packages/node/src/sassafrasridge_node/sessionreads.py
+++ b/packages/node/src/sassafrasridge_node/sessionreads.py
@@ -97,4 +97,4 @@
             if not wait_s:
                 return
             await asyncio.sleep(wait_s)
-            tried.difference_update(self._router.replicas(op.access.group))
+            tried.difference_update(self._router.replicas(op.access))
--- a/packages/node/src/sassafrasridge_node/sessionrouting.py
+++ b/packages/node/src/sassafrasridge_node/sessionrouting.py
@@ -87,12 +87,7 @@
             return primary if primary not in tried else None
         now = clocks.boottime()
         found = [
-            backend
-            for backend in self._state.available_targets(access.group)
-            if backend not in tried
-            and backend.pool.limit
-            and backend.circuit.ready(now)
-            and (backend is primary or not backend.is_primary())
+            b for b in self._usable_targets(access, primary) if b not in tried
         ]
         if not self._state.learned_limits:
             return min(
@@ -131,17 +126,23 @@
             return primary
         return best
 
-    def replicas(self, group: str) -> list[sessionpool.SessionBackend]:
-        """Return the replicas of a group that accept new work."""
+    def _usable_targets(
+        self, access: Access, primary: sessionpool.SessionBackend | None
+    ) -> list[sessionpool.SessionBackend]:
+        """Return the targets that may serve a read; ``primary`` if usable."""
         now = clocks.boottime()
         return [
             backend
-            for backend in self._state.available_targets(group)
+            for backend in self._state.available_targets(access.group)
             if backend.pool.limit
             and backend.circuit.ready(now)
-            and not backend.is_primary()
+            and (backend is primary or not backend.is_primary())
         ]
 
+    def replicas(self, access: Access) -> list[sessionpool.SessionBackend]:
+        """Return the replicas that may serve a read."""
+        return self._usable_targets(access, None)
+
     def replica_wait_s(
         self,
         access: Access,
@@ -159,7 +160,7 @@
         now = clocks.boottime()
         timeline = self._state.timeline(access.group)
         behind = []
-        for backend in self.replicas(access.group):
+        for backend in self.replicas(access):
             catch_up_s = replicareads.catch_up_s(backend, timeline, floor)
             if backend not in tried and not catch_up_s:
                 return 0.0
--- a/packages/node/src/sassafrasridge_node/sessionstate.py
+++ b/packages/node/src/sassafrasridge_node/sessionstate.py
@@ -11,6 +11,7 @@
 from sassafrasridge_node import clocks
 from sassafrasridge_node import codec
 from sassafrasridge_node import entry
+from sassafrasridge_node import loopdelay
 from sassafrasridge_node import sessionpool
 from sassafrasridge_node import targetload
 
@@ -34,6 +35,7 @@
         super().__init__(*args, **kwargs)
         self.primary_changes = primarywait.ChangeTracker()
         self.learned_limits = learned_limits
+        self.loop_delay = loopdelay.LoopDelay()
         # Usual times of statements by group.
         self._usual_times: dict[str, targetcapacity.UsualTimes] = {}
         # Connections and slots by group, in a configuration revision.
@@ -51,7 +53,10 @@
         backend.serving = self.serves(info.group)
         if self.learned_limits:
             backend.load = targetload.TargetLoad(
-                info.server, info.group, self._group_times(info.group)
+                info.server,
+                info.group,
+                self._group_times(info.group),
+                self.loop_delay,
             )
         return backend
 
--- a/packages/node/src/sassafrasridge_node/targetload.py
+++ b/packages/node/src/sassafrasridge_node/targetload.py
@@ -11,6 +11,7 @@
 from sassafrasridge_core import targetcapacity
 from sassafrasridge_node import clocks
 from sassafrasridge_node import logs
+from sassafrasridge_node import loopdelay
 
 Outcome = targetcapacity.Outcome
 ResultCode = statements.ResultCode
@@ -61,7 +62,8 @@
 class TargetLoad:
     """Learn a target's capacity from the statements sent to it.
 
-    Statements are identified by the connection that they are sent on.
+    Statements are identified by the connection that they are sent on. ``lag``
+    is what reads have shown of the target's lag as a replica.
     """
 
     __slots__ = (
@@ -71,14 +73,20 @@
         '_capacity',
         '_running',
         '_rtt_s',
+        '_loop_delay',
     )
 
     def __init__(
-        self, server: str, group: str, usual: targetcapacity.UsualTimes
+        self,
+        server: str,
+        group: str,
+        usual: targetcapacity.UsualTimes,
+        loop_delay: loopdelay.LoopDelay,
     ) -> None:
         self.lag = replicalag.ReplicaLag()
         self._server = server
         self._group = group
+        self._loop_delay = loop_delay
         self._capacity = targetcapacity.CapacityEstimator(usual)
         self._running: dict[object, targetcapacity.Running] = {}
         # Shortest round-trip time of a connection. A longer one may be due to
@@ -101,7 +109,8 @@
         outcome = Outcome.NOT_RUN
         if result_code is not None:
             outcome = _OUTCOMES.get(result_code, outcome)
-        self._capacity.ended(now, running, outcome, self._rtt_s)
+        elsewhere_s = self._rtt_s + self._loop_delay.seconds()
+        self._capacity.ended(now, running, outcome, elsewhere_s)
         speed_class = self._capacity.new_speed_class(now)
         if speed_class is not None:
             logs.log_event(
@@ -118,7 +127,9 @@
 
     def limit(self, most: int) -> int:
         """Return the number of statements in flight, at most ``most``."""
-        return self._capacity.limit(clocks.boottime(), most)
+        # While this process is late, answers may have arrived already.
+        now = clocks.boottime() - self._loop_delay.seconds()
+        return self._capacity.limit(now, most)
 
     def stall_s(self) -> float:
         """Return after how many seconds an answer is overdue."""
--- a/tests/node/test_learnedlimits.py
+++ b/tests/node/test_learnedlimits.py
@@ -31,6 +31,8 @@
         self.factor = 1.0
         self.reads = 0
         self.rejected = 0
+        # Time that answers wait in the entry process.
+        self.local_s = 0.0
 
     def applied(self):
         if self.primary:
@@ -48,6 +50,7 @@
             target.rejected += 1
             return self.answer(ResultCode.BEHIND)
         await asyncio.sleep((0.008 if writes else 0.024) * target.factor)
+        await asyncio.sleep(target.local_s)
         target.reads += not writes
         if writes:
             self.target.process.write()
@@ -254,6 +257,23 @@
         assert process.opened == 9
 
 
+class TestSlowProcess:
+    """Load: 20 reads a second on a VM at a fifth of its speed."""
+
+    def test_a_late_process_does_not_blame_its_targets(self, loop):
+        """Guards against limits of one because answers are read late."""
+        process = Process(configuration.BOUNDED_AGE)
+        run_for(loop, process, 3, 20)
+        for target in process.targets.values():
+            target.local_s = 0.06
+        for _ in range(20):
+            process.state.loop_delay.record(0.06)
+        run_for(loop, process, 3, 20)
+        for name in ('r', 's'):
+            assert process.backend(name).statement_limit() >= 3
+            assert process.backend(name).load.relative_speed() > 0.8
+
+
 class TestReporting:
     def test_a_change_of_the_speed_class_is_logged_once(
         self, loop, monkeypatch
