--- a/tests/core/test_settings.py
+++ b/tests/core/test_settings.py
@@ -64,6 +64,14 @@
         text = VALID.replace('[entry]', '[entry]\npolicy = fair')
         assert ('entry', 'policy') in mistakes_of(text)
 
+    def test_target_limits_are_fixed_unless_learned(self):
+        """Guards against a changed default for existing deployments."""
+        assert load_settings(VALID).entry.target_limits == 'fixed'
+        text = VALID.replace('[entry]', '[entry]\ntarget_limits = learned')
+        assert load_settings(text).entry.target_limits == 'learned'
+        text = VALID.replace('[entry]', '[entry]\ntarget_limits = free')
+        assert ('entry', 'target_limits') in mistakes_of(text)
+
     def test_every_mistake_is_reported(self):
         """Guards against reporting one mistake per start of the daemon."""
         found = mistakes_of(
