--- a/packages/core/src/sassafrasridge_core/targetcapacity.py
+++ b/packages/core/src/sassafrasridge_core/targetcapacity.py
@@ -390,6 +390,10 @@
             return max(expected_s, self._unanswered_s(now))
         return expected_s
 
+    def is_busy(self, now: float) -> bool:
+        """Return whether statements take clearly longer than usual."""
+        return self.stalled(now) or self._current_ratio(now) > LOW_RATIO
+
     def _current_ratio(self, now: float) -> float:
         idle_s = now - self._answered_at - FORGET_AFTER_S
         if self._running or idle_s <= 0:
--- a/packages/node/src/sassafrasridge_node/replicareads.py
+++ b/packages/node/src/sassafrasridge_node/replicareads.py
@@ -59,9 +59,15 @@
 
 
 def has_free_turn(primary: sessionpool.SessionBackend) -> bool:
-    """Return whether nothing waits at the primary and a statement may run."""
-    return not len(primary.queue) and (
-        primary.in_flight < primary.statement_limit()
+    """Return whether nothing waits at the primary and a statement may run.
+
+    Statements of other processes that wait there show in the time taken.
+    """
+    load = primary.load
+    return (
+        not len(primary.queue)
+        and primary.in_flight < primary.statement_limit()
+        and (load is None or not load.is_busy())
     )
 
 
--- a/packages/node/src/sassafrasridge_node/targetload.py
+++ b/packages/node/src/sassafrasridge_node/targetload.py
@@ -141,6 +141,10 @@
         """Return the expected time of a statement at the target."""
         return self._capacity.expected_s(clocks.boottime(), kind, fallback_s)
 
+    def is_busy(self) -> bool:
+        """Return whether statements wait at the target, or it is slow."""
+        return self._capacity.is_busy(clocks.boottime())
+
     def relative_speed(self) -> float:
         """Return the usual time divided by the time taken lately."""
         return self._capacity.relative_speed()
