--- a/packages/node/src/sassafrasridge_node/main.py
+++ b/packages/node/src/sassafrasridge_node/main.py
@@ -198,9 +198,8 @@
         state.dialer = platform.dialer(source)
         if state.learned_limits:
             self._start_task(state.loop_delay.run())
-            self.metrics.registry.register(
-                targetload.LoadCollector(state.measured_targets)
-            )
+            for gauge in targetload.target_gauges(state.measured_targets):
+                self.metrics.register(gauge)
         self.state = state
         self._admitter = charging.SharedAdmitter(state, entry_pool)
         self.service = sessionfront.SessionService(
--- a/packages/node/src/sassafrasridge_node/targetload.py
+++ b/packages/node/src/sassafrasridge_node/targetload.py
@@ -3,15 +3,14 @@
 import collections.abc
 import typing
 
-from prometheus_client import core as prometheus_core
-from prometheus_client import registry
-
+from sassafrasridge_core import model
 from sassafrasridge_core import replicalag
 from sassafrasridge_core import statements
 from sassafrasridge_core import targetcapacity
 from sassafrasridge_node import clocks
 from sassafrasridge_node import logs
 from sassafrasridge_node import loopdelay
+from sassafrasridge_node import meters
 
 Outcome = targetcapacity.Outcome
 ResultCode = statements.ResultCode
@@ -63,11 +62,13 @@
     """Learn a target's capacity from the statements sent to it.
 
     Statements are identified by the connection that they are sent on. ``lag``
-    is what reads have shown of the target's lag as a replica.
+    is what reads have shown of the target's lag as a replica, ``last_limit``
+    the limit that was last applied, 0 before the first statement.
     """
 
     __slots__ = (
         'lag',
+        'last_limit',
         '_server',
         '_group',
         '_capacity',
@@ -84,6 +85,7 @@
         loop_delay: loopdelay.LoopDelay,
     ) -> None:
         self.lag = replicalag.ReplicaLag()
+        self.last_limit = 0
         self._server = server
         self._group = group
         self._loop_delay = loop_delay
@@ -129,7 +131,8 @@
         """Return the number of statements in flight, at most ``most``."""
         # While this process is late, answers may have arrived already.
         now = clocks.boottime() - self._loop_delay.seconds()
-        return self._capacity.limit(now, most)
+        self.last_limit = self._capacity.limit(now, most)
+        return self.last_limit
 
     def stall_s(self) -> float:
         """Return after how many seconds an answer is overdue."""
@@ -153,40 +156,62 @@
 class MeasuredTarget(typing.Protocol):
     """Describe what the metrics show of a target."""
 
-    info: typing.Any
+    info: model.TargetInfo
     load: TargetLoad | None
 
-    def statement_limit(self) -> int:
-        """Return how many statements may be in flight."""
 
+class TargetGauge(meters.Meter):
+    """Show a learned figure of each target that is served now.
+
+    It is read in the thread that renders the metrics, so ``read`` must not
+    change anything.
+    """
 
-class LoadCollector(registry.Collector):
-    """Report the learned limit and relative speed of each target."""
+    __slots__ = ('_targets', '_read')
 
     def __init__(
         self,
+        name: str,
+        text: str,
         targets: typing.Callable[[], collections.abc.Iterable[MeasuredTarget]],
+        read: typing.Callable[[TargetLoad], float],
     ) -> None:
+        super().__init__(name, text, ('group', 'target'))
         self._targets = targets
+        self._read = read
 
-    def collect(
-        self,
-    ) -> collections.abc.Iterator[prometheus_core.GaugeMetricFamily]:
-        """Return the figures of the targets that are served now."""
-        limits = prometheus_core.GaugeMetricFamily(
-            'sassafrasridge_target_statement_limit',
-            'Statements that this process may have in flight at a target',
-            labels=('group', 'target'),
-        )
-        speeds = prometheus_core.GaugeMetricFamily(
-            'sassafrasridge_target_relative_speed',
-            'Usual time of statements divided by their time at a target',
-            labels=('group', 'target'),
+    def _child(self) -> 'TargetGauge':
+        raise NotImplementedError('the values are read when rendered')
+
+    def family(self) -> typing.Any:
+        """Return the values as a metric family of prometheus_client."""
+        from prometheus_client import metrics_core
+
+        found = metrics_core.GaugeMetricFamily(
+            self.name, self.text, labels=self._label_names
         )
         for target in self._targets():
             if target.load is not None:
                 labels = (target.info.group, target.info.server)
-                limits.add_metric(labels, target.statement_limit())
-                speeds.add_metric(labels, target.load.relative_speed())
-        yield limits
-        yield speeds
+                found.add_metric(labels, self._read(target.load))
+        return found
+
+
+def target_gauges(
+    targets: typing.Callable[[], collections.abc.Iterable[MeasuredTarget]],
+) -> list[TargetGauge]:
+    """Return the metrics of learned limits and relative speeds."""
+    return [
+        TargetGauge(
+            'sassafrasridge_target_statement_limit',
+            'Statements that this process may have in flight at a target',
+            targets,
+            lambda load: load.last_limit,
+        ),
+        TargetGauge(
+            'sassafrasridge_target_relative_speed',
+            'Usual time of statements divided by their time at a target',
+            targets,
+            lambda load: load.relative_speed(),
+        ),
+    ]
--- a/tests/node/test_learnedlimits.py
+++ b/tests/node/test_learnedlimits.py
@@ -292,12 +292,12 @@
 
     def test_metrics_show_the_limit_and_the_speed(self, loop):
         process = Process(configuration.BOUNDED_AGE)
-        process.state.metrics = metrics.Metrics()
         process.state.serves = lambda group: True
-        process.state.metrics.registry.register(
-            targetload.LoadCollector(process.state.measured_targets)
-        )
-        text = process.state.metrics.render().decode()
+        counters = metrics.Metrics()
+        for gauge in targetload.target_gauges(process.state.measured_targets):
+            counters.register(gauge)
+        run_for(loop, process, 1, 10)
+        text = counters.render().decode()
         labels = '{group="g",target="p"}'
         assert f'target_statement_limit{labels} 4.0' in text
         assert f'target_relative_speed{labels} 1.0' in text
