Don't let widely varying statement times look like a slow target

The lowest of many means of 16 varying times lay far below the usual time, so limits fell at targets of usual speed. Connections to a target that can't be reached aren't opened one after the other.

--- a/packages/core/src/sassafrasridge_core/targetcapacity.py
+++ b/packages/core/src/sassafrasridge_core/targetcapacity.py
@@ -37,12 +37,13 @@
 # growth is not, so the limits of processes that share a target become equal.
 STEADY_GROWTH = 0.1
 
-# Statements whose mean is compared with the usual time.
-USUAL_STATEMENTS = 16
+# Statements whose mean is compared with the usual time. Fewer make the lowest
+# mean too low where times vary widely.
+USUAL_STATEMENTS = 24
 # Statements whose mean is the first usual time.
 FIRST_USUAL_STATEMENTS = 6
 # Part of the difference by which a usual time follows a lower mean.
-USUAL_FALL = 0.5
+USUAL_FALL = 0.25
 # Time constant with which a usual time follows a higher mean. A disturbance
 # of a minute raises it by a fifth; data that has grown counts within minutes.
 USUAL_RISE_S = 300.0
@@ -61,6 +62,11 @@
 RATIO_S = 0.3
 MIN_WEIGHT = 0.1
 MAX_WEIGHT = 0.5
+# The same for the relative speed that is reported, which a few long statements
+# must not change.
+REPORTED_S = 2.0
+MIN_REPORTED_WEIGHT = 0.03
+MAX_REPORTED_WEIGHT = 0.4
 
 # A target that answers nothing for this long, or for a multiple of the time
 # that a statement takes there, counts as stalled.
@@ -78,10 +84,10 @@
 
 # Relative speeds below which a target counts as slow and as very slow. A full
 # target of usual speed has about 0.5.
-SLOW_SPEED = 0.4
+SLOW_SPEED = 0.45
 VERY_SLOW_SPEED = 0.2
 # Factor by which a speed must pass a bound for another class.
-CLASS_HYSTERESIS = 1.2
+CLASS_HYSTERESIS = 1.15
 # Least time between two reported changes of a target's class.
 CLASS_INTERVAL_S = 5.0
 
@@ -277,6 +283,10 @@
             MAX_WEIGHT, max(MIN_WEIGHT, 1 - math.exp(-idle_s / RATIO_S))
         )
         self._ratio += weight * (ratio - self._ratio)
+        weight = min(
+            MAX_REPORTED_WEIGHT,
+            max(MIN_REPORTED_WEIGHT, 1 - math.exp(-idle_s / REPORTED_S)),
+        )
         self._reported_ratio += weight * (ratio - self._reported_ratio)
         self._mean_s += weight * (seconds - self._mean_s)
         self._decide(now, running.started, ratio)
--- a/packages/node/src/sassafrasridge_node/sessionpool.py
+++ b/packages/node/src/sassafrasridge_node/sessionpool.py
@@ -518,6 +518,10 @@
                 # this is no evidence against the target.
                 raise backends.refusal_error(model.DEADLINE)
             self.circuit.failure(clocks.boottime())
+            if self.load is not None:
+                # Waiting for one attempt after the other would take longer
+                # than the statements have.
+                self._full_until = float('-inf')
             self._metrics.connection_failures.inc()
             if exc.refused:
                 self._record_refused()
