--- a/packages/core/src/sassafrasridge_core/notes.py
+++ b/packages/core/src/sassafrasridge_core/notes.py
@@ -1,14 +1,13 @@
 """Parse release notes and validate them against the configuration."""
 
-from collections.abc import Callable
 import hashlib
-import re
 from typing import Any
 
 import orjson
 
 from sassafrasridge_core import configuration
 from sassafrasridge_core import errors
+from sassafrasridge_core import notefields
 from sassafrasridge_core.configuration import ACCOUNT
 from sassafrasridge_core.configuration import GRANT
 from sassafrasridge_core.configuration import KEY
@@ -19,10 +18,6 @@
 MAX_ITEMS = 1000
 # Largest integer that every JSON implementation represents exactly.
 MAX_SAFE_INTEGER = 2**53 - 1
-MAX_RATE_PER_S = 1e9
-# Limit of the slots and also of the connections of a service.
-MAX_SLOTS = 10_000
-MAX_PATH_CHARS = 200
 # Longer values are cut to this length in messages.
 MAX_SHOWN_CHARS = 80
 # With this many mistakes a response stays below the frame limit of 4 MiB.
@@ -30,14 +25,11 @@
 MAX_MISTAKES_IN_MESSAGE = 10
 # Fields of a note that hold a list of items.
 ITEM_LISTS = ('added', 'changed', 'withdrawn')
-POLICIES = ('demand', 'static')
 
-# Names and paths are also parts of callers' URLs. The data path accepts only
-# these forms.
-_NAME_PATTERN = re.compile(r'[A-Za-z0-9][A-Za-z0-9._-]{0,62}')
-_DIGEST_PATTERN = re.compile(r'[0-9a-f]{64}')
-_SEGMENT_PATTERN = re.compile(r'[A-Za-z0-9_-][A-Za-z0-9._-]*')
-_REQUIRED = object()
+# Also used by other modules that check names and digests.
+NAME_TEXT = notefields.NAME_TEXT
+is_name = notefields.is_name
+is_digest = notefields.is_digest
 
 
 class Mistake:
@@ -86,169 +78,6 @@
         return body
 
 
-class _Field:
-    """Describe a field of an item; ``private`` hides its value in errors."""
-
-    __slots__ = ('accepts', 'allowed', 'default', 'private', 'convert')
-
-    def __init__(
-        self,
-        accepts: Callable[[Any], bool],
-        allowed: str,
-        default: Any = _REQUIRED,
-        private: bool = False,
-        convert: Callable[[Any], Any] | None = None,
-    ) -> None:
-        self.accepts = accepts
-        self.allowed = allowed
-        self.default = default
-        self.private = private
-        self.convert = convert
-
-
-class _Kind:
-    """Describe a kind of item by its fields.
-
-    ``identity`` names the fields that form the record's key, ``changeable``
-    those that a change may set.
-    """
-
-    __slots__ = ('identity', 'fields', 'changeable')
-
-    def __init__(
-        self,
-        identity: tuple[str, ...],
-        fields: dict[str, _Field],
-        changeable: tuple[str, ...],
-    ) -> None:
-        self.identity = identity
-        self.fields = fields
-        self.changeable = changeable
-
-
-def is_name(value: Any) -> bool:
-    return isinstance(value, str) and bool(_NAME_PATTERN.fullmatch(value))
-
-
-def _is_path(value: Any) -> bool:
-    return (
-        isinstance(value, str)
-        and len(value) <= MAX_PATH_CHARS
-        and all(_SEGMENT_PATTERN.fullmatch(part) for part in value.split('/'))
-    )
-
-
-def is_digest(value: Any) -> bool:
-    return isinstance(value, str) and bool(_DIGEST_PATTERN.fullmatch(value))
-
-
-def _is_bool(value: Any) -> bool:
-    return isinstance(value, bool)
-
-
-def _is_int(value: Any, low: int, high: int) -> bool:
-    return (
-        isinstance(value, int)
-        and not isinstance(value, bool)
-        and low <= value <= high
-    )
-
-
-def _is_rate(value: Any) -> bool:
-    return (
-        isinstance(value, int | float)
-        and not isinstance(value, bool)
-        and 0 < value <= MAX_RATE_PER_S
-    )
-
-
-def _is_burst(value: Any) -> bool:
-    # A token bucket with a capacity below 1 never admits a statement.
-    return _is_rate(value) and value >= 1
-
-
-def _is_limit(value: Any) -> bool:
-    return value is None or _is_int(value, 1, MAX_SLOTS)
-
-
-NAME_TEXT = (
-    "1 to 63 letters, digits, '.', '_' or '-', starting with a letter or digit"
-)
-_NAME_FIELD = _Field(is_name, NAME_TEXT)
-_PATH_FIELD = _Field(
-    _is_path,
-    f"segments of letters, digits, '.', '_' or '-' separated by '/', "
-    f"none starting with '.', at most {MAX_PATH_CHARS} characters",
-)
-_LIMIT_FIELD = _Field(
-    _is_limit, f'an integer from 1 to {MAX_SLOTS}, or null', default=None
-)
-_FLAG_FIELD = _Field(_is_bool, 'true or false', default=False)
-
-_KINDS = {
-    ACCOUNT: _Kind(
-        ('name',),
-        {
-            'name': _NAME_FIELD,
-            'rate': _Field(
-                _is_rate,
-                f'statements/s above 0, at most {MAX_RATE_PER_S:.0f}',
-                convert=float,
-            ),
-            'burst': _Field(
-                _is_burst,
-                f'statements from 1 to {MAX_RATE_PER_S:.0f}',
-                convert=float,
-            ),
-        },
-        ('rate', 'burst'),
-    ),
-    KEY: _Kind(
-        ('id',),
-        {
-            'id': _NAME_FIELD,
-            'account': _NAME_FIELD,
-            'digest': _Field(
-                is_digest,
-                'the SHA-256 of the secret as 64 lowercase hex digits',
-                private=True,
-            ),
-        },
-        (),
-    ),
-    SERVICE: _Kind(
-        ('name',),
-        {
-            'name': _NAME_FIELD,
-            'group': _NAME_FIELD,
-            'slots': _LIMIT_FIELD,
-            'connections': _LIMIT_FIELD,
-            'policy': _Field(
-                lambda value: value in POLICIES,
-                ' or '.join(repr(policy) for policy in POLICIES),
-                default=POLICIES[0],
-            ),
-        },
-        ('group', 'slots', 'connections', 'policy'),
-    ),
-    ROUTE: _Kind(
-        ('path',),
-        {
-            'path': _PATH_FIELD,
-            'service': _NAME_FIELD,
-            'open': _FLAG_FIELD,
-            'partition_reads': _FLAG_FIELD,
-        },
-        ('service', 'open', 'partition_reads'),
-    ),
-    GRANT: _Kind(
-        ('account', 'service'),
-        {'account': _NAME_FIELD, 'service': _NAME_FIELD},
-        (),
-    ),
-}
-
-
 class Item:
     """Hold an item of a note; ``key`` is the key of its record."""
 
@@ -371,7 +200,7 @@
             '', body, ('number', 'operator', *ITEM_LISTS)
         )
         number = body.get('number')
-        if not _is_int(number, 1, MAX_SAFE_INTEGER):
+        if not notefields.is_int(number, 1, MAX_SAFE_INTEGER):
             found = show(number) if 'number' in body else 'nothing'
             self._add_mistake(
                 'number', found, f'an integer from 1 to {MAX_SAFE_INTEGER}'
@@ -430,13 +259,13 @@
             self._add_mistake(path, show(raw), 'an object')
             return None
         value = raw.get('kind')
-        kind = _KINDS.get(value) if isinstance(value, str) else None
+        kind = notefields.KINDS.get(value) if isinstance(value, str) else None
         if name == 'changed' and kind is not None and not kind.changeable:
             kind = None
         if kind is None:
             allowed = ', '.join(
                 key
-                for key, other in _KINDS.items()
+                for key, other in notefields.KINDS.items()
                 if name != 'changed' or other.changeable
             )
             found = show(value) if 'kind' in raw else 'nothing'
@@ -449,7 +278,7 @@
         return self._reject_duplicate(Item(path, str(value), key, values))
 
     def _parse_fields(
-        self, name: str, path: str, kind: _Kind, raw: dict[str, Any]
+        self, name: str, path: str, kind: notefields.Kind, raw: dict[str, Any]
     ) -> dict[str, Any] | None:
         before = len(self._mistakes)
         known = kind.identity if name == 'withdrawn' else tuple(kind.fields)
@@ -461,7 +290,7 @@
             if field_name not in raw:
                 if optional:
                     continue
-                if field.default is not _REQUIRED:
+                if field.default is not notefields.REQUIRED:
                     values[field_name] = field.default
                     continue
                 self._add_mistake(
