Add home regions and cold rates to the configuration and settings

Routes and accounts name regions, services the rate of cold targets, and the settings the regions of zones. Fields that hold their default are left out of stored records and of note digests, so that the former release reads them and resent notes still match.

--- a/packages/core/src/sassafrasridge_core/configuration.py
+++ b/packages/core/src/sassafrasridge_core/configuration.py
@@ -22,18 +22,25 @@
     """Hold a client account.
 
     ``rate`` is in statements/s, ``burst`` in statements. ``priority`` 0 is
-    the highest.
+    the highest. ``regions`` are those whose targets may run its statements,
+    empty for all.
     """
 
-    __slots__ = ('name', 'rate', 'burst', 'priority')
+    __slots__ = ('name', 'rate', 'burst', 'priority', 'regions')
 
     def __init__(
-        self, name: str, rate: float, burst: float, priority: int = 0
+        self,
+        name: str,
+        rate: float,
+        burst: float,
+        priority: int = 0,
+        regions: Iterable[str] = (),
     ) -> None:
         self.name = name
         self.rate = rate
         self.burst = burst
         self.priority = priority
+        self.regions = tuple(regions)
 
 
 class Key:
@@ -55,9 +62,18 @@
     """Hold a service.
 
     ``slots`` and ``connections`` are None if the targets announce them.
+    ``cold_rate`` is the maximum rate in statements/s of a target that reports
+    to be cold, 0 for no limit.
     """
 
-    __slots__ = ('name', 'group', 'slots', 'connections', 'policy')
+    __slots__ = (
+        'name',
+        'group',
+        'slots',
+        'connections',
+        'policy',
+        'cold_rate',
+    )
 
     def __init__(
         self,
@@ -66,12 +82,14 @@
         slots: int | None,
         connections: int | None,
         policy: str,
+        cold_rate: float = 0.0,
     ) -> None:
         self.name = name
         self.group = group
         self.slots = slots
         self.connections = connections
         self.policy = policy
+        self.cold_rate = cold_rate
 
 
 class Route:
@@ -82,7 +100,8 @@
     ``consistency`` is one of CONSISTENCIES, ``max_age_s`` the maximum age of
     the data, ``timeout_s`` that of a statement, ``objective_s`` the latency
     objective of an operation, ``idle_s`` the idle timeout of an open
-    transaction, and ``priority`` 0 the highest.
+    transaction, and ``priority`` 0 the highest. ``regions`` are those whose
+    targets may run the route's statements, empty for all.
     """
 
     __slots__ = (
@@ -97,6 +116,7 @@
         'objective_s',
         'idle_s',
         'priority',
+        'regions',
     )
 
     def __init__(
@@ -112,6 +132,7 @@
         objective_s: float = 1.0,
         idle_s: float = 10.0,
         priority: int = 0,
+        regions: Iterable[str] = (),
     ) -> None:
         self.path = path
         self.service = service
@@ -124,6 +145,7 @@
         self.objective_s = objective_s
         self.idle_s = idle_s
         self.priority = priority
+        self.regions = tuple(regions)
 
 
 class Grant:
@@ -147,9 +169,18 @@
 }
 
 
+# Values with which a field is left out of a stored record: the release before
+# the field was added can then still read the record.
+_OMITTED_VALUES: dict[str, Any] = {'regions': (), 'cold_rate': 0.0}
+
+
 def as_dict(record: Record) -> dict[str, Any]:
     """Return the fields of a record as JSON-able values."""
-    return {name: getattr(record, name) for name in record.__slots__}
+    values = {name: getattr(record, name) for name in record.__slots__}
+    for name, omitted in _OMITTED_VALUES.items():
+        if values.get(name) == omitted:
+            del values[name]
+    return values
 
 
 class Change:
--- a/packages/core/src/sassafrasridge_core/notefields.py
+++ b/packages/core/src/sassafrasridge_core/notefields.py
@@ -14,6 +14,7 @@
 # Limit of the slots and also of the connections of a service.
 MAX_SLOTS = 10_000
 MAX_PATH_CHARS = 200
+MAX_REGIONS = 100
 POLICIES = ('demand', 'static')
 
 # Names and paths are also parts of callers' URLs. The data path accepts only
@@ -25,9 +26,21 @@
 
 
 class Field:
-    """Describe a field of an item; ``private`` hides its value in errors."""
+    """Describe a field of an item.
 
-    __slots__ = ('accepts', 'allowed', 'default', 'private', 'convert')
+    ``private`` hides its value in errors. With ``omit_default``, an added item
+    leaves out the default, so that a note without the field keeps the digest
+    that it had before the field existed.
+    """
+
+    __slots__ = (
+        'accepts',
+        'allowed',
+        'default',
+        'private',
+        'convert',
+        'omit_default',
+    )
 
     def __init__(
         self,
@@ -36,12 +49,14 @@
         default: Any = REQUIRED,
         private: bool = False,
         convert: Callable[[Any], Any] | None = None,
+        omit_default: bool = False,
     ) -> None:
         self.accepts = accepts
         self.allowed = allowed
         self.default = default
         self.private = private
         self.convert = convert
+        self.omit_default = omit_default
 
 
 class Kind:
@@ -92,12 +107,12 @@
     )
 
 
+def _is_number(value: Any) -> bool:
+    return isinstance(value, int | float) and not isinstance(value, bool)
+
+
 def _is_rate(value: Any) -> bool:
-    return (
-        isinstance(value, int | float)
-        and not isinstance(value, bool)
-        and 0 < value <= MAX_RATE_PER_S
-    )
+    return _is_number(value) and 0 < value <= MAX_RATE_PER_S
 
 
 def _is_burst(value: Any) -> bool:
@@ -109,6 +124,22 @@
     return value is None or is_int(value, 1, MAX_SLOTS)
 
 
+def _is_cold_rate(value: Any) -> bool:
+    return _is_number(value) and 0 <= value <= MAX_RATE_PER_S
+
+
+def _is_region_list(value: Any) -> bool:
+    return (
+        isinstance(value, list)
+        and len(value) <= MAX_REGIONS
+        and all(is_name(name) for name in value)
+    )
+
+
+def _sorted_names(names: list[str]) -> tuple[str, ...]:
+    return tuple(sorted(set(names)))
+
+
 NAME_TEXT = (
     "1 to 63 letters, digits, '.', '_' or '-', starting with a letter or digit"
 )
@@ -122,6 +153,13 @@
     _is_limit, f'an integer from 1 to {MAX_SLOTS}, or null', default=None
 )
 _FLAG_FIELD = Field(_is_bool, 'true or false', default=False)
+_REGIONS_FIELD = Field(
+    _is_region_list,
+    f'a list of at most {MAX_REGIONS} regions, each {NAME_TEXT}',
+    default=(),
+    convert=_sorted_names,
+    omit_default=True,
+)
 
 KINDS = {
     ACCOUNT: Kind(
@@ -138,8 +176,9 @@
                 f'statements from 1 to {MAX_RATE_PER_S:.0f}',
                 convert=float,
             ),
+            'regions': _REGIONS_FIELD,
         },
-        ('rate', 'burst'),
+        ('rate', 'burst', 'regions'),
     ),
     KEY: Kind(
         ('id',),
@@ -166,8 +205,15 @@
                 ' or '.join(repr(policy) for policy in POLICIES),
                 default=POLICIES[0],
             ),
+            'cold_rate': Field(
+                _is_cold_rate,
+                f'statements/s from 0 (no limit) to {MAX_RATE_PER_S:.0f}',
+                default=0.0,
+                convert=float,
+                omit_default=True,
+            ),
         },
-        ('group', 'slots', 'connections', 'policy'),
+        ('group', 'slots', 'connections', 'policy', 'cold_rate'),
     ),
     ROUTE: Kind(
         ('path',),
@@ -176,8 +222,9 @@
             'service': _NAME_FIELD,
             'open': _FLAG_FIELD,
             'partition_reads': _FLAG_FIELD,
+            'regions': _REGIONS_FIELD,
         },
-        ('service', 'open', 'partition_reads'),
+        ('service', 'open', 'partition_reads', 'regions'),
     ),
     GRANT: Kind(
         ('account', 'service'),
--- a/packages/core/src/sassafrasridge_core/notes.py
+++ b/packages/core/src/sassafrasridge_core/notes.py
@@ -290,6 +290,8 @@
             if field_name not in raw:
                 if optional:
                     continue
+                if field.omit_default:
+                    continue
                 if field.default is not notefields.REQUIRED:
                     values[field_name] = field.default
                     continue
@@ -306,9 +308,14 @@
                 )
                 self._add_mistake(f'{path}.{field_name}', shown, field.allowed)
                 continue
-            values[field_name] = (
-                field.convert(value) if field.convert else value
-            )
+            if field.convert is not None:
+                value = field.convert(value)
+            if not (
+                name == 'added'
+                and field.omit_default
+                and value == field.default
+            ):
+                values[field_name] = value
         if len(self._mistakes) > before:
             return None
         if name == 'changed' and len(values) == len(kind.identity):
--- a/packages/core/src/sassafrasridge_core/settings.py
+++ b/packages/core/src/sassafrasridge_core/settings.py
@@ -13,6 +13,7 @@
 
 from sassafrasridge_core import errors
 from sassafrasridge_core import notes
+from sassafrasridge_core import regions
 
 ROLES = ('entry', 'control')
 POLICIES = ('adaptive', 'plain')
@@ -215,13 +216,18 @@
 
 
 class Settings:
-    """Hold validated settings; ``operators`` maps names to token digests."""
+    """Hold validated settings.
+
+    ``operators`` maps names to token digests, ``regions`` maps zones to their
+    regions.
+    """
 
     __slots__ = (
         'node',
         'control',
         'entry',
         'operators',
+        'regions',
         'targets',
         'timing',
         'log',
@@ -232,6 +238,7 @@
         self.control: ControlSettings | None = None
         self.entry: EntrySettings | None = None
         self.operators: dict[str, str] = {}
+        self.regions: dict[str, str] = {}
         self.targets = TargetSettings()
         self.timing = TimingSettings()
         self.log = LogSettings()
@@ -553,7 +560,7 @@
 
     def run(self) -> Settings:
         for section in self._parser.sections():
-            if section not in _SECTIONS and section != 'operators':
+            if section not in _all_sections():
                 known = ', '.join(f'[{name}]' for name in _all_sections())
                 self._add_mistake(
                     section, '', 'an unknown section', f'one of {known}'
@@ -567,6 +574,7 @@
         self._fill_section('timing', settings.timing)
         self._fill_section('log', settings.log)
         settings.operators = self._parse_operators()
+        settings.regions = self._parse_regions()
         self._check_control_role(settings)
         self._check_timing(settings.timing)
         self._resolve_path(settings.node, 'data_folder')
@@ -705,6 +713,14 @@
                 )
         return operators
 
+    def _parse_regions(self) -> dict[str, str]:
+        if not self._parser.has_section('regions'):
+            return {}
+        parsed, invalid = regions.parse_section(self._parser.items('regions'))
+        for line in invalid:
+            self._add_mistake('regions', line.zone, line.found, line.allowed)
+        return parsed
+
     def _check_control_role(self, settings: Settings) -> None:
         node, control = settings.node, settings.control
         if control is None:
@@ -776,7 +792,7 @@
 
 
 def _all_sections() -> list[str]:
-    return [*_SECTIONS, 'operators']
+    return [*_SECTIONS, 'operators', 'regions']
 
 
 def unreadable_file_error(file: str, reason: str) -> InvalidSettingsError:
--- a/packages/core/src/sassafrasridge_core/wholeconfig.py
+++ b/packages/core/src/sassafrasridge_core/wholeconfig.py
@@ -63,6 +63,15 @@
         self.add_mistake(where, value, 'true or false')
         return False
 
+    def read_names(self, where: str, value: object) -> tuple[str, ...]:
+        """Return the sorted names of a list; None is an empty list."""
+        if value is None:
+            return ()
+        if not isinstance(value, list):
+            self.add_mistake(where, value, 'a list of names')
+            return ()
+        return tuple(sorted({self.read_name(where, name) for name in value}))
+
     def read_objects(self, where: str, value: object) -> list[_JsonObject]:
         if not isinstance(value, list):
             self.add_mistake(where, value, 'a list')
@@ -161,7 +170,14 @@
             reader.mistakes.append(f'service {name!r} is listed twice')
         names.append(name)
         service = configuration.Service(
-            name, name, None, int(connections), 'adaptive'
+            name,
+            name,
+            None,
+            int(connections),
+            'adaptive',
+            reader.read_number(
+                f'cold_rate of service {name}', entry.get('cold_rate', 0), 0
+            ),
         )
         _put_record(records, service, configuration.SERVICE, name)
     return names
@@ -213,6 +229,7 @@
                     f'priority {where}', entry.get('priority'), 0
                 )
             ),
+            reader.read_names(f'regions {where}', entry.get('regions')),
         )
         _put_record(records, route, configuration.ROUTE, path)
 
@@ -240,6 +257,9 @@
                     f'priority of account {name}', entry.get('priority'), 0
                 )
             ),
+            reader.read_names(
+                f'regions of account {name}', entry.get('regions')
+            ),
         )
         _put_record(records, account, configuration.ACCOUNT, name)
         digests = entry.get('key_digests')
