Apply home regions to routing, relays and both data paths

A statement runs only on targets in the regions that its route and account allow, and its text is relayed only to entry processes there. Without such a target it is refused at once as not run. While regions are named, probes record the primary's position: restricted statements never reach a primary elsewhere, so its replicas could not prove the age of their data.

--- a/packages/core/src/sassafrasridge_core/statements.py
+++ b/packages/core/src/sassafrasridge_core/statements.py
@@ -91,6 +91,7 @@
     ABORTED = 'aborted'
     NOT_FRESH = 'not_fresh'
     NO_PRIMARY = 'no_primary'
+    OUTSIDE_REGIONS = 'outside_regions'
     UNKNOWN_SERVICE = 'unknown_service'
     UNAUTHORIZED = 'unauthorized'
     MALFORMED = 'malformed'
--- a/packages/node/src/sassafrasridge_node/admission.py
+++ b/packages/node/src/sassafrasridge_node/admission.py
@@ -6,6 +6,7 @@
 
 from sassafrasridge_core import configuration
 from sassafrasridge_core import errors
+from sassafrasridge_core import regions
 from sassafrasridge_node import clocks
 from sassafrasridge_node import entry
 from sassafrasridge_node import front
@@ -31,22 +32,31 @@
 class Admission:
     """Hold the client account and the service that a request may use.
 
+    ``regions`` are the allowed regions of targets, None for all.
     ``partition_reads`` tells whether reads are allowed without a lease.
     ``recheck`` raises RidgeError if the request is no longer allowed, for
     example because its key was withdrawn while the request waited.
     """
 
-    __slots__ = ('account', 'service', 'partition_reads', 'recheck')
+    __slots__ = (
+        'account',
+        'service',
+        'partition_reads',
+        'regions',
+        'recheck',
+    )
 
     def __init__(
         self,
         account: str,
         service: configuration.Service,
         partition_reads: bool,
+        allowed: regions.Allowed = None,
     ) -> None:
         self.account = account
         self.service = service
         self.partition_reads = partition_reads
+        self.regions = allowed
         self.recheck: collections.abc.Callable[[], None] = _allow
 
     @property
@@ -77,7 +87,11 @@
 
     def _recheck(self, req: front.DataRequest, adm: Admission) -> None:
         current = self._authorize(req)
-        if (current.account, current.group) != (adm.account, adm.group):
+        if (current.account, current.group, current.regions) != (
+            adm.account,
+            adm.group,
+            adm.regions,
+        ):
             raise errors.ForbiddenError(
                 'access was changed while the request waited'
             )
@@ -99,7 +113,17 @@
                 f'client account {account!r} may not use service '
                 f'{service.name!r}'
             )
-        return Admission(account, service, False)
+        return Admission(
+            account, service, False, self._allowed_regions(route, account)
+        )
+
+    def _allowed_regions(
+        self, route: configuration.Route | None, account: str | None
+    ) -> regions.Allowed:
+        record = self._state.config.account(account) if account else None
+        return regions.intersect(
+            route.regions if route else (), record.regions if record else ()
+        )
 
     def _find_service(
         self, req: front.DataRequest
@@ -131,9 +155,16 @@
             if not route.partition_reads or req.access != 'read':
                 raise no_lease_error()
             # Without a lease no key can be verified; this route needs no key.
-            return Admission(ANONYMOUS, service, True)
+            return Admission(
+                ANONYMOUS, service, True, self._allowed_regions(route, None)
+            )
         account = self._account_of_key(req)
-        return Admission(account or ANONYMOUS, service, route.partition_reads)
+        return Admission(
+            account or ANONYMOUS,
+            service,
+            route.partition_reads,
+            self._allowed_regions(route, account),
+        )
 
     def _account_of_key(self, req: front.DataRequest) -> str | None:
         if req.key_digest is None:
--- a/packages/node/src/sassafrasridge_node/commands.py
+++ b/packages/node/src/sassafrasridge_node/commands.py
@@ -452,7 +452,8 @@
 ) -> core_state.Reply:
     """Register a target that announced itself to another member."""
     names = model.TargetInfo.__slots__
-    info = model.TargetInfo(*(body[name] for name in names))
+    # A member of the former release doesn't send the newest fields.
+    info = model.TargetInfo(**{n: body[n] for n in names if n in body})
     _require_all_applied(member)
     _leadership(member).register(
         clocks.boottime(),
--- a/packages/node/src/sassafrasridge_node/entry.py
+++ b/packages/node/src/sassafrasridge_node/entry.py
@@ -67,6 +67,8 @@
         self.targets_revision = 0
         self._serving_entries: set[str] = set()
         self._entry_zones: dict[str, str] = {}
+        # Regions by zone, from the settings.
+        self.regions: dict[str, str] = {}
         self._serving_sets: dict[str, list[str]] = {}
         self._charging_entries: dict[str, str] = {}
         self._served_cache: (
@@ -137,6 +139,10 @@
         """Return an entry process's availability zone, '' if unknown."""
         return self._entry_zones.get(entry, '')
 
+    def region_of(self, zone: str) -> str:
+        """Return the region of an availability zone, '' if unknown."""
+        return self.regions.get(zone, '')
+
     def serving_set(self, group: str) -> list[str]:
         """Return the entry processes that hold connections to a group."""
         found = self._serving_sets.get(group)
--- a/packages/node/src/sassafrasridge_node/gateway.py
+++ b/packages/node/src/sassafrasridge_node/gateway.py
@@ -13,7 +13,9 @@
 from sassafrasridge_node import clocks
 from sassafrasridge_node import entry
 from sassafrasridge_node import front
+from sassafrasridge_node import logs
 from sassafrasridge_node import reads
+from sassafrasridge_node import regionrules
 from sassafrasridge_node import rpc
 from sassafrasridge_node import transactions
 from sassafrasridge_node import writes
@@ -31,6 +33,10 @@
 
 # Kinds of requests that belong to an open transaction.
 TRANSACTION_KINDS = ('in', 'commit', 'rollback')
+
+# Kinds of requests that carry the text of statements, or begin a transaction
+# whose later requests do.
+TEXT_KINDS = ('statements', 'begin', 'in')
 UUID7_VERSION = '7'
 REQUEST_ID_TTL_S = 24 * 3600
 
@@ -55,6 +61,7 @@
         self._pool = pool
         self._rng = rng
         self._admitter = admission.Admitter(state)
+        self._decisions = logs.DecisionLog(clocks.boottime)
         self._reader = reads.Reader(state, state.metrics, rng)
         self.writer = writes.Writer(state, state.metrics, rng)
         self.transactions = transactions.Transactions(state, self.writer)
@@ -65,10 +72,28 @@
         check_request_id(req.request_id, time.time())
         if req.kind in ('statements', 'begin', 'in'):
             await self._admitter.charge(adm, req)
-        owners = self._find_owners(req, adm)
-        if owners is not None:
-            return await self._relay(req, adm, owners)
-        return await self.execute(req, adm)
+        try:
+            owners = self._find_owners(req, adm)
+            if owners is not None:
+                return await self._relay(req, adm, owners)
+            return await self.execute(req, adm)
+        except regionrules.OutsideRegionsError as exc:
+            self._log_outside_regions(adm, exc)
+            raise
+
+    def _log_outside_regions(
+        self,
+        adm: admission.Admission,
+        exc: regionrules.OutsideRegionsError,
+    ) -> None:
+        view = self._state.groups.get(adm.group)
+        self._decisions.write(
+            'request_outside_regions',
+            service=adm.service.name,
+            revision=self._state.config.revision,
+            primary=view.primary if view else None,
+            reason=exc.message,
+        )
 
     def _find_owners(
         self, req: front.DataRequest, adm: admission.Admission
@@ -80,10 +105,19 @@
         state = self._state
         if req.kind in TRANSACTION_KINDS:
             owner = self.transactions.owning_entry(req.transaction or '')
-            return None if owner == state.name else [owner]
+            if owner == state.name:
+                return None
+            if req.kind != 'in' or owner not in state.entries:
+                # No statement's text is relayed.
+                return [owner]
+            return regionrules.serving_entries(state, adm.regions, [owner])
         if state.serves(adm.group):
             return None
-        return state.near_serving_set(adm.group, self._rng)
+        return regionrules.serving_entries(
+            state,
+            adm.regions,
+            state.near_serving_set(adm.group, self._rng),
+        )
 
     async def execute(
         self, req: front.DataRequest, adm: admission.Admission
@@ -177,8 +211,13 @@
             req = front.DataRequest(**orjson.loads(call.body))
             req.received_at = clocks.boottime()
             req.deadline = req.received_at + call.deadline_s
-            reply = await self.execute(req, self._admitter.authorize(req))
+            adm = self._admitter.authorize(req)
+            if req.kind in TEXT_KINDS:
+                regionrules.require_own_region(self._state, adm.regions)
+            reply = await self.execute(req, adm)
         except errors.RidgeError as exc:
+            if isinstance(exc, regionrules.OutsideRegionsError):
+                self._log_outside_regions(adm, exc)
             return rpc.idl.StatementReply(
                 status=exc.status,
                 body=orjson.dumps(exc.as_json()),
--- a/packages/node/src/sassafrasridge_node/main.py
+++ b/packages/node/src/sassafrasridge_node/main.py
@@ -158,6 +158,7 @@
         if self.member is not None:
             self.member.rpc_address = self.rpc_address()
         if self.state is not None:
+            self.state.regions = self.cfg.regions
             self._start_entry(control_pool)
         if self.service is not None and self._session_server is not None:
             self._start_task(self.service.run())
--- a/packages/node/src/sassafrasridge_node/metrics.py
+++ b/packages/node/src/sassafrasridge_node/metrics.py
@@ -29,6 +29,7 @@
         'not_fresh',
         'not_found',
         'outcome_unknown',
+        'outside_regions',
         'overloaded',
         'queue_full',
         'rate_limited',
--- a/packages/node/src/sassafrasridge_node/reads.py
+++ b/packages/node/src/sassafrasridge_node/reads.py
@@ -16,6 +16,7 @@
 from sassafrasridge_node import entry
 from sassafrasridge_node import front
 from sassafrasridge_node import metrics
+from sassafrasridge_node import regionrules
 
 # Maximum data age for session reads that specify none. Without it, a session
 # without a token would accept data of any age.
@@ -102,6 +103,8 @@
             changed = self._state.view_changed
             try:
                 return self._choose_target(adm, need, tried)
+            except regionrules.OutsideRegionsError:
+                raise
             except errors.UnavailableError:
                 # A lost lease is unlikely to be regained soon, and another
                 # entry process may be able to serve the read.
@@ -146,8 +149,11 @@
         process cannot reach. Replicas without recent contact are chosen only
         if the primary has none either, since a probe may merely be late.
         """
+        regionrules.require_target(
+            self._state, adm.regions, adm.group, need.primary
+        )
         if need.primary:
-            return self._require_primary(adm.group)
+            return self._require_primary(adm)
         now = clocks.boottime()
         member = self._choose_fresh_member(
             now, adm, need, tried, RECENT_CONTACT_S
@@ -159,9 +165,9 @@
                 now, adm, need, tried, float('inf')
             )
             if member is None:
-                self._require_primary(adm.group)
+                self._require_primary(adm)
                 raise backends.refusal_error(model.NO_TARGET)
-        return member or self._require_primary(adm.group)
+        return member or self._require_primary(adm)
 
     def _primary_recently_reached(self, now: float, group: str) -> bool:
         backend = self._state.primary(group)
@@ -184,6 +190,7 @@
             self._build_candidate(now, adm.group, need, backend)
             for server, backend in members.items()
             if server not in tried
+            and regionrules.allows_target(state, adm.regions, backend)
             and now - backend.success_at <= contact_within_s
         ]
         chosen = routing.choose(
@@ -201,11 +208,13 @@
             now, adm, need, {*tried, chosen.server}, contact_within_s
         )
 
-    def _require_primary(self, group: str) -> backends.Backend:
+    def _require_primary(self, adm: admission.Admission) -> backends.Backend:
         if not self._state.lease_valid():
             raise admission.no_lease_error()
-        backend = self._state.primary(group)
-        if backend is None:
+        backend = self._state.primary(adm.group)
+        if backend is None or not regionrules.allows_target(
+            self._state, adm.regions, backend
+        ):
             raise backends.refusal_error(model.NO_TARGET)
         return backend
 
--- a/packages/node/src/sassafrasridge_node/relayedsessions.py
+++ b/packages/node/src/sassafrasridge_node/relayedsessions.py
@@ -4,6 +4,7 @@
 
 from sassafrasridge_core import statements
 from sassafrasridge_node import logs
+from sassafrasridge_node import regionrules
 from sassafrasridge_node import sessionbase
 from sassafrasridge_node import sessionfront
 from sassafrasridge_node import sessionrelay
@@ -109,6 +110,12 @@
         session = RelayedSession(self._service, 0, req.database, req.digest)
         session.on_idle_end = lambda: self._end_idle(number, session)
         access = session.authorize()
+        try:
+            regionrules.require_own_region(self._service.state, access.regions)
+        except regionrules.OutsideRegionsError as exc:
+            raise sessionbase.SessionError(
+                StatementFailure.OUTSIDE_REGIONS, exc.message
+            )
         if req.begin is not None:
             session.begin(access, req.begin is StatementKind.BEGIN_READ)
             self._transactions[number] = session
--- a/packages/node/src/sassafrasridge_node/sessionbase.py
+++ b/packages/node/src/sassafrasridge_node/sessionbase.py
@@ -14,6 +14,7 @@
 from sassafrasridge_core import configuration
 from sassafrasridge_core import model
 from sassafrasridge_core import primarywait
+from sassafrasridge_core import regions
 from sassafrasridge_core import statements
 from sassafrasridge_node import admission
 from sassafrasridge_node import clocks
@@ -205,10 +206,18 @@
             )
         account = config.account_by_key_digest(self._digest)
         if account is not None:
-            return sessionrouting.Access(account.name, route, service.group)
+            return sessionrouting.Access(
+                account.name,
+                route,
+                service.group,
+                regions.intersect(route.regions, account.regions),
+            )
         if route.open:
             return sessionrouting.Access(
-                admission.ANONYMOUS, route, service.group
+                admission.ANONYMOUS,
+                route,
+                service.group,
+                regions.intersect(route.regions),
             )
         raise SessionError(
             StatementFailure.UNAUTHORIZED, 'the key is unknown or withdrawn'
--- a/packages/node/src/sassafrasridge_node/sessionpool.py
+++ b/packages/node/src/sassafrasridge_node/sessionpool.py
@@ -169,7 +169,8 @@
 
     ``values`` and ``prepared`` mirror the session values and the names of
     prepared statements that the target holds for the connection.
-    ``answer_pending`` is true while an answer is outstanding.
+    ``answer_pending`` is true while an answer is outstanding. ``position`` is
+    the end of the target's log in its last status, if known.
     """
 
     def __init__(self, account: str) -> None:
@@ -179,6 +180,7 @@
         self.used_at = clocks.boottime()
         self.rtt_s = DEFAULT_RTT_S
         self.closed = False
+        self.position: model.Position | None = None
         self.answer_pending = False
         self.on_close: typing.Callable[[], None] = lambda: None
 
@@ -653,7 +655,7 @@
             answered = False
         if conn is not None:
             if answered:
-                self.success_at = clocks.boottime()
+                self.answered(conn.position)
                 self.circuit.success(self.success_at)
                 self.pool.give_back(conn)
             else:
--- a/packages/node/src/sassafrasridge_node/sessionprimary.py
+++ b/packages/node/src/sassafrasridge_node/sessionprimary.py
@@ -7,6 +7,7 @@
 from sassafrasridge_node import clocks
 from sassafrasridge_node import sessionbase
 from sassafrasridge_node import sessionpool
+from sassafrasridge_node import sessionregions
 from sassafrasridge_node import sessionrouting
 from sassafrasridge_node import sessiontargets
 
@@ -15,7 +16,9 @@
 Result = statements.Result
 
 
-class PrimarySession(sessiontargets.TargetSession):
+class PrimarySession(
+    sessiontargets.TargetSession, sessionregions.RegionSession
+):
     """Run the statements of a session that need the primary."""
 
     async def _write(self, op: sessionbase.Operation) -> Result:
@@ -65,9 +68,10 @@
     ) -> sessionpool.SessionBackend:
         """Wait briefly for a usable primary; raise SessionError."""
         while True:
-            backend = self._state.usable_primary(op.access.group)
+            backend = self._router.usable_primary(op.access)
             if backend is not None:
                 return backend
+            self._require_region(op.access)
             remaining_s = self._primary_wait_s(op)
             if remaining_s <= 0 or not self._state.lease_valid():
                 raise sessionbase.SessionError(
--- a/packages/node/src/sassafrasridge_node/sessionreads.py
+++ b/packages/node/src/sassafrasridge_node/sessionreads.py
@@ -14,17 +14,33 @@
 Result = statements.Result
 
 
+# Maximum number of attempts to run a read on replicas, with a pause after each
+# replica was tried, while the primary is outside the regions of the read.
+MAX_REPLICA_ATTEMPTS = 24
+
+
 class ReadingSession(sessionprimary.PrimarySession):
     """Run the single reads of a session on replicas or the primary."""
 
     async def _read(self, op: sessionbase.Operation) -> Result:
         tried: set[sessionpool.SessionBackend] = set()
-        floor = self._router.required_position(op.access, self.floor)
+        floor = await self._await_floor(op)
         error = sessionbase.SessionError(
             StatementFailure.BUSY, 'no target is available for the read'
         )
-        for attempt in range(sessionbase.MAX_ATTEMPTS):
+        attempts = sessionbase.MAX_ATTEMPTS
+        if floor is not None and self._only_replicas_allowed(op):
+            attempts = MAX_REPLICA_ATTEMPTS
+        for attempt in range(attempts):
             backend = self._router.choose_target(op.access, floor, tried)
+            if backend is None and attempts == MAX_REPLICA_ATTEMPTS:
+                # The primary is outside the regions, so only the replicas in
+                # them are left, which may have caught up meanwhile.
+                if clocks.boottime() >= self._objective_at(op):
+                    break
+                tried.clear()
+                await asyncio.sleep(sessionbase.RETRY_PAUSE_S)
+                continue
             if backend is None:
                 if attempt and not self._may_wait_for_primary(op):
                     break
--- a/packages/node/src/sassafrasridge_node/sessionrelay.py
+++ b/packages/node/src/sassafrasridge_node/sessionrelay.py
@@ -13,11 +13,13 @@
 import orjson
 
 from sassafrasridge_core import model
+from sassafrasridge_core import regions
 from sassafrasridge_core import statements
 from sassafrasridge_node import clocks
 from sassafrasridge_node import entry
 from sassafrasridge_node import logs
 from sassafrasridge_node import peers
+from sassafrasridge_node import regionrules
 from sassafrasridge_node import rpc
 
 StatementFailure = statements.StatementFailure
@@ -221,10 +223,19 @@
         """Return a random number that identifies a transaction."""
         return self._rng.getrandbits(TRANSACTION_NUMBER_BITS) + 1
 
-    def candidates(self, group: str) -> list[str]:
-        """Return the entry processes that serve a group, best one first."""
+    def candidates(
+        self, group: str, allowed: regions.Allowed = None
+    ) -> list[str]:
+        """Return the entry processes that serve a group, best one first.
+
+        Raises OutsideRegionsError if none is in the allowed regions.
+        """
         return sorted(
-            self._state.near_serving_set(group, self._rng),
+            regionrules.serving_entries(
+                self._state,
+                allowed,
+                self._state.near_serving_set(group, self._rng),
+            ),
             key=self._silent_peers.__contains__,
         )
 
--- a/packages/node/src/sassafrasridge_node/sessionrelaying.py
+++ b/packages/node/src/sassafrasridge_node/sessionrelaying.py
@@ -2,8 +2,10 @@
 
 from sassafrasridge_core import statements
 from sassafrasridge_node import clocks
+from sassafrasridge_node import regionrules
 from sassafrasridge_node import sessionbase
 from sassafrasridge_node import sessionrelay
+from sassafrasridge_node import sessionrouting
 
 StatementKind = statements.StatementKind
 StatementFailure = statements.StatementFailure
@@ -27,10 +29,20 @@
             waited_s=clocks.boottime() - op.started,
         )
 
+    def _relay_candidates(self, access: sessionrouting.Access) -> list[str]:
+        try:
+            return self._service.relays.candidates(
+                access.group, access.regions
+            )
+        except regionrules.OutsideRegionsError as exc:
+            raise sessionbase.SessionError(
+                StatementFailure.OUTSIDE_REGIONS, exc.message
+            )
+
     async def _relay_single(self, op: sessionbase.Operation) -> Result:
         relays = self._service.relays
         _, answer = await relays.run(
-            relays.candidates(op.access.group),
+            self._relay_candidates(op.access),
             self._relay_request(op),
             op.deadline,
             StatementFailure.IN_DOUBT
@@ -52,7 +64,7 @@
                 if tx.read_only
                 else StatementKind.BEGIN
             )
-            entry_names = relays.candidates(tx.access.group)
+            entry_names = self._relay_candidates(tx.access)
         req.transaction = tx.number
         commits = op.stmt.kind is StatementKind.COMMIT
         # Before COMMIT, a transaction is lost if the process that runs it does
--- a/packages/node/src/sassafrasridge_node/sessionrouting.py
+++ b/packages/node/src/sassafrasridge_node/sessionrouting.py
@@ -5,7 +5,9 @@
 
 from sassafrasridge_core import configuration
 from sassafrasridge_core import model
+from sassafrasridge_core import regions
 from sassafrasridge_node import clocks
+from sassafrasridge_node import regionrules
 from sassafrasridge_node import sessionpool
 from sassafrasridge_node import sessionstate
 
@@ -28,16 +30,24 @@
 
 
 class Access:
-    """Hold the account, route and group that a client is authorized for."""
+    """Hold what a client is authorized for.
 
-    __slots__ = ('account', 'route', 'group')
+    ``regions`` are the allowed regions of targets, None for all.
+    """
+
+    __slots__ = ('account', 'route', 'group', 'regions')
 
     def __init__(
-        self, account: str, route: configuration.Route, group: str
+        self,
+        account: str,
+        route: configuration.Route,
+        group: str,
+        allowed: regions.Allowed = None,
     ) -> None:
         self.account = account
         self.route = route
         self.group = group
+        self.regions = allowed
 
 
 class Router:
@@ -70,6 +80,34 @@
             return max(known, own_position)
         return known
 
+    def usable_primary(
+        self, access: Access
+    ) -> sessionpool.SessionBackend | None:
+        """Return the primary, or None if the access may not use it."""
+        found = self._state.usable_primary(access.group)
+        if found is None or not regionrules.allows_target(
+            self._state, access.regions, found
+        ):
+            return None
+        return found
+
+    def needs_primary(self, access: Access) -> bool:
+        """Return whether a replica can never serve a read of the route."""
+        route = access.route
+        return (
+            route.consistency == configuration.PRIMARY
+            or route.max_age_s <= AGE_MARGIN_S
+        )
+
+    def refusal_reason(self, access: Access, primary: bool) -> str:
+        """Return why no target in the regions may serve, '' if one may.
+
+        ``primary`` tells that only the primary can serve the statement.
+        """
+        return regionrules.refusal_reason(
+            self._state, access.regions, access.group, primary
+        )
+
     def choose_target(
         self,
         access: Access,
@@ -81,7 +119,7 @@
         ``floor`` is the result of required_position(); targets in ``tried``
         are left out.
         """
-        primary = self._state.usable_primary(access.group)
+        primary = self.usable_primary(access)
         if floor is None:
             return primary if primary not in tried else None
         now = clocks.boottime()
@@ -92,6 +130,7 @@
             and backend.pool.limit
             and backend.circuit.ready(now)
             and (backend is primary or not backend.is_primary())
+            and regionrules.allows_target(self._state, access.regions, backend)
         ]
         return min(
             found,
--- a/packages/node/src/sassafrasridge_node/sessiontransactions.py
+++ b/packages/node/src/sassafrasridge_node/sessiontransactions.py
@@ -112,11 +112,7 @@
     ) -> None:
         """Choose a target and begin the transaction there."""
         access = tx.access
-        floor = (
-            self._router.required_position(access, self.floor)
-            if tx.read_only
-            else None
-        )
+        floor = await self._await_floor(op) if tx.read_only else None
         backend = self._router.choose_target(access, floor) if floor else None
         if backend is None:
             backend, tx.term, conn = await self._acquire_primary(op)
--- a/packages/node/src/sassafrasridge_node/transactions.py
+++ b/packages/node/src/sassafrasridge_node/transactions.py
@@ -13,6 +13,7 @@
 from sassafrasridge_node import connections
 from sassafrasridge_node import entry
 from sassafrasridge_node import front
+from sassafrasridge_node import regionrules
 from sassafrasridge_node import writes
 
 # An open transaction that is unused for longer is rolled back.
@@ -129,8 +130,15 @@
     async def _try_begin(
         self, req: front.DataRequest, adm: admission.Admission
     ) -> Transaction | None:
+        regionrules.require_target(
+            self._state, adm.regions, adm.group, primary=True
+        )
         backend = self._state.primary(adm.group)
-        if backend is None or not self._state.lease_valid():
+        if (
+            backend is None
+            or not self._state.lease_valid()
+            or not regionrules.allows_target(self._state, adm.regions, backend)
+        ):
             return None
         term = self._state.groups[adm.group].term
         try:
--- a/packages/node/src/sassafrasridge_node/writes.py
+++ b/packages/node/src/sassafrasridge_node/writes.py
@@ -7,6 +7,7 @@
 
 from sassafrasridge_core import errors
 from sassafrasridge_core import model
+from sassafrasridge_core import regions
 from sassafrasridge_core import retries
 from sassafrasridge_node import admission
 from sassafrasridge_node import answers
@@ -16,6 +17,7 @@
 from sassafrasridge_node import entry
 from sassafrasridge_node import front
 from sassafrasridge_node import metrics
+from sassafrasridge_node import regionrules
 
 # Interval at which a waiting write checks again for a primary and a lease.
 PRIMARY_POLL_S = 0.05
@@ -33,10 +35,18 @@
 class Attempt:
     """Hold one write that must run at most once.
 
-    ``in_doubt`` is set once an earlier try may have run.
+    ``in_doubt`` is set once an earlier try may have run. ``regions`` are the
+    allowed regions of targets, None for all.
     """
 
-    __slots__ = ('account', 'request_id', 'digest', 'statements', 'in_doubt')
+    __slots__ = (
+        'account',
+        'request_id',
+        'digest',
+        'statements',
+        'in_doubt',
+        'regions',
+    )
 
     def __init__(
         self,
@@ -44,12 +54,14 @@
         request_id: str,
         digest: str,
         statements: list[dict[str, typing.Any]],
+        allowed: regions.Allowed = None,
     ) -> None:
         self.account = account
         self.request_id = request_id
         self.digest = digest
         self.statements = statements
         self.in_doubt = False
+        self.regions = allowed
 
     def body(self, term: int) -> dict[str, typing.Any]:
         """Return the body of the request to the target."""
@@ -97,6 +109,7 @@
             req.request_id or new_request_id(),
             req.digest,
             req.statements,
+            adm.regions,
         )
         try:
             backend, body = await self.submit(
@@ -202,8 +215,15 @@
         then fails at once, so that another entry process can serve it.
         """
         while True:
+            self._require_region(group, attempt)
             backend = self._state.primary(group)
-            if backend is not None and self._state.lease_valid():
+            if (
+                backend is not None
+                and self._state.lease_valid()
+                and regionrules.allows_target(
+                    self._state, attempt.regions, backend
+                )
+            ):
                 return backend
             fail_now = not self._state.config_valid() and not attempt.in_doubt
             if fail_now or clocks.boottime() >= deadline:
@@ -214,6 +234,20 @@
                 raise backends.refusal_error(model.NO_TARGET)
             await self._wait_for_view_change(group, PRIMARY_POLL_S)
 
+    def _require_region(self, group: str, attempt: Attempt) -> None:
+        """Raise RidgeError if the primary is outside the write's regions.
+
+        An empty write that resolves an outcome has no text and no regions.
+        """
+        try:
+            regionrules.require_target(
+                self._state, attempt.regions, group, primary=True
+            )
+        except regionrules.OutsideRegionsError as exc:
+            if attempt.in_doubt:
+                raise answers.outcome_unknown_error(exc.message)
+            raise
+
     async def _send_once(
         self,
         group: str,
