--- a/packages/node/src/sassafrasridge_node/regionrules.py
+++ b/packages/node/src/sassafrasridge_node/regionrules.py
@@ -22,6 +22,8 @@
     backend: backends.Backend,
 ) -> bool:
     """Return whether a target is in the allowed regions."""
+    if allowed is None:
+        return True
     return regions.permits(allowed, state.region_of(backend.info.zone))
 
 
@@ -29,6 +31,8 @@
     state: entry.EntryState, allowed: regions.Allowed, name: str
 ) -> bool:
     """Return whether an entry process is in the allowed regions."""
+    if allowed is None:
+        return True
     zone = state.zone if name == state.name else state.zone_of(name)
     return regions.permits(allowed, state.region_of(zone))
 
--- a/tests/core/test_notes.py
+++ b/tests/core/test_notes.py
@@ -20,6 +20,24 @@
     return {m.path: m for m in caught.value.mistakes}
 
 
+class TestAddedFields:
+    def note(self, **fields):
+        account = {**ACCOUNT, **fields}
+        return notes.parse({'number': 1, 'added': [account]}, 'ana')
+
+    def test_default_values_keep_the_digest(self):
+        """Guards against refusing a resent note after an upgrade."""
+        assert set(self.note().added[0].values) == {'name', 'rate', 'burst'}
+        assert self.note(regions=[]).digest() == self.note().digest()
+        assert self.note(regions=['r']).digest() != self.note().digest()
+
+    def test_a_change_can_remove_the_restriction(self):
+        """Guards against a restriction that no note can end."""
+        changed = {'kind': 'account', 'name': 'a', 'regions': []}
+        note = notes.parse({'number': 1, 'changed': [changed]}, 'ana')
+        assert note.changed[0].values['regions'] == ()
+
+
 class TestParse:
     def test_every_mistake_is_listed_with_its_path(self):
         """Guards against reporting only the first mistake."""
--- a/tests/core/test_settings.py
+++ b/tests/core/test_settings.py
@@ -46,6 +46,14 @@
         assert result.timing.lease == 0.9
         assert result.timing.renew_interval == 0.3
 
+    def test_regions_map_zones_to_regions(self):
+        """Guards against a statement that runs outside its home regions."""
+        text = VALID.replace('[log]', '[regions]\nz1 = north\n[log]')
+        assert load_settings(text).regions == {'z1': 'north'}
+        assert load_settings(VALID).regions == {}
+        text = VALID.replace('[log]', '[regions]\nz1 =\n[log]')
+        assert ('regions', 'z1') in mistakes_of(text)
+
     def test_advertised_address_must_be_the_one_in_members(self):
         """Guards against a member address that other daemons can't reach."""
         text = VALID.replace(
--- a/tests/core/test_wholeconfig.py
+++ b/tests/core/test_wholeconfig.py
@@ -124,6 +124,48 @@
             return
 
 
+class TestRegions:
+    def restricted(self, number=2, **route):
+        found = body(number)
+        found['routes'][0].update(route)
+        return found
+
+    def test_the_order_and_repetition_of_regions_change_nothing(self):
+        """Guards against deltas for equal configurations."""
+        first = wholeconfig.parse(self.restricted(regions=['b', 'a']))
+        second = wholeconfig.parse(self.restricted(regions=['a', 'b', 'a']))
+        assert first.records == second.records
+        assert first.records['route', 'db1']['regions'] == ('a', 'b')
+
+    @pytest.mark.parametrize('value', ['north', [''], [3], {}])
+    def test_invalid_regions_are_a_mistake(self, value):
+        """Guards against a misread restriction that allows all regions."""
+        with pytest.raises(wholeconfig.InvalidConfigurationError) as caught:
+            wholeconfig.parse(self.restricted(regions=value))
+        assert 'of route db1' in str(caught.value)
+
+    def test_records_of_the_former_release_load(self):
+        """Guards against a member that can't start after an upgrade.
+
+        Records without regions are stored as before, so that the former
+        release can read them too.
+        """
+        replicated = state.State()
+        submit(replicated, 1, body(1))
+        assert b'regions' not in replicated.encode()
+        assert b'cold_rate' not in replicated.encode()
+        view = state.ConfigView()
+        view.load(state.State.decode(replicated.encode()).full())
+        assert view.route('db1').regions == ()
+        restricted = self.restricted(regions=['a'])
+        restricted['services'][0]['cold_rate'] = 20
+        submit(replicated, 2, restricted)
+        for delta in replicated.deltas_since(view.revision):
+            view.apply(delta)
+        assert view.route('db1').regions == ('a',)
+        assert view.service('orders').cold_rate == 20.0
+
+
 class TestState:
     def test_the_highest_number_is_in_force_whatever_the_order(self):
         replicated = state.State()
--- a/tests/node/test_outcomes_fuzz.py
+++ b/tests/node/test_outcomes_fuzz.py
@@ -287,7 +287,10 @@
         self.writer = writes.Writer(self.state, counters, random.Random(1))
         self.transactions = transactions.Transactions(self.state, self.writer)
         self.adm = types.SimpleNamespace(
-            account='shop', group=GROUP, recheck=lambda: None
+            account='shop',
+            group=GROUP,
+            regions=None,
+            recheck=lambda: None,
         )
         self.calls = []
         self.tasks = []
--- a/tests/node/test_sessionfront.py
+++ b/tests/node/test_sessionfront.py
@@ -66,6 +66,7 @@
         )
 
     async def status(self, timeout_s):
+        self.position = self.target.position
         return True
 
     def close(self):
