Limit the statements that cold targets get

A target that has just started serves slowly, and every process used to send it as much as to a warm one. Heartbeats say how long a target stays cold. The leader divides the service's rate among the holders of connection grants, and processes count what they send in any second. Where all connections break at once, a process doesn't trust a grant without a limit until control must know of the restart.

--- a/packages/core/src/sassafrasridge_core/directory.py
+++ b/packages/core/src/sassafrasridge_core/directory.py
@@ -143,6 +143,15 @@
         """Return all known targets."""
         return [e.announcement.info for e in self._entries.values()]
 
+    def is_cold(self, server: str) -> bool | None:
+        """Return whether a target is cold, None if it is not listed."""
+        entry = self._entries.get(server)
+        return None if entry is None else entry.announcement.info.cold_s > 0
+
+    def cold_count(self) -> int:
+        """Return how many listed targets are cold."""
+        return sum(info.cold_s > 0 for info in self.targets())
+
     def group(self, group: str) -> dict[str, model.TargetInfo]:
         """Return a copy of a group's known targets, by server name."""
         if self._groups_revision != self.revision:
--- a/packages/core/src/sassafrasridge_core/model.py
+++ b/packages/core/src/sassafrasridge_core/model.py
@@ -53,10 +53,14 @@
 NO_TARGET = Refusal('no_target')
 RATE_LIMITED = Refusal('rate_limited')
 DRAINING = Refusal('draining')
+TARGET_COLD = Refusal('target_cold')
 
 
 class TargetInfo:
-    """Hold the last announcement of a target."""
+    """Hold the last announcement of a target.
+
+    ``cold_s`` is the time in seconds for which it still is cold, 0 if warm.
+    """
 
     __slots__ = (
         'server',
@@ -69,6 +73,7 @@
         'slots',
         'connections',
         'leaving',
+        'cold_s',
     )
 
     def __init__(
@@ -83,6 +88,7 @@
         slots: int,
         connections: int,
         leaving: bool = False,
+        cold_s: float = 0.0,
     ) -> None:
         self.server = server
         self.group = group
@@ -94,6 +100,7 @@
         self.slots = slots
         self.connections = connections
         self.leaving = leaving
+        self.cold_s = cold_s
 
 
 class GroupView:
--- a/packages/core/src/sassafrasridge_core/slots.py
+++ b/packages/core/src/sassafrasridge_core/slots.py
@@ -201,6 +201,11 @@
         return limits
 
 
+def term_of_version(version: int) -> int:
+    """Return the term of the leader that granted a version."""
+    return version >> TERM_SHIFT_BITS
+
+
 class VersionedLimit(typing.NamedTuple):
     """Grant a limit with a new version to a holder with version ``base``."""
 
@@ -417,6 +422,10 @@
         if self._holders.pop((entry, incarnation), None) is not None:
             self._change_count += 1
 
+    def holders(self) -> Iterable[tuple[str, int]]:
+        """Return the entry process and incarnation of each holder."""
+        return self._holders.keys()
+
     def held(self) -> int:
         """Return the highest number of connections that may be in use."""
         return sum(holder.max_limit() for holder in self._holders.values())
--- a/packages/core/src/sassafrasridge_core/wholeconfig.py
+++ b/packages/core/src/sassafrasridge_core/wholeconfig.py
@@ -57,6 +57,10 @@
         self.add_mistake(where, value, f'a number of at least {minimum:g}')
         return 0.0
 
+    def read_optional_number(self, where: str, value: object) -> float:
+        """Return a number of at least 0; None is 0."""
+        return 0.0 if value is None else self.read_number(where, value, 0)
+
     def read_flag(self, where: str, value: object) -> bool:
         if isinstance(value, bool):
             return value
@@ -175,10 +179,14 @@
             None,
             int(connections),
             'adaptive',
-            reader.read_number(
-                f'cold_rate of service {name}', entry.get('cold_rate', 0), 0
+            reader.read_optional_number(
+                f'cold_rate of service {name}', entry.get('cold_rate')
             ),
         )
+        # Checked only: the target itself reports when it is cold.
+        reader.read_optional_number(
+            f'cold_start_s of service {name}', entry.get('cold_start_s')
+        )
         _put_record(records, service, configuration.SERVICE, name)
     return names
 
--- a/packages/node/src/sassafrasridge_node/backends.py
+++ b/packages/node/src/sassafrasridge_node/backends.py
@@ -171,10 +171,13 @@
             conn.close()
         self._dispatch_waiting()
 
-    def apply_grant(self, grant: typing.Any, sent_at: float) -> None:
-        """Apply granted limits of connections and statements in flight."""
+    def apply_grant(self, grant: typing.Any, sent_at: float) -> bool:
+        """Apply granted limits of connections and statements in flight.
+
+        Returns whether the grant is in force, which a late one is not.
+        """
         now = clocks.boottime()
-        if self.share.apply_grant(
+        if not self.share.apply_grant(
             now,
             sent_at,
             grant.base,
@@ -182,8 +185,14 @@
             grant.connections,
             grant.in_flight,
         ):
-            self._had_grant = True
-            self.refresh_limits(now)
+            return False
+        self._had_grant = True
+        self.refresh_limits(now)
+        return True
+
+    def granted_rate(self) -> float:
+        """Return the rate of the last grant in statements/s, 0 for none."""
+        return 0.0
 
     def refresh_limits(self, now: float) -> None:
         """Apply the limits in effect now; they expire with the lease."""
@@ -438,6 +447,7 @@
         'no_lease': 'this process has no valid lease',
         'no_target': 'no target can serve the request',
         'draining': 'this process is shutting down',
+        'target_cold': 'the target is cold and takes no more statements now',
     }
     return errors.UnavailableError(
         messages.get(refusal.reason, refusal.reason),
--- a/packages/node/src/sassafrasridge_node/codec.py
+++ b/packages/node/src/sassafrasridge_node/codec.py
@@ -46,10 +46,12 @@
     limit: tuple[int, int],
     serves: bool,
     refused_s: float = 0.0,
+    rate: float = 0.0,
 ) -> typing.Any:
     """Return the thrift observation of a target.
 
-    ``limit`` is the version and the connections of the last grant.
+    ``limit`` is the version and the connections of the last grant, ``rate``
+    its rate in statements/s.
     """
     return rpc.idl.Observation(
         group=info.group,
@@ -69,6 +71,7 @@
         limit=limit[1],
         serves=serves,
         refused_s=refused_s or None,
+        rate=rate or None,
     )
 
 
--- /dev/null
+++ b/packages/node/src/sassafrasridge_node/coldtargets.py
@@ -0,0 +1,80 @@
+"""Rate limit of a cold target in an entry process."""
+
+import asyncio
+import typing
+
+from sassafrasridge_core import coldlimits
+from sassafrasridge_core import model
+from sassafrasridge_node import backends
+from sassafrasridge_node import clocks
+from sassafrasridge_node import logs
+
+
+class RateLimitedBackend(backends.Backend):
+    """Limit the statements that this process sends to a cold target."""
+
+    def __init__(self, *args: typing.Any, **kwargs: typing.Any) -> None:
+        super().__init__(*args, **kwargs)
+        self.cold = coldlimits.TargetLimit()
+        # Returns this process's statements/s at a target that may be cold
+        # without control knowing, None if the service sets no rate.
+        self.cold_fallback: typing.Callable[[], int | None] = lambda: None
+
+    def apply_grant(self, grant: typing.Any, sent_at: float) -> bool:
+        """Apply the granted limits and the rate of a cold target."""
+        applied = super().apply_grant(grant, sent_at)
+        if applied:
+            self.cold.granted(sent_at, grant.rate or coldlimits.NOT_LIMITED)
+        return applied
+
+    def granted_rate(self) -> float:
+        """Return the rate of the last grant in statements/s, 0 for none."""
+        return self.cold.rate
+
+    def cold_limit(self, now: float) -> int | None:
+        """Return the allowed statements/s, None if the target is warm."""
+        if not self.cold.active:
+            return None
+        valid = self.share.limit(now).connections > 0
+        return self.cold.statements(valid, self.cold_fallback())
+
+    def takes_statement(self, now: float) -> bool:
+        """Return whether the rate allows a statement now."""
+        return self.cold.wait_s(now, self.cold_limit(now)) <= 0
+
+    def require_rate(self, deadline: float) -> None:
+        """Raise UnavailableError if the rate allows none until a deadline."""
+        now = clocks.boottime()
+        wait_s = self.cold.wait_s(now, self.cold_limit(now))
+        if wait_s and now + wait_s >= deadline:
+            self._metrics.cold_refusals.inc()
+            raise backends.refusal_error(model.TARGET_COLD)
+
+    async def wait_for_rate(self, deadline: float) -> None:
+        """Wait until the rate allows a statement, and count it.
+
+        Raises UnavailableError at once if that is not before the deadline.
+        """
+        delayed = False
+        while True:
+            now = clocks.boottime()
+            limit = self.cold_limit(now)
+            if self.cold.take(now, limit):
+                return
+            self.require_rate(deadline)
+            if not delayed:
+                self._metrics.cold_delays.inc()
+                delayed = True
+            await asyncio.sleep(self.cold.wait_s(now, limit))
+
+    def connections_broke(self) -> None:
+        """Limit the target until control must know whether it restarted."""
+        self.cold.connections_broke()
+        rate = self.cold_fallback()
+        if rate is not None:
+            logs.log_event(
+                'target_may_be_cold',
+                server=self.info.server,
+                group=self.info.group,
+                rate=rate,
+            )
--- a/packages/node/src/sassafrasridge_node/leadership.py
+++ b/packages/node/src/sassafrasridge_node/leadership.py
@@ -7,6 +7,7 @@
 import collections.abc
 import typing
 
+from sassafrasridge_core import coldlimits
 from sassafrasridge_core import directory
 from sassafrasridge_core import incarnations
 from sassafrasridge_core import leases
@@ -114,10 +115,14 @@
             policy, now, term, times.config_ttl_s
         )
         self._ledgers: dict[tuple[str, str], slots.ConnectionLedger] = {}
+        self._cold_rates = coldlimits.ColdRates(now, times.lease_s)
+        # Rates of cold targets in statements/s, by group.
+        self._service_rates: dict[str, float] = {}
         self._synced_revision = -1
         self._entries_without_lease = 0
         self._known_accounts: set[str] = set()
         self._no_earlier_changes = not len(state.answers)
+        self._count_cold_targets()
 
     def renew(
         self, now: float, req: typing.Any, relayed: bool = False
@@ -181,6 +186,7 @@
     ) -> None:
         for server in self.directory.expire(now):
             logs.log_event('target_expired', server=server)
+            self._count_cold_targets()
         reply.targets_revision = self.directory.revision
         reply.targets_complete = self.directory.complete(now)
         if req.targets_revision != self.directory.revision:
@@ -194,7 +200,17 @@
         """Register a target that announced itself to a control member."""
         info = announcement.info
         revision = self.directory.revision
+        was_cold = self.directory.is_cold(info.server) or False
         known = self.directory.announce(now, announcement)
+        if known and was_cold != (info.cold_s > 0):
+            self._count_cold_targets()
+            logs.log_event(
+                'target_warm' if was_cold else 'target_cold',
+                server=info.server,
+                group=info.group,
+                remaining_s=info.cold_s,
+                rate=self._service_rates.get(info.group, 0.0),
+            )
         if not known or self.directory.revision != revision:
             logs.log_event(
                 'target_registered' if known else 'announcement_outdated',
@@ -206,9 +222,13 @@
                 sequence=announcement.sequence,
             )
 
+    def _count_cold_targets(self) -> None:
+        self._metrics.cold_targets.set(self.directory.cold_count())
+
     def unregister(self, server: str) -> None:
         """Remove a target that shut down."""
         self.directory.leave(server)
+        self._count_cold_targets()
         logs.log_event('target_left', server=server)
 
     def is_retired(self, req: typing.Any) -> bool:
@@ -237,6 +257,7 @@
             self._allocator.end_grace_period(now, unused_s)
             for ledger in self._ledgers.values():
                 ledger.end_grace_period(now)
+            self._cold_rates.all_holders_known()
             logs.log_event(
                 'holders_complete',
                 term=self.term,
@@ -272,6 +293,9 @@
             self._service_budgets = slots.service_budgets(
                 self._state.services()
             )
+            self._service_rates = coldlimits.service_rates(
+                self._state.services()
+            )
 
     def record_announcement(self, at: float, info: model.TargetInfo) -> None:
         """Record an announcement that a control process received at ``at``."""
@@ -335,6 +359,32 @@
             version=limit.version,
             connections=limit.connections,
             in_flight=limit.in_flight,
+            rate=self._cold_rate(now, req, obs, ledger) or None,
+        )
+
+    def _cold_rate(
+        self,
+        now: float,
+        req: typing.Any,
+        obs: typing.Any,
+        ledger: slots.ConnectionLedger,
+    ) -> float:
+        """Return the rate in statements/s that a holder may send."""
+        total = self._service_rates.get(obs.group, 0.0)
+        if not total:
+            return coldlimits.NOT_LIMITED
+        return self._cold_rates.rate(
+            now,
+            (obs.group, obs.server),
+            (req.entry, req.incarnation),
+            ledger.holders(),
+            total,
+            self.directory.is_cold(obs.server),
+            coldlimits.Report(
+                obs.limit > 0,
+                obs.rate or coldlimits.NOT_LIMITED,
+                slots.term_of_version(obs.limit_version) == self.term,
+            ),
         )
 
     def _connection_budget(self, obs: typing.Any) -> tuple[int, int]:
--- a/packages/node/src/sassafrasridge_node/metrics.py
+++ b/packages/node/src/sassafrasridge_node/metrics.py
@@ -147,6 +147,15 @@
             kind: session_seconds.labels(kind.value)
             for kind in statements.StatementKind
         }
+        self.cold_delays = self.counter(
+            'cold_delays', 'Statements delayed by the rate of a cold target'
+        )
+        self.cold_refusals = self.counter(
+            'cold_refusals', 'Statements that a cold target could not take'
+        )
+        self.cold_targets = self.gauge(
+            'cold_targets', 'Cold targets that the control leader knows'
+        )
         self.silent_batches = self.counter(
             'silent_batches', 'Times that connections went silent together'
         )
--- a/packages/node/src/sassafrasridge_node/renewal.py
+++ b/packages/node/src/sassafrasridge_node/renewal.py
@@ -209,6 +209,7 @@
                 backend.share.report(now),
                 self._state.serves(group),
                 backend.refused_s(now),
+                backend.granted_rate(),
             )
             for (group, _), backend in self._state.reported_backends()
         ]
--- a/packages/node/src/sassafrasridge_node/ridge.thrift
+++ b/packages/node/src/sassafrasridge_node/ridge.thrift
@@ -45,6 +45,7 @@
   15: i32 limit,            // connections of that ConnectionGrant
   16: bool serves,          // the entry process is in the serving set
   17: double refused_s,     // for how long connections have been refused
+  18: optional double rate, // rate of that ConnectionGrant
 }
 
 struct MemberAddress {
@@ -73,6 +74,7 @@
   4: i32 connections,
   5: i32 in_flight,
   6: i64 base,              // version that the entry process reported
+  7: optional double rate,  // statements/s, 0: not limited, below 0: none
 }
 
 struct EntryAddress {
--- a/packages/node/src/sassafrasridge_node/sessionpool.py
+++ b/packages/node/src/sassafrasridge_node/sessionpool.py
@@ -11,6 +11,7 @@
 from sassafrasridge_core import statements
 from sassafrasridge_node import backends
 from sassafrasridge_node import clocks
+from sassafrasridge_node import coldtargets
 from sassafrasridge_node import connections
 from sassafrasridge_node import logs
 from sassafrasridge_node import metrics
@@ -182,6 +183,8 @@
         self.closed = False
         self.position: model.Position | None = None
         self.answer_pending = False
+        # Set if the target closed the connection.
+        self.broke = False
         self.on_close: typing.Callable[[], None] = lambda: None
 
     @abc.abstractmethod
@@ -314,7 +317,7 @@
             self.discard(conn)
 
 
-class SessionBackend(backends.Backend):
+class SessionBackend(coldtargets.RateLimitedBackend):
     """Own one target whose connections each belong to a client account."""
 
     def __init__(
@@ -461,6 +464,7 @@
         may. Raises UnavailableError (nothing was run), UnreachableError or
         TargetRefusedError.
         """
+        self.require_rate(deadline)
         if self._free_statements() <= 0:
             await self._wait_for_turn(account, deadline)
         while True:
@@ -478,9 +482,14 @@
                 break
             await self._wait_for_turn(account, deadline)
         self._in_use.add(conn)
+        self.in_flight = len(self._in_use)
+        try:
+            await self.wait_for_rate(deadline)
+        except BaseException:
+            self.release(conn, clean=True)
+            raise
         now = self._running[conn] = clocks.boottime()
         self._account_used_at[account] = now
-        self.in_flight = len(self._in_use)
         return conn
 
     def _free_statements(self) -> int:
@@ -552,11 +561,17 @@
         self._set_reachable(True)
         self.rtt_s = conn.rtt_s
         self.pool.connections.add(conn)
-        conn.on_close = lambda: self.pool.discard(conn)
+        self.cold.connected(clocks.boottime())
+        conn.on_close = lambda: self._connection_closed(conn)
         self.success_at = clocks.boottime()
         self._metrics.connections_opened.inc()
         return conn
 
+    def _connection_closed(self, conn: SessionConnection) -> None:
+        self.pool.discard(conn)
+        if conn.broke and not self.pool.connections:
+            self.connections_broke()
+
     def _mark_full(self) -> None:
         now = clocks.boottime()
         if not self.is_full(now):
--- a/packages/node/src/sassafrasridge_node/sessionrouting.py
+++ b/packages/node/src/sassafrasridge_node/sessionrouting.py
@@ -29,6 +29,15 @@
 MAX_TIE_BREAK_S = 0.002
 
 
+# Cost of a cold target that may get a statement: a warm one is preferred
+# unless a statement waits there.
+COLD_COST_S = STATEMENT_COST_S
+
+# Cost of a warm primary while another target is cold: it is preferred only to
+# replicas at which several statements wait.
+PRIMARY_COST_S = 4 * STATEMENT_COST_S
+
+
 class Access:
     """Hold what a client is authorized for.
 
@@ -131,13 +140,33 @@
             and backend.circuit.ready(now)
             and (backend is primary or not backend.is_primary())
             and regionrules.allows_target(self._state, access.regions, backend)
+            and backend.takes_statement(now)
         ]
         return min(
             found,
-            key=lambda b: self._estimate_cost_s(now, b, access),
+            key=lambda b: (
+                self._estimate_cost_s(now, b, access)
+                + self._cold_cost_s(now, b, primary)
+            ),
             default=None,
         )
 
+    def _cold_cost_s(
+        self,
+        now: float,
+        backend: sessionpool.SessionBackend,
+        primary: sessionpool.SessionBackend | None,
+    ) -> float:
+        """Return the cost that prefers warm replicas while one is cold."""
+        if backend.cold_limit(now) is not None:
+            return COLD_COST_S
+        if backend is primary and any(
+            member.cold_limit(now) is not None
+            for member in self._state.available_targets(backend.info.group)
+        ):
+            return PRIMARY_COST_S
+        return 0.0
+
     def _estimate_cost_s(
         self,
         now: float,
--- a/packages/node/src/sassafrasridge_node/sessionstate.py
+++ b/packages/node/src/sassafrasridge_node/sessionstate.py
@@ -3,6 +3,7 @@
 import collections.abc
 import typing
 
+from sassafrasridge_core import coldlimits
 from sassafrasridge_core import model
 from sassafrasridge_core import primarywait
 from sassafrasridge_core import slots
@@ -28,6 +29,9 @@
         # Connections and slots by group, in a configuration revision.
         self._budgets: dict[str, tuple[int, int]] = {}
         self._budgets_revision = -1
+        # Rates of cold targets by group, in a configuration revision.
+        self._cold_rates: dict[str, float] = {}
+        self._cold_rates_revision = -1
         # Whether regions are named in a configuration revision.
         self._regions_named = False
         self._regions_revision = -1
@@ -40,6 +44,7 @@
         backend.is_primary = lambda: self._is_primary(info.group, info.server)
         backend.probe_account = self._any_account
         backend.connection_budget = lambda: self._connection_budget(info.group)
+        backend.cold_fallback = lambda: self._cold_fallback(info.group)
         backend.serving = self.serves(info.group)
         return backend
 
@@ -57,6 +62,21 @@
             self._budgets = slots.service_budgets(self.config.services())
         return self._budgets.get(group, (0, 0))[0]
 
+    def _cold_fallback(self, group: str) -> int | None:
+        """Return an equal part of a group's cold rate in statements/s.
+
+        Returns None if its services set no rate.
+        """
+        if self._cold_rates_revision != self.config.revision:
+            self._cold_rates_revision = self.config.revision
+            self._cold_rates = coldlimits.service_rates(self.config.services())
+        rate = self._cold_rates.get(group)
+        if rate is None:
+            return None
+        # Without a statement no connection is opened, and the end of the doubt
+        # depends on one.
+        return max(1, int(rate) // max(1, len(self.serving_set(group))))
+
     def _any_account(self) -> str:
         return next((a.name for a in self.config.accounts()), '')
 
--- a/packages/node/src/sassafrasridge_node/sessiontargets.py
+++ b/packages/node/src/sassafrasridge_node/sessiontargets.py
@@ -59,6 +59,15 @@
             )
         return conn
 
+    async def _wait_for_rate(
+        self, backend: sessionpool.SessionBackend, op: sessionbase.Operation
+    ) -> None:
+        """Wait until a cold target may get a transaction's next statement."""
+        try:
+            await backend.wait_for_rate(op.deadline)
+        except errors.UnavailableError as exc:
+            raise sessionbase.SessionError(StatementFailure.BUSY, exc.message)
+
     def _build_setup(
         self,
         conn: sessionpool.SessionConnection,
--- a/packages/node/src/sassafrasridge_node/sessiontransactions.py
+++ b/packages/node/src/sassafrasridge_node/sessiontransactions.py
@@ -51,6 +51,8 @@
             return await self._relay_in_transaction(op, tx)
         if tx.conn is None:
             await self._begin_on_target(op, tx)
+        if tx.backend is not None:
+            await self._wait_for_rate(tx.backend, op)
         conn, backend = tx.conn, tx.backend
         if conn is None or backend is None or conn.closed:
             raise sessionbase.SessionError(
