--- a/packages/core/src/sassafrasridge_core/model.py
+++ b/packages/core/src/sassafrasridge_core/model.py
@@ -54,10 +54,14 @@
 RATE_LIMITED = Refusal('rate_limited')
 DRAINING = Refusal('draining')
 ZONE_DRAINED = Refusal('zone_drained')
+TARGET_COLD = Refusal('target_cold')
 
 
 class TargetInfo:
-    """Hold the last announcement of a target."""
+    """Hold the last announcement of a target.
+
+    ``cold_s`` is the time in seconds for which it still is cold, 0 if warm.
+    """
 
     __slots__ = (
         'server',
@@ -70,6 +74,7 @@
         'slots',
         'connections',
         'leaving',
+        'cold_s',
     )
 
     def __init__(
@@ -84,6 +89,7 @@
         slots: int,
         connections: int,
         leaving: bool = False,
+        cold_s: float = 0.0,
     ) -> None:
         self.server = server
         self.group = group
@@ -95,6 +101,7 @@
         self.slots = slots
         self.connections = connections
         self.leaving = leaving
+        self.cold_s = cold_s
 
 
 class GroupView:
--- a/tests/node/test_sessiondrain.py
+++ b/tests/node/test_sessiondrain.py
@@ -236,7 +236,7 @@
         assert isinstance(sent[-1], sessionpool.Rollback)
         assert process.backend('p').in_flight == 0
         counter = process.state.metrics.drained_transactions
-        assert counter._value.get() == (cause == 'order')
+        assert counter.value == (cause == 'order')
 
     def test_a_write_that_was_sent_is_acknowledged(self):
         """Guards against an answer in doubt that is ready for delivery."""
@@ -273,6 +273,7 @@
         adm = types.SimpleNamespace(
             group='g',
             account='shop',
+            regions=None,
             service=types.SimpleNamespace(name='s'),
             partition_reads=False,
         )
