--- a/packages/core/src/sassafrasridge_core/queueing.py
+++ b/packages/core/src/sassafrasridge_core/queueing.py
@@ -3,6 +3,7 @@
 import abc
 import collections
 from collections.abc import Callable
+from collections.abc import Mapping
 import heapq
 import itertools
 import math
@@ -26,7 +27,9 @@
 WAIT_ERROR_FACTOR = 1.25
 
 
-class _Entry:
+class Entry:
+    """Hold a queued request; ``removed`` entries are skipped later."""
+
     __slots__ = ('account', 'item', 'cost', 'deadline', 'removed')
 
     def __init__(
@@ -88,7 +91,7 @@
         self._lengths: collections.Counter[str] = collections.Counter()
         self._costs: collections.Counter[str] = collections.Counter()
         self._total = 0
-        self._by_deadline: list[tuple[float, int, _Entry]] = []
+        self._by_deadline: list[tuple[float, int, Entry]] = []
         self._numbers = itertools.count()
         self._expired: list[typing.Any] = []
         self._service = ServiceRate()
@@ -122,15 +125,17 @@
         ):
             return model.DEADLINE
         limit = min(deadline, now + self._max_wait_s)
-        entry = _Entry(account, item, cost, limit)
-        self._lengths[account] += 1
-        self._costs[account] += cost  # type: ignore[assignment]
+        self._add(now, Entry(account, item, cost, limit))
+        return None
+
+    def _add(self, now: float, entry: Entry) -> None:
+        self._lengths[entry.account] += 1
+        self._costs[entry.account] += entry.cost  # type: ignore[assignment]
         self._total += 1
         self._service.mark_waiting(now)
         number = next(self._numbers)
-        heapq.heappush(self._by_deadline, (limit, number, entry))
+        heapq.heappush(self._by_deadline, (entry.deadline, number, entry))
         self._insert(entry)
-        return None
 
     def expected_wait_s(self, account: str, cost: float) -> float:
         """Return a lower estimate of a new request's wait in seconds."""
@@ -154,6 +159,11 @@
 
     def expire(self, now: float) -> list[typing.Any]:
         """Remove and return the requests whose deadline has passed."""
+        self._collect_expired(now)
+        expired, self._expired = self._expired, []
+        return expired
+
+    def _collect_expired(self, now: float) -> None:
         while self._by_deadline:
             deadline, _, entry = self._by_deadline[0]
             if not entry.removed and deadline > now:
@@ -162,8 +172,6 @@
             if not entry.removed:
                 self._remove(entry)
                 self._expired.append(entry.item)
-        expired, self._expired = self._expired, []
-        return expired
 
     def cancel(
         self, predicate: Callable[[typing.Any], bool]
@@ -176,7 +184,7 @@
                 cancelled.append(entry.item)
         return cancelled
 
-    def _remove(self, entry: _Entry) -> None:
+    def _remove(self, entry: Entry) -> None:
         entry.removed = True
         self._total -= 1
         self._lengths[entry.account] -= 1
@@ -192,11 +200,11 @@
         """Create the data structure that holds the order of service."""
 
     @abc.abstractmethod
-    def _insert(self, entry: _Entry) -> None:
+    def _insert(self, entry: Entry) -> None:
         """Add an entry to the order of service."""
 
     @abc.abstractmethod
-    def _take_next(self) -> _Entry:
+    def _take_next(self) -> Entry:
         """Take the next entry that is not removed; one must exist."""
 
     @abc.abstractmethod
@@ -208,12 +216,12 @@
     """Serve requests in order of arrival, as a baseline for comparison."""
 
     def _create_order(self) -> None:
-        self._entries: collections.deque[_Entry] = collections.deque()
+        self._entries: collections.deque[Entry] = collections.deque()
 
-    def _insert(self, entry: _Entry) -> None:
+    def _insert(self, entry: Entry) -> None:
         self._entries.append(entry)
 
-    def _take_next(self) -> _Entry:
+    def _take_next(self) -> Entry:
         while True:
             entry = self._entries.popleft()
             if not entry.removed:
@@ -223,26 +231,34 @@
         return sum(self._costs.values()) + cost
 
 
-class FairQueue(Queue):
-    """Share service between the accounts by deficit round robin."""
+class AccountRotation:
+    """Share service between accounts by deficit round robin.
 
-    def _create_order(self) -> None:
-        self._queues: dict[str, collections.deque[_Entry]] = {}
+    ``is_live`` tells whether an entry still waits here.
+    """
+
+    __slots__ = ('_is_live', '_queues', '_rotation', '_deficits')
+
+    def __init__(self, is_live: Callable[[Entry], bool]) -> None:
+        self._is_live = is_live
+        self._queues: dict[str, collections.deque[Entry]] = {}
         self._rotation: collections.deque[str] = collections.deque()
         self._deficits: dict[str, float] = {}
 
-    def _insert(self, entry: _Entry) -> None:
+    def add(self, entry: Entry) -> None:
+        """Add an entry after the others of its account."""
         if entry.account not in self._queues:
             self._queues[entry.account] = collections.deque()
             self._rotation.append(entry.account)
             self._deficits[entry.account] = 0.0
         self._queues[entry.account].append(entry)
 
-    def _take_next(self) -> _Entry:
-        while True:
+    def take(self) -> Entry | None:
+        """Take the next live entry, or return None if there is none."""
+        while self._rotation:
             account = self._rotation[0]
             queue = self._queues[account]
-            while queue and queue[0].removed:
+            while queue and not self._is_live(queue[0]):
                 queue.popleft()
             if not queue:
                 # Drop the unused deficit of an account without requests. If
@@ -257,12 +273,37 @@
                 entry = queue.popleft()
                 self._deficits[account] -= entry.cost
                 return entry
+        return None
+
+
+def fair_cost(costs: Mapping[str, float], account: str, cost: float) -> float:
+    """Return the cost served up to and including an account's new request.
+
+    ``costs`` holds the waiting cost of each account of one rotation.
+    """
+    own = costs.get(account, 0.0) + cost
+    others = sum(
+        min(waiting, own + QUANTUM_COST)
+        for name, waiting in costs.items()
+        if name != account
+    )
+    return own + others
+
+
+class FairQueue(Queue):
+    """Share service between the accounts by deficit round robin."""
+
+    def _create_order(self) -> None:
+        self._order = AccountRotation(lambda entry: not entry.removed)
+
+    def _insert(self, entry: Entry) -> None:
+        self._order.add(entry)
+
+    def _take_next(self) -> Entry:
+        entry = self._order.take()
+        if entry is None:
+            raise IndexError('the queue is empty')
+        return entry
 
     def _cost_until_served(self, account: str, cost: float) -> float:
-        own = self._costs[account] + cost
-        others = sum(
-            min(waiting, own + QUANTUM_COST)
-            for name, waiting in self._costs.items()
-            if name != account
-        )
-        return own + others
+        return fair_cost(self._costs, account, cost)
