Give rate tokens to the most urgent requests first

A burst of reads used up the tokens that urgent statements of the same account needed. Requests that can't get a token in time at the rate of the account, or at the rate that this process gets, are refused at once. The process that charges the account learns the priority from ChargeCall.

--- a/packages/node/src/sassafrasridge_node/admission.py
+++ b/packages/node/src/sassafrasridge_node/admission.py
@@ -3,9 +3,12 @@
 import asyncio
 import collections
 import collections.abc
+import heapq
+import itertools
 
 from sassafrasridge_core import configuration
 from sassafrasridge_core import errors
+from sassafrasridge_core import queueing
 from sassafrasridge_node import clocks
 from sassafrasridge_node import entry
 from sassafrasridge_node import front
@@ -34,9 +37,16 @@
     ``partition_reads`` tells whether reads are allowed without a lease.
     ``recheck`` raises RidgeError if the request is no longer allowed, for
     example because its key was withdrawn while the request waited.
+    ``priority`` is that of the route, 0 being the highest.
     """
 
-    __slots__ = ('account', 'service', 'partition_reads', 'recheck')
+    __slots__ = (
+        'account',
+        'service',
+        'partition_reads',
+        'recheck',
+        'priority',
+    )
 
     def __init__(
         self,
@@ -48,6 +58,7 @@
         self.service = service
         self.partition_reads = partition_reads
         self.recheck: collections.abc.Callable[[], None] = _allow
+        self.priority = 0
 
     @property
     def group(self) -> str:
@@ -73,6 +84,8 @@
         """
         adm = self._authorize(req)
         adm.recheck = lambda: self._recheck(req, adm)
+        route = self._state.config.route(req.route or '')
+        adm.priority = route.priority if route is not None else 0
         return adm
 
     def _recheck(self, req: front.DataRequest, adm: Admission) -> None:
@@ -150,36 +163,56 @@
 
         Raises RateLimitedError; the request was not run.
         """
-        await self.charge_account(admission.account, req.deadline)
+        await self.charge_account(
+            admission.account, req.deadline, admission.priority
+        )
 
-    async def charge_account(self, account: str, deadline: float) -> None:
+    async def charge_account(
+        self, account: str, deadline: float, priority: int = 0
+    ) -> None:
         """Take a rate token of a client account, waiting briefly for one.
 
-        Raises RateLimitedError; the request was not run.
+        Requests of a lower ``priority`` number get their tokens first. Raises
+        RateLimitedError; the request was not run.
         """
         if account == ANONYMOUS:
             return
         queue = self._queues.get(account)
         if queue is None:
             queue = self._queues[account] = RateQueue(self._state, account)
-        await queue.take(deadline)
+        await queue.take(deadline, priority)
 
 
 class RateQueue:
-    """Give rate tokens to one client account's requests in order."""
+    """Give rate tokens to one client account's requests.
+
+    The most urgent requests come first, those of a priority in order.
+    """
 
     def __init__(self, state: entry.EntryState, account: str) -> None:
         self._state = state
         self._account = account
-        self._waiting: collections.deque[asyncio.Future[None]] = (
-            collections.deque()
-        )
+        self._waiting: list[tuple[int, int, asyncio.Future[None]]] = []
+        self._counts: collections.Counter[int] = collections.Counter()
+        self._numbers = itertools.count()
+        self._service = queueing.ServiceRate()
         self._task: asyncio.Task[None] | None = None
 
-    async def take(self, deadline: float) -> None:
+    def _expected_wait_s(self, priority: int, rate: float) -> float:
+        """Return a lower estimate of a new request's wait in seconds.
+
+        The account's rate bounds all processes together. This process may
+        have a part of it, which shows in the rate measured here.
+        """
+        ahead = sum(n for p, n in self._counts.items() if p <= priority)
+        measured_s = ahead / self._service.rate() / queueing.WAIT_ERROR_FACTOR
+        return max(ahead / max(rate, 1e-9), measured_s)
+
+    async def take(self, deadline: float, priority: int = 0) -> None:
         """Take a token, waiting for one if necessary.
 
-        Raises RateLimitedError, or UnauthorizedError if the account is gone.
+        A request that can't get one in time is refused at once. Raises
+        RateLimitedError, or UnauthorizedError if the account is gone.
         """
         now = clocks.boottime()
         bucket = self._state.bucket(self._account)
@@ -189,11 +222,14 @@
         if account is None:
             raise errors.UnauthorizedError('the key is unknown or withdrawn')
         limit = min(MAX_RATE_WAIT_S, deadline - now)
-        if account.rate <= 0 or len(self._waiting) / account.rate > limit:
-            wait_s = len(self._waiting) / max(account.rate, 1e-9)
+        wait_s = self._expected_wait_s(priority, account.rate)
+        if account.rate <= 0 or wait_s > limit:
             raise rate_limited_error(self._account, wait_s)
         fut: asyncio.Future[None] = asyncio.get_running_loop().create_future()
-        self._waiting.append(fut)
+        number = next(self._numbers)
+        heapq.heappush(self._waiting, (priority, number, fut))
+        self._counts[priority] += 1
+        self._service.mark_waiting(now)
         bucket.begin_wait()
         self._state.renew_now()
         self._start_serving()
@@ -204,6 +240,7 @@
             raise rate_limited_error(self._account, MAX_RATE_WAIT_S)
         finally:
             bucket.end_wait()
+            self._counts[priority] -= 1
 
     def _start_serving(self) -> None:
         if self._task is None or self._task.done():
@@ -211,18 +248,20 @@
 
     async def _run(self) -> None:
         while self._waiting:
-            fut = self._waiting[0]
+            _, _, fut = self._waiting[0]
             if fut.done():
-                self._waiting.popleft()
+                heapq.heappop(self._waiting)
                 continue
             now = clocks.boottime()
             bucket = self._state.bucket(self._account)
             if bucket.take(now, waited=True):
-                self._waiting.popleft()
+                heapq.heappop(self._waiting)
                 fut.set_result(None)
+                self._service.record_served(now, 1.0)
                 continue
             self._state.renew_now()
             await asyncio.sleep(min(RATE_POLL_S, bucket.wait_time(now)))
+        self._service.mark_idle()
 
 
 def rate_limited_error(account: str, wait_s: float) -> errors.RateLimitedError:
--- a/packages/node/src/sassafrasridge_node/charging.py
+++ b/packages/node/src/sassafrasridge_node/charging.py
@@ -42,23 +42,28 @@
         self._pool = pool
         self._silent_peers = peers.UnresponsivePeers()
 
-    async def charge_account(self, account: str, deadline: float) -> None:
+    async def charge_account(
+        self, account: str, deadline: float, priority: int = 0
+    ) -> None:
         """Take a rate token of a client account, waiting briefly for one.
 
-        Raises RateLimitedError; the request was not run.
+        Requests of a lower ``priority`` number get their tokens first. Raises
+        RateLimitedError; the request was not run.
         """
         if account != admission.ANONYMOUS:
             holder = self._state.charging_entry(account)
             if holder:
-                if await self._charge_through(holder, account, deadline):
+                if await self._charge_through(
+                    holder, account, deadline, priority
+                ):
                     return
                 deadline = max(
                     deadline, clocks.boottime() + CONTROL_EXCHANGE_S
                 )
-        await super().charge_account(account, deadline)
+        await super().charge_account(account, deadline, priority)
 
     async def _charge_through(
-        self, holder: str, account: str, deadline: float
+        self, holder: str, account: str, deadline: float, priority: int
     ) -> bool:
         """Return whether the holder took a token; raise RateLimitedError.
 
@@ -72,6 +77,7 @@
             holder,
             address,
             account,
+            priority,
             min(wait_s, FIRST_WAIT_S),
             FIRST_ANSWER_MARGIN_S,
         )
@@ -80,7 +86,12 @@
             if wait_s > 0:
                 # The holder works but has no token yet.
                 reply = await self._call(
-                    holder, address, account, wait_s, ANSWER_MARGIN_S
+                    holder,
+                    address,
+                    account,
+                    priority,
+                    wait_s,
+                    ANSWER_MARGIN_S,
                 )
         if reply is None:
             return False
@@ -93,11 +104,14 @@
         holder: str,
         address: str,
         account: str,
+        priority: int,
         wait_s: float,
         margin_s: float,
     ) -> typing.Any:
         """Return the holder's reply, None if it did not answer in time."""
-        call = rpc.idl.ChargeCall(account=account, wait_s=wait_s)
+        call = rpc.idl.ChargeCall(
+            account=account, wait_s=wait_s, priority=priority
+        )
         try:
             return await self._pool.get(address).call(
                 'charge', call, timeout_s=wait_s + margin_s
@@ -119,7 +133,9 @@
             return rpc.idl.ChargeReply(outcome=UNABLE, retry_after_s=0.0)
         deadline = clocks.boottime() + call.wait_s
         try:
-            await super().charge_account(call.account, deadline)
+            await super().charge_account(
+                call.account, deadline, call.priority or 0
+            )
         except errors.RateLimitedError as exc:
             return rpc.idl.ChargeReply(
                 outcome=LIMITED, retry_after_s=exc.retry_after_s or 0.0
--- a/packages/node/src/sassafrasridge_node/ridge.thrift
+++ b/packages/node/src/sassafrasridge_node/ridge.thrift
@@ -170,6 +170,7 @@
 struct ChargeCall {
   1: string account,
   2: double wait_s,         // maximum time that the operation can wait
+  3: optional i32 priority, // of the route; absent: 0, the highest
 }
 
 struct ChargeReply {
