Serve statements of a target by class and wait for its primary in time

A statement waited for 0.4 of its objective for a connection and 0.2 for a primary. A primary is replaced 1 to 2 s after it was lost, so the refusals used up the three attempts of most callers. Statements now wait until their time-out less the running time, by class, with a part of each target kept for the most urgent one; they leave the queue of a former primary; the first signs of a change count as one. A relayed statement leaves time for another process.

--- a/packages/core/src/sassafrasridge_core/state.py
+++ b/packages/core/src/sassafrasridge_core/state.py
@@ -686,3 +686,7 @@
     def services(self) -> Iterable[configuration.Service]:
         """Return all services."""
         return self._tables.all(configuration.SERVICE)
+
+    def routes(self) -> Iterable[configuration.Route]:
+        """Return all routes."""
+        return self._tables.all(configuration.ROUTE)
--- a/packages/node/src/sassafrasridge_node/backends.py
+++ b/packages/node/src/sassafrasridge_node/backends.py
@@ -8,6 +8,7 @@
 from sassafrasridge_core import errors
 from sassafrasridge_core import model
 from sassafrasridge_core import queueing
+from sassafrasridge_core import scheduling
 from sassafrasridge_core import slots
 from sassafrasridge_node import clocks
 from sassafrasridge_node import connections
@@ -53,17 +54,20 @@
     """Represent a queued request that waits for a connection.
 
     ``primary`` is set if the request can be served only by the primary.
+    ``work`` describes the statement of a session.
     """
 
-    __slots__ = ('fut', 'primary')
+    __slots__ = ('fut', 'primary', 'work')
 
     def __init__(
         self,
         fut: 'asyncio.Future[connections.TargetConnection]',
         primary: bool,
+        work: scheduling.Work = scheduling.UNIFORM,
     ) -> None:
         self.fut = fut
         self.primary = primary
+        self.work = work
 
 
 class Backend:
@@ -123,9 +127,13 @@
         )
 
     async def _wait_in_queue(
-        self, account: str, deadline: float, primary: bool
+        self,
+        account: str,
+        deadline: float,
+        primary: bool,
+        work: scheduling.Work = scheduling.UNIFORM,
     ) -> typing.Any:
-        """Wait in the fair queue; return what the ticket's future holds.
+        """Wait in the queue; return what the ticket's future holds.
 
         Raises UnavailableError if the queue is full or the deadline passes.
         """
@@ -133,8 +141,8 @@
         fut: asyncio.Future[typing.Any] = (
             asyncio.get_running_loop().create_future()
         )
-        ticket = Ticket(fut, primary)
-        refusal = self.queue.push(now, account, ticket, 1.0, deadline)
+        ticket = Ticket(fut, primary, work)
+        refusal = self._push(now, account, ticket, deadline)
         if refusal is not None:
             raise refusal_error(refusal)
         self._dispatch_waiting()
@@ -148,6 +156,11 @@
             self._cancel_wait(fut)
             raise
 
+    def _push(
+        self, now: float, account: str, ticket: Ticket, deadline: float
+    ) -> model.Refusal | None:
+        return self.queue.push(now, account, ticket, 1.0, deadline)
+
     def _cancel_wait(self, fut: 'asyncio.Future[typing.Any]') -> None:
         # The future may have got its result in the same event loop step in
         # which the waiting task was cancelled.
--- a/packages/node/src/sassafrasridge_node/entry.py
+++ b/packages/node/src/sassafrasridge_node/entry.py
@@ -208,12 +208,13 @@
             info, self._dialer, self.metrics, self.times.lease_s
         )
 
+    def queue_kind(self) -> type[queueing.Queue]:
+        """Return the kind of queue that requests wait in."""
+        return queueing.FifoQueue if self.plain else queueing.FairQueue
+
     def _create_backend(self, info: model.TargetInfo) -> backends.Backend:
         backend = self.new_backend(info)
-        kind: type[queueing.Queue] = queueing.FairQueue
-        if self.plain:
-            kind = queueing.FifoQueue
-        backend.queue = kind(
+        backend.queue = self.queue_kind()(
             min(queueing.MAX_PER_ACCOUNT, self._max_queue),
             self._max_queue,
             self._max_wait_s,
--- a/packages/node/src/sassafrasridge_node/metrics.py
+++ b/packages/node/src/sassafrasridge_node/metrics.py
@@ -5,6 +5,8 @@
 """
 
 from collections.abc import Callable
+from collections.abc import Iterator
+import contextlib
 
 import prometheus_client
 from prometheus_client import registry
@@ -44,6 +46,10 @@
         'unknown_transaction',
     )
 )
+# Reasons to refuse a statement of a session at a target.
+REFUSAL_REASONS = ('deadline', 'queue_full')
+# Priorities used as label values; less urgent ones count as the last.
+PRIORITIES = range(10)
 REQUEST_KINDS = ('statements', 'begin', 'in', 'commit', 'rollback')
 # Histogram buckets of request times in seconds, from a local read to a
 # failover.
@@ -134,6 +140,20 @@
             failure: operations.labels(failure.value if failure else 'done')
             for failure in (None, *statements.StatementFailure)
         }
+        waiting = self.gauge(
+            'waiting_statements',
+            'Statements that wait for a target, by priority',
+            ('priority',),
+        )
+        self._waiting = [waiting.labels(str(p)) for p in PRIORITIES]
+        refusals = self.counter(
+            'statement_refusals',
+            'Statements refused without being sent, by reason',
+            ('reason',),
+        )
+        self.statement_refusals = {
+            reason: refusals.labels(reason) for reason in REFUSAL_REASONS
+        }
         self.sessions = self.gauge('sessions', 'Open sessions')
         session_seconds = prometheus_client.Histogram(
             'sassafrasridge_session_statement_seconds',
@@ -156,6 +176,16 @@
             'promotions', 'Changes of a primary ordered here'
         )
 
+    @contextlib.contextmanager
+    def waiting(self, priority: int) -> Iterator[None]:
+        """Count a statement of a priority as waiting."""
+        gauge = self._waiting[priority_label(priority)]
+        gauge.inc()
+        try:
+            yield
+        finally:
+            gauge.dec()
+
     def counter(
         self, name: str, text: str, labels: tuple[str, ...] = ()
     ) -> prometheus_client.Counter:
@@ -197,3 +227,12 @@
     def render(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
         return prometheus_client.generate_latest(self.registry)
+
+
+def priority_label(priority: int) -> int:
+    """Return the label of a priority.
+
+    >>> priority_label(2), priority_label(400), priority_label(-1)
+    (2, 9, 0)
+    """
+    return min(max(priority, PRIORITIES[0]), PRIORITIES[-1])
--- a/packages/node/src/sassafrasridge_node/relayedsessions.py
+++ b/packages/node/src/sassafrasridge_node/relayedsessions.py
@@ -3,6 +3,7 @@
 import typing
 
 from sassafrasridge_core import statements
+from sassafrasridge_node import clocks
 from sassafrasridge_node import logs
 from sassafrasridge_node import sessionbase
 from sassafrasridge_node import sessionfront
@@ -17,6 +18,9 @@
 # that process is gone.
 IDLE_MARGIN_S = 1.0
 
+# Time for a call and its reply between two regions.
+REPLY_MARGIN_S = 0.05
+
 # Maximum number of relayed statements and transactions at a time: a multiple
 # of the connections that all targets of a group accept.
 MAX_RELAYED = 1000
@@ -31,6 +35,8 @@
     """
 
     ends_after_statement = False
+    _arrived_at = 0.0
+    _repeatable = False
     on_idle_end: typing.Callable[[], None]
 
     async def _charge(
@@ -46,8 +52,36 @@
         """
         return True
 
+    def _wait_deadline(self, op: sessionbase.Operation) -> float:
+        """Return the deadline on which a wait for the primary is based.
+
+        If only this process can't reach the primary, another one may still
+        serve the statement, so half of the time is left for it. A known
+        change is waited for here, since the other processes wait as well.
+        """
+        latest = self._latest_answer(op)
+        if self._state.primary_changes.in_progress(op.access.group):
+            return latest
+        return min(latest, (self._arrived_at + op.deadline) / 2)
+
+    def _latest_answer(self, op: sessionbase.Operation) -> float:
+        """Return the time by which the statement has to be answered here.
+
+        The session's own process sends a read to another process after that.
+        """
+        if not self._repeatable:
+            return op.deadline
+        remaining_s = op.deadline - self._arrived_at
+        attempt_s = sessionrelay.attempt_timeout_s(remaining_s)
+        return min(op.deadline, self._arrived_at + attempt_s - REPLY_MARGIN_S)
+
     def load_session(self, req: sessionrelay.RelayedStatement) -> None:
         """Load the session state that came with a relayed statement."""
+        self._arrived_at = clocks.boottime()
+        writes = req.statement.kind is StatementKind.WRITE
+        if req.prepared is not None:
+            writes = req.prepared[1]
+        self._repeatable = req.begin is not None or not writes
         self._values = dict(req.values)
         if req.prepared is not None:
             text, writes = req.prepared
--- a/packages/node/src/sassafrasridge_node/sessionbase.py
+++ b/packages/node/src/sassafrasridge_node/sessionbase.py
@@ -13,7 +13,6 @@
 
 from sassafrasridge_core import configuration
 from sassafrasridge_core import model
-from sassafrasridge_core import primarywait
 from sassafrasridge_core import statements
 from sassafrasridge_node import admission
 from sassafrasridge_node import clocks
@@ -35,11 +34,9 @@
 # Pause before a busy target is tried again.
 RETRY_PAUSE_S = 0.03
 
-# Share of the route's latency objective that an operation may wait for a
-# primary, unless a change is expected to end in time. Beyond a quarter, an
-# early refusal is better for the caller, who can then try another entry
-# process.
-PRIMARY_WAIT_SHARE = 0.2
+# Upper limit of the pause, which doubles with each attempt, so that the
+# statements that wait for an unreachable primary don't load it.
+MAX_RETRY_PAUSE_S = 0.24
 
 
 class SessionError(Exception):
@@ -51,6 +48,10 @@
         self.detail = detail
 
 
+class RefusedError(SessionError):
+    """Report that a target can't run a statement in time; it has not run."""
+
+
 class PreparedStatement:
     """Hold a prepared statement of a session.
 
@@ -137,17 +138,6 @@
         """Return the time at which the statement times out."""
         return self.started + self.access.route.timeout_s
 
-    def primary_wait_until(self, changes: primarywait.ChangeTracker) -> float:
-        """Return the time until which the statement may wait for a primary."""
-        until = changes.wait_until(
-            clocks.boottime(), self.access.group, self.deadline
-        )
-        if until is not None:
-            return until
-        return (
-            self.started + self.access.route.objective_s * PRIMARY_WAIT_SHARE
-        )
-
 
 class SessionContext:
     """Hold what the sessions of this process share."""
--- a/packages/node/src/sassafrasridge_node/sessionfront.py
+++ b/packages/node/src/sassafrasridge_node/sessionfront.py
@@ -9,6 +9,7 @@
 import random
 
 from sassafrasridge_core import errors
+from sassafrasridge_core import primarywait
 from sassafrasridge_core import statements
 from sassafrasridge_node import admission
 from sassafrasridge_node import clocks
@@ -28,11 +29,6 @@
 MAX_SESSION_VALUES = 64
 MAX_PREPARED_STATEMENTS = 256
 
-# Share of the latency objective that an operation may wait for a rate token
-# of its client account. A token that another entry process holds arrives
-# within two lease renewals.
-RATE_WAIT_SHARE = 0.5
-
 # Period after the start of this process during which new sessions wait for
 # its first lease. When all VMs start together but one control member is
 # missing, an election takes up to 1.2 s and a renewal up to 0.2 s; callers
@@ -243,7 +239,8 @@
         try:
             await self._service.admitter.charge_account(
                 access.account,
-                started + access.route.objective_s * RATE_WAIT_SHARE,
+                started + access.route.timeout_s - primarywait.RUN_RESERVE_S,
+                access.route.priority,
             )
         except errors.RidgeError as exc:
             raise sessionbase.SessionError(
--- a/packages/node/src/sassafrasridge_node/sessionpool.py
+++ b/packages/node/src/sassafrasridge_node/sessionpool.py
@@ -7,6 +7,7 @@
 
 from sassafrasridge_core import errors
 from sassafrasridge_core import model
+from sassafrasridge_core import scheduling
 from sassafrasridge_core import slots
 from sassafrasridge_core import statements
 from sassafrasridge_node import backends
@@ -14,6 +15,7 @@
 from sassafrasridge_node import connections
 from sassafrasridge_node import logs
 from sassafrasridge_node import metrics
+from sassafrasridge_node import sessionturns
 
 # A target opens a connection within a round trip and about 30 ms.
 OPEN_TIMEOUT_S = 0.5
@@ -335,6 +337,8 @@
         self._running: dict[SessionConnection, float] = {}
         # Statements whose turn has come and that have no connection yet.
         self._admitted = 0
+        self._turns = sessionturns.Turns()
+        self.run_times = scheduling.RunTimes()
         self._account_used_at: dict[str, float] = {}
         self._reachable = True
         self.status_due = False
@@ -344,6 +348,8 @@
         self.probe_account: typing.Callable[[], str] = str
         # Returns the connection limit of the target, 0 if unknown.
         self.connection_budget: typing.Callable[[], int] = int
+        # Returns whether a part is reserved for the most urgent class.
+        self.reserves: typing.Callable[[], bool] = lambda: False
 
     # State of the target.
 
@@ -372,15 +378,18 @@
 
         A connection serves one account only, so each recently active account
         needs one. The statements in flight count if they are more, and the
-        waiting ones in addition.
+        waiting ones in addition. Those of the most urgent class count double,
+        so that connections move to where urgent work waits.
         """
         since = clocks.boottime() - ACCOUNT_ACTIVE_WINDOW_S
         self._account_used_at = {
             a: t for a, t in self._account_used_at.items() if t > since
         }
-        return float(
-            max(len(self._account_used_at), self.in_flight) + len(self.queue)
-        )
+        waiting = len(self.queue)
+        if isinstance(self.queue, scheduling.PriorityQueue):
+            waiting += self.queue.urgent_waiting()
+        in_flight = self.in_flight + self._turns.urgent()
+        return float(max(len(self._account_used_at), in_flight) + waiting)
 
     def leaving(self, now: float) -> bool:
         """Return whether the target accepts no new work."""
@@ -435,35 +444,74 @@
         return now < self._full_until
 
     async def acquire(
-        self, account: str, deadline: float, values: dict[str, str]
+        self,
+        account: str,
+        work: scheduling.Work,
+        deadline: float,
+        values: dict[str, str],
     ) -> SessionConnection:
         """Return a connection of the account, opening one if necessary.
 
         Waits while this process has as many statements at the target as it
-        may. Raises UnavailableError (nothing was run), UnreachableError or
-        TargetRefusedError.
+        may. Raises UnavailableError (nothing was run), UnreachableError,
+        TargetRefusedError, or ReplacedError if the work needs the primary
+        and another target becomes primary.
         """
-        if self._free_statements() <= 0:
-            await self._wait_for_turn(account, deadline)
-        while True:
+        conn = None
+        if self._may_start(work):
+            self._turns.begin(work)
+            conn = await self._take_or_open(account, work, deadline, values)
+        while conn is None:
+            await self._wait_for_turn(account, work, deadline)
+            conn = await self._take_or_open(account, work, deadline, values)
+        self._in_use.add(conn)
+        self._turns.add(conn, work)
+        now = self._running[conn] = clocks.boottime()
+        self._account_used_at[account] = now
+        self.in_flight = len(self._in_use)
+        return conn
+
+    async def _take_or_open(
+        self,
+        account: str,
+        work: scheduling.Work,
+        deadline: float,
+        values: dict[str, str],
+    ) -> SessionConnection | None:
+        """Return a connection, or None if the work has to wait for one.
+
+        Ends the turn of the work.
+        """
+        try:
             conn = self.pool.take(account, values)
             if conn is not None:
-                break
+                return conn
             full = self.is_full(clocks.boottime())
             if full and not self.pool.held:
                 raise TargetRefusedError(
                     statements.ResultCode.TOO_MANY_CONNECTIONS
                 )
             limited = full or self.pool.held >= self.pool.limit
-            if not limited or self.pool.evict():
-                conn = await self._open(account, deadline)
-                break
-            await self._wait_for_turn(account, deadline)
-        self._in_use.add(conn)
-        now = self._running[conn] = clocks.boottime()
-        self._account_used_at[account] = now
-        self.in_flight = len(self._in_use)
-        return conn
+            if limited and not self.pool.evict():
+                return None
+            return await self._open(account, deadline)
+        finally:
+            self._turns.end(work)
+
+    def _may_start(self, work: scheduling.Work) -> bool:
+        """Return whether a new statement may be sent without waiting."""
+        free = self._free_statements()
+        return free > 0 and (work.urgent or self._free_lower(free) > 0)
+
+    def _free_lower(self, free: int) -> int:
+        """Return how many statements of lower classes may be sent now."""
+        if not self.reserves():
+            return free
+        stalled_since = clocks.boottime() - STATEMENT_STALL_S
+        running = [c for c, at in self._running.items() if at > stalled_since]
+        limit = free + len(running) + self.pool.opening + self._admitted
+        limit = min(limit, self.pool.limit)
+        return min(free, self._turns.free_lower(limit, running))
 
     def _free_statements(self) -> int:
         """Return how many more statements may be sent to the target now."""
@@ -483,14 +531,50 @@
         self._running.pop(conn, None)
         self._dispatch_waiting()
 
-    async def _wait_for_turn(self, account: str, deadline: float) -> None:
-        """Wait in the fair queue until a statement may be sent.
+    def statement_done(self, conn: SessionConnection, seconds: float) -> None:
+        """Record the time in which the target ran a statement."""
+        priority = self._turns.work(conn).work_class.priority
+        self.run_times.record(priority, seconds)
+
+    async def _wait_for_turn(
+        self, account: str, work: scheduling.Work, deadline: float
+    ) -> None:
+        """Wait in the queue until a statement may be sent.
 
         Its turn stays valid whatever is counted as running afterwards.
         """
-        await self._wait_in_queue(account, deadline, primary=False)
+        with self._metrics.waiting(work.work_class.priority):
+            await self._wait_in_queue(
+                account, deadline, work.needs_primary, work
+            )
         self._admitted -= 1
 
+    def expected_wait_s(self, account: str, work: scheduling.Work) -> float:
+        """Return the expected wait of a new statement in seconds."""
+        if self._may_start(work):
+            return 0.0
+        if isinstance(self.queue, scheduling.PriorityQueue):
+            now = clocks.boottime()
+            return self.queue.expected_wait_s(account, 1.0, work, now)
+        return self.queue.expected_wait_s(account, 1.0)
+
+    def _push(
+        self,
+        now: float,
+        account: str,
+        ticket: backends.Ticket,
+        deadline: float,
+    ) -> model.Refusal | None:
+        queue = self.queue
+        if not isinstance(queue, scheduling.PriorityQueue):
+            return super()._push(now, account, ticket, deadline)
+        refusal = queue.push(now, account, ticket, 1.0, deadline, ticket.work)
+        _fail_tickets(
+            queue.take_displaced(),
+            lambda: backends.refusal_error(model.QUEUE_FULL),
+        )
+        return refusal
+
     def _cancel_wait(self, fut: asyncio.Future[typing.Any]) -> None:
         super()._cancel_wait(fut)
         self._dispatch_waiting()
@@ -498,6 +582,7 @@
     def _return_unused(self, result: typing.Any) -> None:
         """Pass the turn of a statement that no longer waits on."""
         self._admitted -= 1
+        self._turns.end(result)
 
     async def _open(self, account: str, deadline: float) -> SessionConnection:
         remaining_s = deadline - clocks.boottime()
@@ -521,7 +606,15 @@
             self.circuit.failure(clocks.boottime())
             self._metrics.connection_failures.inc()
             self._set_reachable(False, str(exc))
-            raise backends.UnreachableError(str(exc))
+            reason = str(exc)
+            if not self.pool.connections:
+                # The waiting statements may be served elsewhere, or wait for
+                # another primary.
+                _fail_tickets(
+                    self.queue.cancel(lambda _: True),
+                    lambda: backends.UnreachableError(reason),
+                )
+            raise backends.UnreachableError(reason)
         except TargetRefusedError as exc:
             if exc.result_code is statements.ResultCode.TOO_MANY_CONNECTIONS:
                 self._mark_full()
@@ -570,6 +663,7 @@
             return
         self._in_use.discard(conn)
         self._running.pop(conn, None)
+        self._turns.remove(conn)
         self.in_flight = len(self._in_use)
         if clean:
             self.pool.give_back(conn)
@@ -579,25 +673,46 @@
 
     def _dispatch_waiting(self) -> None:
         now = clocks.boottime()
-        for ticket in self.queue.expire(now):
-            if not ticket.fut.done():
-                ticket.fut.set_exception(
-                    backends.refusal_error(model.DEADLINE)
-                )
+        _fail_tickets(
+            self.queue.expire(now),
+            lambda: backends.refusal_error(model.DEADLINE),
+        )
         available = self.pool.idle
         if not self.is_full(now):
             available += self.pool.limit - self.pool.held
-        available = min(available - self._admitted, self._free_statements())
+        free = self._free_statements()
+        available = min(available - self._admitted, free)
+        free_lower = self._free_lower(free)
         while available > 0 and len(self.queue):
-            ticket = self._next_ticket(now)
+            ticket = self._next_turn(now, free_lower <= 0)
             if ticket is None:
                 return
-            ticket.fut.set_result(None)
+            ticket.fut.set_result(ticket.work)
+            self._turns.begin(ticket.work)
             self._admitted += 1
             available -= 1
+            free_lower -= not ticket.work.urgent
+
+    def _next_turn(
+        self, now: float, urgent_only: bool
+    ) -> backends.Ticket | None:
+        queue = self.queue
+        if not isinstance(queue, scheduling.PriorityQueue):
+            return self._next_ticket(now)
+        while True:
+            ticket = queue.pop(now, urgent_only)
+            if ticket is None or not ticket.fut.done():
+                return typing.cast(backends.Ticket | None, ticket)
 
     def on_primary_replaced(self) -> None:
-        """Keep the connections: a former primary still serves reads."""
+        """Let statements that need the primary wait for the new one.
+
+        The connections stay: a former primary still serves reads.
+        """
+        _fail_tickets(
+            self.queue.cancel(lambda ticket: ticket.primary),
+            backends.ReplacedError,
+        )
 
     # Probes.
 
@@ -641,3 +756,12 @@
             else:
                 self.pool.discard(conn)
         return answered
+
+
+def _fail_tickets(
+    tickets: typing.Iterable[backends.Ticket],
+    create_error: typing.Callable[[], Exception],
+) -> None:
+    for ticket in tickets:
+        if not ticket.fut.done():
+            ticket.fut.set_exception(create_error())
--- a/packages/node/src/sassafrasridge_node/sessionprimary.py
+++ b/packages/node/src/sassafrasridge_node/sessionprimary.py
@@ -28,66 +28,91 @@
             if answer.result_code is ResultCode.DONE:
                 return self._acknowledge(backend, op.access, term, answer)
             self._raise_unless_retryable(answer)
-            if (
-                attempt >= sessionbase.MAX_ATTEMPTS
-                or not self._may_wait_for_primary(op)
-            ):
-                raise sessiontargets.target_error(answer)
-            self._log_retry(
-                op.stmt, backend, None, sessiontargets.target_error(answer)
-            )
-            await asyncio.sleep(sessionbase.RETRY_PAUSE_S)
+            error = sessiontargets.target_error(answer)
+            limited = answer.result_code is not ResultCode.NOT_PRIMARY
+            if limited and attempt >= sessionbase.MAX_ATTEMPTS:
+                raise error
+            await self._pause_before_retry(op, backend, attempt, error)
         raise AssertionError
 
     async def _acquire_primary(
         self, op: sessionbase.Operation
     ) -> tuple[sessionpool.SessionBackend, int, sessionpool.SessionConnection]:
-        """Wait briefly for the primary and a connection to it.
+        """Wait for the primary and a connection to it.
 
         Returns the primary, the term of its view and the connection. Raises
         SessionError.
         """
-        while True:
+        for attempt in itertools.count(1):
             backend = await self._wait_for_primary(op)
             term = self._view_term(op.access)
             try:
-                conn = await self._acquire(backend, op)
+                conn = await self._acquire(backend, op, needs_primary=True)
+            except sessionbase.RefusedError:
+                raise
             except sessionbase.SessionError as exc:
-                if not self._may_wait_for_primary(op):
-                    raise
-                self._log_retry(op.stmt, backend, None, exc)
-                await asyncio.sleep(sessionbase.RETRY_PAUSE_S)
+                await self._pause_before_retry(op, backend, attempt, exc)
                 continue
             return backend, term, conn
+        raise AssertionError
+
+    async def _pause_before_retry(
+        self,
+        op: sessionbase.Operation,
+        backend: sessionpool.SessionBackend,
+        attempt: int,
+        error: sessionbase.SessionError,
+    ) -> None:
+        """Wait before a statement is retried that the primary did not run.
+
+        Raises ``error`` if a retry can't be served in time.
+        """
+        now = clocks.boottime()
+        changes, group = self._state.primary_changes, op.access.group
+        if backend.silent(now):
+            changes.suspect(now, group)
+        until = changes.retry_until(now, group, self._wait_deadline(op))
+        if until is None or until <= now:
+            raise error
+        self._log_retry(op.stmt, backend, None, error)
+        pause_s = min(
+            sessionbase.RETRY_PAUSE_S * 2 ** (attempt - 1),
+            sessionbase.MAX_RETRY_PAUSE_S,
+            until - now,
+        )
+        await self._wait_for_view(pause_s)
+
+    async def _wait_for_view(self, timeout_s: float) -> None:
+        """Wait until a new view arrives, at most for the given time."""
+        try:
+            async with asyncio.timeout(timeout_s):
+                await self._state.view_changed.wait()
+        except TimeoutError:
+            return
+
+    def _wait_deadline(self, op: sessionbase.Operation) -> float:
+        """Return the deadline on which a wait for the primary is based."""
+        return self._latest_answer(op)
 
     async def _wait_for_primary(
         self, op: sessionbase.Operation
     ) -> sessionpool.SessionBackend:
-        """Wait briefly for a usable primary; raise SessionError."""
+        """Wait for a usable primary; raise SessionError."""
+        changes, group = self._state.primary_changes, op.access.group
         while True:
-            backend = self._state.usable_primary(op.access.group)
+            backend = self._state.usable_primary(group)
             if backend is not None:
                 return backend
-            remaining_s = self._primary_wait_s(op)
-            if remaining_s <= 0 or not self._state.lease_valid():
+            now = clocks.boottime()
+            changes.suspect(now, group)
+            until = changes.wait_until(now, group, self._wait_deadline(op))
+            if until is None or until <= now or not self._state.lease_valid():
                 raise sessionbase.SessionError(
                     StatementFailure.NO_PRIMARY, 'no primary is available'
                 )
-            try:
-                async with asyncio.timeout(
-                    min(remaining_s, sessionbase.RETRY_PAUSE_S)
-                ):
-                    await self._state.view_changed.wait()
-            except TimeoutError:
-                continue
-
-    def _primary_wait_s(self, op: sessionbase.Operation) -> float:
-        """Return the seconds that a statement may still wait for a primary."""
-        until = op.primary_wait_until(self._state.primary_changes)
-        return until - clocks.boottime()
-
-    def _may_wait_for_primary(self, op: sessionbase.Operation) -> bool:
-        return self._primary_wait_s(op) > 0
+            await self._wait_for_view(
+                min(until - now, sessionbase.RETRY_PAUSE_S)
+            )
 
     def _acknowledge(
         self,
--- a/packages/node/src/sassafrasridge_node/sessionreads.py
+++ b/packages/node/src/sassafrasridge_node/sessionreads.py
@@ -1,7 +1,6 @@
 """Reads outside a transaction."""
 
-import asyncio
-
+from sassafrasridge_core import model
 from sassafrasridge_core import statements
 from sassafrasridge_node import clocks
 from sassafrasridge_node import sessionbase
@@ -24,21 +23,21 @@
             StatementFailure.BUSY, 'no target is available for the read'
         )
         for attempt in range(sessionbase.MAX_ATTEMPTS):
-            backend = self._router.choose_target(op.access, floor, tried)
+            backend, has_others = self._choose_for_read(op, floor, tried)
             if backend is None:
-                if attempt and not self._may_wait_for_primary(op):
-                    break
-                backend = await self._wait_for_primary(op)
-            if backend in tried:
-                await asyncio.sleep(sessionbase.RETRY_PAUSE_S)
+                backend, _, conn = await self._acquire_primary(op)
+            else:
+                if backend in tried:
+                    await self._pause_before_retry(op, backend, attempt, error)
+                tried.add(backend)
+                try:
+                    conn = await self._acquire(backend, op, False, has_others)
+                except sessionbase.SessionError as exc:
+                    error = exc
+                    self._log_retry(op.stmt, backend, floor, error)
+                    continue
             tried.add(backend)
             is_primary = self._state.primary(op.access.group) is backend
-            try:
-                conn = await self._acquire(backend, op)
-            except sessionbase.SessionError as exc:
-                error = exc
-                self._log_retry(op.stmt, backend, floor, error)
-                continue
             commands = self._build_commands(
                 conn, op, None if is_primary else floor
             )
@@ -57,3 +56,23 @@
                 break
             self._log_retry(op.stmt, backend, floor, error)
         raise error
+
+    def _choose_for_read(
+        self,
+        op: sessionbase.Operation,
+        floor: model.Position | None,
+        tried: set[sessionpool.SessionBackend],
+    ) -> tuple[sessionpool.SessionBackend | None, bool]:
+        """Return the next target for a read, and whether there are others.
+
+        Returns None for the target if only the primary may serve the read.
+        """
+        if floor is None:
+            return None, False
+        choose = self._router.choose_target
+        backend = choose(op.access, floor, tried)
+        if backend is not None:
+            others = choose(op.access, floor, {*tried, backend})
+            return backend, others is not None
+        # Every target was tried, so wait at the best one.
+        return choose(op.access, floor) if tried else None, False
--- a/packages/node/src/sassafrasridge_node/sessionrelay.py
+++ b/packages/node/src/sassafrasridge_node/sessionrelay.py
@@ -37,9 +37,9 @@
 READ_ATTEMPT_SHARE = 0.5
 MIN_READ_ATTEMPT_S = 0.3
 
-# Number of processes that may say that they have no primary before the
-# statement is refused: one that is cut off from the primary or from control
-# says so, another one may still serve it.
+# Number of processes that may say that they have no primary, or a long queue
+# of reads, before the statement is refused: one that is cut off from the
+# primary or from control says so, another one may still serve it.
 MAX_REFUSALS = 3
 
 # Length of random transaction numbers: collisions are negligible, and the
@@ -264,10 +264,10 @@
             remaining_s = deadline - now
             try:
                 async with asyncio.timeout(
-                    _attempt_timeout_s(remaining_s) if repeatable else None
+                    attempt_timeout_s(remaining_s) if repeatable else None
                 ):
                     answer = await self._call(address, req, remaining_s)
-                if not _has_no_primary(answer):
+                if not _may_run_elsewhere(answer, repeatable):
                     return entry_name, answer
                 refusals += 1
                 failure, detail = answer.result.failure, answer.result.detail
@@ -347,18 +347,22 @@
             self._note_failure(entry_name, req, True, str(exc))
 
 
-def _has_no_primary(answer: RelayedResult) -> bool:
-    """Return whether a process had no primary and ran nothing."""
-    return (
-        answer.result.failure is StatementFailure.NO_PRIMARY
-        and not answer.open
-    )
+def _may_run_elsewhere(answer: RelayedResult, repeatable: bool) -> bool:
+    """Return whether a process ran nothing and another one should be tried.
+
+    Others may have a primary. A process refuses a read that has waited for
+    its part of the time; another one may have no queue.
+    """
+    failures = {StatementFailure.NO_PRIMARY}
+    if repeatable:
+        failures.add(StatementFailure.BUSY)
+    return answer.result.failure in failures and not answer.open
 
 
-def _attempt_timeout_s(remaining_s: float) -> float:
+def attempt_timeout_s(remaining_s: float) -> float:
     """Return the time in seconds that one process gets for a read.
 
-    >>> _attempt_timeout_s(2.0), _attempt_timeout_s(0.4)
+    >>> attempt_timeout_s(2.0), attempt_timeout_s(0.4)
     (1.0, 0.3)
     """
     return max(MIN_READ_ATTEMPT_S, remaining_s * READ_ATTEMPT_SHARE)
--- a/packages/node/src/sassafrasridge_node/sessionstate.py
+++ b/packages/node/src/sassafrasridge_node/sessionstate.py
@@ -5,12 +5,15 @@
 
 from sassafrasridge_core import model
 from sassafrasridge_core import primarywait
+from sassafrasridge_core import queueing
+from sassafrasridge_core import scheduling
 from sassafrasridge_core import slots
 from sassafrasridge_node import backends
 from sassafrasridge_node import clocks
 from sassafrasridge_node import codec
 from sassafrasridge_node import entry
 from sassafrasridge_node import sessionpool
+from sassafrasridge_node import workclasses
 
 
 class SessionEntryState(entry.EntryState):
@@ -25,6 +28,7 @@
     def __init__(self, *args: typing.Any, **kwargs: typing.Any) -> None:
         super().__init__(*args, **kwargs)
         self.primary_changes = primarywait.ChangeTracker()
+        self.work_classes = workclasses.WorkClasses(self.config)
         # Connections and slots by group, in a configuration revision.
         self._budgets: dict[str, tuple[int, int]] = {}
         self._budgets_revision = -1
@@ -37,9 +41,16 @@
         backend.is_primary = lambda: self._is_primary(info.group, info.server)
         backend.probe_account = self._any_account
         backend.connection_budget = lambda: self._connection_budget(info.group)
+        backend.reserves = lambda: self.work_classes.reserves(
+            info.group, self._is_primary(info.group, info.server)
+        )
         backend.serving = self.serves(info.group)
         return backend
 
+    def queue_kind(self) -> type[queueing.Queue]:
+        """Return the kind of queue that statements wait in."""
+        return super().queue_kind() if self.plain else scheduling.PriorityQueue
+
     def _is_primary(self, group: str, server: str) -> bool:
         view = self.groups.get(group)
         return view is not None and view.primary == server
@@ -116,11 +127,20 @@
         # discarded at the failover.
         if view.primary != known.primary or view.changing:
             self.timeline(view.group).forget()
+        if view.changing or view.primary != known.primary:
+            former = self.backends.get((known.group, known.primary or ''))
+            if former is not None:
+                former.on_primary_replaced()
         if view.changing:
             self.primary_changes.begin(clocks.boottime(), view.group)
         else:
             self.primary_changes.end(clocks.boottime(), view.group)
 
+    def primary_reached(self, backend: sessionpool.SessionBackend) -> None:
+        """Record that a target answered; it matters if it is a primary."""
+        if self.primary(backend.info.group) is backend:
+            self.primary_changes.reached(backend.info.group)
+
     def usable_primary(self, group: str) -> sessionpool.SessionBackend | None:
         """Return the primary, or None if this process may not use it."""
         if not self.lease_valid():
--- a/packages/node/src/sassafrasridge_node/sessiontargets.py
+++ b/packages/node/src/sassafrasridge_node/sessiontargets.py
@@ -4,41 +4,66 @@
 
 from sassafrasridge_core import errors
 from sassafrasridge_core import model
+from sassafrasridge_core import scheduling
 from sassafrasridge_core import statements
 from sassafrasridge_node import backends
 from sassafrasridge_node import clocks
 from sassafrasridge_node import connections
 from sassafrasridge_node import sessionbase
 from sassafrasridge_node import sessionpool
+from sassafrasridge_node import sessionrouting
 
 ResultCode = statements.ResultCode
 StatementFailure = statements.StatementFailure
 TransactionState = statements.TransactionState
 Result = statements.Result
 
-# Share of the latency objective that an operation may wait for a connection.
-CONNECTION_WAIT_SHARE = 0.4
+# Share of the remaining time that a read may wait for one target while there
+# are others, so that it can move on from a long queue and be served in time.
+TARGET_WAIT_SHARE = 0.5
 
-# Lower limit of the wait for a connection: opening one to a target in another
-# region takes three round trips of 40 ms and processing time at the target.
-MIN_CONNECTION_WAIT_S = 0.25
+# Lower limit of that wait: opening a connection to a target in another region
+# takes three round trips of 40 ms and processing time at the target.
+MIN_TARGET_WAIT_S = 0.25
 
 
 class TargetSession(sessionbase.SessionBase):
     """Run the statements of a session on connections to targets."""
 
     async def _acquire(
-        self, backend: sessionpool.SessionBackend, op: sessionbase.Operation
+        self,
+        backend: sessionpool.SessionBackend,
+        op: sessionbase.Operation,
+        needs_primary: bool,
+        has_others: bool = False,
     ) -> sessionpool.SessionConnection:
-        wait_s = max(
-            MIN_CONNECTION_WAIT_S,
-            op.access.route.objective_s * CONNECTION_WAIT_SHARE,
-        )
-        wait_until = min(op.deadline, clocks.boottime() + wait_s)
+        """Wait for a connection as long as the statement can be served.
+
+        ``has_others`` tells that other targets may run the statement. Raises
+        SessionError; the statement has not run.
+        """
+        work = self._work(backend, op.access, op.started, needs_primary)
+        now = clocks.boottime()
+        wait_until = self._latest_answer(op) - work.run_s
+        if has_others:
+            wait_s = (wait_until - now) * TARGET_WAIT_SHARE
+            wait_s = max(wait_s, MIN_TARGET_WAIT_S)
+            wait_until = min(wait_until, now + wait_s)
         account = op.access.account
         try:
-            conn = await backend.acquire(account, wait_until, self._values)
+            conn = await backend.acquire(
+                account, work, wait_until, self._values
+            )
+        except backends.ReplacedError:
+            raise sessionbase.SessionError(
+                StatementFailure.NO_PRIMARY, 'the primary was replaced'
+            )
         except backends.UnreachableError as exc:
+            self._suspect_change(backend)
+            if needs_primary:
+                raise sessionbase.SessionError(
+                    StatementFailure.NO_PRIMARY, f'the primary: {exc}'
+                )
             raise sessionbase.SessionError(
                 StatementFailure.BUSY, f'{backend.info.server}: {exc}'
             )
@@ -49,16 +74,41 @@
                 f'{backend.info.server}: {exc.result_code.value}',
             )
         except errors.UnavailableError as exc:
-            raise sessionbase.SessionError(StatementFailure.BUSY, exc.message)
+            self._service.metrics.statement_refusals[exc.kind].inc()
+            raise sessionbase.RefusedError(StatementFailure.BUSY, exc.message)
         if op.deadline - clocks.boottime() < conn.rtt_s:
             # An answer can't arrive before the deadline, so send nothing.
             backend.release(conn, clean=True)
-            raise sessionbase.SessionError(
+            raise sessionbase.RefusedError(
                 StatementFailure.BUSY,
                 'too little time is left before the deadline',
             )
         return conn
 
+    def _latest_answer(self, op: sessionbase.Operation) -> float:
+        """Return the time by which the statement has to be answered here."""
+        return op.deadline
+
+    def _work(
+        self,
+        backend: sessionpool.SessionBackend,
+        access: sessionrouting.Access,
+        started: float,
+        needs_primary: bool,
+    ) -> scheduling.Work:
+        """Return the description of a statement for the target's queue."""
+        classes = self._state.work_classes
+        work_class = classes.work_class(access.account, access.route)
+        return classes.work(
+            access.account,
+            access.route,
+            access.group,
+            started,
+            backend.run_times.expected_s(work_class.priority),
+            self.transaction is not None,
+            needs_primary,
+        )
+
     def _build_setup(
         self,
         conn: sessionpool.SessionConnection,
@@ -110,6 +160,7 @@
         except connections.ConnectionLostError as exc:
             backend.circuit.failure(clocks.boottime())
             backend.release(conn, clean=False)
+            self._suspect_change(backend)
             result_code = ResultCode.LOST
             if clocks.boottime() >= deadline:
                 result_code = ResultCode.TIMED_OUT
@@ -124,6 +175,8 @@
         finally:
             backend.write_ended(token)
             backend.statement_ended(conn)
+        if answer.result_code is ResultCode.DONE:
+            backend.statement_done(conn, clocks.boottime() - sent_at)
         self._record_answer(backend, answer, sent_at)
         clean = (
             answer.state is TransactionState.IDLE and not answer.failed_setup
@@ -142,7 +195,10 @@
     ) -> None:
         backend.answered(answer.position)
         now = clocks.boottime()
+        if answer.result_code is ResultCode.NOT_PRIMARY:
+            self._suspect_change(backend)
         if answer.result_code is ResultCode.DONE:
+            self._state.primary_reached(backend)
             backend.circuit.success(now, now - sent_at)
             self._state.sample_position(backend, sent_at)
         elif answer.result_code is ResultCode.FAILED:
@@ -152,6 +208,12 @@
         elif answer.result_code in statements.NOT_RUN_CODES:
             backend.avoid(sessionpool.BUSY_AVOID_S)
 
+    def _suspect_change(self, backend: sessionpool.SessionBackend) -> None:
+        """Record a sign that a target, if it is a primary, is replaced."""
+        group = backend.info.group
+        if self._state.primary(group) is backend:
+            self._state.primary_changes.suspect(clocks.boottime(), group)
+
 
 def success(answer: sessionpool.TargetAnswer) -> Result:
     return Result(answer.rows, answer.signature, position=answer.position)
--- a/packages/node/src/sassafrasridge_node/sessiontransactions.py
+++ b/packages/node/src/sassafrasridge_node/sessiontransactions.py
@@ -122,7 +122,7 @@
             backend, tx.term, conn = await self._acquire_primary(op)
         else:
             tx.term = self._view_term(access)
-            conn = await self._acquire(backend, op)
+            conn = await self._acquire(backend, op, needs_primary=False)
         is_primary = self._state.primary(access.group) is backend
         commands = self._build_setup(conn, None)
         commands.append(
--- a/tests/node/test_sessionrelay.py
+++ b/tests/node/test_sessionrelay.py
@@ -9,6 +9,7 @@
 from sassafrasridge_core import model
 from sassafrasridge_core import statements
 from sassafrasridge_node import clocks
+from sassafrasridge_node import connections
 from sassafrasridge_node import relayedsessions
 from sassafrasridge_node import rpc
 from sassafrasridge_node import sessionpool
@@ -198,6 +199,25 @@
         assert forwarded(pair.first) == []
         assert len(forwarded(pair.second)) == 1
 
+    @pytest.mark.parametrize('unreachable', [1, 2])
+    def test_the_members_together_wait_no_longer_than_one(self, unreachable):
+        """Guards against waiting again at each member in turn."""
+        pair = Pair()
+
+        async def open_nothing(info, account, timeout_s):
+            raise connections.ConnectionLostError('refused', sent=False)
+
+        for peer in list(pair.peers.values())[:unreachable]:
+            peer.process.open = open_nothing
+        started = clocks.boottime()
+        (result,) = pair.run(front.write())
+        assert clocks.boottime() - started < 0.5
+        if unreachable == 1:
+            assert result.failure is None
+            assert len(forwarded(pair.second)) == 1
+        else:
+            assert result.failure is StatementFailure.NO_PRIMARY
+
     def test_a_transaction_begins_at_the_next_member(self):
         pair = Pair()
         pair.first.process.state.lease._renewal_sent_at -= 2.0
