--- a/packages/node/src/sassafrasridge_node/sessionpool.py
+++ b/packages/node/src/sassafrasridge_node/sessionpool.py
@@ -52,9 +52,7 @@
 # Targets close connections that are idle for one minute.
 MAX_IDLE_S = 45.0
 
-# A statement that has had no answer for this long no longer counts as running
-# at the target: its answer is probably lost. It is many times the usual time.
-STATEMENT_STALL_S = 0.3
+STATEMENT_STALL_S = sessionturns.STATEMENT_STALL_S
 
 # Round-trip time assumed before the first connection to a target.
 DEFAULT_RTT_S = 0.05
@@ -314,7 +312,7 @@
             self.discard(conn)
 
 
-class SessionBackend(backends.Backend):
+class SessionBackend(sessionturns.QueuedBackend):
     """Own one target whose connections each belong to a client account."""
 
     def __init__(
@@ -332,13 +330,6 @@
         self.rtt_s = DEFAULT_RTT_S
         self._pending_writes: dict[object, float] = {}
         self._in_use: set[SessionConnection] = set()
-        # Connections with a statement at the target, or about to send one, and
-        # since when.
-        self._running: dict[SessionConnection, float] = {}
-        # Statements whose turn has come and that have no connection yet.
-        self._admitted = 0
-        self._turns = sessionturns.Turns()
-        self.run_times = scheduling.RunTimes()
         self._account_used_at: dict[str, float] = {}
         self._reachable = True
         self.status_due = False
@@ -348,8 +339,6 @@
         self.probe_account: typing.Callable[[], str] = str
         # Returns the connection limit of the target, 0 if unknown.
         self.connection_budget: typing.Callable[[], int] = int
-        # Returns whether a part is reserved for the most urgent class.
-        self.reserves: typing.Callable[[], bool] = lambda: False
 
     # State of the target.
 
@@ -498,21 +487,6 @@
         finally:
             self._turns.end(work)
 
-    def _may_start(self, work: scheduling.Work) -> bool:
-        """Return whether a new statement may be sent without waiting."""
-        free = self._free_statements()
-        return free > 0 and (work.urgent or self._free_lower(free) > 0)
-
-    def _free_lower(self, free: int) -> int:
-        """Return how many statements of lower classes may be sent now."""
-        if not self.reserves():
-            return free
-        stalled_since = clocks.boottime() - STATEMENT_STALL_S
-        running = [c for c, at in self._running.items() if at > stalled_since]
-        limit = free + len(running) + self.pool.opening + self._admitted
-        limit = min(limit, self.pool.limit)
-        return min(free, self._turns.free_lower(limit, running))
-
     def _free_statements(self) -> int:
         """Return how many more statements may be sent to the target now."""
         limit = slots.statement_limit(
@@ -531,59 +505,10 @@
         self._running.pop(conn, None)
         self._dispatch_waiting()
 
-    def statement_done(self, conn: SessionConnection, seconds: float) -> None:
-        """Record the time in which the target ran a statement."""
-        priority = self._turns.work(conn).work_class.priority
-        self.run_times.record(priority, seconds)
-
-    async def _wait_for_turn(
-        self, account: str, work: scheduling.Work, deadline: float
-    ) -> None:
-        """Wait in the queue until a statement may be sent.
-
-        Its turn stays valid whatever is counted as running afterwards.
-        """
-        with self._metrics.waiting(work.work_class.priority):
-            await self._wait_in_queue(
-                account, deadline, work.needs_primary, work
-            )
-        self._admitted -= 1
-
-    def expected_wait_s(self, account: str, work: scheduling.Work) -> float:
-        """Return the expected wait of a new statement in seconds."""
-        if self._may_start(work):
-            return 0.0
-        if isinstance(self.queue, scheduling.PriorityQueue):
-            now = clocks.boottime()
-            return self.queue.expected_wait_s(account, 1.0, work, now)
-        return self.queue.expected_wait_s(account, 1.0)
-
-    def _push(
-        self,
-        now: float,
-        account: str,
-        ticket: backends.Ticket,
-        deadline: float,
-    ) -> model.Refusal | None:
-        queue = self.queue
-        if not isinstance(queue, scheduling.PriorityQueue):
-            return super()._push(now, account, ticket, deadline)
-        refusal = queue.push(now, account, ticket, 1.0, deadline, ticket.work)
-        _fail_tickets(
-            queue.take_displaced(),
-            lambda: backends.refusal_error(model.QUEUE_FULL),
-        )
-        return refusal
-
     def _cancel_wait(self, fut: asyncio.Future[typing.Any]) -> None:
         super()._cancel_wait(fut)
         self._dispatch_waiting()
 
-    def _return_unused(self, result: typing.Any) -> None:
-        """Pass the turn of a statement that no longer waits on."""
-        self._admitted -= 1
-        self._turns.end(result)
-
     async def _open(self, account: str, deadline: float) -> SessionConnection:
         remaining_s = deadline - clocks.boottime()
         if (
@@ -610,7 +535,7 @@
             if not self.pool.connections:
                 # The waiting statements may be served elsewhere, or wait for
                 # another primary.
-                _fail_tickets(
+                sessionturns.fail_tickets(
                     self.queue.cancel(lambda _: True),
                     lambda: backends.UnreachableError(reason),
                 )
@@ -673,10 +598,7 @@
 
     def _dispatch_waiting(self) -> None:
         now = clocks.boottime()
-        _fail_tickets(
-            self.queue.expire(now),
-            lambda: backends.refusal_error(model.DEADLINE),
-        )
+        self.refuse_expired(now)
         available = self.pool.idle
         if not self.is_full(now):
             available += self.pool.limit - self.pool.held
@@ -693,27 +615,6 @@
             available -= 1
             free_lower -= not ticket.work.urgent
 
-    def _next_turn(
-        self, now: float, urgent_only: bool
-    ) -> backends.Ticket | None:
-        queue = self.queue
-        if not isinstance(queue, scheduling.PriorityQueue):
-            return self._next_ticket(now)
-        while True:
-            ticket = queue.pop(now, urgent_only)
-            if ticket is None or not ticket.fut.done():
-                return typing.cast(backends.Ticket | None, ticket)
-
-    def on_primary_replaced(self) -> None:
-        """Let statements that need the primary wait for the new one.
-
-        The connections stay: a former primary still serves reads.
-        """
-        _fail_tickets(
-            self.queue.cancel(lambda ticket: ticket.primary),
-            backends.ReplacedError,
-        )
-
     # Probes.
 
     async def probe(self) -> bool:
@@ -756,12 +657,3 @@
             else:
                 self.pool.discard(conn)
         return answered
-
-
-def _fail_tickets(
-    tickets: typing.Iterable[backends.Ticket],
-    create_error: typing.Callable[[], Exception],
-) -> None:
-    for ticket in tickets:
-        if not ticket.fut.done():
-            ticket.fut.set_exception(create_error())
--- a/packages/node/src/sassafrasridge_node/sessionprimary.py
+++ b/packages/node/src/sassafrasridge_node/sessionprimary.py
@@ -1,6 +1,7 @@
 """Statements that only the primary may run, and the wait for it."""
 
 import asyncio
+import collections.abc
 import itertools
 
 from sassafrasridge_core import statements
@@ -98,9 +99,19 @@
         self, op: sessionbase.Operation
     ) -> sessionpool.SessionBackend:
         """Wait for a usable primary; raise SessionError."""
+        return await self._wait_for_target(
+            op, lambda: self._state.usable_primary(op.access.group)
+        )
+
+    async def _wait_for_target(
+        self,
+        op: sessionbase.Operation,
+        find: collections.abc.Callable[[], sessionpool.SessionBackend | None],
+    ) -> sessionpool.SessionBackend:
+        """Wait until ``find`` returns a target; raise SessionError."""
         changes, group = self._state.primary_changes, op.access.group
         while True:
-            backend = self._state.usable_primary(group)
+            backend = find()
             if backend is not None:
                 return backend
             now = clocks.boottime()
--- a/packages/node/src/sassafrasridge_node/sessionreads.py
+++ b/packages/node/src/sassafrasridge_node/sessionreads.py
@@ -23,10 +23,12 @@
             StatementFailure.BUSY, 'no target is available for the read'
         )
         for attempt in range(sessionbase.MAX_ATTEMPTS):
-            backend, has_others = self._choose_for_read(op, floor, tried)
-            if backend is None:
+            if floor is None:
                 backend, _, conn = await self._acquire_primary(op)
             else:
+                backend, has_others = await self._choose_for_read(
+                    op, floor, tried
+                )
                 if backend in tried:
                     await self._pause_before_retry(op, backend, attempt, error)
                 tried.add(backend)
@@ -36,7 +38,6 @@
                     error = exc
                     self._log_retry(op.stmt, backend, floor, error)
                     continue
-            tried.add(backend)
             is_primary = self._state.primary(op.access.group) is backend
             commands = self._build_commands(
                 conn, op, None if is_primary else floor
@@ -57,22 +58,23 @@
             self._log_retry(op.stmt, backend, floor, error)
         raise error
 
-    def _choose_for_read(
+    async def _choose_for_read(
         self,
         op: sessionbase.Operation,
-        floor: model.Position | None,
+        floor: model.Position,
         tried: set[sessionpool.SessionBackend],
-    ) -> tuple[sessionpool.SessionBackend | None, bool]:
+    ) -> tuple[sessionpool.SessionBackend, bool]:
         """Return the next target for a read, and whether there are others.
 
-        Returns None for the target if only the primary may serve the read.
+        Waits for a target if none can serve the read. Raises SessionError.
         """
-        if floor is None:
-            return None, False
         choose = self._router.choose_target
         backend = choose(op.access, floor, tried)
         if backend is not None:
             others = choose(op.access, floor, {*tried, backend})
             return backend, others is not None
-        # Every target was tried, so wait at the best one.
-        return choose(op.access, floor) if tried else None, False
+        # Every target was tried, or none is usable.
+        backend = await self._wait_for_target(
+            op, lambda: choose(op.access, floor)
+        )
+        return backend, False
