--- a/packages/node/src/sassafrasridge_node/metrics.py
+++ b/packages/node/src/sassafrasridge_node/metrics.py
@@ -7,12 +7,12 @@
 from collections.abc import Callable
 from collections.abc import Iterator
 import contextlib
-
-import prometheus_client
-from prometheus_client import registry
+import functools
+import typing
 
 from sassafrasridge_core import statements
 from sassafrasridge_node import logs
+from sassafrasridge_node import meters
 
 # Error kinds used as label values; all others are counted as 'other'.
 ERROR_KINDS = frozenset(
@@ -44,10 +44,12 @@
         'unavailable',
         'unknown_service',
         'unknown_transaction',
+        'zone_drained',
     )
 )
-# Reasons to refuse a statement of a session at a target.
-REFUSAL_REASONS = ('deadline', 'queue_full')
+# Reasons to refuse a statement of a session at a target; others are counted
+# as the last.
+REFUSAL_REASONS = ('deadline', 'queue_full', 'zone_drained', 'other')
 # Priorities used as label values; less urgent ones count as the last.
 PRIORITIES = range(10)
 REQUEST_KINDS = ('statements', 'begin', 'in', 'commit', 'rollback')
@@ -70,10 +72,10 @@
 
 
 class Metrics:
-    """Hold all metrics of a daemon in a separate registry."""
+    """Hold all metrics of a daemon."""
 
     def __init__(self) -> None:
-        self.registry = registry.CollectorRegistry()
+        self._collector = meters.MeterCollector()
         self._errors = self.counter(
             'errors', 'Requests answered with an error, by kind', ('kind',)
         )
@@ -81,12 +83,9 @@
             kind: self._errors.labels(kind)
             for kind in sorted(ERROR_KINDS | {'other'})
         }
-        seconds = prometheus_client.Histogram(
-            'sassafrasridge_request_seconds',
+        seconds = self._histogram(
+            'request_seconds',
             'Time from the complete request to its result, by kind',
-            ('kind',),
-            buckets=TIME_BUCKETS,
-            registry=self.registry,
         )
         self.request_seconds = {k: seconds.labels(k) for k in REQUEST_KINDS}
         self.undelivered = self.counter(
@@ -145,22 +144,23 @@
             'Statements that wait for a target, by priority',
             ('priority',),
         )
-        self._waiting = [waiting.labels(str(p)) for p in PRIORITIES]
+        self._waiting = [0 for _ in PRIORITIES]
+        for label in PRIORITIES:
+            waiting.labels(str(label)).set_function(
+                functools.partial(self._waiting.__getitem__, label)
+            )
         refusals = self.counter(
             'statement_refusals',
             'Statements refused without being sent, by reason',
             ('reason',),
         )
-        self.statement_refusals = {
+        self._refusals = {
             reason: refusals.labels(reason) for reason in REFUSAL_REASONS
         }
         self.sessions = self.gauge('sessions', 'Open sessions')
-        session_seconds = prometheus_client.Histogram(
-            'sassafrasridge_session_statement_seconds',
+        session_seconds = self._histogram(
+            'session_statement_seconds',
             'Time from a complete statement to its result, by kind',
-            ('kind',),
-            buckets=TIME_BUCKETS,
-            registry=self.registry,
         )
         self.session_seconds = {
             kind: session_seconds.labels(kind.value)
@@ -169,6 +169,13 @@
         self.silent_batches = self.counter(
             'silent_batches', 'Times that connections went silent together'
         )
+        self.drained_zones = self.gauge(
+            'drained_zones', 'Availability zones that are out of service'
+        )
+        self.drained_transactions = self.counter(
+            'drained_transactions',
+            'Transactions aborted because the zone of their target is drained',
+        )
         self.is_leader = self.gauge(
             'control_leader', 'Whether this member is the control leader'
         )
@@ -176,31 +183,48 @@
             'promotions', 'Changes of a primary ordered here'
         )
 
+    def count_refusal(self, reason: str) -> None:
+        """Count a statement that was refused without being sent."""
+        other = self._refusals[REFUSAL_REASONS[-1]]
+        self._refusals.get(reason, other).inc()
+
     @contextlib.contextmanager
     def waiting(self, priority: int) -> Iterator[None]:
         """Count a statement of a priority as waiting."""
-        gauge = self._waiting[priority_label(priority)]
-        gauge.inc()
+        label = priority_label(priority)
+        self._waiting[label] += 1
         try:
             yield
         finally:
-            gauge.dec()
+            self._waiting[label] -= 1
 
     def counter(
         self, name: str, text: str, labels: tuple[str, ...] = ()
-    ) -> prometheus_client.Counter:
+    ) -> meters.Counter:
         """Add a counter; label values must come from a fixed set."""
-        return prometheus_client.Counter(
-            f'sassafrasridge_{name}', text, labels, registry=self.registry
-        )
+        counter = meters.Counter(f'sassafrasridge_{name}', text, labels)
+        self._collector.add(counter)
+        return counter
 
     def gauge(
         self, name: str, text: str, labels: tuple[str, ...] = ()
-    ) -> prometheus_client.Gauge:
+    ) -> meters.Gauge:
         """Add a gauge; label values must come from a fixed set."""
-        return prometheus_client.Gauge(
-            f'sassafrasridge_{name}', text, labels, registry=self.registry
+        gauge = meters.Gauge(f'sassafrasridge_{name}', text, labels)
+        self._collector.add(gauge)
+        return gauge
+
+    def _histogram(self, name: str, text: str) -> meters.Histogram:
+        """Add a histogram of times by kind."""
+        histogram = meters.Histogram(
+            f'sassafrasridge_{name}', text, ('kind',), bounds=TIME_BUCKETS
         )
+        self._collector.add(histogram)
+        return histogram
+
+    def register(self, meter: meters.Meter) -> None:
+        """Add a metric of another module."""
+        self._collector.add(meter)
 
     def add_callback_gauge(
         self, name: str, text: str, read: Callable[[], float]
@@ -226,8 +250,19 @@
 
     def render(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
+        import prometheus_client
+
         return prometheus_client.generate_latest(self.registry)
 
+    @functools.cached_property
+    def registry(self) -> typing.Any:
+        """Return a registry of prometheus_client with all metrics."""
+        from prometheus_client import registry
+
+        found = registry.CollectorRegistry()
+        found.register(self._collector)
+        return found
+
 
 def priority_label(priority: int) -> int:
     """Return the label of a priority.
--- a/packages/node/src/sassafrasridge_node/operatorapi.py
+++ b/packages/node/src/sassafrasridge_node/operatorapi.py
@@ -32,6 +32,9 @@
     'remove_entry',
     'list_members',
     'change_members',
+    'drain_zone',
+    'restore_zone',
+    'list_zones',
 )
 # A command occupies a worker thread while it waits for the control members,
 # so only a few may run concurrently.
@@ -40,6 +43,17 @@
 BUSY_RETRY_S = 1.0
 MAX_FIELD_CHARS = 200
 
+_CHERRYPY_CONFIG = {
+    'engine.autoreload.on': False,
+    'checker.on': False,
+    'log.screen': False,
+    'log.access_file': '',
+    'log.error_file': '',
+    # These tools log the headers of failed requests, which include operator
+    # tokens.
+    'tools.log_headers.on': False,
+    'tools.log_tracebacks.on': False,
+}
 _AUDIT_FILTERS = frozenset(('who', 'kind', 'since', 'after'))
 _JSON = 'application/json'
 
@@ -180,12 +194,14 @@
             MAX_CONCURRENT_COMMANDS
         )
 
-    def root(self) -> object:
-        """Return the object to mount at the root of CherryPy's tree."""
-        return _Root(self)
+    def app(self) -> typing.Any:
+        """Return the WSGI application."""
+        cherrypy.config.update(_CHERRYPY_CONFIG)
+        app = cherrypy.Application(_Root(self))
+        app.merge(self._config())
+        return app
 
-    def config(self) -> dict[str, typing.Any]:
-        """Return the CherryPy configuration of the root."""
+    def _config(self) -> dict[str, typing.Any]:
         return {
             '/': {
                 # The handlers parse JSON bodies, which the server has already
@@ -380,3 +396,17 @@
         if _is_post():
             return self.api.run('change_members', _json_body())
         return self.api.run('list_members', {})
+
+    @_expose('GET', 'POST', 'DELETE')
+    def zones(self, *path: str) -> bytes:
+        method = cherrypy.request.method
+        if not path:
+            if method != 'GET':
+                raise cherrypy.HTTPError(405)
+            return self.api.run('list_zones', {})
+        if len(path) != 2 or path[1] != 'drain':
+            raise cherrypy.NotFound()
+        if method == 'GET':
+            raise cherrypy.HTTPError(405)
+        kind = 'drain_zone' if method == 'POST' else 'restore_zone'
+        return self.api.run(kind, {'zone': path[0]})
--- a/packages/node/src/sassafrasridge_node/sessionprimary.py
+++ b/packages/node/src/sassafrasridge_node/sessionprimary.py
@@ -114,6 +114,7 @@
             backend = find()
             if backend is not None:
                 return backend
+            self._require_target(op.access)
             now = clocks.boottime()
             changes.suspect(now, group)
             until = changes.wait_until(now, group, self._wait_deadline(op))
--- a/packages/node/src/sassafrasridge_node/sessiontargets.py
+++ b/packages/node/src/sassafrasridge_node/sessiontargets.py
@@ -74,7 +74,7 @@
                 f'{backend.info.server}: {exc.result_code.value}',
             )
         except errors.UnavailableError as exc:
-            self._service.metrics.statement_refusals[exc.kind].inc()
+            self._service.metrics.count_refusal(exc.kind)
             raise sessionbase.RefusedError(StatementFailure.BUSY, exc.message)
         if op.deadline - clocks.boottime() < conn.rtt_s:
             # An answer can't arrive before the deadline, so send nothing.
--- a/packages/testkit/src/sassafrasridge_testkit/slopestate.py
+++ b/packages/testkit/src/sassafrasridge_testkit/slopestate.py
@@ -7,6 +7,7 @@
 
 import orjson
 
+from sassafrasridge_core import grouprecords
 from sassafrasridge_core import model
 from sassafrasridge_core import raft
 from sassafrasridge_core import raftlog
@@ -115,7 +116,7 @@
             orjson.dumps(
                 {
                     'type': 'group',
-                    'group': core_state.group_as_json(view),
+                    'group': grouprecords.as_json(view),
                     'time': 1.7e9,
                 }
             )
