--- a/packages/node/src/sassafrasridge_node/commands.py
+++ b/packages/node/src/sassafrasridge_node/commands.py
@@ -9,6 +9,7 @@
 from sassafrasridge_core import configuration
 from sassafrasridge_core import directory
 from sassafrasridge_core import errors
+from sassafrasridge_core import grouprecords
 from sassafrasridge_core import leases
 from sassafrasridge_core import model
 from sassafrasridge_core import raft
@@ -175,7 +176,7 @@
             ],
             'groups': [
                 {
-                    **core_state.group_as_json(view),
+                    **grouprecords.as_json(view),
                     'group_majority_lost': reconciler is not None
                     and view.group in reconciler.groups_without_majority,
                 }
--- a/packages/node/src/sassafrasridge_node/control.py
+++ b/packages/node/src/sassafrasridge_node/control.py
@@ -14,6 +14,7 @@
 
 from sassafrasridge_core import directory
 from sassafrasridge_core import errors
+from sassafrasridge_core import grouprecords
 from sassafrasridge_core import leases
 from sassafrasridge_core import membership
 from sassafrasridge_core import model
@@ -473,7 +474,7 @@
         reply = await self.propose(
             {
                 'type': 'group',
-                'group': core_state.group_as_json(view),
+                'group': grouprecords.as_json(view),
                 'time': time.time(),
             }
         )
--- a/packages/node/src/sassafrasridge_node/metrics.py
+++ b/packages/node/src/sassafrasridge_node/metrics.py
@@ -5,6 +5,8 @@
 """
 
 from collections.abc import Callable
+from collections.abc import Iterator
+import contextlib
 import functools
 import typing
 
@@ -46,6 +48,11 @@
         'zone_drained',
     )
 )
+# Reasons to refuse a statement of a session at a target; others are counted
+# as the last.
+REFUSAL_REASONS = ('deadline', 'queue_full', 'zone_drained', 'other')
+# Priorities used as label values; less urgent ones count as the last.
+PRIORITIES = range(10)
 REQUEST_KINDS = ('statements', 'begin', 'in', 'commit', 'rollback')
 # Histogram buckets of request times in seconds, from a local read to a
 # failover.
@@ -133,6 +140,24 @@
             failure: operations.labels(failure.value if failure else 'done')
             for failure in (None, *statements.StatementFailure)
         }
+        waiting = self.gauge(
+            'waiting_statements',
+            'Statements that wait for a target, by priority',
+            ('priority',),
+        )
+        self._waiting = [0 for _ in PRIORITIES]
+        for label in PRIORITIES:
+            waiting.labels(str(label)).set_function(
+                functools.partial(self._waiting.__getitem__, label)
+            )
+        refusals = self.counter(
+            'statement_refusals',
+            'Statements refused without being sent, by reason',
+            ('reason',),
+        )
+        self._refusals = {
+            reason: refusals.labels(reason) for reason in REFUSAL_REASONS
+        }
         self.sessions = self.gauge('sessions', 'Open sessions')
         session_seconds = self._histogram(
             'session_statement_seconds',
@@ -168,6 +193,21 @@
             'promotions', 'Changes of a primary ordered here'
         )
 
+    def count_refusal(self, reason: str) -> None:
+        """Count a statement that was refused without being sent."""
+        other = self._refusals[REFUSAL_REASONS[-1]]
+        self._refusals.get(reason, other).inc()
+
+    @contextlib.contextmanager
+    def waiting(self, priority: int) -> Iterator[None]:
+        """Count a statement of a priority as waiting."""
+        label = priority_label(priority)
+        self._waiting[label] += 1
+        try:
+            yield
+        finally:
+            self._waiting[label] -= 1
+
     def counter(
         self, name: str, text: str, labels: tuple[str, ...] = ()
     ) -> meters.Counter:
@@ -232,3 +272,12 @@
         found = registry.CollectorRegistry()
         found.register(self._collector)
         return found
+
+
+def priority_label(priority: int) -> int:
+    """Return the label of a priority.
+
+    >>> priority_label(2), priority_label(400), priority_label(-1)
+    (2, 9, 0)
+    """
+    return min(max(priority, PRIORITIES[0]), PRIORITIES[-1])
--- a/packages/node/src/sassafrasridge_node/sessionpool.py
+++ b/packages/node/src/sassafrasridge_node/sessionpool.py
@@ -7,6 +7,7 @@
 
 from sassafrasridge_core import errors
 from sassafrasridge_core import model
+from sassafrasridge_core import scheduling
 from sassafrasridge_core import slots
 from sassafrasridge_core import statements
 from sassafrasridge_node import backends
@@ -15,6 +16,7 @@
 from sassafrasridge_node import connections
 from sassafrasridge_node import logs
 from sassafrasridge_node import metrics
+from sassafrasridge_node import sessionturns
 
 # A target opens a connection within a round trip and about 30 ms.
 OPEN_TIMEOUT_S = 0.5
@@ -51,9 +53,7 @@
 # Targets close connections that are idle for one minute.
 MAX_IDLE_S = 45.0
 
-# A statement that has had no answer for this long no longer counts as running
-# at the target: its answer is probably lost. It is many times the usual time.
-STATEMENT_STALL_S = 0.3
+STATEMENT_STALL_S = sessionturns.STATEMENT_STALL_S
 
 # Round-trip time assumed before the first connection to a target.
 DEFAULT_RTT_S = 0.05
@@ -317,7 +317,9 @@
             self.discard(conn)
 
 
-class SessionBackend(coldtargets.RateLimitedBackend):
+class SessionBackend(
+    coldtargets.RateLimitedBackend, sessionturns.QueuedBackend
+):
     """Own one target whose connections each belong to a client account."""
 
     def __init__(
@@ -335,11 +337,6 @@
         self.rtt_s = DEFAULT_RTT_S
         self._pending_writes: dict[object, float] = {}
         self._in_use: set[SessionConnection] = set()
-        # Connections with a statement at the target, or about to send one, and
-        # since when.
-        self._running: dict[SessionConnection, float] = {}
-        # Statements whose turn has come and that have no connection yet.
-        self._admitted = 0
         self._account_used_at: dict[str, float] = {}
         self._reachable = True
         # First refused connection since the last answer, if it is later.
@@ -393,15 +390,18 @@
 
         A connection serves one account only, so each recently active account
         needs one. The statements in flight count if they are more, and the
-        waiting ones in addition.
+        waiting ones in addition. Those of the most urgent class count double,
+        so that connections move to where urgent work waits.
         """
         since = clocks.boottime() - ACCOUNT_ACTIVE_WINDOW_S
         self._account_used_at = {
             a: t for a, t in self._account_used_at.items() if t > since
         }
-        return float(
-            max(len(self._account_used_at), self.in_flight) + len(self.queue)
-        )
+        waiting = len(self.queue)
+        if isinstance(self.queue, scheduling.PriorityQueue):
+            waiting += self.queue.urgent_waiting()
+        in_flight = self.in_flight + self._turns.urgent()
+        return float(max(len(self._account_used_at), in_flight) + waiting)
 
     def leaving(self, now: float) -> bool:
         """Return whether the target accepts no new work."""
@@ -456,32 +456,29 @@
         return now < self._full_until
 
     async def acquire(
-        self, account: str, deadline: float, values: dict[str, str]
+        self,
+        account: str,
+        work: scheduling.Work,
+        deadline: float,
+        values: dict[str, str],
     ) -> SessionConnection:
         """Return a connection of the account, opening one if necessary.
 
         Waits while this process has as many statements at the target as it
-        may. Raises UnavailableError (nothing was run), UnreachableError or
-        TargetRefusedError.
+        may. Raises UnavailableError (nothing was run), UnreachableError,
+        TargetRefusedError, or ReplacedError if the work needs the primary
+        and another target becomes primary.
         """
         self.require_rate(deadline)
-        if self._free_statements() <= 0:
-            await self._wait_for_turn(account, deadline)
-        while True:
-            conn = self.pool.take(account, values)
-            if conn is not None:
-                break
-            full = self.is_full(clocks.boottime())
-            if full and not self.pool.held:
-                raise TargetRefusedError(
-                    statements.ResultCode.TOO_MANY_CONNECTIONS
-                )
-            limited = full or self.pool.held >= self.pool.limit
-            if not limited or self.pool.evict():
-                conn = await self._open(account, deadline)
-                break
-            await self._wait_for_turn(account, deadline)
+        conn = None
+        if self._may_start(work):
+            self._turns.begin(work)
+            conn = await self._take_or_open(account, work, deadline, values)
+        while conn is None:
+            await self._wait_for_turn(account, work, deadline)
+            conn = await self._take_or_open(account, work, deadline, values)
         self._in_use.add(conn)
+        self._turns.add(conn, work)
         self.in_flight = len(self._in_use)
         try:
             await self.wait_for_rate(deadline)
@@ -492,6 +489,33 @@
         self._account_used_at[account] = now
         return conn
 
+    async def _take_or_open(
+        self,
+        account: str,
+        work: scheduling.Work,
+        deadline: float,
+        values: dict[str, str],
+    ) -> SessionConnection | None:
+        """Return a connection, or None if the work has to wait for one.
+
+        Ends the turn of the work.
+        """
+        try:
+            conn = self.pool.take(account, values)
+            if conn is not None:
+                return conn
+            full = self.is_full(clocks.boottime())
+            if full and not self.pool.held:
+                raise TargetRefusedError(
+                    statements.ResultCode.TOO_MANY_CONNECTIONS
+                )
+            limited = full or self.pool.held >= self.pool.limit
+            if limited and not self.pool.evict():
+                return None
+            return await self._open(account, deadline)
+        finally:
+            self._turns.end(work)
+
     def _free_statements(self) -> int:
         """Return how many more statements may be sent to the target now."""
         limit = slots.statement_limit(
@@ -510,22 +534,10 @@
         self._running.pop(conn, None)
         self._dispatch_waiting()
 
-    async def _wait_for_turn(self, account: str, deadline: float) -> None:
-        """Wait in the fair queue until a statement may be sent.
-
-        Its turn stays valid whatever is counted as running afterwards.
-        """
-        await self._wait_in_queue(account, deadline, primary=False)
-        self._admitted -= 1
-
     def _cancel_wait(self, fut: asyncio.Future[typing.Any]) -> None:
         super()._cancel_wait(fut)
         self._dispatch_waiting()
 
-    def _return_unused(self, result: typing.Any) -> None:
-        """Pass the turn of a statement that no longer waits on."""
-        self._admitted -= 1
-
     async def _open(self, account: str, deadline: float) -> SessionConnection:
         if self.drained:
             raise backends.UnreachableError(backends.DRAINED_REASON)
@@ -552,7 +564,15 @@
             if exc.refused:
                 self._record_refused()
             self._set_reachable(False, str(exc))
-            raise backends.UnreachableError(str(exc))
+            reason = str(exc)
+            if not self.pool.connections:
+                # The waiting statements may be served elsewhere, or wait for
+                # another primary.
+                sessionturns.fail_tickets(
+                    self.queue.cancel(lambda _: True),
+                    lambda: backends.UnreachableError(reason),
+                )
+            raise backends.UnreachableError(reason)
         except TargetRefusedError as exc:
             if exc.result_code is statements.ResultCode.TOO_MANY_CONNECTIONS:
                 self._mark_full()
@@ -607,6 +627,7 @@
             return
         self._in_use.discard(conn)
         self._running.pop(conn, None)
+        self._turns.remove(conn)
         self.in_flight = len(self._in_use)
         if clean:
             self.pool.give_back(conn)
@@ -616,25 +637,22 @@
 
     def _dispatch_waiting(self) -> None:
         now = clocks.boottime()
-        for ticket in self.queue.expire(now):
-            if not ticket.fut.done():
-                ticket.fut.set_exception(
-                    backends.refusal_error(model.DEADLINE)
-                )
+        self.refuse_expired(now)
         available = self.pool.idle
         if not self.is_full(now):
             available += self.pool.limit - self.pool.held
-        available = min(available - self._admitted, self._free_statements())
+        free = self._free_statements()
+        available = min(available - self._admitted, free)
+        free_lower = self._free_lower(free)
         while available > 0 and len(self.queue):
-            ticket = self._next_ticket(now)
+            ticket = self._next_turn(now, free_lower <= 0)
             if ticket is None:
                 return
-            ticket.fut.set_result(None)
+            ticket.fut.set_result(ticket.work)
+            self._turns.begin(ticket.work)
             self._admitted += 1
             available -= 1
-
-    def on_primary_replaced(self) -> None:
-        """Keep the connections: a former primary still serves reads."""
+            free_lower -= not ticket.work.urgent
 
     # Probes.
 
--- a/packages/node/src/sassafrasridge_node/sessionreads.py
+++ b/packages/node/src/sassafrasridge_node/sessionreads.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from sassafrasridge_core import model
 from sassafrasridge_core import statements
 from sassafrasridge_node import clocks
 from sassafrasridge_node import sessionbase
@@ -32,29 +33,32 @@
         if floor is not None and self._only_replicas_allowed(op):
             attempts = MAX_REPLICA_ATTEMPTS
         for attempt in range(attempts):
-            backend = self._router.choose_target(op.access, floor, tried)
-            if backend is None and attempts == MAX_REPLICA_ATTEMPTS:
-                # The primary is outside the regions, so only the replicas in
-                # them are left, which may have caught up meanwhile.
-                if clocks.boottime() >= self._objective_at(op):
-                    break
-                tried.clear()
-                await asyncio.sleep(sessionbase.RETRY_PAUSE_S)
-                continue
-            if backend is None:
-                if attempt and not self._may_wait_for_primary(op):
-                    break
-                backend = await self._wait_for_primary(op)
-            if backend in tried:
-                await asyncio.sleep(sessionbase.RETRY_PAUSE_S)
-            tried.add(backend)
+            if floor is None:
+                backend, _, conn = await self._acquire_primary(op)
+            else:
+                if attempts == MAX_REPLICA_ATTEMPTS and not (
+                    self._router.choose_target(op.access, floor, tried)
+                ):
+                    # The primary is outside the regions, so only the replicas
+                    # in them are left, which may have caught up meanwhile.
+                    if clocks.boottime() >= self._objective_at(op):
+                        break
+                    tried.clear()
+                    await asyncio.sleep(sessionbase.RETRY_PAUSE_S)
+                    continue
+                backend, has_others = await self._choose_for_read(
+                    op, floor, tried
+                )
+                if backend in tried:
+                    await self._pause_before_retry(op, backend, attempt, error)
+                tried.add(backend)
+                try:
+                    conn = await self._acquire(backend, op, False, has_others)
+                except sessionbase.SessionError as exc:
+                    error = exc
+                    self._log_retry(op.stmt, backend, floor, error)
+                    continue
             is_primary = self._state.primary(op.access.group) is backend
-            try:
-                conn = await self._acquire(backend, op)
-            except sessionbase.SessionError as exc:
-                error = exc
-                self._log_retry(op.stmt, backend, floor, error)
-                continue
             commands = self._build_commands(
                 conn, op, None if is_primary else floor
             )
@@ -73,3 +77,24 @@
                 break
             self._log_retry(op.stmt, backend, floor, error)
         raise error
+
+    async def _choose_for_read(
+        self,
+        op: sessionbase.Operation,
+        floor: model.Position,
+        tried: set[sessionpool.SessionBackend],
+    ) -> tuple[sessionpool.SessionBackend, bool]:
+        """Return the next target for a read, and whether there are others.
+
+        Waits for a target if none can serve the read. Raises SessionError.
+        """
+        choose = self._router.choose_target
+        backend = choose(op.access, floor, tried)
+        if backend is not None:
+            others = choose(op.access, floor, {*tried, backend})
+            return backend, others is not None
+        # Every target was tried, or none is usable.
+        backend = await self._wait_for_target(
+            op, lambda: choose(op.access, floor)
+        )
+        return backend, False
