--- /dev/null
+++ b/packages/core/src/sassafrasridge_core/grouprecords.py
@@ -0,0 +1,46 @@
+"""Encoding of group records as JSON."""
+
+from typing import Any
+
+from sassafrasridge_core import errors
+from sassafrasridge_core import model
+
+
+def as_json(view: model.GroupView) -> dict[str, Any]:
+    """Return a group record as JSON-able values."""
+    return {
+        'group': view.group,
+        'term': view.term,
+        'primary': view.primary,
+        'members': dict(sorted(view.members.items())),
+        'starts': {str(t): view.starts[t] for t in sorted(view.starts)},
+        'changing': view.changing,
+    }
+
+
+def from_json(data: dict[str, Any]) -> model.GroupView:
+    """Return the group record from JSON values; raise BadRequestError."""
+    try:
+        view = model.GroupView(
+            data['group'],
+            data['term'],
+            data['primary'],
+            data['members'],
+            {int(term): start for term, start in data['starts'].items()},
+            data['changing'],
+        )
+    except (KeyError, TypeError, ValueError, AttributeError) as exc:
+        raise errors.BadRequestError(f'malformed group record: {exc!r}')
+    valid = (
+        isinstance(view.group, str)
+        and isinstance(view.term, int)
+        and (view.primary is None or isinstance(view.primary, str))
+        and all(isinstance(a, str) for a in view.members.values())
+        and all(isinstance(start, int) for start in view.starts.values())
+        and isinstance(view.changing, bool)
+    )
+    if not valid:
+        raise errors.BadRequestError(
+            'a field of the group record has the wrong type'
+        )
+    return view
--- a/packages/core/src/sassafrasridge_core/settingsections.py
+++ b/packages/core/src/sassafrasridge_core/settingsections.py
@@ -151,13 +151,18 @@
 
 
 class Settings:
-    """Hold validated settings; ``operators`` maps names to token digests."""
+    """Hold validated settings.
+
+    ``operators`` maps names to token digests, ``regions`` maps zones to their
+    regions.
+    """
 
     __slots__ = (
         'node',
         'control',
         'entry',
         'operators',
+        'regions',
         'targets',
         'timing',
         'log',
@@ -168,6 +173,7 @@
         self.control: ControlSettings | None = None
         self.entry: EntrySettings | None = None
         self.operators: dict[str, str] = {}
+        self.regions: dict[str, str] = {}
         self.targets = TargetSettings()
         self.timing = TimingSettings()
         self.log = LogSettings()
--- a/packages/core/src/sassafrasridge_core/state.py
+++ b/packages/core/src/sassafrasridge_core/state.py
@@ -12,6 +12,7 @@
 from sassafrasridge_core import audit
 from sassafrasridge_core import configuration
 from sassafrasridge_core import errors
+from sassafrasridge_core import grouprecords
 from sassafrasridge_core import model
 from sassafrasridge_core import notes
 from sassafrasridge_core import wholeconfig
@@ -94,46 +95,6 @@
         return {name: getattr(self, name) for name in self.__slots__}
 
 
-def group_as_json(view: model.GroupView) -> dict[str, Any]:
-    """Return a group record as JSON-able values."""
-    return {
-        'group': view.group,
-        'term': view.term,
-        'primary': view.primary,
-        'members': dict(sorted(view.members.items())),
-        'starts': {str(t): view.starts[t] for t in sorted(view.starts)},
-        'changing': view.changing,
-    }
-
-
-def group_from_json(data: dict[str, Any]) -> model.GroupView:
-    """Return the group record from JSON values; raise BadRequestError."""
-    try:
-        view = model.GroupView(
-            data['group'],
-            data['term'],
-            data['primary'],
-            data['members'],
-            {int(term): start for term, start in data['starts'].items()},
-            data['changing'],
-        )
-    except (KeyError, TypeError, ValueError, AttributeError) as exc:
-        raise errors.BadRequestError(f'malformed group record: {exc!r}')
-    valid = (
-        isinstance(view.group, str)
-        and isinstance(view.term, int)
-        and (view.primary is None or isinstance(view.primary, str))
-        and all(isinstance(a, str) for a in view.members.values())
-        and all(isinstance(start, int) for start in view.starts.values())
-        and isinstance(view.changing, bool)
-    )
-    if not valid:
-        raise errors.BadRequestError(
-            'a field of the group record has the wrong type'
-        )
-    return view
-
-
 class State:
     """Apply committed commands deterministically.
 
@@ -350,11 +311,11 @@
         return Reply(True, 200, {})
 
     def _apply_group(self, body: _Command) -> Reply:
-        view = group_from_json(body.get('group') or {})
+        view = grouprecords.from_json(body.get('group') or {})
         previous = self.groups.get(view.group)
         if previous is not None:
             _check_group_successor(previous, view)
-            if group_as_json(previous) == group_as_json(view):
+            if grouprecords.as_json(previous) == grouprecords.as_json(view):
                 revision = self.groups_revision
                 return Reply(True, 200, {'groups_revision': revision})
         self.groups_revision += 1
@@ -498,7 +459,8 @@
             self.entries[name].as_json() for name in sorted(self.entries)
         ]
         groups = [
-            group_as_json(self.groups[name]) for name in sorted(self.groups)
+            grouprecords.as_json(self.groups[name])
+            for name in sorted(self.groups)
         ]
         return orjson.dumps(
             {
@@ -555,7 +517,7 @@
         self.tables = configuration.Tables.load(body['tables'])
         self.withdrawn_ids = set(body['withdrawn_ids'])
         self.withdrawn_digests = set(body['withdrawn_digests'])
-        views = [group_from_json(group) for group in body['groups']]
+        views = [grouprecords.from_json(group) for group in body['groups']]
         self.groups = {view.group: view for view in views}
         self.groups_revision = body['groups_revision']
         self.group_revisions = body['group_revisions']
@@ -691,10 +653,18 @@
         """Return all client accounts."""
         return self._tables.all(configuration.ACCOUNT)
 
+    def routes(self) -> Iterable[configuration.Route]:
+        """Return the routes, ordered by path."""
+        return self._tables.all(configuration.ROUTE)
+
     def services(self) -> Iterable[configuration.Service]:
         """Return all services."""
         return self._tables.all(configuration.SERVICE)
 
+    def routes(self) -> Iterable[configuration.Route]:
+        """Return all routes."""
+        return self._tables.all(configuration.ROUTE)
+
     def drained_zones(self) -> frozenset[str]:
         """Return the availability zones that are out of service."""
         return self._tables.drained_zones()
--- a/packages/node/src/sassafrasridge_node/backends.py
+++ b/packages/node/src/sassafrasridge_node/backends.py
@@ -8,6 +8,7 @@
 from sassafrasridge_core import errors
 from sassafrasridge_core import model
 from sassafrasridge_core import queueing
+from sassafrasridge_core import scheduling
 from sassafrasridge_core import slots
 from sassafrasridge_node import clocks
 from sassafrasridge_node import connections
@@ -57,17 +58,20 @@
     """Represent a queued request that waits for a connection.
 
     ``primary`` is set if the request can be served only by the primary.
+    ``work`` describes the statement of a session.
     """
 
-    __slots__ = ('fut', 'primary')
+    __slots__ = ('fut', 'primary', 'work')
 
     def __init__(
         self,
         fut: 'asyncio.Future[connections.TargetConnection]',
         primary: bool,
+        work: scheduling.Work = scheduling.UNIFORM,
     ) -> None:
         self.fut = fut
         self.primary = primary
+        self.work = work
 
 
 class Backend:
@@ -129,9 +133,13 @@
         )
 
     async def _wait_in_queue(
-        self, account: str, deadline: float, primary: bool
+        self,
+        account: str,
+        deadline: float,
+        primary: bool,
+        work: scheduling.Work = scheduling.UNIFORM,
     ) -> typing.Any:
-        """Wait in the fair queue; return what the ticket's future holds.
+        """Wait in the queue; return what the ticket's future holds.
 
         Raises UnavailableError if the queue is full or the deadline passes.
         """
@@ -139,8 +147,8 @@
         fut: asyncio.Future[typing.Any] = (
             asyncio.get_running_loop().create_future()
         )
-        ticket = Ticket(fut, primary)
-        refusal = self.queue.push(now, account, ticket, 1.0, deadline)
+        ticket = Ticket(fut, primary, work)
+        refusal = self._push(now, account, ticket, deadline)
         if refusal is not None:
             raise refusal_error(refusal)
         self._dispatch_waiting()
@@ -154,6 +162,11 @@
             self._cancel_wait(fut)
             raise
 
+    def _push(
+        self, now: float, account: str, ticket: Ticket, deadline: float
+    ) -> model.Refusal | None:
+        return self.queue.push(now, account, ticket, 1.0, deadline)
+
     def _cancel_wait(self, fut: 'asyncio.Future[typing.Any]') -> None:
         # The future may have got its result in the same event loop step in
         # which the waiting task was cancelled.
@@ -177,10 +190,13 @@
             conn.close()
         self._dispatch_waiting()
 
-    def apply_grant(self, grant: typing.Any, sent_at: float) -> None:
-        """Apply granted limits of connections and statements in flight."""
+    def apply_grant(self, grant: typing.Any, sent_at: float) -> bool:
+        """Apply granted limits of connections and statements in flight.
+
+        Returns whether the grant is in force, which a late one is not.
+        """
         now = clocks.boottime()
-        if self.share.apply_grant(
+        if not self.share.apply_grant(
             now,
             sent_at,
             grant.base,
@@ -188,8 +204,14 @@
             grant.connections,
             grant.in_flight,
         ):
-            self._had_grant = True
-            self.refresh_limits(now)
+            return False
+        self._had_grant = True
+        self.refresh_limits(now)
+        return True
+
+    def granted_rate(self) -> float:
+        """Return the rate of the last grant in statements/s, 0 for none."""
+        return 0.0
 
     def refresh_limits(self, now: float) -> None:
         """Apply the limits in effect now; they expire with the lease."""
@@ -470,6 +492,7 @@
         'no_target': 'no target can serve the request',
         'draining': 'this process is shutting down',
         'zone_drained': 'all targets are in drained availability zones',
+        'target_cold': 'the target is cold and takes no more statements now',
     }
     return errors.UnavailableError(
         messages.get(refusal.reason, refusal.reason),
--- a/packages/node/src/sassafrasridge_node/commands.py
+++ b/packages/node/src/sassafrasridge_node/commands.py
@@ -9,6 +9,7 @@
 from sassafrasridge_core import configuration
 from sassafrasridge_core import directory
 from sassafrasridge_core import errors
+from sassafrasridge_core import grouprecords
 from sassafrasridge_core import leases
 from sassafrasridge_core import model
 from sassafrasridge_core import raft
@@ -175,7 +176,7 @@
             ],
             'groups': [
                 {
-                    **core_state.group_as_json(view),
+                    **grouprecords.as_json(view),
                     'group_majority_lost': reconciler is not None
                     and view.group in reconciler.groups_without_majority,
                 }
@@ -535,7 +536,8 @@
 ) -> core_state.Reply:
     """Register a target that announced itself to another member."""
     names = model.TargetInfo.__slots__
-    info = model.TargetInfo(*(body[name] for name in names))
+    # A member of the former release doesn't send the newest fields.
+    info = model.TargetInfo(**{n: body[n] for n in names if n in body})
     _require_all_applied(member)
     _leadership(member).register(
         clocks.boottime(),
--- a/packages/node/src/sassafrasridge_node/entry.py
+++ b/packages/node/src/sassafrasridge_node/entry.py
@@ -70,6 +70,8 @@
         self.targets_revision = 0
         self._serving_entries: set[str] = set()
         self._entry_zones: dict[str, str] = {}
+        # Regions by zone, from the settings.
+        self.regions: dict[str, str] = {}
         self._serving_sets: dict[str, list[str]] = {}
         self._charging_entries: dict[str, str] = {}
         self._served_cache: (
@@ -176,6 +178,10 @@
         """Return an entry process's availability zone, '' if unknown."""
         return self._entry_zones.get(entry, '')
 
+    def region_of(self, zone: str) -> str:
+        """Return the region of an availability zone, '' if unknown."""
+        return self.regions.get(zone, '')
+
     def serving_set(self, group: str) -> list[str]:
         """Return the entry processes that hold connections to a group."""
         found = self._serving_sets.get(group)
@@ -247,12 +253,13 @@
             info, self._dialer, self.metrics, self.times.lease_s
         )
 
+    def queue_kind(self) -> type[queueing.Queue]:
+        """Return the kind of queue that requests wait in."""
+        return queueing.FifoQueue if self.plain else queueing.FairQueue
+
     def _create_backend(self, info: model.TargetInfo) -> backends.Backend:
         backend = self.new_backend(info)
-        kind: type[queueing.Queue] = queueing.FairQueue
-        if self.plain:
-            kind = queueing.FifoQueue
-        backend.queue = kind(
+        backend.queue = self.queue_kind()(
             min(queueing.MAX_PER_ACCOUNT, self._max_queue),
             self._max_queue,
             self._max_wait_s,
--- a/packages/node/src/sassafrasridge_node/sessionpool.py
+++ b/packages/node/src/sassafrasridge_node/sessionpool.py
@@ -7,14 +7,17 @@
 
 from sassafrasridge_core import errors
 from sassafrasridge_core import model
+from sassafrasridge_core import scheduling
 from sassafrasridge_core import slots
 from sassafrasridge_core import statements
 from sassafrasridge_core import targetcapacity
 from sassafrasridge_node import backends
 from sassafrasridge_node import clocks
+from sassafrasridge_node import coldtargets
 from sassafrasridge_node import connections
 from sassafrasridge_node import logs
 from sassafrasridge_node import metrics
+from sassafrasridge_node import sessionturns
 from sassafrasridge_node import targetcommands
 from sassafrasridge_node import targetload
 
@@ -65,9 +68,7 @@
 # Targets close connections that are idle for one minute.
 MAX_IDLE_S = 45.0
 
-# A statement that has had no answer for this long no longer counts as running
-# at the target: its answer is probably lost. It is many times the usual time.
-STATEMENT_STALL_S = 0.3
+STATEMENT_STALL_S = sessionturns.STATEMENT_STALL_S
 
 # Round-trip time assumed before the first connection to a target.
 DEFAULT_RTT_S = 0.05
@@ -113,7 +114,8 @@
 
     ``values`` and ``prepared`` mirror the session values and the names of
     prepared statements that the target holds for the connection.
-    ``answer_pending`` is true while an answer is outstanding.
+    ``answer_pending`` is true while an answer is outstanding. ``position`` is
+    the end of the target's log in its last status, if known.
     """
 
     def __init__(self, account: str) -> None:
@@ -123,7 +125,10 @@
         self.used_at = clocks.boottime()
         self.rtt_s = DEFAULT_RTT_S
         self.closed = False
+        self.position: model.Position | None = None
         self.answer_pending = False
+        # Set if the target closed the connection.
+        self.broke = False
         self.on_close: typing.Callable[[], None] = lambda: None
 
     @abc.abstractmethod
@@ -256,7 +261,9 @@
             self.discard(conn)
 
 
-class SessionBackend(backends.Backend):
+class SessionBackend(
+    coldtargets.RateLimitedBackend, sessionturns.QueuedBackend
+):
     """Own one target whose connections each belong to a client account."""
 
     def __init__(
@@ -276,11 +283,6 @@
         self.rtt_s = DEFAULT_RTT_S
         self._pending_writes: dict[object, float] = {}
         self._in_use: set[SessionConnection] = set()
-        # Connections with a statement at the target, or about to send one, and
-        # since when.
-        self._running: dict[SessionConnection, float] = {}
-        # Statements whose turn has come and that have no connection yet.
-        self._admitted = 0
         self._account_used_at: dict[str, float] = {}
         self._reachable = True
         # First refused connection since the last answer, if it is later.
@@ -334,15 +336,18 @@
 
         A connection serves one account only, so each recently active account
         needs one. The statements in flight count if they are more, and the
-        waiting ones in addition.
+        waiting ones in addition. Those of the most urgent class count double,
+        so that connections move to where urgent work waits.
         """
         since = clocks.boottime() - ACCOUNT_ACTIVE_WINDOW_S
         self._account_used_at = {
             a: t for a, t in self._account_used_at.items() if t > since
         }
-        return float(
-            max(len(self._account_used_at), self.in_flight) + len(self.queue)
-        )
+        waiting = len(self.queue)
+        if isinstance(self.queue, scheduling.PriorityQueue):
+            waiting += self.queue.urgent_waiting()
+        in_flight = self.in_flight + self._turns.urgent()
+        return float(max(len(self._account_used_at), in_flight) + waiting)
 
     def leaving(self, now: float) -> bool:
         """Return whether the target accepts no new work."""
@@ -397,35 +402,65 @@
         return now < self._full_until
 
     async def acquire(
-        self, account: str, deadline: float, values: dict[str, str]
+        self,
+        account: str,
+        work: scheduling.Work,
+        deadline: float,
+        values: dict[str, str],
     ) -> SessionConnection:
         """Return a connection of the account, opening one if necessary.
 
         Waits while this process has as many statements at the target as it
-        may. Raises UnavailableError (nothing was run), UnreachableError or
-        TargetRefusedError.
+        may. Raises UnavailableError (nothing was run), UnreachableError,
+        TargetRefusedError, or ReplacedError if the work needs the primary
+        and another target becomes primary.
+        """
+        self.require_rate(deadline)
+        conn = None
+        if self._may_start(work):
+            self._turns.begin(work)
+            conn = await self._take_or_open(account, work, deadline, values)
+        while conn is None:
+            await self._wait_for_turn(account, work, deadline)
+            conn = await self._take_or_open(account, work, deadline, values)
+        self._in_use.add(conn)
+        self._turns.add(conn, work)
+        self.in_flight = len(self._in_use)
+        try:
+            await self.wait_for_rate(deadline)
+        except BaseException:
+            self.release(conn, clean=True)
+            raise
+        now = self._running[conn] = clocks.boottime()
+        self._account_used_at[account] = now
+        return conn
+
+    async def _take_or_open(
+        self,
+        account: str,
+        work: scheduling.Work,
+        deadline: float,
+        values: dict[str, str],
+    ) -> SessionConnection | None:
+        """Return a connection, or None if the work has to wait for one.
+
+        Ends the turn of the work.
         """
-        if self._free_statements() <= 0:
-            await self._wait_for_turn(account, deadline)
-        while True:
+        try:
             conn = self.pool.take(account, values)
             if conn is not None:
-                break
+                return conn
             full = self.is_full(clocks.boottime())
             if full and not self.pool.held:
                 raise TargetRefusedError(
                     statements.ResultCode.TOO_MANY_CONNECTIONS
                 )
             limited = full or self.pool.held >= self.pool.limit
-            if self._may_open() and (not limited or self.pool.evict()):
-                conn = await self._open(account, deadline)
-                break
-            await self._wait_for_turn(account, deadline)
-        self._in_use.add(conn)
-        now = self._running[conn] = clocks.boottime()
-        self._account_used_at[account] = now
-        self.in_flight = len(self._in_use)
-        return conn
+            if not self._may_open() or (limited and not self.pool.evict()):
+                return None
+            return await self._open(account, deadline)
+        finally:
+            self._turns.end(work)
 
     def statement_limit(self) -> int:
         """Return how many statements this process may have at the target."""
@@ -436,14 +471,16 @@
 
     def _free_statements(self) -> int:
         """Return how many more statements may be sent to the target now."""
-        stall_s = STATEMENT_STALL_S
-        if self.load is not None:
-            stall_s = self.load.stall_s()
-        stalled_since = clocks.boottime() - stall_s
+        stalled_since = clocks.boottime() - self._stall_s()
         running = sum(at > stalled_since for at in self._running.values())
         limit = self.statement_limit()
         return limit - running - self.pool.opening - self._admitted
 
+    def _stall_s(self) -> float:
+        if self.load is None:
+            return super()._stall_s()
+        return self.load.stall_s()
+
     def _may_open(self) -> bool:
         """Return whether a connection may be opened beside those in progress.
 
@@ -480,22 +517,10 @@
             self.load.ended(conn, result_code)
         self._dispatch_waiting()
 
-    async def _wait_for_turn(self, account: str, deadline: float) -> None:
-        """Wait in the fair queue until a statement may be sent.
-
-        Its turn stays valid whatever is counted as running afterwards.
-        """
-        await self._wait_in_queue(account, deadline, primary=False)
-        self._admitted -= 1
-
     def _cancel_wait(self, fut: asyncio.Future[typing.Any]) -> None:
         super()._cancel_wait(fut)
         self._dispatch_waiting()
 
-    def _return_unused(self, result: typing.Any) -> None:
-        """Pass the turn of a statement that no longer waits on."""
-        self._admitted -= 1
-
     async def _open(self, account: str, deadline: float) -> SessionConnection:
         if self.drained:
             raise backends.UnreachableError(backends.DRAINED_REASON)
@@ -526,7 +551,15 @@
             if exc.refused:
                 self._record_refused()
             self._set_reachable(False, str(exc))
-            raise backends.UnreachableError(str(exc))
+            reason = str(exc)
+            if not self.pool.connections:
+                # The waiting statements may be served elsewhere, or wait for
+                # another primary.
+                sessionturns.fail_tickets(
+                    self.queue.cancel(lambda _: True),
+                    lambda: backends.UnreachableError(reason),
+                )
+            raise backends.UnreachableError(reason)
         except TargetRefusedError as exc:
             if exc.result_code is statements.ResultCode.TOO_MANY_CONNECTIONS:
                 self._mark_full()
@@ -537,11 +570,17 @@
         self._set_reachable(True)
         self.rtt_s = conn.rtt_s
         self.pool.connections.add(conn)
-        conn.on_close = lambda: self.pool.discard(conn)
+        self.cold.connected(clocks.boottime())
+        conn.on_close = lambda: self._connection_closed(conn)
         self.success_at = clocks.boottime()
         self._metrics.connections_opened.inc()
         return conn
 
+    def _connection_closed(self, conn: SessionConnection) -> None:
+        self.pool.discard(conn)
+        if conn.broke and not self.pool.connections:
+            self.connections_broke()
+
     def _mark_full(self) -> None:
         now = clocks.boottime()
         if not self.is_full(now):
@@ -577,6 +616,7 @@
             return
         self._in_use.discard(conn)
         self._running.pop(conn, None)
+        self._turns.remove(conn)
         self.in_flight = len(self._in_use)
         if clean:
             self.pool.give_back(conn)
@@ -586,28 +626,25 @@
 
     def _dispatch_waiting(self) -> None:
         now = clocks.boottime()
-        for ticket in self.queue.expire(now):
-            if not ticket.fut.done():
-                ticket.fut.set_exception(
-                    backends.refusal_error(model.DEADLINE)
-                )
+        self.refuse_expired(now)
         if not self._may_open():
             # A turn might need a connection that may not be opened yet.
             return
         available = self.pool.idle
         if not self.is_full(now):
             available += self.pool.limit - self.pool.held
-        available = min(available - self._admitted, self._free_statements())
+        free = self._free_statements()
+        available = min(available - self._admitted, free)
+        free_lower = self._free_lower(free)
         while available > 0 and len(self.queue):
-            ticket = self._next_ticket(now)
+            ticket = self._next_turn(now, free_lower <= 0)
             if ticket is None:
                 return
-            ticket.fut.set_result(None)
+            ticket.fut.set_result(ticket.work)
+            self._turns.begin(ticket.work)
             self._admitted += 1
             available -= 1
-
-    def on_primary_replaced(self) -> None:
-        """Keep the connections: a former primary still serves reads."""
+            free_lower -= not ticket.work.urgent
 
     # Probes.
 
@@ -645,7 +682,7 @@
             answered = False
         if conn is not None:
             if answered:
-                self.success_at = clocks.boottime()
+                self.answered(conn.position)
                 self.circuit.success(self.success_at)
                 self.pool.give_back(conn)
             else:
--- a/packages/node/src/sassafrasridge_node/sessionreads.py
+++ b/packages/node/src/sassafrasridge_node/sessionreads.py
@@ -16,38 +16,57 @@
 Result = statements.Result
 
 
+# Maximum number of attempts to run a read on replicas, with a pause after each
+# replica was tried, while the primary is outside the regions of the read.
+MAX_REPLICA_ATTEMPTS = 24
+
+
 class ReadingSession(sessionprimary.PrimarySession):
     """Run the single reads of a session on replicas or the primary."""
 
     async def _read(self, op: sessionbase.Operation) -> Result:
         tried: set[sessionpool.SessionBackend] = set()
         behind: set[sessionpool.SessionBackend] = set()
-        floor = self._router.required_position(op.access, self.floor)
+        floor = await self._await_floor(op)
         error = sessionbase.SessionError(
             StatementFailure.BUSY, 'no target is available for the read'
         )
-        for attempt in range(sessionbase.MAX_ATTEMPTS):
-            if attempt < sessionbase.MAX_ATTEMPTS - 1:
-                await self._wait_for_replica(op, floor, tried)
+        attempts = sessionbase.MAX_ATTEMPTS
+        if floor is not None and self._only_replicas_allowed(op):
+            attempts = MAX_REPLICA_ATTEMPTS
+        for attempt in range(attempts):
+            if floor is None:
+                backend, _, conn = await self._acquire_primary(op)
             else:
-                # The last attempt is for a target that certainly is not
-                # behind, which is the primary if all replicas were.
-                tried |= behind
-            backend = self._router.choose_target(op.access, floor, tried)
-            if backend is None:
-                if attempt and not self._may_wait_for_primary(op):
-                    break
-                backend = await self._wait_for_primary(op)
-            if backend in tried:
-                await asyncio.sleep(sessionbase.RETRY_PAUSE_S)
-            tried.add(backend)
+                if attempt < attempts - 1:
+                    await self._wait_for_replica(op, floor, tried)
+                else:
+                    # The last attempt is for a target that certainly is not
+                    # behind, which is the primary if all replicas were.
+                    tried |= behind
+                if attempts == MAX_REPLICA_ATTEMPTS and not (
+                    self._router.choose_target(op.access, floor, tried)
+                ):
+                    # The primary is outside the regions, so only the replicas
+                    # in them are left, which may have caught up meanwhile.
+                    if clocks.boottime() >= self._objective_at(op):
+                        break
+                    tried.clear()
+                    await asyncio.sleep(sessionbase.RETRY_PAUSE_S)
+                    continue
+                backend, has_others = await self._choose_for_read(
+                    op, floor, tried
+                )
+                if backend in tried:
+                    await self._pause_before_retry(op, backend, attempt, error)
+                tried.add(backend)
+                try:
+                    conn = await self._acquire(backend, op, False, has_others)
+                except sessionbase.SessionError as exc:
+                    error = exc
+                    self._log_retry(op.stmt, backend, floor, error)
+                    continue
             is_primary = self._state.primary(op.access.group) is backend
-            try:
-                conn = await self._acquire(backend, op)
-            except sessionbase.SessionError as exc:
-                error = exc
-                self._log_retry(op.stmt, backend, floor, error)
-                continue
             commands = self._build_commands(
                 conn, op, None if is_primary else floor
             )
@@ -78,18 +97,38 @@
             self._log_retry(op.stmt, backend, floor, error)
         raise error
 
+    async def _choose_for_read(
+        self,
+        op: sessionbase.Operation,
+        floor: model.Position,
+        tried: set[sessionpool.SessionBackend],
+    ) -> tuple[sessionpool.SessionBackend, bool]:
+        """Return the next target for a read, and whether there are others.
+
+        Waits for a target if none can serve the read. Raises SessionError.
+        """
+        choose = self._router.choose_target
+        backend = choose(op.access, floor, tried)
+        if backend is not None:
+            others = choose(op.access, floor, {*tried, backend})
+            return backend, others is not None
+        # Every target was tried, or none is usable.
+        backend = await self._wait_for_target(
+            op, lambda: choose(op.access, floor)
+        )
+        return backend, False
+
     async def _wait_for_replica(
         self,
         op: sessionbase.Operation,
-        floor: model.Position | None,
+        floor: model.Position,
         tried: set[sessionpool.SessionBackend],
     ) -> None:
         """Wait while no replica has the position, as long as that helps.
 
         Replicas that were behind may be tried again afterwards.
         """
-        route = op.access.route
-        until = op.started + min(route.objective_s, route.timeout_s)
+        until = min(self._objective_at(op), self._latest_answer(op))
         while True:
             wait_s = self._router.replica_wait_s(
                 op.access, floor, tried, until
--- a/packages/node/src/sassafrasridge_node/sessionstate.py
+++ b/packages/node/src/sassafrasridge_node/sessionstate.py
@@ -3,8 +3,11 @@
 import collections.abc
 import typing
 
+from sassafrasridge_core import coldlimits
 from sassafrasridge_core import model
 from sassafrasridge_core import primarywait
+from sassafrasridge_core import queueing
+from sassafrasridge_core import scheduling
 from sassafrasridge_core import slots
 from sassafrasridge_core import targetcapacity
 from sassafrasridge_node import backends
@@ -14,6 +17,7 @@
 from sassafrasridge_node import loopdelay
 from sassafrasridge_node import sessionpool
 from sassafrasridge_node import targetload
+from sassafrasridge_node import workclasses
 
 
 class SessionEntryState(entry.EntryState):
@@ -34,6 +38,7 @@
     ) -> None:
         super().__init__(*args, **kwargs)
         self.primary_changes = primarywait.ChangeTracker()
+        self.work_classes = workclasses.WorkClasses(self.config)
         self.learned_limits = learned_limits
         self.loop_delay = loopdelay.LoopDelay()
         # Usual times of statements by group.
@@ -41,6 +46,12 @@
         # Connections and slots by group, in a configuration revision.
         self._budgets: dict[str, tuple[int, int]] = {}
         self._budgets_revision = -1
+        # Rates of cold targets by group, in a configuration revision.
+        self._cold_rates: dict[str, float] = {}
+        self._cold_rates_revision = -1
+        # Whether regions are named in a configuration revision.
+        self._regions_named = False
+        self._regions_revision = -1
 
     def new_backend(self, info: model.TargetInfo) -> backends.Backend:
         """Return a new backend for a target."""
@@ -50,6 +61,10 @@
         backend.is_primary = lambda: self._is_primary(info.group, info.server)
         backend.probe_account = self._any_account
         backend.connection_budget = lambda: self._connection_budget(info.group)
+        backend.cold_fallback = lambda: self._cold_fallback(info.group)
+        backend.reserves = lambda: self.work_classes.reserves(
+            info.group, self._is_primary(info.group, info.server)
+        )
         backend.serving = self.serves(info.group)
         if self.learned_limits:
             backend.load = targetload.TargetLoad(
@@ -63,6 +78,10 @@
     def _group_times(self, group: str) -> targetcapacity.UsualTimes:
         return self._usual_times.setdefault(group, targetcapacity.UsualTimes())
 
+    def queue_kind(self) -> type[queueing.Queue]:
+        """Return the kind of queue that statements wait in."""
+        return super().queue_kind() if self.plain else scheduling.PriorityQueue
+
     def _is_primary(self, group: str, server: str) -> bool:
         view = self.groups.get(group)
         return view is not None and view.primary == server
@@ -77,6 +96,21 @@
             self._budgets = slots.service_budgets(self.config.services())
         return self._budgets.get(group, (0, 0))[0]
 
+    def _cold_fallback(self, group: str) -> int | None:
+        """Return an equal part of a group's cold rate in statements/s.
+
+        Returns None if its services set no rate.
+        """
+        if self._cold_rates_revision != self.config.revision:
+            self._cold_rates_revision = self.config.revision
+            self._cold_rates = coldlimits.service_rates(self.config.services())
+        rate = self._cold_rates.get(group)
+        if rate is None:
+            return None
+        # Without a statement no connection is opened, and the end of the doubt
+        # depends on one.
+        return max(1, int(rate) // max(1, len(self.serving_set(group))))
+
     def _any_account(self) -> str:
         return next((a.name for a in self.config.accounts()), '')
 
@@ -148,11 +182,20 @@
         if view.primary != known.primary or view.changing:
             self.timeline(view.group).forget()
             self._group_times(view.group).forget(targetload.COMMITTING)
+        if view.changing or view.primary != known.primary:
+            former = self.backends.get((known.group, known.primary or ''))
+            if former is not None:
+                former.on_primary_replaced()
         if view.changing:
             self.primary_changes.begin(clocks.boottime(), view.group)
         else:
             self.primary_changes.end(clocks.boottime(), view.group)
 
+    def primary_reached(self, backend: sessionpool.SessionBackend) -> None:
+        """Record that a target answered; it matters if it is a primary."""
+        if self.primary(backend.info.group) is backend:
+            self.primary_changes.reached(backend.info.group)
+
     def _on_drained_zones_change(self) -> None:
         """Expect a change of each primary that is in a drained zone."""
         now = clocks.boottime()
@@ -208,6 +251,28 @@
             and not backend.leaving(now)
         ]
 
+    def sample_primary(self, group: str, server: str, sent_at: float) -> None:
+        """Record the primary's log position that a probe reported.
+
+        Needed where regions are named: statements that may not run on the
+        primary then don't sample its position, and no replica could prove its
+        age.
+        """
+        if self._names_regions():
+            backend = self.backends.get((group, server))
+            if isinstance(backend, sessionpool.SessionBackend):
+                self.sample_position(backend, sent_at)
+        else:
+            super().sample_primary(group, server, sent_at)
+
+    def _names_regions(self) -> bool:
+        """Return whether a route or an account names regions."""
+        if self._regions_revision != self.config.revision:
+            self._regions_revision = self.config.revision
+            records = (*self.config.routes(), *self.config.accounts())
+            self._regions_named = any(record.regions for record in records)
+        return self._regions_named
+
     def sample_position(
         self, backend: sessionpool.SessionBackend, sent_at: float
     ) -> None:
--- a/packages/node/src/sassafrasridge_node/transactions.py
+++ b/packages/node/src/sassafrasridge_node/transactions.py
@@ -13,6 +13,7 @@
 from sassafrasridge_node import connections
 from sassafrasridge_node import entry
 from sassafrasridge_node import front
+from sassafrasridge_node import regionrules
 from sassafrasridge_node import writes
 
 # An open transaction that is unused for longer is rolled back.
@@ -149,8 +150,15 @@
     ) -> Transaction | None:
         if self._state.out_of_service(adm.group):
             raise backends.refusal_error(model.ZONE_DRAINED)
+        regionrules.require_target(
+            self._state, adm.regions, adm.group, primary=True
+        )
         backend = self._state.usable_primary(adm.group)
-        if backend is None or not self._state.lease_valid():
+        if (
+            backend is None
+            or not self._state.lease_valid()
+            or not regionrules.allows_target(self._state, adm.regions, backend)
+        ):
             return None
         term = self._state.groups[adm.group].term
         try:
