--- a/packages/node/src/sassafrasridge_node/admission.py
+++ b/packages/node/src/sassafrasridge_node/admission.py
@@ -3,12 +3,15 @@
 import asyncio
 import collections
 import collections.abc
+import typing
 
 from sassafrasridge_core import configuration
 from sassafrasridge_core import errors
 from sassafrasridge_node import clocks
 from sassafrasridge_node import entry
-from sassafrasridge_node import front
+
+if typing.TYPE_CHECKING:
+    from sassafrasridge_node import ports
 
 # Maximum wait for a rate token. A request within its client account's rate
 # gets one sooner, even if the account's share has to move here from another
@@ -66,7 +69,7 @@
         self._state = state
         self._queues: dict[str, RateQueue] = {}
 
-    def authorize(self, req: front.DataRequest) -> Admission:
+    def authorize(self, req: 'ports.DataRequest') -> Admission:
         """Return what a request is authorized for.
 
         Raises RidgeError; the request was not run.
@@ -75,14 +78,14 @@
         adm.recheck = lambda: self._recheck(req, adm)
         return adm
 
-    def _recheck(self, req: front.DataRequest, adm: Admission) -> None:
+    def _recheck(self, req: 'ports.DataRequest', adm: Admission) -> None:
         current = self._authorize(req)
         if (current.account, current.group) != (adm.account, adm.group):
             raise errors.ForbiddenError(
                 'access was changed while the request waited'
             )
 
-    def _authorize(self, req: front.DataRequest) -> Admission:
+    def _authorize(self, req: 'ports.DataRequest') -> Admission:
         state = self._state
         if state.config.revision == 0:
             raise no_lease_error()
@@ -102,7 +105,7 @@
         return Admission(account, service, False)
 
     def _find_service(
-        self, req: front.DataRequest
+        self, req: 'ports.DataRequest'
     ) -> tuple[configuration.Service, configuration.Route | None]:
         config = self._state.config
         route = None
@@ -123,7 +126,7 @@
 
     def _admit_open_route(
         self,
-        req: front.DataRequest,
+        req: 'ports.DataRequest',
         service: configuration.Service,
         route: configuration.Route,
     ) -> Admission:
@@ -135,7 +138,7 @@
         account = self._account_of_key(req)
         return Admission(account or ANONYMOUS, service, route.partition_reads)
 
-    def _account_of_key(self, req: front.DataRequest) -> str | None:
+    def _account_of_key(self, req: 'ports.DataRequest') -> str | None:
         if req.key_digest is None:
             return None
         account = self._state.config.account_by_key_digest(req.key_digest)
@@ -144,7 +147,7 @@
         return account.name
 
     async def charge(
-        self, admission: Admission, req: front.DataRequest
+        self, admission: Admission, req: 'ports.DataRequest'
     ) -> None:
         """Take a rate token of the client account, waiting briefly for one.
 
--- a/packages/node/src/sassafrasridge_node/logs.py
+++ b/packages/node/src/sassafrasridge_node/logs.py
@@ -6,7 +6,6 @@
 import time
 import traceback
 import typing
-import uuid
 
 MESSAGE_TYPE_PREFIX = 'sassafrasridge:'
 FAILURE_MESSAGE_TYPE = MESSAGE_TYPE_PREFIX + 'failure'
@@ -107,6 +106,8 @@
         """Load eliot and write the kept messages in their order."""
         if self._waiting is None:
             return
+        import uuid
+
         import eliot
 
         with self._lock:
--- a/packages/node/src/sassafrasridge_node/main.py
+++ b/packages/node/src/sassafrasridge_node/main.py
@@ -8,18 +8,13 @@
 
 import argparse
 import asyncio
-import concurrent.futures
-import gc
 import os
 import random
 import secrets
-import signal
 import sys
 import threading
 import typing
 
-import orjson
-
 from sassafrasridge_core import errors
 from sassafrasridge_core import leases
 from sassafrasridge_core import state as core_state
@@ -28,10 +23,9 @@
 from sassafrasridge_node import connections
 from sassafrasridge_node import entry
 from sassafrasridge_node import extension
-from sassafrasridge_node import front
 from sassafrasridge_node import logs
 from sassafrasridge_node import metrics
-from sassafrasridge_node import operators
+from sassafrasridge_node import process
 from sassafrasridge_node import relayedsessions
 from sassafrasridge_node import renewal
 from sassafrasridge_node import rpc
@@ -48,14 +42,10 @@
     from sassafrasridge_node import leadership
     from sassafrasridge_node import storage
 
-ANNOUNCE_PATH = '/v1/announce'
 ANY_ADDRESS = '0.0.0.0'  # noqa: S104
 # Time for the load balancer to notice that the process is not ready, before
 # its listener closes.
 READINESS_PROPAGATION_S = 1.0
-# Limit on how long an entry process keeps its log lines while it waits for
-# its first lease. Control has a leader again 0.8 s after a loss of power.
-LOG_DELAY_S = 1.0
 # Interval of the checks for open transactions and sessions during a drain.
 DRAIN_POLL_S = 0.02
 # Fraction of the drain time-out after which open transactions are rolled back.
@@ -475,164 +465,6 @@
             self._storage.close()
 
 
-class Process:
-    """Run a daemon with the engine's loop and HTTP in separate threads."""
-
-    def __init__(
-        self,
-        cfg: settings.Settings,
-        platform: extension.Platform | None = None,
-        path: str = '',
-    ) -> None:
-        self.cfg = cfg
-        self._imported = startup.Point()
-        self._settings_path = path
-        self.daemon = Daemon(cfg, platform)
-        self._thread = threading.Thread(
-            target=self._run_loop, name='engine', daemon=True
-        )
-        self._front = self._make_front()
-
-    def _run_loop(self) -> None:
-        asyncio.set_event_loop(self.daemon.loop)
-        self.daemon.loop.run_forever()
-
-    def _run_on_loop(
-        self, coroutine: typing.Coroutine[typing.Any, typing.Any, typing.Any]
-    ) -> typing.Any:
-        return self._submit(coroutine).result()
-
-    def _submit(
-        self, coroutine: typing.Coroutine[typing.Any, typing.Any, typing.Any]
-    ) -> typing.Any:
-        """Run a coroutine on the engine's loop; return its future."""
-        return asyncio.run_coroutine_threadsafe(coroutine, self.daemon.loop)
-
-    def _make_front(self) -> front.Front:
-        host, port = settings.split_address(self.cfg.node.http)
-        cfg = front.FrontConfig(host, port)
-        if self.cfg.entry is not None:
-            cfg.threads = self.cfg.entry.worker_threads
-            cfg.max_connections = startup.derive_limits(self.cfg.entry)
-            cfg.max_body = self.cfg.entry.max_body
-        return front.Front(cfg, self.daemon.loop, self.daemon.metrics)
-
-    def run(self) -> int:
-        """Serve until stopped by a signal or command; return the exit code."""
-        for number in (signal.SIGTERM, signal.SIGINT):
-            signal.signal(number, self._on_stop_signal)
-        signal.signal(signal.SIGHUP, self._on_reload_signal)
-        self._thread.start()
-        self._run_on_loop(self.daemon.start())
-        self._start_front()
-        self._report_ready()
-        # Objects of the start live on, so collections need not visit them.
-        gc.freeze()
-        gc.enable()
-        self._await_first_lease()
-        logs.load()
-        self.daemon.stop_requested.wait()
-        return self._stop()
-
-    def _await_first_lease(self) -> None:
-        """Wait until an entry process serves, for a limited time."""
-        if self.daemon.state is None:
-            return
-        configured = self.daemon.state.configured
-        fut = self._submit(asyncio.wait_for(configured.wait(), LOG_DELAY_S))
-        concurrent.futures.wait([fut])
-
-    def _start_front(self) -> None:
-        daemon = self.daemon
-        port = operators.Operators(
-            daemon._client_pools[0],
-            daemon.control_addresses(),
-            daemon.state,
-            daemon.member,
-            daemon.drain,
-            self.cfg.node.name,
-        )
-        wsgi_apps: dict[str, typing.Any] = {
-            ANNOUNCE_PATH: front.LazyApp(
-                lambda: self._announcements(port), daemon.metrics
-            )
-        }
-        platform = daemon.platform
-        if platform is not None and daemon.state is not None:
-            wsgi_apps |= platform.entry_wsgi_apps(port.readiness)
-        if platform is not None and daemon.member is not None:
-            wsgi_apps |= platform.control_wsgi_apps(
-                daemon.member, self._submit
-            )
-        if daemon.gateway is not None:
-            from sassafrasridge_node import dataapi
-
-            data = dataapi.DataApi(daemon.gateway, daemon.metrics)
-            wsgi_apps['/v1/services'] = data.services
-            wsgi_apps['/v1/routes'] = data.routes
-        self._front.start(wsgi_apps, lambda: self._operator_pages(port))
-
-    def _announcements(self, port: operators.Operators) -> front.WsgiApp:
-        """Return the application that takes the announcements of targets."""
-        from sassafrasridge_node import operatorapi
-
-        digest = self.cfg.targets.announce_token_digest
-        return operatorapi.AnnounceApi(
-            port,
-            self.daemon.loop,
-            self.daemon.metrics,
-            {'target': digest} if digest else None,
-        )
-
-    def _operator_pages(self, port: operators.Operators) -> front.WsgiApp:
-        """Return the application that serves operators and metrics."""
-        from sassafrasridge_node import operatorapi
-
-        api = operatorapi.OperatorApi(
-            port,
-            self.daemon.loop,
-            self.daemon.metrics,
-            self.cfg.operators,
-            lambda: self._front.draining,
-        )
-        return typing.cast(front.WsgiApp, api.app())
-
-    def _report_ready(self) -> None:
-        line = {'http': self._front.address, 'rpc': self.daemon.rpc.address}
-        sys.stdout.write(orjson.dumps(line).decode() + '\n')
-        sys.stdout.flush()
-        phases = startup.phases(self._imported)
-        if self.cfg.entry is not None:
-            phases['max_connections'] = self.cfg.entry.max_connections
-        logs.log_event('started', **line, **phases)
-
-    def _on_reload_signal(self, number: int, frame: object) -> None:
-        self.daemon.loop.call_soon_threadsafe(self._reload)
-
-    def _reload(self) -> None:
-        """Reload the settings file and apply what can change at run time."""
-        try:
-            cfg = settings.load(self._settings_path)
-        except errors.RidgeError as exc:
-            logs.log_event('reload_refused', reason=exc.render())
-            return
-        self.daemon.reload(cfg)
-
-    def _on_stop_signal(self, number: int, frame: object) -> None:
-        self.daemon.loop.call_soon_threadsafe(self.daemon.drain)
-
-    def _stop(self) -> int:
-        timeout_s = 1.0
-        if self.cfg.entry is not None:
-            timeout_s = self.cfg.entry.drain_timeout
-        self._front.drain()
-        self._run_on_loop(self.daemon.finish_transactions(timeout_s))
-        finished = self._front.stop(timeout_s)
-        self._run_on_loop(self.daemon.stop())
-        logs.log_event('stopped', finished=finished)
-        return 0 if finished else 1
-
-
 class _ShowVersion(argparse.Action):
     """Print the version of the package and exit."""
 
@@ -672,10 +504,14 @@
     With ``check_only`` only check the settings. Errors are written to
     standard error and end the process with the error's exit code.
     """
+    imported = startup.Point()
     try:
         cfg = settings.load(path)
         if check_only:
             return
+        http_connections = 0
+        if cfg.entry is not None:
+            http_connections = startup.derive_limits(cfg.entry)
         logs.delay()
         logs.LogSink(
             cfg.log.file or None,
@@ -683,7 +519,8 @@
             node=cfg.node.name,
             zone=cfg.node.zone,
         )
-        code = Process(cfg, platform, path).run()
+        daemon = Daemon(cfg, platform)
+        code = process.Process(daemon, path, http_connections, imported).run()
     except errors.RidgeError as exc:
         logs.drain()
         sys.stderr.write(exc.render() + '\n')
--- a/packages/node/src/sassafrasridge_node/operatorapi.py
+++ b/packages/node/src/sassafrasridge_node/operatorapi.py
@@ -18,8 +18,9 @@
 from sassafrasridge_node import front
 from sassafrasridge_node import httpserver
 from sassafrasridge_node import metrics as metrics_
+from sassafrasridge_node import process
 
-ANNOUNCE_PATH = '/v1/announce'
+ANNOUNCE_PATH = process.ANNOUNCE_PATH
 # Commands that an OperatorPort implements.
 COMMANDS = (
     'submit_note',
--- a/packages/node/src/sassafrasridge_node/operators.py
+++ b/packages/node/src/sassafrasridge_node/operators.py
@@ -10,7 +10,7 @@
 from sassafrasridge_core import model
 from sassafrasridge_node import clocks
 from sassafrasridge_node import entry
-from sassafrasridge_node import front
+from sassafrasridge_node import ports
 from sassafrasridge_node import rpc
 
 if typing.TYPE_CHECKING:
@@ -23,7 +23,7 @@
 NOTE_COMMANDS = ('submit_note', 'check_note')
 
 
-class Operators(front.OperatorPort):
+class Operators(ports.OperatorPort):
     """Forward commands to control, and announcements to the local roles."""
 
     def __init__(
@@ -44,7 +44,7 @@
 
     async def command(
         self, kind: str, body: dict[str, typing.Any], who: str, address: str
-    ) -> front.OperatorReply:
+    ) -> ports.OperatorReply:
         """Execute a command at the control leader, except for drain.
 
         A drain stops this process. Raises RidgeError.
@@ -52,7 +52,7 @@
         if kind == 'drain':
             recorded = await self._record_drain(who, address)
             self._drain()
-            return front.OperatorReply(
+            return ports.OperatorReply(
                 {'draining': True, 'recorded': recorded}, 202
             )
         if kind in NOTE_COMMANDS:
@@ -66,7 +66,7 @@
             else COMMAND_TIMEOUT_S
         )
         reply = await self._send_to_leader(kind, payload, timeout_s)
-        return front.OperatorReply(orjson.loads(reply.body), reply.status)
+        return ports.OperatorReply(orjson.loads(reply.body), reply.status)
 
     async def _record_drain(self, who: str, address: str) -> bool:
         """Record a planned stop in the audit trail; return whether it worked.
--- a/packages/node/src/sassafrasridge_node/startup.py
+++ b/packages/node/src/sassafrasridge_node/startup.py
@@ -26,18 +26,22 @@
         self.processor = time.process_time()
 
 
-def phases(imported: Point) -> dict[str, float]:
+def phases(imported: Point, listening: Point) -> dict[str, float]:
     """Return the phases of the start, which ends now, in milliseconds.
 
-    ``imported`` is when the modules had been imported. ``processor_ms`` is
-    the processor time of all threads, ``memory_kb`` the resident memory.
+    ``imported`` is when the first modules had been imported, ``listening``
+    when the engine accepted sessions and calls. Processor times are those of
+    all threads since the start of the process; ``memory_kb`` is the largest
+    resident memory so far.
     """
     now = Point()
     return {
         'interpreter_ms': _ms(clocks.PROCESS_STARTED_AT - _started_at()),
         'imports_ms': _ms(imported.at - clocks.PROCESS_STARTED_AT),
-        'listening_ms': _ms(now.at - imported.at),
+        'listening_ms': _ms(listening.at - imported.at),
+        'http_ms': _ms(now.at - listening.at),
         'imports_processor_ms': _ms(imported.processor),
+        'listening_processor_ms': _ms(listening.processor),
         'processor_ms': _ms(now.processor),
         'memory_kb': resource.getrusage(resource.RUSAGE_SELF).ru_maxrss,
     }
