--- a/packages/core/src/sassafrasridge_core/state.py
+++ b/packages/core/src/sassafrasridge_core/state.py
@@ -661,10 +661,6 @@
         """Return all services."""
         return self._tables.all(configuration.SERVICE)
 
-    def routes(self) -> Iterable[configuration.Route]:
-        """Return all routes."""
-        return self._tables.all(configuration.ROUTE)
-
     def drained_zones(self) -> frozenset[str]:
         """Return the availability zones that are out of service."""
         return self._tables.drained_zones()
