--- a/packages/core/src/sassafrasridge_core/targetcapacity.py
+++ b/packages/core/src/sassafrasridge_core/targetcapacity.py
@@ -77,6 +77,10 @@
 # that a slow target gets a read every few seconds and its recovery is noticed.
 # With 2 s, a target at a third of its speed got one read in 6 s.
 FORGET_S = 1.0
+# It then falls below 1 by this much per second, because a target of usual
+# speed that is idle would always be preferred otherwise.
+PROBE_GAIN = 0.1
+MAX_PROBE_GAIN = 0.3
 # Silence before that begins.
 FORGET_AFTER_S = 0.5
 # Silence after which the learned limit is dropped.
@@ -408,7 +412,8 @@
         idle_s = now - self._answered_at - FORGET_AFTER_S
         if self._running or idle_s <= 0:
             return self._ratio
-        return 1 + (self._ratio - 1) * math.exp(-idle_s / FORGET_S)
+        rest = (self._ratio - 1) * math.exp(-idle_s / FORGET_S)
+        return 1 + rest - min(MAX_PROBE_GAIN, PROBE_GAIN * idle_s)
 
     def relative_speed(self) -> float:
         """Return the usual time divided by the time taken lately."""
--- a/tests/node/test_learnedlimits.py
+++ b/tests/node/test_learnedlimits.py
@@ -7,6 +7,7 @@
 
 from sassafrasridge_core import configuration
 from sassafrasridge_core import model
+from sassafrasridge_core import scheduling
 from sassafrasridge_core import statements
 from sassafrasridge_node import clocks
 from sassafrasridge_node import logs
@@ -239,7 +240,9 @@
         opening = []
 
         async def use(account):
-            conn = await backend.acquire(account, clocks.boottime() + 5, {})
+            conn = await backend.acquire(
+                account, scheduling.UNIFORM, clocks.boottime() + 5, {}
+            )
             opening.append(backend.pool.opening)
             backend.statement_ended(conn, ResultCode.DONE)
             backend.release(conn, clean=True)
