--- a/tests/node/test_groups.py
+++ b/tests/node/test_groups.py
@@ -36,6 +36,9 @@
     def names(self):
         return ['g']
 
+    def drained_zones(self):
+        return frozenset(['z1'])
+
 
 class CountingReconciler(groups.HttpGroupReconciler):
     """Counts steps instead of taking them."""
@@ -133,3 +136,18 @@
     def test_group_that_differs_runs_a_step(self, group_view, targets, age):
         """Guards against ignoring a change of a group."""
         assert count_steps(group_view, targets, age) == 1
+
+    @pytest.mark.parametrize(
+        ('zone', 'position', 'steps'),
+        [('z', 5, 1), ('z', 4, 0), ('z1', 5, 0)],
+    )
+    def test_a_drained_primary_waits_for_a_member_outside(
+        self, zone, position, steps
+    ):
+        """Guards against a change that ends in the drained zone again.
+
+        No entry process contacts the primary, so all report its silence.
+        """
+        others = [info(n, zone=zone, position=position) for n in ('b', 'c')]
+        targets = [info('a', zone='z1'), *others]
+        assert count_steps(view(), targets, age=0.9) == steps
