--- a/tests/node/test_sessiondrain.py
+++ b/tests/node/test_sessiondrain.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import functools
 import random
 import types
 
@@ -75,6 +76,8 @@
         """Guards against reads that go on there, or never come back."""
         process = Process(configuration.BOUNDED_AGE)
         process.order('z2')
+        found = process.state.available_targets('g')
+        assert [b.info.server for b in found] == ['p', 's']
         process.run(front.read(), front.read())
         assert process.sent_to() == {'p'}
         process.order()
@@ -142,11 +145,33 @@
             await asyncio.sleep(0.01)
             assert len(backend.queue) == 1
             process.order('z2')
-            return await task
+            async with asyncio.timeout(0.1):
+                return await task
 
         assert asyncio.run(work()).failure is None
         assert process.sent_to() <= {'p', 's'}
 
+    def test_an_order_ends_the_wait_for_a_primary(self):
+        """Guards against statements held for a change that can't be made.
+
+        The order for the last zone arrives during the planned change.
+        """
+        process = Process()
+        process.state.config.route('db').timeout_s = 2.0
+
+        async def work():
+            session = process.session()
+            process.order('z1')
+            task = asyncio.ensure_future(session.execute(front.write()))
+            await asyncio.sleep(0.01)
+            process.order(*ALL_ZONES)
+            async with asyncio.timeout(0.1):
+                return await task
+
+        result = asyncio.run(work())
+        assert result.failure is StatementFailure.BUSY
+        assert 'drained' in result.detail
+
 
 class TestConnections:
     def test_idle_ones_close_and_none_is_opened(self):
@@ -290,6 +315,26 @@
             assert caught.value.kind == 'zone_drained'
         assert clocks.boottime() < deadline - 4.0
 
+    def test_drained_targets_are_not_probed(self):
+        """Guards against probes, for which connections are opened."""
+        probed = []
+
+        async def probe(server):
+            probed.append(server)
+
+        async def work():
+            for backend in self.state.members('g'):
+                backend.probe = functools.partial(probe, backend.info.server)
+            order(self.state, 'z1')
+            task = asyncio.ensure_future(
+                renewal.TargetProber(self.state).run()
+            )
+            await asyncio.sleep(0.01)
+            task.cancel()
+
+        asyncio.run(work())
+        assert probed == ['b']
+
     def test_replicas_outside_serve_reads(self):
         """Guards against reads from a replica of a drained zone."""
         reader = reads.Reader(self.state, metrics.Metrics(), random.Random(1))
