Ask a drained primary for its status after a change of leader

Entry processes don't contact a drained primary, so a new control leader counted it as failed and didn't wait for its status. A replica of the drained zone was promoted then, although one outside would have caught up. The sooner replacement of dead primaries had brought this.

--- a/packages/node/src/sassafrasridge_node/failover.py
+++ b/packages/node/src/sassafrasridge_node/failover.py
@@ -321,10 +321,12 @@
 
     def _failed_primary(self, view: model.GroupView) -> str:
         """Return the primary's name if it counts as failed, else ''."""
-        failed = self._primary_failed(
-            clocks.boottime(), view, self._live_holder_names()
-        )
-        return view.primary or '' if failed else ''
+        now, name = clocks.boottime(), view.primary or ''
+        info = self._targets.group(view.group).get(name)
+        if info is not None and self._is_drained(now, info):
+            return ''
+        failed = self._primary_failed(now, view, self._live_holder_names())
+        return name if failed else ''
 
     async def _request_statuses(
         self, targets: dict[str, model.TargetInfo], failed: str = ''
--- a/tests/node/test_failover.py
+++ b/tests/node/test_failover.py
@@ -435,6 +435,30 @@
         assert cluster.step().primary == 'c'
         assert ('promote', 'b') not in cluster.orders.sent_orders
 
+    def test_the_next_leader_waits_for_the_replica_too(self, servers):
+        """Guards against b, whose position is known first.
+
+        The leader is killed during the planned change. Its successor only
+        hears that no entry process has contacted the primary.
+        """
+        servers['b'].received = Position(1, 9)
+        servers['c'].received = Position(1, 5)
+        cluster = self.cluster(servers)
+        cluster.fail('a')
+        cluster.store.views['g'] = model.GroupView(
+            'g', 2, 'a', cluster.store.views['g'].members, changing=True
+        )
+        status = cluster.orders.status
+
+        async def slow_status(info):
+            if info.server == 'a':
+                await asyncio.sleep(0.02)
+                servers['c'].received = Position(1, 9)
+            return await status(info)
+
+        cluster.orders.status = slow_status
+        assert cluster.step().primary == 'c'
+
     def test_without_an_answer_from_outside_it_keeps_its_role(
         self, servers, monkeypatch
     ):
