Refuse at once what only drained home regions could serve

A statement whose allowed regions have targets in drained zones only waited for a target until it could no longer be answered, because targets outside its regions were in service.

--- a/packages/node/src/sassafrasridge_node/regionrules.py
+++ b/packages/node/src/sassafrasridge_node/regionrules.py
@@ -67,10 +67,15 @@
         )
     members = state.members(group)
     if members and not any(
-        not member.info.zone or allows_target(state, allowed, member)
+        not member.info.zone
+        or (
+            allows_target(state, allowed, member)
+            and not state.drains.drained(member.info.zone)
+        )
         for member in members
     ):
-        return f'no target of {group} is in the regions {listed}'
+        outside = ' and outside drained zones' if state.drains else ''
+        return f'no target of {group} is in the regions {listed}{outside}'
     return ''
 
 
--- a/tests/node/test_sessiondrain.py
+++ b/tests/node/test_sessiondrain.py
@@ -119,6 +119,19 @@
         assert 'drained' in results[0].detail
         assert not process.sent_to() and not charged
 
+    def test_drained_home_regions_are_refused_at_once(self):
+        """Guards against waits for targets that a route may not use."""
+        process = Process(configuration.BOUNDED_AGE)
+        process.state.regions = {'z1': 'north', 'z2': 'south', 'z3': 'south'}
+        process.state.config.route('db').regions = ('north',)
+        process.state.config.route('db').timeout_s = 2.0
+        process.order('z1')
+        started = clocks.boottime()
+        (result,) = process.run(front.read())
+        assert clocks.boottime() - started < 0.1
+        assert 'outside drained zones' in result.detail
+        assert not process.sent_to()
+
     def test_a_target_of_unknown_zone_is_not_used(self):
         """Guards against use of a drained zone after a restart of all VMs.
 
