--- a/packages/testkit/src/sassafrasridge_testkit/linecluster.py
+++ b/packages/testkit/src/sassafrasridge_testkit/linecluster.py
@@ -39,6 +39,10 @@
 sessions = {sessions}
 worker_threads = 2
 drain_timeout = 3s
+[regions]
+z0 = r0
+z1 = r1
+z2 = r2
 """
 )
 
--- a/packages/testkit/src/sassafrasridge_testkit/linegroup.py
+++ b/packages/testkit/src/sassafrasridge_testkit/linegroup.py
@@ -30,6 +30,10 @@
 POLL_INTERVAL_S = 0.002
 
 
+# First words of the statements that take a slot.
+LOAD_VERBS = ('BEGIN', 'COMMIT', 'EXECUTE', 'FETCH', 'STORE', 'WAITLSN')
+
+
 class Entry(typing.NamedTuple):
     """A commit; ``ids`` are the ids of the statements that wrote."""
 
@@ -92,6 +96,10 @@
         self.busy = 0
         self.connections = 0
         self.statements: list[tuple[str, str, str]] = []
+        # Times of the statements that take a slot.
+        self.load_times: list[float] = []
+        # Time until which the server reports to be cold.
+        self.cold_until = 0.0
         self._listener: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
 
@@ -183,6 +191,8 @@
     ) -> tuple[list[str], str]:
         self.statements.append((conn.account, id, text))
         verb, _, rest = text.partition(' ')
+        if verb in LOAD_VERBS:
+            self.load_times.append(time.monotonic())
         if verb == 'WAITLSN':
             floor, _, text = rest.partition(' ')
             term, number = map(int, floor.split('.'))
@@ -408,7 +418,9 @@
             'version': 'v1',
             'capacity': SLOTS,
             'state': 'draining' if server.leaving else 'ready',
-            'coldRemainingMs': 0,
+            'coldRemainingMs': int(
+                max(0.0, server.cold_until - time.monotonic()) * 1000
+            ),
             'dbRole': 'primary' if server.primary else 'replica',
             'sequence': server.sequence,
             'born': server.born,
@@ -452,6 +464,7 @@
         if body.get('start') and not server.running:
             server.born = int(time.time() * 1000)
             server.sequence = 0
+            server.cold_until = time.monotonic() + body.get('cold_s', 0.0)
             await server.start()
 
     def _describe_state(self) -> dict[str, typing.Any]:
@@ -471,6 +484,7 @@
                         [e.term, e.number, e.writes, e.ids] for e in s.log
                     ],
                     'statements': s.statements,
+                    'load_times': s.load_times,
                 }
                 for group in self.groups.values()
                 for s in group.servers
