--- a/packages/node/src/sassafrasridge_node/coldtargets.py
+++ b/packages/node/src/sassafrasridge_node/coldtargets.py
@@ -19,6 +19,8 @@
         # Returns this process's statements/s at a target that may be cold
         # without control knowing, None if the service sets no rate.
         self.cold_fallback: typing.Callable[[], int | None] = lambda: None
+        # Statements that wait for the rate.
+        self._rate_waiters = 0
 
     def apply_grant(self, grant: typing.Any, sent_at: float) -> bool:
         """Apply the granted limits and the rate of a cold target."""
@@ -40,12 +42,25 @@
 
     def takes_statement(self, now: float) -> bool:
         """Return whether the rate allows a statement now."""
-        return self.cold.wait_s(now, self.cold_limit(now)) <= 0
+        return self._rate_wait_s(now) <= 0
+
+    def _rate_wait_s(self, now: float) -> float:
+        """Return the seconds until the rate allows one more statement."""
+        limit = self.cold_limit(now)
+        if limit is None:
+            return 0.0
+        wait_s = self.cold.wait_s(now, limit)
+        return wait_s + self._rate_waiters * coldlimits.WINDOW_S / max(
+            1, limit
+        )
 
     def require_rate(self, deadline: float) -> None:
-        """Raise UnavailableError if the rate allows none until a deadline."""
+        """Raise UnavailableError if the rate allows none until a deadline.
+
+        No connection is opened and none is held then.
+        """
         now = clocks.boottime()
-        wait_s = self.cold.wait_s(now, self.cold_limit(now))
+        wait_s = self._rate_wait_s(now)
         if wait_s and now + wait_s >= deadline:
             self._metrics.cold_refusals.inc()
             raise backends.refusal_error(model.TARGET_COLD)
@@ -55,17 +70,22 @@
 
         Raises UnavailableError at once if that is not before the deadline.
         """
-        delayed = False
-        while True:
+        now = clocks.boottime()
+        if self.cold.take(now, self.cold_limit(now)):
+            return
+        self.require_rate(deadline)
+        self._metrics.cold_delays.inc()
+        while not self.cold.take(now, limit := self.cold_limit(now)):
+            wait_s = self.cold.wait_s(now, limit)
+            if now + wait_s >= deadline:
+                self._metrics.cold_refusals.inc()
+                raise backends.refusal_error(model.TARGET_COLD)
+            self._rate_waiters += 1
+            try:
+                await asyncio.sleep(wait_s)
+            finally:
+                self._rate_waiters -= 1
             now = clocks.boottime()
-            limit = self.cold_limit(now)
-            if self.cold.take(now, limit):
-                return
-            self.require_rate(deadline)
-            if not delayed:
-                self._metrics.cold_delays.inc()
-                delayed = True
-            await asyncio.sleep(self.cold.wait_s(now, limit))
 
     def connections_broke(self) -> None:
         """Limit the target until control must know whether it restarted."""
--- a/tests/node/test_coldtargets.py
+++ b/tests/node/test_coldtargets.py
@@ -96,6 +96,8 @@
         results = asyncio.run(work())
         done = [r for r in results if r.failure is None]
         assert len(done) == batches(process, 'p') == 3
+        # Opening connections takes the target's slots, too.
+        assert process.opened <= 5
         assert {r.failure for r in results} == {None, BUSY}
 
     def test_every_statement_of_a_transaction_counts(self):
