--- a/packages/node/src/sassafrasridge_node/main.py
+++ b/packages/node/src/sassafrasridge_node/main.py
@@ -159,9 +159,7 @@
         await self._serve_rpc(secret)
         if self.member is not None:
             self.member.rpc_address = self.rpc_address()
-        if self.state is not None:
-            self.state.regions = self.cfg.regions
-            self._start_entry(control_pool)
+        self._start_entry(control_pool)
         if self.service is not None and self._session_server is not None:
             self._start_task(self.service.run())
             cfg = self.cfg.entry
@@ -358,6 +356,7 @@
     def _start_entry(self, pool: rpc.ClientPool) -> None:
         if self.state is None or self.cfg.entry is None:
             return
+        self.state.regions = self.cfg.regions
         self.renewer = renewal.LeaseRenewer(
             self.state,
             pool,
--- a/packages/node/src/sassafrasridge_node/regionrules.py
+++ b/packages/node/src/sassafrasridge_node/regionrules.py
@@ -47,7 +47,8 @@
 
     ``primary`` tells that only the primary can serve it. A target that is
     known only from its group's view has no zone until it announces itself, so
-    it does not count as outside.
+    it does not count as outside. A primary in a drained zone is being
+    replaced, so it does not count either.
     """
     if allowed is None:
         return ''
@@ -58,6 +59,7 @@
     if (
         primary
         and current is not None
+        and not current.drained
         and current.info.zone
         and not allows_target(state, allowed, current)
     ):
@@ -65,12 +67,12 @@
             f'the primary {current.info.server} in zone {current.info.zone} '
             f'is outside the regions {listed}'
         )
-    members = state.members(group)
+    members = [m for m in state.members(group) if not m.drained]
     if members and not any(
         not member.info.zone or allows_target(state, allowed, member)
         for member in members
     ):
-        return f'no target of {group} is in the regions {listed}'
+        return f'no usable target of {group} is in the regions {listed}'
     return ''
 
 
--- a/packages/node/src/sassafrasridge_node/sessionbase.py
+++ b/packages/node/src/sassafrasridge_node/sessionbase.py
@@ -197,22 +197,21 @@
                 f'database {self.database} does not exist',
             )
         account = config.account_by_key_digest(self._digest)
-        if account is not None:
-            return sessionrouting.Access(
-                account.name,
-                route,
-                service.group,
-                regions.intersect(route.regions, account.regions),
-            )
-        if route.open:
-            return sessionrouting.Access(
-                admission.ANONYMOUS,
-                route,
-                service.group,
-                regions.intersect(route.regions),
+        if account is None and not route.open:
+            raise SessionError(
+                StatementFailure.UNAUTHORIZED,
+                'the key is unknown or withdrawn',
             )
-        raise SessionError(
-            StatementFailure.UNAUTHORIZED, 'the key is unknown or withdrawn'
+        allowed = regions.intersect(
+            route.regions, account.regions if account else ()
+        )
+        if allowed is not None:
+            self._state.regions_in_use = True
+        return sessionrouting.Access(
+            account.name if account else admission.ANONYMOUS,
+            route,
+            service.group,
+            allowed,
         )
 
     def _find_route(
--- a/packages/node/src/sassafrasridge_node/sessionstate.py
+++ b/packages/node/src/sassafrasridge_node/sessionstate.py
@@ -49,9 +49,8 @@
         # Rates of cold targets by group, in a configuration revision.
         self._cold_rates: dict[str, float] = {}
         self._cold_rates_revision = -1
-        # Whether regions are named in a configuration revision.
-        self._regions_named = False
-        self._regions_revision = -1
+        # Whether a session was authorized for some regions only.
+        self.regions_in_use = False
 
     def new_backend(self, info: model.TargetInfo) -> backends.Backend:
         """Return a new backend for a target."""
@@ -254,25 +253,16 @@
     def sample_primary(self, group: str, server: str, sent_at: float) -> None:
         """Record the primary's log position that a probe reported.
 
-        Needed where regions are named: statements that may not run on the
-        primary then don't sample its position, and no replica could prove its
-        age.
+        Needed for sessions with regions: statements that may not run on the
+        primary don't sample its position, and no replica could prove its age.
         """
-        if self._names_regions():
+        if self.regions_in_use:
             backend = self.backends.get((group, server))
             if isinstance(backend, sessionpool.SessionBackend):
                 self.sample_position(backend, sent_at)
         else:
             super().sample_primary(group, server, sent_at)
 
-    def _names_regions(self) -> bool:
-        """Return whether a route or an account names regions."""
-        if self._regions_revision != self.config.revision:
-            self._regions_revision = self.config.revision
-            records = (*self.config.routes(), *self.config.accounts())
-            self._regions_named = any(record.regions for record in records)
-        return self._regions_named
-
     def sample_position(
         self, backend: sessionpool.SessionBackend, sent_at: float
     ) -> None:
