--- a/packages/core/src/sassafrasridge_core/state.py
+++ b/packages/core/src/sassafrasridge_core/state.py
@@ -653,6 +653,10 @@
         """Return all client accounts."""
         return self._tables.all(configuration.ACCOUNT)
 
+    def routes(self) -> Iterable[configuration.Route]:
+        """Return the routes, ordered by path."""
+        return self._tables.all(configuration.ROUTE)
+
     def services(self) -> Iterable[configuration.Service]:
         """Return all services."""
         return self._tables.all(configuration.SERVICE)
