--- a/packages/core/src/sassafrasridge_core/coldlimits.py
+++ b/packages/core/src/sassafrasridge_core/coldlimits.py
@@ -214,16 +214,27 @@
         self._sent_at.append(now)
         return True
 
-    def wait_s(self, now: float, limit: int) -> float:
-        """Return the seconds until the limit allows a statement."""
+    def wait_s(self, now: float, limit: int, ahead: int = 0) -> float:
+        """Return the seconds until the limit allows a statement.
+
+        ``ahead`` statements are sent before it, each as soon as possible.
+
+        >>> window = StatementWindow()
+        >>> window.take(0.0, 2), window.take(0.25, 2)
+        (True, True)
+        >>> [window.wait_s(0.5, 2, ahead) for ahead in range(4)]
+        [0.5, 0.75, 1.5, 1.75]
+        """
         while self._sent_at and self._sent_at[0] + WINDOW_S <= now:
             self._sent_at.popleft()
         if limit <= 0:
             return math.inf
-        over = len(self._sent_at) - limit
-        if over < 0:
-            return 0.0
-        return self._sent_at[over] + WINDOW_S - now
+        # A statement is sent one window after the one ``limit`` before it.
+        windows = ahead // limit + 1
+        index = len(self._sent_at) + ahead - windows * limit
+        if index < 0:
+            return (windows - 1) * WINDOW_S
+        return self._sent_at[index] + windows * WINDOW_S - now
 
 
 class TargetLimit:
@@ -280,6 +291,9 @@
         """Count a statement and return True if it may be sent now."""
         return limit is None or self._window.take(now, limit)
 
-    def wait_s(self, now: float, limit: int | None) -> float:
-        """Return the seconds until a statement may be sent."""
-        return 0.0 if limit is None else self._window.wait_s(now, limit)
+    def wait_s(self, now: float, limit: int | None, ahead: int = 0) -> float:
+        """Return the seconds until a statement may be sent.
+
+        ``ahead`` other statements wait for the same.
+        """
+        return 0.0 if limit is None else self._window.wait_s(now, limit, ahead)
--- a/packages/node/src/sassafrasridge_node/coldtargets.py
+++ b/packages/node/src/sassafrasridge_node/coldtargets.py
@@ -46,13 +46,7 @@
 
     def _rate_wait_s(self, now: float) -> float:
         """Return the seconds until the rate allows one more statement."""
-        limit = self.cold_limit(now)
-        if limit is None:
-            return 0.0
-        wait_s = self.cold.wait_s(now, limit)
-        return wait_s + self._rate_waiters * coldlimits.WINDOW_S / max(
-            1, limit
-        )
+        return self.cold.wait_s(now, self.cold_limit(now), self._rate_waiters)
 
     def require_rate(self, deadline: float) -> None:
         """Raise UnavailableError if the rate allows none until a deadline.
