Spread the return of refused HTTP callers, and show classes in metrics and logs

Retry-After was 1 s for all refusals, so that callers of a full queue returned together. It now follows the expected wait, is longer for less urgent classes and up to a half longer at random. Waiting and served statements are counted by priority, refusals by reason; statement_failed has the priority and the expected wait.

--- a/packages/core/src/sassafrasridge_core/retries.py
+++ b/packages/core/src/sassafrasridge_core/retries.py
@@ -12,6 +12,8 @@
 RETRY_WINDOW_S = 10.0
 BACKOFF_BASE_S = 0.02
 BACKOFF_CAP_S = 1.0
+# Random part of the time after which callers return, as a share of the rest.
+MAX_SPREAD = 0.5
 
 
 class Rng(typing.Protocol):
@@ -95,3 +97,16 @@
     def delay(self, attempt: int, rng: Rng) -> float:
         """Return a random delay in seconds; ``attempt`` starts at zero."""
         return rng.random() * self.max_delay_s(attempt)
+
+
+def retry_after_s(wait_s: float, rank: int, rng: Rng) -> int:
+    """Return when a refused caller should return, in whole seconds.
+
+    ``wait_s`` is the expected wait of its class and ``rank`` the number of
+    more urgent classes, which return first. Up to half of the time is random,
+    so that callers that were refused together don't return together.
+    """
+    least = max(1, math.ceil(wait_s)) * (1 + rank)
+    spread = least * (1 + MAX_SPREAD * rng.random())
+    # Round at random, so that short times are spread as well.
+    return math.floor(spread + rng.random())
--- a/packages/node/src/sassafrasridge_node/gateway.py
+++ b/packages/node/src/sassafrasridge_node/gateway.py
@@ -8,6 +8,7 @@
 
 from sassafrasridge_core import errors
 from sassafrasridge_core import model
+from sassafrasridge_core import retries
 from sassafrasridge_node import admission
 from sassafrasridge_node import backends
 from sassafrasridge_node import clocks
@@ -16,6 +17,7 @@
 from sassafrasridge_node import reads
 from sassafrasridge_node import rpc
 from sassafrasridge_node import transactions
+from sassafrasridge_node import workclasses
 from sassafrasridge_node import writes
 
 # Fields of a request that are valid in this process only.
@@ -55,6 +57,7 @@
         self._pool = pool
         self._rng = rng
         self._admitter = admission.Admitter(state)
+        self._classes = workclasses.WorkClasses(state.config)
         self._reader = reads.Reader(state, state.metrics, rng)
         self.writer = writes.Writer(state, state.metrics, rng)
         self.transactions = transactions.Transactions(state, self.writer)
@@ -62,6 +65,32 @@
     async def call(self, req: front.DataRequest) -> front.DataReply:
         """Execute a caller's request."""
         adm = self._admitter.authorize(req)
+        try:
+            return await self._call(req, adm)
+        except errors.RidgeError as exc:
+            if exc.retry_after_s is not None:
+                exc.retry_after_s = self._retry_after_s(exc, adm)
+            raise
+
+    def _retry_after_s(
+        self, exc: errors.RidgeError, adm: admission.Admission
+    ) -> int:
+        """Return when the caller of a failed request should return."""
+        wait_s = exc.retry_after_s or 0.0
+        if exc.kind in (model.DEADLINE.reason, model.QUEUE_FULL.reason):
+            wait_s = min(
+                (
+                    backend.queue.expected_wait_s(adm.account, 1.0)
+                    for backend in self._state.members(adm.group)
+                ),
+                default=wait_s,
+            )
+        rank = self._classes.rank(adm.priority)
+        return retries.retry_after_s(wait_s, rank, self._rng)
+
+    async def _call(
+        self, req: front.DataRequest, adm: admission.Admission
+    ) -> front.DataReply:
         check_request_id(req.request_id, time.time())
         if req.kind in ('statements', 'begin', 'in'):
             await self._admitter.charge(adm, req)
--- a/packages/node/src/sassafrasridge_node/metrics.py
+++ b/packages/node/src/sassafrasridge_node/metrics.py
@@ -149,6 +149,12 @@
             waiting.labels(str(label)).set_function(
                 functools.partial(self._waiting.__getitem__, label)
             )
+        served = self.counter(
+            'served_statements',
+            'Statements that a target has run, by priority',
+            ('priority',),
+        )
+        self._served = [served.labels(str(label)) for label in PRIORITIES]
         refusals = self.counter(
             'statement_refusals',
             'Statements refused without being sent, by reason',
@@ -188,6 +194,10 @@
         other = self._refusals[REFUSAL_REASONS[-1]]
         self._refusals.get(reason, other).inc()
 
+    def count_served(self, priority: int) -> None:
+        """Count a statement of a priority that a target has run."""
+        self._served[priority_label(priority)].inc()
+
     @contextlib.contextmanager
     def waiting(self, priority: int) -> Iterator[None]:
         """Count a statement of a priority as waiting."""
--- a/packages/node/src/sassafrasridge_node/sessionbase.py
+++ b/packages/node/src/sassafrasridge_node/sessionbase.py
@@ -216,7 +216,7 @@
 
     def _decision_context(self) -> dict[str, typing.Any]:
         """Return the state that decisions are based on, for the log."""
-        _, service = self._find_route()
+        route, service = self._find_route()
         view = self._state.groups.get(service.group) if service else None
         now = clocks.boottime()
         return {
@@ -228,8 +228,34 @@
             'view_term': view.term if view else 0,
             'primary': view.primary if view else None,
             'changing': view.changing if view else None,
+            'priority': route.priority if route else None,
+            'expected_wait_s': self._expected_wait_s(route, service),
         }
 
+    def _expected_wait_s(
+        self,
+        route: configuration.Route | None,
+        service: configuration.Service | None,
+    ) -> float | None:
+        """Return the expected wait of the session's class at the primary."""
+        if route is None or service is None:
+            return None
+        backend = self._state.primary(service.group)
+        if not isinstance(backend, sessionpool.SessionBackend):
+            return None
+        found = self._state.config.account_by_key_digest(self._digest)
+        account = admission.ANONYMOUS if found is None else found.name
+        work = self._state.work_classes.work(
+            account,
+            route,
+            service.group,
+            clocks.boottime(),
+            backend.run_times.expected_s(route.priority),
+            self.transaction is not None,
+            needs_primary=False,
+        )
+        return round(backend.expected_wait_s(account, work), 3)
+
     def _log_retry(
         self,
         stmt: statements.Statement,
--- a/packages/node/src/sassafrasridge_node/sessionturns.py
+++ b/packages/node/src/sassafrasridge_node/sessionturns.py
@@ -100,6 +100,7 @@
         """Record the time in which the target ran a statement."""
         priority = self._turns.work(conn).work_class.priority
         self.run_times.record(priority, seconds)
+        self._metrics.count_served(priority)
 
     async def _wait_for_turn(
         self, account: str, work: scheduling.Work, deadline: float
--- a/packages/node/src/sassafrasridge_node/workclasses.py
+++ b/packages/node/src/sassafrasridge_node/workclasses.py
@@ -11,12 +11,20 @@
     If all routes have the same priority, all statements have one class.
     """
 
-    __slots__ = ('_config', '_revision', '_several', '_urgent', '_on_replicas')
+    __slots__ = (
+        '_config',
+        '_revision',
+        '_several',
+        '_priorities',
+        '_urgent',
+        '_on_replicas',
+    )
 
     def __init__(self, config: core_state.ConfigView) -> None:
         self._config = config
         self._revision = -1
         self._several = False
+        self._priorities: set[int] = set()
         # The most urgent priority of each group with several.
         self._urgent: dict[str, int] = {}
         # Groups whose most urgent class may also run on replicas.
@@ -32,7 +40,8 @@
             if service is not None:
                 by_group.setdefault(service.group, []).append(route)
         found = [r for routes in by_group.values() for r in routes]
-        self._several = _most_urgent(found) is not None
+        self._priorities = {route.priority for route in found}
+        self._several = len(self._priorities) > 1
         self._urgent = {}
         self._on_replicas = set()
         for group, routes in by_group.items():
@@ -59,6 +68,11 @@
             route.priority, found.priority if found is not None else 0
         )
 
+    def rank(self, priority: int) -> int:
+        """Return the number of priorities that are more urgent."""
+        self._refresh()
+        return sum(other < priority for other in self._priorities)
+
     def work(
         self,
         account: str,
--- a/tests/core/test_retries.py
+++ b/tests/core/test_retries.py
@@ -1,7 +1,11 @@
 """Tests of the retry budget and the backoff."""
 
+import math
 import random
 
+import hypothesis
+from hypothesis import strategies
+
 from sassafrasridge_core import retries
 
 
@@ -39,3 +43,26 @@
         assert min(delays) < 0.02
         assert 0.38 < max(delays) <= 0.4
         assert backoff.delay(10**6, rng) <= 1.0
+
+
+class TestRetryAfter:
+    """Load: all callers that a full queue refused come back."""
+
+    @hypothesis.given(
+        strategies.floats(0, 30),
+        strategies.integers(0, 5),
+        strategies.randoms(),
+    )
+    def test_callers_wait_for_their_class_and_half_as_long_at_most(
+        self, wait_s, rank, rng
+    ):
+        """Guards against callers that return before they can be served."""
+        found = retries.retry_after_s(wait_s, rank, rng)
+        least = max(1, math.ceil(wait_s)) * (1 + rank)
+        assert least <= found <= math.ceil(1.5 * least)
+
+    def test_callers_do_not_return_together(self):
+        """Guards against a second burst by those that the first refused."""
+        rng = random.Random(1)
+        found = [retries.retry_after_s(0.2, 0, rng) for _ in range(100)]
+        assert 10 < found.count(2) < 50
--- a/tests/node/test_charging.py
+++ b/tests/node/test_charging.py
@@ -54,6 +54,15 @@
         assert [call.account for call in holder.calls] == ['acme', 'acme']
         assert 0 < holder.calls[0].wait_s <= 0.05
 
+    def test_the_holder_learns_the_priority(self):
+        """Guards against urgent requests that wait behind others there."""
+        holder = Holder()
+        found = admitter(holder)
+        asyncio.run(
+            found.charge_account('acme', clocks.boottime() + 0.05, priority=2)
+        )
+        assert holder.calls[0].priority == 2
+
     def test_a_refusal_carries_the_retry_time(self):
         with pytest.raises(errors.RateLimitedError) as caught:
             charge(admitter(Holder(charging.LIMITED)))
