--- a/packages/core/src/sassafrasridge_core/state.py
+++ b/packages/core/src/sassafrasridge_core/state.py
@@ -653,14 +653,14 @@
         """Return all client accounts."""
         return self._tables.all(configuration.ACCOUNT)
 
+    def routes(self) -> Iterable[configuration.Route]:
+        """Return the routes, ordered by path."""
+        return self._tables.all(configuration.ROUTE)
+
     def services(self) -> Iterable[configuration.Service]:
         """Return all services."""
         return self._tables.all(configuration.SERVICE)
 
-    def routes(self) -> Iterable[configuration.Route]:
-        """Return all routes."""
-        return self._tables.all(configuration.ROUTE)
-
     def drained_zones(self) -> frozenset[str]:
         """Return the availability zones that are out of service."""
         return self._tables.drained_zones()
--- a/packages/node/src/sassafrasridge_node/admission.py
+++ b/packages/node/src/sassafrasridge_node/admission.py
@@ -5,13 +5,17 @@
 import collections.abc
 import heapq
 import itertools
+import typing
 
 from sassafrasridge_core import configuration
 from sassafrasridge_core import errors
 from sassafrasridge_core import queueing
+from sassafrasridge_core import regions
 from sassafrasridge_node import clocks
 from sassafrasridge_node import entry
-from sassafrasridge_node import front
+
+if typing.TYPE_CHECKING:
+    from sassafrasridge_node import ports
 
 # Maximum wait for a rate token. A request within its client account's rate
 # gets one sooner, even if the account's share has to move here from another
@@ -34,6 +38,7 @@
 class Admission:
     """Hold the client account and the service that a request may use.
 
+    ``regions`` are the allowed regions of targets, None for all.
     ``partition_reads`` tells whether reads are allowed without a lease.
     ``recheck`` raises RidgeError if the request is no longer allowed, for
     example because its key was withdrawn while the request waited.
@@ -44,6 +49,7 @@
         'account',
         'service',
         'partition_reads',
+        'regions',
         'recheck',
         'priority',
     )
@@ -53,10 +59,12 @@
         account: str,
         service: configuration.Service,
         partition_reads: bool,
+        allowed: regions.Allowed = None,
     ) -> None:
         self.account = account
         self.service = service
         self.partition_reads = partition_reads
+        self.regions = allowed
         self.recheck: collections.abc.Callable[[], None] = _allow
         self.priority = 0
 
@@ -77,7 +85,7 @@
         self._state = state
         self._queues: dict[str, RateQueue] = {}
 
-    def authorize(self, req: front.DataRequest) -> Admission:
+    def authorize(self, req: 'ports.DataRequest') -> Admission:
         """Return what a request is authorized for.
 
         Raises RidgeError; the request was not run.
@@ -88,14 +96,18 @@
         adm.priority = route.priority if route is not None else 0
         return adm
 
-    def _recheck(self, req: front.DataRequest, adm: Admission) -> None:
+    def _recheck(self, req: 'ports.DataRequest', adm: Admission) -> None:
         current = self._authorize(req)
-        if (current.account, current.group) != (adm.account, adm.group):
+        if (current.account, current.group, current.regions) != (
+            adm.account,
+            adm.group,
+            adm.regions,
+        ):
             raise errors.ForbiddenError(
                 'access was changed while the request waited'
             )
 
-    def _authorize(self, req: front.DataRequest) -> Admission:
+    def _authorize(self, req: 'ports.DataRequest') -> Admission:
         state = self._state
         if state.config.revision == 0:
             raise no_lease_error()
@@ -112,10 +124,20 @@
                 f'client account {account!r} may not use service '
                 f'{service.name!r}'
             )
-        return Admission(account, service, False)
+        return Admission(
+            account, service, False, self._allowed_regions(route, account)
+        )
+
+    def _allowed_regions(
+        self, route: configuration.Route | None, account: str | None
+    ) -> regions.Allowed:
+        record = self._state.config.account(account) if account else None
+        return regions.intersect(
+            route.regions if route else (), record.regions if record else ()
+        )
 
     def _find_service(
-        self, req: front.DataRequest
+        self, req: 'ports.DataRequest'
     ) -> tuple[configuration.Service, configuration.Route | None]:
         config = self._state.config
         route = None
@@ -136,7 +158,7 @@
 
     def _admit_open_route(
         self,
-        req: front.DataRequest,
+        req: 'ports.DataRequest',
         service: configuration.Service,
         route: configuration.Route,
     ) -> Admission:
@@ -144,11 +166,18 @@
             if not route.partition_reads or req.access != 'read':
                 raise no_lease_error()
             # Without a lease no key can be verified; this route needs no key.
-            return Admission(ANONYMOUS, service, True)
+            return Admission(
+                ANONYMOUS, service, True, self._allowed_regions(route, None)
+            )
         account = self._account_of_key(req)
-        return Admission(account or ANONYMOUS, service, route.partition_reads)
+        return Admission(
+            account or ANONYMOUS,
+            service,
+            route.partition_reads,
+            self._allowed_regions(route, account),
+        )
 
-    def _account_of_key(self, req: front.DataRequest) -> str | None:
+    def _account_of_key(self, req: 'ports.DataRequest') -> str | None:
         if req.key_digest is None:
             return None
         account = self._state.config.account_by_key_digest(req.key_digest)
@@ -157,7 +186,7 @@
         return account.name
 
     async def charge(
-        self, admission: Admission, req: front.DataRequest
+        self, admission: Admission, req: 'ports.DataRequest'
     ) -> None:
         """Take a rate token of the client account, waiting briefly for one.
 
--- a/packages/node/src/sassafrasridge_node/sessionpool.py
+++ b/packages/node/src/sassafrasridge_node/sessionpool.py
@@ -12,6 +12,7 @@
 from sassafrasridge_core import statements
 from sassafrasridge_node import backends
 from sassafrasridge_node import clocks
+from sassafrasridge_node import coldtargets
 from sassafrasridge_node import connections
 from sassafrasridge_node import logs
 from sassafrasridge_node import metrics
@@ -169,7 +170,8 @@
 
     ``values`` and ``prepared`` mirror the session values and the names of
     prepared statements that the target holds for the connection.
-    ``answer_pending`` is true while an answer is outstanding.
+    ``answer_pending`` is true while an answer is outstanding. ``position`` is
+    the end of the target's log in its last status, if known.
     """
 
     def __init__(self, account: str) -> None:
@@ -179,7 +181,10 @@
         self.used_at = clocks.boottime()
         self.rtt_s = DEFAULT_RTT_S
         self.closed = False
+        self.position: model.Position | None = None
         self.answer_pending = False
+        # Set if the target closed the connection.
+        self.broke = False
         self.on_close: typing.Callable[[], None] = lambda: None
 
     @abc.abstractmethod
@@ -312,7 +317,9 @@
             self.discard(conn)
 
 
-class SessionBackend(sessionturns.QueuedBackend):
+class SessionBackend(
+    coldtargets.RateLimitedBackend, sessionturns.QueuedBackend
+):
     """Own one target whose connections each belong to a client account."""
 
     def __init__(
@@ -462,6 +469,7 @@
         TargetRefusedError, or ReplacedError if the work needs the primary
         and another target becomes primary.
         """
+        self.require_rate(deadline)
         conn = None
         if self._may_start(work):
             self._turns.begin(work)
@@ -471,9 +479,14 @@
             conn = await self._take_or_open(account, work, deadline, values)
         self._in_use.add(conn)
         self._turns.add(conn, work)
+        self.in_flight = len(self._in_use)
+        try:
+            await self.wait_for_rate(deadline)
+        except BaseException:
+            self.release(conn, clean=True)
+            raise
         now = self._running[conn] = clocks.boottime()
         self._account_used_at[account] = now
-        self.in_flight = len(self._in_use)
         return conn
 
     async def _take_or_open(
@@ -570,11 +583,17 @@
         self._set_reachable(True)
         self.rtt_s = conn.rtt_s
         self.pool.connections.add(conn)
-        conn.on_close = lambda: self.pool.discard(conn)
+        self.cold.connected(clocks.boottime())
+        conn.on_close = lambda: self._connection_closed(conn)
         self.success_at = clocks.boottime()
         self._metrics.connections_opened.inc()
         return conn
 
+    def _connection_closed(self, conn: SessionConnection) -> None:
+        self.pool.discard(conn)
+        if conn.broke and not self.pool.connections:
+            self.connections_broke()
+
     def _mark_full(self) -> None:
         now = clocks.boottime()
         if not self.is_full(now):
@@ -671,7 +690,7 @@
             answered = False
         if conn is not None:
             if answered:
-                self.success_at = clocks.boottime()
+                self.answered(conn.position)
                 self.circuit.success(self.success_at)
                 self.pool.give_back(conn)
             else:
--- a/packages/node/src/sassafrasridge_node/sessionprimary.py
+++ b/packages/node/src/sassafrasridge_node/sessionprimary.py
@@ -8,6 +8,7 @@
 from sassafrasridge_node import clocks
 from sassafrasridge_node import sessionbase
 from sassafrasridge_node import sessionpool
+from sassafrasridge_node import sessionregions
 from sassafrasridge_node import sessionrouting
 from sassafrasridge_node import sessiontargets
 
@@ -16,7 +17,9 @@
 Result = statements.Result
 
 
-class PrimarySession(sessiontargets.TargetSession):
+class PrimarySession(
+    sessiontargets.TargetSession, sessionregions.RegionSession
+):
     """Run the statements of a session that need the primary."""
 
     async def _write(self, op: sessionbase.Operation) -> Result:
@@ -100,7 +103,7 @@
     ) -> sessionpool.SessionBackend:
         """Wait for a usable primary; raise SessionError."""
         return await self._wait_for_target(
-            op, lambda: self._state.usable_primary(op.access.group)
+            op, lambda: self._router.usable_primary(op.access)
         )
 
     async def _wait_for_target(
@@ -115,6 +118,7 @@
             if backend is not None:
                 return backend
             self._require_target(op.access)
+            self._require_region(op.access)
             now = clocks.boottime()
             changes.suspect(now, group)
             until = changes.wait_until(now, group, self._wait_deadline(op))
--- a/packages/node/src/sassafrasridge_node/sessiontargets.py
+++ b/packages/node/src/sassafrasridge_node/sessiontargets.py
@@ -85,6 +85,15 @@
             )
         return conn
 
+    async def _wait_for_rate(
+        self, backend: sessionpool.SessionBackend, op: sessionbase.Operation
+    ) -> None:
+        """Wait until a cold target may get a transaction's next statement."""
+        try:
+            await backend.wait_for_rate(op.deadline)
+        except errors.UnavailableError as exc:
+            raise sessionbase.SessionError(StatementFailure.BUSY, exc.message)
+
     def _latest_answer(self, op: sessionbase.Operation) -> float:
         """Return the time by which the statement has to be answered here."""
         return op.deadline
--- a/packages/node/src/sassafrasridge_node/sessiontransactions.py
+++ b/packages/node/src/sassafrasridge_node/sessiontransactions.py
@@ -51,6 +51,8 @@
             return await self._relay_in_transaction(op, tx)
         if tx.conn is None:
             await self._begin_on_target(op, tx)
+        if tx.backend is not None:
+            await self._wait_for_rate(tx.backend, op)
         conn, backend = tx.conn, tx.backend
         if conn is None or backend is None or conn.closed:
             raise sessionbase.SessionError(
@@ -113,11 +115,7 @@
     ) -> None:
         """Choose a target and begin the transaction there."""
         access = tx.access
-        floor = (
-            self._router.required_position(access, self.floor)
-            if tx.read_only
-            else None
-        )
+        floor = await self._await_floor(op) if tx.read_only else None
         backend = self._router.choose_target(access, floor) if floor else None
         if backend is None:
             backend, tx.term, conn = await self._acquire_primary(op)
--- a/tests/node/test_sessiondrain.py
+++ b/tests/node/test_sessiondrain.py
@@ -273,6 +273,7 @@
         adm = types.SimpleNamespace(
             group='g',
             account='shop',
+            regions=None,
             service=types.SimpleNamespace(name='s'),
             partition_reads=False,
         )
