--- a/packages/node/src/sassafrasridge_node/idl.py
+++ b/packages/node/src/sassafrasridge_node/idl.py
@@ -17,6 +17,7 @@
 _SOURCE = _FOLDER / 'ridge.thrift'
 COMPILED_NAME = 'ridge_compiled'
 _HEADER = """# Generated from ridge.thrift; see sassafrasridge_node.idl.
+from thriftpy2.thrift import gen_init
 from thriftpy2.thrift import TPayload
 
 SOURCE_DIGEST = {digest!r}
@@ -68,8 +69,9 @@
     return (
         f'{indent}class {name}(TPayload):\n'
         f'{indent}    _ttype = {struct._ttype!r}\n'
-        f'{indent}    default_spec = {struct.default_spec!r}\n'
         f'{indent}    thrift_spec = {{\n{fields}{indent}    }}\n'
+        f'{indent}{name}.default_spec = {struct.default_spec!r}\n'
+        f'{indent}gen_init({name}, None, {name}.default_spec)\n'
     )
 
 
@@ -83,7 +85,7 @@
             method + '_args', getattr(service, method + '_args'), '    '
         )
         text += '\n' + _struct(method + '_result', result, '    ')
-        text += f'        oneway = {result.oneway!r}\n'
+        text += f'    {method}_result.oneway = {result.oneway!r}\n'
     return text
 
 
