--- a/packages/core/src/sassafrasridge_core/sessions.py
+++ b/packages/core/src/sassafrasridge_core/sessions.py
@@ -4,9 +4,6 @@
 import hashlib
 import json
 
-import itsdangerous
-from itsdangerous import encoding
-
 from sassafrasridge_core import errors
 from sassafrasridge_core import model
 
@@ -34,6 +31,13 @@
     """
 
     def __init__(self, secret: bytes, ttl_s: float = TOKEN_TTL_S) -> None:
+        # Processes that serve sessions of the users' platform sign no tokens
+        # and start sooner without this import.
+        import itsdangerous
+        from itsdangerous import encoding
+
+        self._encoding = encoding
+        self._bad_data = itsdangerous.BadData
         self._signer = itsdangerous.Signer(
             secret,
             salt=_SALT,
@@ -49,7 +53,7 @@
             for group, position in positions.items()
         }
         payload = json.dumps([int(now), groups], separators=(',', ':'))
-        encoded = encoding.base64_encode(payload)
+        encoded = self._encoding.base64_encode(payload)
         return self._signer.sign(encoded).decode('ascii')
 
     def load(self, token: str, now: float) -> dict[str, model.Position]:
@@ -62,13 +66,15 @@
             raise _forged_token_error()
         try:
             payload = self._signer.unsign(token)
-            issued_at, groups = json.loads(encoding.base64_decode(payload))
+            issued_at, groups = json.loads(
+                self._encoding.base64_decode(payload)
+            )
             positions = {
                 group: _checked_position(*pair)
                 for group, pair in groups.items()
             }
         except (
-            itsdangerous.BadData,
+            self._bad_data,
             ValueError,
             TypeError,
             AttributeError,
--- a/packages/node/src/sassafrasridge_node/idl.py
+++ b/packages/node/src/sassafrasridge_node/idl.py
@@ -17,7 +17,6 @@
 _SOURCE = _FOLDER / 'ridge.thrift'
 COMPILED_NAME = 'ridge_compiled'
 _HEADER = """# Generated from ridge.thrift; see sassafrasridge_node.idl.
-from thriftpy2.thrift import gen_init
 from thriftpy2.thrift import TPayload
 
 SOURCE_DIGEST = {digest!r}
@@ -70,11 +69,22 @@
         f'{indent}class {name}(TPayload):\n'
         f'{indent}    _ttype = {struct._ttype!r}\n'
         f'{indent}    thrift_spec = {{\n{fields}{indent}    }}\n'
+        f'{_init(struct.default_spec, indent + "    ")}'
         f'{indent}{name}.default_spec = {struct.default_spec!r}\n'
-        f'{indent}gen_init({name}, None, {name}.default_spec)\n'
     )
 
 
+def _init(default_spec: list[tuple[str, typing.Any]], indent: str) -> str:
+    """Return the constructor that thriftpy2 would compile at run time."""
+    if any(default is not None for _, default in default_spec):
+        raise TypeError('cannot compile a default value of ridge.thrift')
+    names = [name for name, _ in default_spec]
+    parameters = ''.join(f', {name}=None' for name in names)
+    body = ''.join(f'{indent}    self.{name} = {name}\n' for name in names)
+    head = f'{indent}def __init__(self{parameters}):\n'
+    return head + (body or f'{indent}    pass\n')
+
+
 def _service(name: str, service: typing.Any) -> str:
     text = f'\n\nclass {name}:\n'
     text += f'    thrift_services = {service.thrift_services!r}\n'
--- a/tests/platform/test_start.py
+++ b/tests/platform/test_start.py
@@ -16,6 +16,7 @@
 NOT_AT_START = (
     'cherrypy',
     'eliot',
+    'itsdangerous',
     'prometheus_client',
     'sassafrasridge_core.raft',
     'sassafrasridge_node.control',
@@ -110,7 +111,9 @@
 
         def shape_of(struct):
             fields = {n: shape(s) for n, s in struct.thrift_spec.items()}
-            return list(fields.items()), struct.default_spec, struct._ttype
+            made = sorted(vars(struct()))
+            spec = struct.default_spec
+            return list(fields.items()), spec, struct._ttype, made
 
         for name, found in vars(parsed).items():
             if hasattr(found, 'thrift_services'):
