--- a/packages/node/src/sassafrasridge_node/sessionrouting.py
+++ b/packages/node/src/sassafrasridge_node/sessionrouting.py
@@ -136,6 +136,8 @@
         found = [
             b for b in self._usable_targets(access, primary) if b not in tried
         ]
+        # Without any other target, the read waits for the rate of a cold one.
+        found = [b for b in found if b.takes_statement(now)] or found
         costs = {
             b: self._estimate_cost_s(now, b, access)
             + self._cold_cost_s(now, b, primary)
@@ -184,7 +186,7 @@
             and backend.circuit.ready(now)
             and (backend is primary or not backend.is_primary())
             and regionrules.allows_target(self._state, access.regions, backend)
-            and backend.takes_statement(now)
+            and backend.cold_limit(now) != 0
         ]
 
     def replicas(self, access: Access) -> list[sessionpool.SessionBackend]:
--- a/tests/node/test_coldtargets.py
+++ b/tests/node/test_coldtargets.py
@@ -52,6 +52,13 @@
         assert batches(process, 's') >= 27
         assert batches(process, 'p') == 0
 
+    def test_without_another_target_a_read_waits_for_the_rate(self):
+        """Guards against refusals and suspicions while all are cold."""
+        process = entry_process({'r': 2.0, 's': -1.0, 'p': -1.0})
+        results = process.run(*[front.read()] * 3)
+        assert {r.failure for r in results} == {None}
+        assert batches(process, 'r') == 3
+
     def test_an_expired_grant_is_not_used(self):
         """Guards against a process that is cut off from control."""
         process = entry_process({'r': 5.0, 's': None, 'p': None})
