--- a/packages/node/src/sassafrasridge_node/main.py
+++ b/packages/node/src/sassafrasridge_node/main.py
@@ -34,6 +34,7 @@
 from sassafrasridge_node import sessionstate
 from sassafrasridge_node import settings
 from sassafrasridge_node import startup
+from sassafrasridge_node import targetload
 
 if typing.TYPE_CHECKING:
     from sassafrasridge_core import raft
@@ -183,8 +184,13 @@
             self.metrics,
             max_queue=cfg.max_queue,
             max_wait_s=cfg.max_wait,
+            learned_limits=cfg.target_limits == 'learned',
         )
         state.dialer = platform.dialer(source)
+        if state.learned_limits:
+            self._start_task(state.loop_delay.run())
+            for gauge in targetload.target_gauges(state.measured_targets):
+                self.metrics.register(gauge)
         self.state = state
         self._admitter = charging.SharedAdmitter(state, entry_pool)
         self.service = sessionfront.SessionService(
--- a/packages/node/src/sassafrasridge_node/sessionpool.py
+++ b/packages/node/src/sassafrasridge_node/sessionpool.py
@@ -10,6 +10,7 @@
 from sassafrasridge_core import scheduling
 from sassafrasridge_core import slots
 from sassafrasridge_core import statements
+from sassafrasridge_core import targetcapacity
 from sassafrasridge_node import backends
 from sassafrasridge_node import clocks
 from sassafrasridge_node import coldtargets
@@ -17,6 +18,16 @@
 from sassafrasridge_node import logs
 from sassafrasridge_node import metrics
 from sassafrasridge_node import sessionturns
+from sassafrasridge_node import targetcommands
+from sassafrasridge_node import targetload
+
+Command = targetcommands.Command
+Reset = targetcommands.Reset
+SetValue = targetcommands.SetValue
+Prepare = targetcommands.Prepare
+Begin = targetcommands.Begin
+Rollback = targetcommands.Rollback
+Forward = targetcommands.Forward
 
 # A target opens a connection within a round trip and about 30 ms.
 OPEN_TIMEOUT_S = 0.5
@@ -42,6 +53,10 @@
 # connection limit. Connections of lost VMs end within 3 s, one by one.
 FULL_BACKOFF_S = 0.5
 
+# Period after that for which connections to the target are opened one at a
+# time: a multiple of the time in which connections of lost VMs end.
+FULL_CAUTION_S = 5.0
+
 # Period for which a replica that had not reached a required log position is
 # avoided: a multiple of the usual replication delay.
 BEHIND_AVOID_S = 0.15
@@ -59,77 +74,6 @@
 DEFAULT_RTT_S = 0.05
 
 
-class Command:
-    """Represent a command that is sent to a target."""
-
-    __slots__ = ()
-
-
-class Reset(Command):
-    """Drop all session values and prepared statements."""
-
-    __slots__ = ()
-
-
-class SetValue(Command):
-    """Set one session value."""
-
-    __slots__ = ('name', 'value')
-
-    def __init__(self, name: str, value: str) -> None:
-        self.name = name
-        self.value = value
-
-
-class Prepare(Command):
-    """Prepare a statement under a name."""
-
-    __slots__ = ('name', 'text')
-
-    def __init__(self, name: str, text: str) -> None:
-        self.name = name
-        self.text = text
-
-
-class Begin(Command):
-    """Begin a transaction.
-
-    If ``floor`` is given, the target must have applied that log position.
-    """
-
-    __slots__ = ('read_only', 'floor')
-
-    def __init__(self, read_only: bool, floor: model.Position | None) -> None:
-        self.read_only = read_only
-        self.floor = floor
-
-
-class Rollback(Command):
-    """Roll the transaction back."""
-
-    __slots__ = ()
-
-
-class Forward(Command):
-    """Run a client's statement.
-
-    If ``floor`` is given, the target must have applied that log position.
-    ``prepared`` is the target's name of the prepared statement to execute.
-    """
-
-    __slots__ = ('statement', 'floor', 'prepared')
-
-    def __init__(
-        self,
-        statement: statements.Statement,
-        floor: model.Position | None = None,
-        prepared: str = '',
-    ) -> None:
-        self.statement = statement
-        self.floor = floor
-        self.prepared = prepared
-
-
 class TargetAnswer:
     """Hold a target's answer to the last command of a batch.
 
@@ -333,6 +277,8 @@
         self._session_dialer = dialer
         self.pool: AccountPool = AccountPool()  # type: ignore[assignment]
         self.position: model.Position | None = None
+        # Set if the limit of statements is learned.
+        self.load: targetload.TargetLoad | None = None
         self.avoid_until = float('-inf')
         self.rtt_s = DEFAULT_RTT_S
         self._pending_writes: dict[object, float] = {}
@@ -510,28 +456,65 @@
                     statements.ResultCode.TOO_MANY_CONNECTIONS
                 )
             limited = full or self.pool.held >= self.pool.limit
-            if limited and not self.pool.evict():
+            if not self._may_open() or (limited and not self.pool.evict()):
                 return None
             return await self._open(account, deadline)
         finally:
             self._turns.end(work)
 
-    def _free_statements(self) -> int:
-        """Return how many more statements may be sent to the target now."""
+    def statement_limit(self) -> int:
+        """Return how many statements this process may have at the target."""
         limit = slots.statement_limit(
             self.info.slots, self.connection_budget(), self.pool.limit
         )
-        stalled_since = clocks.boottime() - STATEMENT_STALL_S
+        return limit if self.load is None else self.load.limit(limit)
+
+    def _free_statements(self) -> int:
+        """Return how many more statements may be sent to the target now."""
+        stalled_since = clocks.boottime() - self._stall_s()
         running = sum(at > stalled_since for at in self._running.values())
+        limit = self.statement_limit()
         return limit - running - self.pool.opening - self._admitted
 
-    def statement_started(self, conn: SessionConnection) -> None:
+    def _stall_s(self) -> float:
+        if self.load is None:
+            return super()._stall_s()
+        return self.load.stall_s()
+
+    def _may_open(self) -> bool:
+        """Return whether a connection may be opened beside those in progress.
+
+        With learned limits, connections to a target that was full recently
+        are opened one at a time.
+        """
+        return (
+            self.load is None
+            or not self.pool.opening
+            or clocks.boottime() > self._full_until + FULL_CAUTION_S
+        )
+
+    def statement_started(
+        self,
+        conn: SessionConnection,
+        kind: targetcapacity.Kind | None = None,
+    ) -> None:
         """Record that a statement is sent on a connection in use."""
         self._running[conn] = clocks.boottime()
+        if self.load is not None and kind is not None:
+            self.load.started(conn, kind, conn.rtt_s)
+
+    def statement_ended(
+        self,
+        conn: SessionConnection,
+        result_code: statements.ResultCode | None = None,
+    ) -> None:
+        """Record an answer or failure; let a waiting statement go on.
 
-    def statement_ended(self, conn: SessionConnection) -> None:
-        """Record an answer or failure; let a waiting statement go on."""
+        ``result_code`` is None if the statement was given up or not sent.
+        """
         self._running.pop(conn, None)
+        if self.load is not None:
+            self.load.ended(conn, result_code)
         self._dispatch_waiting()
 
     def _cancel_wait(self, fut: asyncio.Future[typing.Any]) -> None:
@@ -560,6 +543,10 @@
                 # this is no evidence against the target.
                 raise backends.refusal_error(model.DEADLINE)
             self.circuit.failure(clocks.boottime())
+            if self.load is not None:
+                # Waiting for one attempt after the other would take longer
+                # than the statements have.
+                self._full_until = float('-inf')
             self._metrics.connection_failures.inc()
             if exc.refused:
                 self._record_refused()
@@ -604,6 +591,8 @@
                 limit=self.pool.limit,
             )
         self._full_until = now + FULL_BACKOFF_S
+        if self.load is not None:
+            self.load.rejected()
 
     def _set_reachable(self, reachable: bool, reason: str = '') -> None:
         """Record whether connections can be opened, and log a change."""
@@ -638,6 +627,9 @@
     def _dispatch_waiting(self) -> None:
         now = clocks.boottime()
         self.refuse_expired(now)
+        if not self._may_open():
+            # A turn might need a connection that may not be opened yet.
+            return
         available = self.pool.idle
         if not self.is_full(now):
             available += self.pool.limit - self.pool.held
--- a/packages/node/src/sassafrasridge_node/sessionprimary.py
+++ b/packages/node/src/sassafrasridge_node/sessionprimary.py
@@ -120,8 +120,9 @@
             self._require_target(op.access)
             self._require_region(op.access)
             now = clocks.boottime()
-            changes.suspect(now, group)
-            until = changes.wait_until(now, group, self._wait_deadline(op))
+            if self._state.usable_primary(group) is None:
+                changes.suspect(now, group)
+            until = changes.retry_until(now, group, self._wait_deadline(op))
             if until is None or until <= now or not self._state.lease_valid():
                 raise sessionbase.SessionError(
                     StatementFailure.NO_PRIMARY, 'no primary is available'
--- a/packages/node/src/sassafrasridge_node/sessionreads.py
+++ b/packages/node/src/sassafrasridge_node/sessionreads.py
@@ -5,6 +5,7 @@
 from sassafrasridge_core import model
 from sassafrasridge_core import statements
 from sassafrasridge_node import clocks
+from sassafrasridge_node import replicareads
 from sassafrasridge_node import sessionbase
 from sassafrasridge_node import sessionpool
 from sassafrasridge_node import sessionprimary
@@ -25,6 +26,7 @@
 
     async def _read(self, op: sessionbase.Operation) -> Result:
         tried: set[sessionpool.SessionBackend] = set()
+        behind: set[sessionpool.SessionBackend] = set()
         floor = await self._await_floor(op)
         error = sessionbase.SessionError(
             StatementFailure.BUSY, 'no target is available for the read'
@@ -36,6 +38,12 @@
             if floor is None:
                 backend, _, conn = await self._acquire_primary(op)
             else:
+                if attempt < attempts - 1:
+                    await self._wait_for_replica(op, floor, tried)
+                else:
+                    # The last attempt is for a target that certainly is not
+                    # behind, which is the primary if all replicas were.
+                    tried |= behind
                 if attempts == MAX_REPLICA_ATTEMPTS and not (
                     self._router.choose_target(op.access, floor, tried)
                 ):
@@ -62,12 +70,23 @@
             commands = self._build_commands(
                 conn, op, None if is_primary else floor
             )
+            sent_at = clocks.boottime()
             answer = await self._send(
                 backend, conn, commands, op.deadline, False
             )
+            if floor is not None and not is_primary:
+                replicareads.record_read(
+                    backend,
+                    self._state.timeline(op.access.group),
+                    floor,
+                    sent_at,
+                    answer.result_code,
+                )
             if answer.result_code is ResultCode.DONE:
                 return sessiontargets.success(answer)
             error = sessiontargets.target_error(answer)
+            if answer.result_code is ResultCode.BEHIND:
+                behind.add(backend)
             if answer.result_code in (
                 ResultCode.TIMED_OUT,
                 ResultCode.REFUSED,
@@ -98,3 +117,23 @@
             op, lambda: choose(op.access, floor)
         )
         return backend, False
+
+    async def _wait_for_replica(
+        self,
+        op: sessionbase.Operation,
+        floor: model.Position,
+        tried: set[sessionpool.SessionBackend],
+    ) -> None:
+        """Wait while no replica has the position, as long as that helps.
+
+        Replicas that were behind may be tried again afterwards.
+        """
+        until = min(self._objective_at(op), self._latest_answer(op))
+        while True:
+            wait_s = self._router.replica_wait_s(
+                op.access, floor, tried, until
+            )
+            if not wait_s:
+                return
+            await asyncio.sleep(wait_s)
+            tried.difference_update(self._router.replicas(op.access))
--- a/packages/node/src/sassafrasridge_node/sessionstate.py
+++ b/packages/node/src/sassafrasridge_node/sessionstate.py
@@ -9,11 +9,14 @@
 from sassafrasridge_core import queueing
 from sassafrasridge_core import scheduling
 from sassafrasridge_core import slots
+from sassafrasridge_core import targetcapacity
 from sassafrasridge_node import backends
 from sassafrasridge_node import clocks
 from sassafrasridge_node import codec
 from sassafrasridge_node import entry
+from sassafrasridge_node import loopdelay
 from sassafrasridge_node import sessionpool
+from sassafrasridge_node import targetload
 from sassafrasridge_node import workclasses
 
 
@@ -22,14 +25,24 @@
 
     All its targets are SessionBackend objects. ``dialer`` opens connections
     for client accounts; it must be set before the first target is added.
+    ``learned_limits`` stands for the setting target_limits = learned.
     """
 
     dialer: sessionpool.SessionDialer
 
-    def __init__(self, *args: typing.Any, **kwargs: typing.Any) -> None:
+    def __init__(
+        self,
+        *args: typing.Any,
+        learned_limits: bool = False,
+        **kwargs: typing.Any,
+    ) -> None:
         super().__init__(*args, **kwargs)
         self.primary_changes = primarywait.ChangeTracker()
         self.work_classes = workclasses.WorkClasses(self.config)
+        self.learned_limits = learned_limits
+        self.loop_delay = loopdelay.LoopDelay()
+        # Usual times of statements by group.
+        self._usual_times: dict[str, targetcapacity.UsualTimes] = {}
         # Connections and slots by group, in a configuration revision.
         self._budgets: dict[str, tuple[int, int]] = {}
         self._budgets_revision = -1
@@ -53,8 +66,18 @@
             info.group, self._is_primary(info.group, info.server)
         )
         backend.serving = self.serves(info.group)
+        if self.learned_limits:
+            backend.load = targetload.TargetLoad(
+                info.server,
+                info.group,
+                self._group_times(info.group),
+                self.loop_delay,
+            )
         return backend
 
+    def _group_times(self, group: str) -> targetcapacity.UsualTimes:
+        return self._usual_times.setdefault(group, targetcapacity.UsualTimes())
+
     def queue_kind(self) -> type[queueing.Queue]:
         """Return the kind of queue that statements wait in."""
         return super().queue_kind() if self.plain else scheduling.PriorityQueue
@@ -117,6 +140,14 @@
         """
         return self.served_backends()
 
+    def measured_targets(self) -> list[sessionpool.SessionBackend]:
+        """Return the targets whose load the metrics show."""
+        return [
+            backend
+            for _, backend in self.served_backends()
+            if isinstance(backend, sessionpool.SessionBackend)
+        ]
+
     def _on_serving_sets_change(self) -> None:
         """Stop using targets of groups that other processes serve now.
 
@@ -150,6 +181,7 @@
         # discarded at the failover.
         if view.primary != known.primary or view.changing:
             self.timeline(view.group).forget()
+            self._group_times(view.group).forget(targetload.COMMITTING)
         if view.changing or view.primary != known.primary:
             former = self.backends.get((known.group, known.primary or ''))
             if former is not None:
--- a/packages/node/src/sassafrasridge_node/sessionturns.py
+++ b/packages/node/src/sassafrasridge_node/sessionturns.py
@@ -81,6 +81,10 @@
     def _free_statements(self) -> int:
         """Return how many more statements may be sent to the target now."""
 
+    def _stall_s(self) -> float:
+        """Return after how long a statement no longer counts as running."""
+        return STATEMENT_STALL_S
+
     def _may_start(self, work: scheduling.Work) -> bool:
         """Return whether a new statement may be sent without waiting."""
         free = self._free_statements()
@@ -90,7 +94,7 @@
         """Return how many statements of lower classes may be sent now."""
         if not self.reserves():
             return free
-        stalled_since = clocks.boottime() - STATEMENT_STALL_S
+        stalled_since = clocks.boottime() - self._stall_s()
         running = [c for c, at in self._running.items() if at > stalled_since]
         limit = free + len(running) + self.pool.opening + self._admitted
         limit = min(limit, self.pool.limit)
