--- a/packages/core/src/sassafrasridge_core/errors.py
+++ b/packages/core/src/sassafrasridge_core/errors.py
@@ -182,3 +182,19 @@
         'Replace this member: move the data folder away and run '
         "'sassafrasridge member replace'."
     )
+
+
+class LostLeadershipError(RidgeError):
+    """Report a change whose outcome is unknown to this member."""
+
+    kind = 'leader_changed'
+    status = 503
+    outcome = Outcome.UNKNOWN
+    remedy = 'Send the same note again; its number makes that safe.'
+
+
+def unknown_outcome_error() -> LostLeadershipError:
+    """Return the error for a change whose outcome is unknown."""
+    return LostLeadershipError(
+        'leadership changed before the command was applied'
+    )
--- a/packages/node/src/sassafrasridge_node/control.py
+++ b/packages/node/src/sassafrasridge_node/control.py
@@ -31,6 +31,9 @@
 from sassafrasridge_node import rpc
 from sassafrasridge_node import storage
 
+LostLeadershipError = errors.LostLeadershipError
+unknown_outcome_error = errors.unknown_outcome_error
+
 # Longest time between two calls of the replicated log's tick().
 TICK_INTERVAL_S = 0.02
 # Time a proposal may take to be committed and applied.
@@ -57,15 +60,6 @@
 ]
 
 
-class LostLeadershipError(errors.RidgeError):
-    """Report a change whose outcome is unknown to this member."""
-
-    kind = 'leader_changed'
-    status = 503
-    outcome = errors.Outcome.UNKNOWN
-    remedy = 'Send the same note again; its number makes that safe.'
-
-
 class NoLeaderError(errors.UnavailableError):
     """Report that no control leader is known."""
 
@@ -672,13 +666,6 @@
             return _command_error(error)
 
 
-def unknown_outcome_error() -> LostLeadershipError:
-    """Return the error for a change whose outcome is unknown."""
-    return LostLeadershipError(
-        'leadership changed before the command was applied'
-    )
-
-
 def _command_error(exc: errors.RidgeError) -> typing.Any:
     return rpc.idl.CommandReply(
         ok=False,
--- a/packages/node/src/sassafrasridge_node/operators.py
+++ b/packages/node/src/sassafrasridge_node/operators.py
@@ -101,9 +101,7 @@
                 )
             except rpc.RpcError as exc:
                 if exc.sent:
-                    from sassafrasridge_node import control
-
-                    raise control.unknown_outcome_error()
+                    raise errors.unknown_outcome_error()
                 continue
             if reply.status != 503:
                 return reply
