Count the statements to a cold target over 1.125 s

Each process counted exactly one second. Statements take unequal times to the target: on a busy machine (load 24) 13 arrived within one second at a rate of 8.

--- a/packages/core/src/sassafrasridge_core/coldlimits.py
+++ b/packages/core/src/sassafrasridge_core/coldlimits.py
@@ -3,8 +3,8 @@
 A target that has just started may get at most a fixed number of statements in
 any second, over all entry processes together. The leader divides this number
 among the holders of connection grants for the target. A part counts as in use
-from its grant until the grant has expired and one more second has passed,
-because a statement counts for a second after it was sent. A part is granted
+from its grant until the grant has expired and ``WINDOW_S`` has passed, because
+a statement counts for this long after it was sent. A part is granted
 only from what is not in use by others, so the sum never exceeds the rate, also
 if replies are lost, late or repeated.
 
@@ -21,8 +21,11 @@
 from sassafrasridge_core import configuration
 from sassafrasridge_core import slots
 
-# Period over which the statements to a cold target are counted.
-WINDOW_S = 1.0
+# Period over which the statements to a cold target are counted: a second, and
+# a margin because they spend unequal times on the way. Without it, processes
+# that sent 8 statements in each second on a busy machine made 13 of them
+# arrive within one.
+WINDOW_S = 1.125
 NOT_LIMITED = 0.0
 NO_STATEMENTS = -1.0
 # Period after the first connection to a restarted target in which control may
@@ -196,9 +199,9 @@
     """Count the statements of one process to a target in any second.
 
     >>> window = StatementWindow()
-    >>> [window.take(now, 2) for now in (0.0, 0.25, 0.5, 1.0)]
+    >>> [window.take(now, 2) for now in (0.0, 0.25, 0.5, 1.125)]
     [True, True, False, True]
-    >>> window.wait_s(1.0, 2), window.wait_s(1.0, 0)
+    >>> window.wait_s(1.125, 2), window.wait_s(1.125, 0)
     (0.25, inf)
     """
 
@@ -223,7 +226,7 @@
         >>> window.take(0.0, 2), window.take(0.25, 2)
         (True, True)
         >>> [window.wait_s(0.5, 2, ahead) for ahead in range(4)]
-        [0.5, 0.75, 1.5, 1.75]
+        [0.625, 0.875, 1.75, 2.0]
         """
         while self._sent_at and self._sent_at[0] + WINDOW_S <= now:
             self._sent_at.popleft()
