--- a/packages/core/src/sassafrasridge_core/coldlimits.py
+++ b/packages/core/src/sassafrasridge_core/coldlimits.py
@@ -243,33 +243,33 @@
 class TargetLimit:
     """Limit the statements that one process sends to a target.
 
-    The limit is that of the last grant. A target that closed all connections
-    may have restarted: a grant without a limit is then not trusted until
-    control must know of the restart. ``rate`` is that of the last grant.
+    The limit is that of the last grant, ``rate``. A target that closed all
+    connections may have restarted: ``broke`` is then set, and a grant without
+    a limit is not trusted until control must know of the restart.
     """
 
-    __slots__ = ('rate', '_window', '_broke', '_regained_at')
+    __slots__ = ('rate', '_window', 'broke', '_regained_at')
 
     def __init__(self) -> None:
         self.rate = NOT_LIMITED
         self._window = StatementWindow()
-        self._broke = False
+        self.broke = False
         self._regained_at = math.inf
 
     @property
     def active(self) -> bool:
         """Return whether a limit may apply."""
-        return self._broke or self.rate != NOT_LIMITED
+        return self.broke or self.rate != NOT_LIMITED
 
     def granted(self, sent_at: float, rate: float) -> None:
         """Apply the rate of a grant; its renewal was sent at ``sent_at``."""
         self.rate = rate
         if sent_at >= self._regained_at + RESTART_UNKNOWN_S:
-            self._broke = False
+            self.broke = False
 
     def connections_broke(self) -> None:
         """Record that the target closed all connections."""
-        self._broke, self._regained_at = True, math.inf
+        self.broke, self._regained_at = True, math.inf
 
     def connected(self, now: float) -> None:
         """Record that a connection to the target was opened."""
@@ -281,7 +281,7 @@
         ``valid`` tells whether the grant is valid. ``fallback`` is the limit
         for a target that may have restarted, None if the service sets none.
         """
-        restarted = self._broke and fallback is not None
+        restarted = self.broke and fallback is not None
         if self.rate == NOT_LIMITED and not restarted:
             return None
         if not valid:
--- a/packages/node/src/sassafrasridge_node/coldtargets.py
+++ b/packages/node/src/sassafrasridge_node/coldtargets.py
@@ -1,6 +1,7 @@
 """Rate limit of a cold target in an entry process."""
 
 import asyncio
+import collections.abc
 import typing
 
 from sassafrasridge_core import coldlimits
@@ -9,6 +10,10 @@
 from sassafrasridge_node import clocks
 from sassafrasridge_node import logs
 
+# Period within which all connections to a target that restarts break. Some may
+# be opened again before the last one breaks.
+BREAK_PERIOD_S = 0.5
+
 
 class RateLimitedBackend(backends.Backend):
     """Limit the statements that this process sends to a cold target."""
@@ -19,6 +24,8 @@
         # Returns this process's statements/s at a target that may be cold
         # without control knowing, None if the service sets no rate.
         self.cold_fallback: typing.Callable[[], int | None] = lambda: None
+        # When the first of the connections that broke together did.
+        self._broke_at = float('-inf')
         # Statements that wait for the rate.
         self._rate_waiters = 0
 
@@ -81,11 +88,27 @@
                 self._rate_waiters -= 1
             now = clocks.boottime()
 
-    def connections_broke(self) -> None:
-        """Limit the target until control must know whether it restarted."""
+    def connection_broke(
+        self, opened_at: collections.abc.Iterable[float]
+    ) -> None:
+        """Record that the target closed a connection.
+
+        ``opened_at`` are the times at which the remaining ones were opened.
+        If none of them is older than the break, the target may have restarted
+        and is limited until control must know whether it has.
+        """
+        now = clocks.boottime()
+        if now > self._broke_at + BREAK_PERIOD_S:
+            self._broke_at = now
+        remaining = list(opened_at)
+        if any(at < self._broke_at for at in remaining):
+            return
+        known = self.cold.broke
         self.cold.connections_broke()
+        if remaining:
+            self.cold.connected(now)
         rate = self.cold_fallback()
-        if rate is not None:
+        if rate is not None and not known:
             logs.log_event(
                 'target_may_be_cold',
                 server=self.info.server,
--- a/packages/node/src/sassafrasridge_node/sessionpool.py
+++ b/packages/node/src/sassafrasridge_node/sessionpool.py
@@ -122,7 +122,7 @@
         self.account = account
         self.values: dict[str, str] = {}
         self.prepared: set[str] = set()
-        self.used_at = clocks.boottime()
+        self.used_at = self.opened_at = clocks.boottime()
         self.rtt_s = DEFAULT_RTT_S
         self.closed = False
         self.position: model.Position | None = None
@@ -578,8 +578,8 @@
 
     def _connection_closed(self, conn: SessionConnection) -> None:
         self.pool.discard(conn)
-        if conn.broke and not self.pool.connections:
-            self.connections_broke()
+        if conn.broke:
+            self.connection_broke(c.opened_at for c in self.pool.connections)
 
     def _mark_full(self) -> None:
         now = clocks.boottime()
--- a/tests/node/test_coldtargets.py
+++ b/tests/node/test_coldtargets.py
@@ -108,9 +108,14 @@
         process.run(front.read())
         backend = process.backend('r')
         assert backend.cold_limit(clocks.boottime()) is None
-        for conn in list(backend.pool.connections):
+        pool = backend.pool
+        pool.connections.add(front.FakeConnection(backend, 'acme'))
+        for conn in list(pool.connections):
+            assert backend.cold_limit(clocks.boottime()) is None
             conn.broke = True
-            conn.on_close()
+            backend._connection_closed(conn)
+            # One is opened again before the last one breaks.
+            pool.connections.add(front.FakeConnection(backend, 'acme'))
         assert backend.cold_limit(clocks.boottime()) == 2
         process.state.config.service('g').cold_rate = 0.0
         process.state._cold_rates_revision = -1
