--- a/packages/node/src/sassafrasridge_node/sessionpool.py
+++ b/packages/node/src/sassafrasridge_node/sessionpool.py
@@ -53,7 +53,7 @@
 # connection limit. Connections of lost VMs end within 3 s, one by one.
 FULL_BACKOFF_S = 0.5
 
-# Period after that for which connections to the target are opened one at a
+# Period after that for which connections to the target are added one at a
 # time: a multiple of the time in which connections of lost VMs end.
 FULL_CAUTION_S = 5.0
 
@@ -450,13 +450,12 @@
             conn = self.pool.take(account, values)
             if conn is not None:
                 return conn
-            full = self.is_full(clocks.boottime())
-            if full and not self.pool.held:
+            now = clocks.boottime()
+            if self.is_full(now) and not self.pool.held:
                 raise TargetRefusedError(
                     statements.ResultCode.TOO_MANY_CONNECTIONS
                 )
-            limited = full or self.pool.held >= self.pool.limit
-            if not self._may_open() or (limited and not self.pool.evict()):
+            if self._room(now) <= 0 and not self.pool.evict():
                 return None
             return await self._open(account, deadline)
         finally:
@@ -481,17 +480,18 @@
             return super()._stall_s()
         return self.load.stall_s()
 
-    def _may_open(self) -> bool:
-        """Return whether a connection may be opened beside those in progress.
+    def _room(self, now: float) -> int:
+        """Return how many connections may be added now, none if not above 0.
 
         With learned limits, connections to a target that was full recently
-        are opened one at a time.
+        are added one at a time. Replacing an idle one adds none.
         """
-        return (
-            self.load is None
-            or not self.pool.opening
-            or clocks.boottime() > self._full_until + FULL_CAUTION_S
-        )
+        if self.is_full(now):
+            return 0
+        room = self.pool.limit - self.pool.held
+        if self.load is None or now > self._full_until + FULL_CAUTION_S:
+            return room
+        return min(room, max(0, 1 - self.pool.opening))
 
     def statement_started(
         self,
@@ -627,12 +627,7 @@
     def _dispatch_waiting(self) -> None:
         now = clocks.boottime()
         self.refuse_expired(now)
-        if not self._may_open():
-            # A turn might need a connection that may not be opened yet.
-            return
-        available = self.pool.idle
-        if not self.is_full(now):
-            available += self.pool.limit - self.pool.held
+        available = self.pool.idle + self._room(now)
         free = self._free_statements()
         available = min(available - self._admitted, free)
         free_lower = self._free_lower(free)
--- a/tests/node/test_learnedlimits.py
+++ b/tests/node/test_learnedlimits.py
@@ -259,6 +259,38 @@
         loop.run_until_complete(work())
         assert process.opened == 9
 
+    def test_idle_connections_serve_while_one_is_opened(self, loop):
+        """Guards against a stop of all statements after a rejection.
+
+        Load: two accounts, one of which has a connection, at a target that
+        was full and opens connections slowly.
+        """
+        process = Process(configuration.PRIMARY)
+        backend = process.backend('p')
+
+        async def acquire(account):
+            return await backend.acquire(
+                account, scheduling.UNIFORM, clocks.boottime() + 1, {}
+            )
+
+        async def work():
+            backend.pool.limit = 3
+            held = [await acquire('a'), await acquire('a')]
+            for conn in held:
+                backend.statement_ended(conn)
+            backend._full_until = clocks.boottime()
+            await asyncio.sleep(0.01)
+            opening = asyncio.ensure_future(acquire('b'))
+            await asyncio.sleep(0.001)
+            waiting = asyncio.ensure_future(acquire('a'))
+            await asyncio.sleep(0.001)
+            backend.release(held[0], clean=True)
+            assert await waiting is held[0]
+            assert not opening.done()
+            await opening
+
+        loop.run_until_complete(work())
+
 
 class TestSlowProcess:
     """Load: 20 reads a second on a VM at a fifth of its speed."""
