--- a/packages/core/src/sassafrasridge_core/configuration.py
+++ b/packages/core/src/sassafrasridge_core/configuration.py
@@ -1,4 +1,7 @@
-"""The active configuration: accounts, keys, services, routes and grants."""
+"""The active configuration: accounts, keys, services, routes and grants.
+
+The zones that operators have taken out of service are stored with it.
+"""
 
 from collections.abc import Iterable
 from typing import Any
@@ -8,7 +11,10 @@
 SERVICE = 'service'
 ROUTE = 'route'
 GRANT = 'grant'
+# Kinds that release notes and whole configurations list.
 KINDS = (ACCOUNT, KEY, SERVICE, ROUTE, GRANT)
+# Changed only by orders of operators, so no note or configuration removes it.
+DRAINED_ZONE = 'drained_zone'
 
 PRIMARY = 'primary'
 BOUNDED_AGE = 'bounded_age'
@@ -22,18 +28,25 @@
     """Hold a client account.
 
     ``rate`` is in statements/s, ``burst`` in statements. ``priority`` 0 is
-    the highest.
+    the highest. ``regions`` are those whose targets may run its statements,
+    empty for all.
     """
 
-    __slots__ = ('name', 'rate', 'burst', 'priority')
+    __slots__ = ('name', 'rate', 'burst', 'priority', 'regions')
 
     def __init__(
-        self, name: str, rate: float, burst: float, priority: int = 0
+        self,
+        name: str,
+        rate: float,
+        burst: float,
+        priority: int = 0,
+        regions: Iterable[str] = (),
     ) -> None:
         self.name = name
         self.rate = rate
         self.burst = burst
         self.priority = priority
+        self.regions = tuple(regions)
 
 
 class Key:
@@ -55,9 +68,18 @@
     """Hold a service.
 
     ``slots`` and ``connections`` are None if the targets announce them.
+    ``cold_rate`` is the maximum rate in statements/s of a target that reports
+    to be cold, 0 for no limit.
     """
 
-    __slots__ = ('name', 'group', 'slots', 'connections', 'policy')
+    __slots__ = (
+        'name',
+        'group',
+        'slots',
+        'connections',
+        'policy',
+        'cold_rate',
+    )
 
     def __init__(
         self,
@@ -66,12 +88,14 @@
         slots: int | None,
         connections: int | None,
         policy: str,
+        cold_rate: float = 0.0,
     ) -> None:
         self.name = name
         self.group = group
         self.slots = slots
         self.connections = connections
         self.policy = policy
+        self.cold_rate = cold_rate
 
 
 class Route:
@@ -82,7 +106,8 @@
     ``consistency`` is one of CONSISTENCIES, ``max_age_s`` the maximum age of
     the data, ``timeout_s`` that of a statement, ``objective_s`` the latency
     objective of an operation, ``idle_s`` the idle timeout of an open
-    transaction, and ``priority`` 0 the highest.
+    transaction, and ``priority`` 0 the highest. ``regions`` are those whose
+    targets may run the route's statements, empty for all.
     """
 
     __slots__ = (
@@ -97,6 +122,7 @@
         'objective_s',
         'idle_s',
         'priority',
+        'regions',
     )
 
     def __init__(
@@ -112,6 +138,7 @@
         objective_s: float = 1.0,
         idle_s: float = 10.0,
         priority: int = 0,
+        regions: Iterable[str] = (),
     ) -> None:
         self.path = path
         self.service = service
@@ -124,6 +151,7 @@
         self.objective_s = objective_s
         self.idle_s = idle_s
         self.priority = priority
+        self.regions = tuple(regions)
 
 
 class Grant:
@@ -136,7 +164,21 @@
         self.service = service
 
 
-Record = Account | Key | Service | Route | Grant
+class DrainedZone:
+    """Hold an availability zone whose targets must not be used.
+
+    ``ordered_at`` is the wall time in s at which ``operator`` ordered it.
+    """
+
+    __slots__ = ('zone', 'ordered_at', 'operator')
+
+    def __init__(self, zone: str, ordered_at: float, operator: str) -> None:
+        self.zone = zone
+        self.ordered_at = ordered_at
+        self.operator = operator
+
+
+Record = Account | Key | Service | Route | Grant | DrainedZone
 
 _RECORD_CLASSES: dict[str, type[Any]] = {
     ACCOUNT: Account,
@@ -144,12 +186,22 @@
     SERVICE: Service,
     ROUTE: Route,
     GRANT: Grant,
+    DRAINED_ZONE: DrainedZone,
 }
 
 
+# Values with which a field is left out of a stored record: the release before
+# the field was added can then still read the record.
+_OMITTED_VALUES: dict[str, Any] = {'regions': (), 'cold_rate': 0.0}
+
+
 def as_dict(record: Record) -> dict[str, Any]:
     """Return the fields of a record as JSON-able values."""
-    return {name: getattr(record, name) for name in record.__slots__}
+    values = {name: getattr(record, name) for name in record.__slots__}
+    for name, omitted in _OMITTED_VALUES.items():
+        if values.get(name) == omitted:
+            del values[name]
+    return values
 
 
 class Change:
@@ -175,7 +227,9 @@
     __slots__ = ('_records', '_key_id_by_digest', '_grants')
 
     def __init__(self) -> None:
-        self._records: dict[str, dict[str, Any]] = {k: {} for k in KINDS}
+        self._records: dict[str, dict[str, Any]] = {
+            kind: {} for kind in _RECORD_CLASSES
+        }
         self._key_id_by_digest: dict[str, str] = {}
         self._grants: set[tuple[str, str]] = set()
 
@@ -200,6 +254,10 @@
         id = self._key_id_by_digest.get(digest)
         return None if id is None else self._records[KEY].get(id)
 
+    def drained_zones(self) -> frozenset[str]:
+        """Return the availability zones that are out of service."""
+        return frozenset(self._records[DRAINED_ZONE])
+
     def is_granted(self, account: str, service: str) -> bool:
         """Return whether the account may use the service."""
         return (account, service) in self._grants
--- a/packages/core/src/sassafrasridge_core/state.py
+++ b/packages/core/src/sassafrasridge_core/state.py
@@ -12,9 +12,11 @@
 from sassafrasridge_core import audit
 from sassafrasridge_core import configuration
 from sassafrasridge_core import errors
+from sassafrasridge_core import grouprecords
 from sassafrasridge_core import model
 from sassafrasridge_core import notes
 from sassafrasridge_core import wholeconfig
+from sassafrasridge_core import zonedrain
 
 # An entry process that lacks more revisions than this gets a full copy.
 MAX_DELTAS = 2_000
@@ -93,46 +95,6 @@
         return {name: getattr(self, name) for name in self.__slots__}
 
 
-def group_as_json(view: model.GroupView) -> dict[str, Any]:
-    """Return a group record as JSON-able values."""
-    return {
-        'group': view.group,
-        'term': view.term,
-        'primary': view.primary,
-        'members': dict(sorted(view.members.items())),
-        'starts': {str(t): view.starts[t] for t in sorted(view.starts)},
-        'changing': view.changing,
-    }
-
-
-def group_from_json(data: dict[str, Any]) -> model.GroupView:
-    """Return the group record from JSON values; raise BadRequestError."""
-    try:
-        view = model.GroupView(
-            data['group'],
-            data['term'],
-            data['primary'],
-            data['members'],
-            {int(term): start for term, start in data['starts'].items()},
-            data['changing'],
-        )
-    except (KeyError, TypeError, ValueError, AttributeError) as exc:
-        raise errors.BadRequestError(f'malformed group record: {exc!r}')
-    valid = (
-        isinstance(view.group, str)
-        and isinstance(view.term, int)
-        and (view.primary is None or isinstance(view.primary, str))
-        and all(isinstance(a, str) for a in view.members.values())
-        and all(isinstance(start, int) for start in view.starts.values())
-        and isinstance(view.changing, bool)
-    )
-    if not valid:
-        raise errors.BadRequestError(
-            'a field of the group record has the wrong type'
-        )
-    return view
-
-
 class State:
     """Apply committed commands deterministically.
 
@@ -179,6 +141,7 @@
             'group': self._apply_group,
             'entry': self._apply_entry,
             'audit': self._apply_audit,
+            'zone': self._apply_zone,
         }
 
     def apply(self, index: int, command: bytes) -> Reply:
@@ -213,11 +176,10 @@
         except ValueError:
             long_enough = False
         if not long_enough:
-            message = (
+            raise errors.BadRequestError(
                 'the session secret is not a hex string of at least '
                 f'{MIN_SECRET_BYTES} bytes'
             )
-            raise errors.BadRequestError(message)
         self.session_secret = secret
         self._add_delta([['session_secret', '', secret]])
         self._append_to_trail(body, 'init', True, 'created the session secret')
@@ -349,11 +311,11 @@
         return Reply(True, 200, {})
 
     def _apply_group(self, body: _Command) -> Reply:
-        view = group_from_json(body.get('group') or {})
+        view = grouprecords.from_json(body.get('group') or {})
         previous = self.groups.get(view.group)
         if previous is not None:
             _check_group_successor(previous, view)
-            if group_as_json(previous) == group_as_json(view):
+            if grouprecords.as_json(previous) == grouprecords.as_json(view):
                 revision = self.groups_revision
                 return Reply(True, 200, {'groups_revision': revision})
         self.groups_revision += 1
@@ -408,6 +370,13 @@
         )
         return Reply(True, 200, {})
 
+    def _apply_zone(self, body: _Command) -> Reply:
+        order = zonedrain.ZoneOrder(self.tables, body)
+        if order.changes:
+            self._add_delta(order.changes)
+            self._append_to_trail(body, 'zone', True, order.summary)
+        return Reply(True, 200, order.answer)
+
     def _append_to_trail(
         self,
         body: _Command,
@@ -490,7 +459,8 @@
             self.entries[name].as_json() for name in sorted(self.entries)
         ]
         groups = [
-            group_as_json(self.groups[name]) for name in sorted(self.groups)
+            grouprecords.as_json(self.groups[name])
+            for name in sorted(self.groups)
         ]
         return orjson.dumps(
             {
@@ -547,7 +517,7 @@
         self.tables = configuration.Tables.load(body['tables'])
         self.withdrawn_ids = set(body['withdrawn_ids'])
         self.withdrawn_digests = set(body['withdrawn_digests'])
-        views = [group_from_json(group) for group in body['groups']]
+        views = [grouprecords.from_json(group) for group in body['groups']]
         self.groups = {view.group: view for view in views}
         self.groups_revision = body['groups_revision']
         self.group_revisions = body['group_revisions']
@@ -683,6 +653,14 @@
         """Return all client accounts."""
         return self._tables.all(configuration.ACCOUNT)
 
+    def routes(self) -> Iterable[configuration.Route]:
+        """Return the routes, ordered by path."""
+        return self._tables.all(configuration.ROUTE)
+
     def services(self) -> Iterable[configuration.Service]:
         """Return all services."""
         return self._tables.all(configuration.SERVICE)
+
+    def drained_zones(self) -> frozenset[str]:
+        """Return the availability zones that are out of service."""
+        return self._tables.drained_zones()
--- a/packages/node/src/sassafrasridge_node/backends.py
+++ b/packages/node/src/sassafrasridge_node/backends.py
@@ -8,6 +8,7 @@
 from sassafrasridge_core import errors
 from sassafrasridge_core import model
 from sassafrasridge_core import queueing
+from sassafrasridge_core import scheduling
 from sassafrasridge_core import slots
 from sassafrasridge_node import clocks
 from sassafrasridge_node import connections
@@ -36,6 +37,10 @@
 # and there is no older idle connection to compare with.
 CONNECTION_SILENT_AFTER_S = 1.5
 
+DRAINED_REASON = 'the availability zone is drained'
+# Limit for a target of a drained availability zone.
+DRAINED_LIMIT = slots.Limit(0, 0)
+
 # How long the leaving flag of a target stays valid after the target was last
 # heard from. A target may come back after it left.
 LEAVING_FLAG_TTL_S = 3.0
@@ -53,17 +58,20 @@
     """Represent a queued request that waits for a connection.
 
     ``primary`` is set if the request can be served only by the primary.
+    ``work`` describes the statement of a session.
     """
 
-    __slots__ = ('fut', 'primary')
+    __slots__ = ('fut', 'primary', 'work')
 
     def __init__(
         self,
         fut: 'asyncio.Future[connections.TargetConnection]',
         primary: bool,
+        work: scheduling.Work = scheduling.UNIFORM,
     ) -> None:
         self.fut = fut
         self.primary = primary
+        self.work = work
 
 
 class Backend:
@@ -95,6 +103,8 @@
         self._had_grant = False
         self.announced_at = float('-inf')
         self.success_at = float('-inf')
+        # Whether the target must not be used, because its zone is drained.
+        self.drained = False
         self.role = info.role
         # The term for which the server accepts calls. While the server is
         # fenced, it is higher than the term of the server's log.
@@ -123,9 +133,13 @@
         )
 
     async def _wait_in_queue(
-        self, account: str, deadline: float, primary: bool
+        self,
+        account: str,
+        deadline: float,
+        primary: bool,
+        work: scheduling.Work = scheduling.UNIFORM,
     ) -> typing.Any:
-        """Wait in the fair queue; return what the ticket's future holds.
+        """Wait in the queue; return what the ticket's future holds.
 
         Raises UnavailableError if the queue is full or the deadline passes.
         """
@@ -133,8 +147,8 @@
         fut: asyncio.Future[typing.Any] = (
             asyncio.get_running_loop().create_future()
         )
-        ticket = Ticket(fut, primary)
-        refusal = self.queue.push(now, account, ticket, 1.0, deadline)
+        ticket = Ticket(fut, primary, work)
+        refusal = self._push(now, account, ticket, deadline)
         if refusal is not None:
             raise refusal_error(refusal)
         self._dispatch_waiting()
@@ -148,6 +162,11 @@
             self._cancel_wait(fut)
             raise
 
+    def _push(
+        self, now: float, account: str, ticket: Ticket, deadline: float
+    ) -> model.Refusal | None:
+        return self.queue.push(now, account, ticket, 1.0, deadline)
+
     def _cancel_wait(self, fut: 'asyncio.Future[typing.Any]') -> None:
         # The future may have got its result in the same event loop step in
         # which the waiting task was cancelled.
@@ -171,10 +190,13 @@
             conn.close()
         self._dispatch_waiting()
 
-    def apply_grant(self, grant: typing.Any, sent_at: float) -> None:
-        """Apply granted limits of connections and statements in flight."""
+    def apply_grant(self, grant: typing.Any, sent_at: float) -> bool:
+        """Apply granted limits of connections and statements in flight.
+
+        Returns whether the grant is in force, which a late one is not.
+        """
         now = clocks.boottime()
-        if self.share.apply_grant(
+        if not self.share.apply_grant(
             now,
             sent_at,
             grant.base,
@@ -182,20 +204,48 @@
             grant.connections,
             grant.in_flight,
         ):
-            self._had_grant = True
-            self.refresh_limits(now)
+            return False
+        self._had_grant = True
+        self.refresh_limits(now)
+        return True
+
+    def granted_rate(self) -> float:
+        """Return the rate of the last grant in statements/s, 0 for none."""
+        return 0.0
 
     def refresh_limits(self, now: float) -> None:
         """Apply the limits in effect now; they expire with the lease."""
         limit = self.share.limit(now)
         if not limit.connections and self._had_grant:
             limit = EXPIRED_GRANT_LIMIT
+        if self.drained:
+            limit = DRAINED_LIMIT
         if limit != self.limit:
             self.limit = limit
             self.pool.limit = limit.connections
             self.pool.shrink()
             self._dispatch_waiting()
 
+    def set_drained(self, drained: bool) -> None:
+        """Stop using the target, or use it again.
+
+        Idle connections close and waiting requests are sent elsewhere at
+        once. Answers to requests that were sent are still delivered.
+        """
+        if drained == self.drained:
+            return
+        self.drained = drained
+        self.refresh_limits(clocks.boottime())
+        if not drained:
+            return
+        for ticket in self.queue.cancel(lambda _: True):
+            if not ticket.fut.done():
+                ticket.fut.set_exception(
+                    ReplacedError()
+                    if ticket.primary
+                    else UnreachableError(DRAINED_REASON)
+                )
+
     def demand(self) -> float:
         """Return the number of statements in flight or waiting."""
         return float(self.in_flight + len(self.queue))
@@ -208,6 +258,10 @@
         """Return when the target last proved that it works."""
         return self.success_at
 
+    def refused_s(self, now: float) -> float:
+        """Return for how many seconds connections have been refused."""
+        return 0.0
+
     def silent(self, now: float) -> bool:
         """Return whether the target has not been heard from for too long."""
         return now - self.heard_at() > TARGET_SILENT_AFTER_S
@@ -298,6 +352,9 @@
             timer.cancel()
 
     def _start_silence_check(self, conn: connections.TargetConnection) -> None:
+        if self.drained:
+            # The check would open a connection.
+            return
         task = asyncio.ensure_future(self._check_silence(conn))
         self._silence_checks.add(task)
         task.add_done_callback(self._silence_checks.discard)
@@ -434,6 +491,8 @@
         'no_lease': 'this process has no valid lease',
         'no_target': 'no target can serve the request',
         'draining': 'this process is shutting down',
+        'zone_drained': 'all targets are in drained availability zones',
+        'target_cold': 'the target is cold and takes no more statements now',
     }
     return errors.UnavailableError(
         messages.get(refusal.reason, refusal.reason),
--- a/packages/node/src/sassafrasridge_node/codec.py
+++ b/packages/node/src/sassafrasridge_node/codec.py
@@ -45,10 +45,13 @@
     demand: float,
     limit: tuple[int, int],
     serves: bool,
+    refused_s: float = 0.0,
+    rate: float = 0.0,
 ) -> typing.Any:
     """Return the thrift observation of a target.
 
-    ``limit`` is the version and the connections of the last grant.
+    ``limit`` is the version and the connections of the last grant, ``rate``
+    its rate in statements/s.
     """
     return rpc.idl.Observation(
         group=info.group,
@@ -67,6 +70,8 @@
         limit_version=limit[0],
         limit=limit[1],
         serves=serves,
+        refused_s=refused_s or None,
+        rate=rate or None,
     )
 
 
@@ -76,7 +81,11 @@
     """Return the sighting of a thrift observation received at ``now``."""
     info = _target_info(obs, obs.term, obs.position, obs.connections)
     return promotion.TargetObservation(
-        now, obs.announcement_age_s, obs.success_age_s, info
+        now,
+        obs.announcement_age_s,
+        obs.success_age_s,
+        info,
+        obs.refused_s or 0.0,
     )
 
 
--- a/packages/node/src/sassafrasridge_node/control.py
+++ b/packages/node/src/sassafrasridge_node/control.py
@@ -14,6 +14,7 @@
 
 from sassafrasridge_core import directory
 from sassafrasridge_core import errors
+from sassafrasridge_core import grouprecords
 from sassafrasridge_core import leases
 from sassafrasridge_core import membership
 from sassafrasridge_core import model
@@ -458,12 +459,16 @@
         """Return the names of all groups."""
         return list(self.state.groups)
 
+    def drained_zones(self) -> frozenset[str]:
+        """Return the zones whose targets must not be used."""
+        return self.state.tables.drained_zones()
+
     async def commit(self, view: model.GroupView) -> None:
         """Commit the view of a group."""
         reply = await self.propose(
             {
                 'type': 'group',
-                'group': core_state.group_as_json(view),
+                'group': grouprecords.as_json(view),
                 'time': time.time(),
             }
         )
--- a/packages/node/src/sassafrasridge_node/main.py
+++ b/packages/node/src/sassafrasridge_node/main.py
@@ -34,6 +34,7 @@
 from sassafrasridge_node import sessionstate
 from sassafrasridge_node import settings
 from sassafrasridge_node import startup
+from sassafrasridge_node import targetload
 
 if typing.TYPE_CHECKING:
     from sassafrasridge_core import raft
@@ -158,8 +159,7 @@
         await self._serve_rpc(secret)
         if self.member is not None:
             self.member.rpc_address = self.rpc_address()
-        if self.state is not None:
-            self._start_entry(control_pool)
+        self._start_entry(control_pool)
         if self.service is not None and self._session_server is not None:
             self._start_task(self.service.run())
             cfg = self.cfg.entry
@@ -182,8 +182,13 @@
             self.metrics,
             max_queue=cfg.max_queue,
             max_wait_s=cfg.max_wait,
+            learned_limits=cfg.target_limits == 'learned',
         )
         state.dialer = platform.dialer(source)
+        if state.learned_limits:
+            self._start_task(state.loop_delay.run())
+            for gauge in targetload.target_gauges(state.measured_targets):
+                self.metrics.register(gauge)
         self.state = state
         self._admitter = charging.SharedAdmitter(state, entry_pool)
         self.service = sessionfront.SessionService(
@@ -351,6 +356,7 @@
     def _start_entry(self, pool: rpc.ClientPool) -> None:
         if self.state is None or self.cfg.entry is None:
             return
+        self.state.regions = self.cfg.regions
         self.renewer = renewal.LeaseRenewer(
             self.state,
             pool,
--- a/packages/node/src/sassafrasridge_node/ridge.thrift
+++ b/packages/node/src/sassafrasridge_node/ridge.thrift
@@ -44,6 +44,8 @@
   14: i64 limit_version,    // version of the last ConnectionGrant applied
   15: i32 limit,            // connections of that ConnectionGrant
   16: bool serves,          // the entry process is in the serving set
+  17: double refused_s,     // for how long connections have been refused
+  18: optional double rate, // rate of that ConnectionGrant
 }
 
 struct MemberAddress {
@@ -72,6 +74,7 @@
   4: i32 connections,
   5: i32 in_flight,
   6: i64 base,              // version that the entry process reported
+  7: optional double rate,  // statements/s, 0: not limited, below 0: none
 }
 
 struct EntryAddress {
@@ -170,6 +173,7 @@
 struct ChargeCall {
   1: string account,
   2: double wait_s,         // maximum time that the operation can wait
+  3: optional i32 priority, // of the route; absent: 0, the highest
 }
 
 struct ChargeReply {
--- a/packages/node/src/sassafrasridge_node/sessionstate.py
+++ b/packages/node/src/sassafrasridge_node/sessionstate.py
@@ -3,14 +3,21 @@
 import collections.abc
 import typing
 
+from sassafrasridge_core import coldlimits
 from sassafrasridge_core import model
 from sassafrasridge_core import primarywait
+from sassafrasridge_core import queueing
+from sassafrasridge_core import scheduling
 from sassafrasridge_core import slots
+from sassafrasridge_core import targetcapacity
 from sassafrasridge_node import backends
 from sassafrasridge_node import clocks
 from sassafrasridge_node import codec
 from sassafrasridge_node import entry
+from sassafrasridge_node import loopdelay
 from sassafrasridge_node import sessionpool
+from sassafrasridge_node import targetload
+from sassafrasridge_node import workclasses
 
 
 class SessionEntryState(entry.EntryState):
@@ -18,16 +25,32 @@
 
     All its targets are SessionBackend objects. ``dialer`` opens connections
     for client accounts; it must be set before the first target is added.
+    ``learned_limits`` stands for the setting target_limits = learned.
     """
 
     dialer: sessionpool.SessionDialer
 
-    def __init__(self, *args: typing.Any, **kwargs: typing.Any) -> None:
+    def __init__(
+        self,
+        *args: typing.Any,
+        learned_limits: bool = False,
+        **kwargs: typing.Any,
+    ) -> None:
         super().__init__(*args, **kwargs)
         self.primary_changes = primarywait.ChangeTracker()
+        self.work_classes = workclasses.WorkClasses(self.config)
+        self.learned_limits = learned_limits
+        self.loop_delay = loopdelay.LoopDelay()
+        # Usual times of statements by group.
+        self._usual_times: dict[str, targetcapacity.UsualTimes] = {}
         # Connections and slots by group, in a configuration revision.
         self._budgets: dict[str, tuple[int, int]] = {}
         self._budgets_revision = -1
+        # Rates of cold targets by group, in a configuration revision.
+        self._cold_rates: dict[str, float] = {}
+        self._cold_rates_revision = -1
+        # Whether a session was authorized for some regions only.
+        self.regions_in_use = False
 
     def new_backend(self, info: model.TargetInfo) -> backends.Backend:
         """Return a new backend for a target."""
@@ -37,9 +60,27 @@
         backend.is_primary = lambda: self._is_primary(info.group, info.server)
         backend.probe_account = self._any_account
         backend.connection_budget = lambda: self._connection_budget(info.group)
+        backend.cold_fallback = lambda: self._cold_fallback(info.group)
+        backend.reserves = lambda: self.work_classes.reserves(
+            info.group, self._is_primary(info.group, info.server)
+        )
         backend.serving = self.serves(info.group)
+        if self.learned_limits:
+            backend.load = targetload.TargetLoad(
+                info.server,
+                info.group,
+                self._group_times(info.group),
+                self.loop_delay,
+            )
         return backend
 
+    def _group_times(self, group: str) -> targetcapacity.UsualTimes:
+        return self._usual_times.setdefault(group, targetcapacity.UsualTimes())
+
+    def queue_kind(self) -> type[queueing.Queue]:
+        """Return the kind of queue that statements wait in."""
+        return super().queue_kind() if self.plain else scheduling.PriorityQueue
+
     def _is_primary(self, group: str, server: str) -> bool:
         view = self.groups.get(group)
         return view is not None and view.primary == server
@@ -54,6 +95,21 @@
             self._budgets = slots.service_budgets(self.config.services())
         return self._budgets.get(group, (0, 0))[0]
 
+    def _cold_fallback(self, group: str) -> int | None:
+        """Return an equal part of a group's cold rate in statements/s.
+
+        Returns None if its services set no rate.
+        """
+        if self._cold_rates_revision != self.config.revision:
+            self._cold_rates_revision = self.config.revision
+            self._cold_rates = coldlimits.service_rates(self.config.services())
+        rate = self._cold_rates.get(group)
+        if rate is None:
+            return None
+        # Without a statement no connection is opened, and the end of the doubt
+        # depends on one.
+        return max(1, int(rate) // max(1, len(self.serving_set(group))))
+
     def _any_account(self) -> str:
         return next((a.name for a in self.config.accounts()), '')
 
@@ -83,6 +139,14 @@
         """
         return self.served_backends()
 
+    def measured_targets(self) -> list[sessionpool.SessionBackend]:
+        """Return the targets whose load the metrics show."""
+        return [
+            backend
+            for _, backend in self.served_backends()
+            if isinstance(backend, sessionpool.SessionBackend)
+        ]
+
     def _on_serving_sets_change(self) -> None:
         """Stop using targets of groups that other processes serve now.
 
@@ -116,19 +180,62 @@
         # discarded at the failover.
         if view.primary != known.primary or view.changing:
             self.timeline(view.group).forget()
+            self._group_times(view.group).forget(targetload.COMMITTING)
+        if view.changing or view.primary != known.primary:
+            former = self.backends.get((known.group, known.primary or ''))
+            if former is not None:
+                former.on_primary_replaced()
         if view.changing:
             self.primary_changes.begin(clocks.boottime(), view.group)
         else:
             self.primary_changes.end(clocks.boottime(), view.group)
 
-    def usable_primary(self, group: str) -> sessionpool.SessionBackend | None:
-        """Return the primary, or None if this process may not use it."""
+    def primary_reached(self, backend: sessionpool.SessionBackend) -> None:
+        """Record that a target answered; it matters if it is a primary."""
+        if self.primary(backend.info.group) is backend:
+            self.primary_changes.reached(backend.info.group)
+
+    def _on_drained_zones_change(self) -> None:
+        """Expect a change of each primary that is in a drained zone."""
+        now = clocks.boottime()
+        for group, view in self.groups.items():
+            if view.changing:
+                continue
+            found = self.primary(group)
+            if (
+                found is not None
+                and found.drained
+                and not self.out_of_service(group)
+            ):
+                self.primary_changes.begin(now, group)
+            else:
+                self.primary_changes.end(now, group)
+
+    def may_probe(self) -> bool:
+        """Return whether targets may be probed.
+
+        Without a valid configuration, this process doesn't know which zones
+        are drained.
+        """
+        return self.config_valid()
+
+    def acting_primary(self, group: str) -> sessionpool.SessionBackend | None:
+        """Return the primary whose answers this process may deliver.
+
+        It may be in a drained zone: statements that were sent before the
+        order, and open transactions, still end there.
+        """
         if not self.lease_valid():
             return None
         found = self.primary(group)
         if not isinstance(found, sessionpool.SessionBackend):
             return None
-        return None if found.pool.limit == 0 else found
+        return found if found.pool.limit or found.drained else None
+
+    def usable_primary(self, group: str) -> sessionpool.SessionBackend | None:
+        """Return the primary, or None if this process may not use it."""
+        found = self.acting_primary(group)
+        return None if found is None or found.drained else found
 
     def available_targets(
         self, group: str
@@ -139,9 +246,23 @@
             backend
             for backend in self.members(group)
             if isinstance(backend, sessionpool.SessionBackend)
+            and not backend.drained
             and not backend.leaving(now)
         ]
 
+    def sample_primary(self, group: str, server: str, sent_at: float) -> None:
+        """Record the primary's log position that a probe reported.
+
+        Needed for sessions with regions: statements that may not run on the
+        primary don't sample its position, and no replica could prove its age.
+        """
+        if self.regions_in_use:
+            backend = self.backends.get((group, server))
+            if isinstance(backend, sessionpool.SessionBackend):
+                self.sample_position(backend, sent_at)
+        else:
+            super().sample_primary(group, server, sent_at)
+
     def sample_position(
         self, backend: sessionpool.SessionBackend, sent_at: float
     ) -> None:
--- a/tests/core/test_settings.py
+++ b/tests/core/test_settings.py
@@ -46,6 +46,14 @@
         assert result.timing.lease == 0.9
         assert result.timing.renew_interval == 0.3
 
+    def test_regions_map_zones_to_regions(self):
+        """Guards against a statement that runs outside its home regions."""
+        text = VALID.replace('[log]', '[regions]\nz1 = north\n[log]')
+        assert load_settings(text).regions == {'z1': 'north'}
+        assert load_settings(VALID).regions == {}
+        text = VALID.replace('[log]', '[regions]\nz1 =\n[log]')
+        assert ('regions', 'z1') in mistakes_of(text)
+
     def test_advertised_address_must_be_the_one_in_members(self):
         """Guards against a member address that other daemons can't reach."""
         text = VALID.replace(
@@ -64,6 +72,14 @@
         text = VALID.replace('[entry]', '[entry]\npolicy = fair')
         assert ('entry', 'policy') in mistakes_of(text)
 
+    def test_target_limits_are_fixed_unless_learned(self):
+        """Guards against a changed default for existing deployments."""
+        assert load_settings(VALID).entry.target_limits == 'fixed'
+        text = VALID.replace('[entry]', '[entry]\ntarget_limits = learned')
+        assert load_settings(text).entry.target_limits == 'learned'
+        text = VALID.replace('[entry]', '[entry]\ntarget_limits = free')
+        assert ('entry', 'target_limits') in mistakes_of(text)
+
     def test_every_mistake_is_reported(self):
         """Guards against reporting one mistake per start of the daemon."""
         found = mistakes_of(
--- a/tests/node/test_outcomes_fuzz.py
+++ b/tests/node/test_outcomes_fuzz.py
@@ -156,7 +156,10 @@
 
     def __init__(self, group, server, behaviours):
         self.group, self.server, self.behaviours = group, server, behaviours
-        self.info = types.SimpleNamespace(group='g', server=server.name)
+        self.info = types.SimpleNamespace(
+            group='g', server=server.name, zone='z'
+        )
+        self.drained = False
         self.log_term = self.applied = 0
         self.circuit = circuits.Circuit()
         self.in_flight = 0
@@ -287,7 +290,10 @@
         self.writer = writes.Writer(self.state, counters, random.Random(1))
         self.transactions = transactions.Transactions(self.state, self.writer)
         self.adm = types.SimpleNamespace(
-            account='shop', group=GROUP, recheck=lambda: None
+            account='shop',
+            group=GROUP,
+            regions=None,
+            recheck=lambda: None,
         )
         self.calls = []
         self.tasks = []
--- a/tests/node/test_sessionfront.py
+++ b/tests/node/test_sessionfront.py
@@ -11,11 +11,13 @@
 from sassafrasridge_core import configuration
 from sassafrasridge_core import leases
 from sassafrasridge_core import model
+from sassafrasridge_core import scheduling
 from sassafrasridge_core import statements
 from sassafrasridge_node import admission
 from sassafrasridge_node import clocks
 from sassafrasridge_node import connections
 from sassafrasridge_node import metrics
+from sassafrasridge_node import sessionbase
 from sassafrasridge_node import sessionfront
 from sassafrasridge_node import sessionpool
 from sassafrasridge_node import sessionrelay
@@ -29,6 +31,8 @@
 
 KEY = 'a key of the tests'
 
+WORK = scheduling.Work()
+
 
 class FakeConnection(sessionpool.SessionConnection):
     def __init__(self, target, account):
@@ -65,6 +69,7 @@
         )
 
     async def status(self, timeout_s):
+        self.position = self.target.position
         return True
 
     def close(self):
@@ -126,6 +131,13 @@
             sessionrelay.StatementRelay(self.state, None, random.Random(1)),
         )
 
+    def routes(self, consistency):
+        return [
+            configuration.Route(
+                'db', 'g', False, False, 0, consistency, 1.5, 0.5, 0.2
+            )
+        ]
+
     def configure(self, consistency):
         tables = configuration.Tables()
         for kind, key, record in (
@@ -142,13 +154,7 @@
                 'g',
                 configuration.Service('g', 'g', 5, 30, 'adaptive'),
             ),
-            (
-                'route',
-                'db',
-                configuration.Route(
-                    'db', 'g', False, False, 0, consistency, 1.5, 0.5, 0.2
-                ),
-            ),
+            *(('route', r.path, r) for r in self.routes(consistency)),
         ):
             tables.put(kind, key, configuration.as_dict(record))
         self.state.config.load(
@@ -173,13 +179,13 @@
             )
         return FakeConnection(self.targets[info.server], account)
 
-    def session(self):
+    def session(self, database='db'):
         # Rate limits are not the subject of these tests.
-        async def charge(account, deadline):
+        async def charge(account, deadline, priority):
             return None
 
         self.service.admitter.charge_account = charge
-        return self.service.open('db', KEY)
+        return self.service.open(database, KEY)
 
     def run(self, *stmts, session=None):
         async def work():
@@ -455,7 +461,7 @@
         async def work():
             for account in ('a', 'b', 'a'):
                 conn = await backend.acquire(
-                    account, clocks.boottime() + 1, {}
+                    account, WORK, clocks.boottime() + 1, {}
                 )
                 assert conn.account == account
                 backend.release(conn, clean=True)
@@ -470,7 +476,9 @@
         order = []
 
         async def use(account):
-            conn = await backend.acquire(account, clocks.boottime() + 2, {})
+            conn = await backend.acquire(
+                account, WORK, clocks.boottime() + 2, {}
+            )
             order.append(account)
             await asyncio.sleep(0.001)
             backend.release(conn, clean=True)
@@ -489,10 +497,10 @@
         backend = process.backend('p')
 
         async def work():
-            held = await backend.acquire('a', clocks.boottime() + 1, {})
+            held = await backend.acquire('a', WORK, clocks.boottime() + 1, {})
             started = clocks.boottime()
             with pytest.raises(Exception, match='deadline'):
-                await backend.acquire('b', started + 0.05, {})
+                await backend.acquire('b', WORK, started + 0.05, {})
             assert clocks.boottime() - started < 0.5
             backend.release(held, clean=True)
 
@@ -556,7 +564,7 @@
             backend = process.backend('p')
             try:
                 conn = await backend.acquire(
-                    account, clocks.boottime() + 5, {}
+                    account, WORK, clocks.boottime() + 5, {}
                 )
             except sessionpool.TargetRefusedError as exc:
                 refused.append(exc)
@@ -634,14 +642,16 @@
 
         async def work():
             for _ in range(3):
-                conn = await backend.acquire('a', clocks.boottime() + 1, {})
+                conn = await backend.acquire(
+                    'a', WORK, clocks.boottime() + 1, {}
+                )
                 backend.statement_started(conn)
             started = clocks.boottime()
             with pytest.raises(Exception, match='deadline'):
-                await backend.acquire('b', started + 0.05, {})
+                await backend.acquire('b', WORK, started + 0.05, {})
             for conn in backend._running:
                 backend._running[conn] -= sessionpool.STATEMENT_STALL_S
-            await backend.acquire('b', clocks.boottime() + 0.05, {})
+            await backend.acquire('b', WORK, clocks.boottime() + 0.05, {})
 
         asyncio.run(work())
 
@@ -651,14 +661,14 @@
         backend = process.backend('p')
 
         async def work():
-            held = await backend.acquire('a', clocks.boottime() + 1, {})
+            held = await backend.acquire('a', WORK, clocks.boottime() + 1, {})
             with pytest.raises(Exception, match='deadline'):
-                await backend.acquire('b', clocks.boottime() + 0.01, {})
+                await backend.acquire('b', WORK, clocks.boottime() + 0.01, {})
             waiting = asyncio.ensure_future(
-                backend.acquire('c', clocks.boottime() + 1, {})
+                backend.acquire('c', WORK, clocks.boottime() + 1, {})
             )
             cancelled = asyncio.ensure_future(
-                backend.acquire('d', clocks.boottime() + 1, {})
+                backend.acquire('d', WORK, clocks.boottime() + 1, {})
             )
             await asyncio.sleep(0)
             cancelled.cancel()
@@ -694,7 +704,7 @@
         process = EntryProcess()
         process.state.config_valid = lambda: False
         for _ in range(2):
-            with pytest.raises(sessionfront.SessionError) as caught:
+            with pytest.raises(sessionbase.SessionError) as caught:
                 asyncio.run(process.service.open_when_ready('db', KEY))
             assert caught.value.failure is StatementFailure.BUSY
 
@@ -708,7 +718,7 @@
             async with asyncio.timeout(0.1):
                 await process.service.open_when_ready('db', KEY)
 
-        with pytest.raises(sessionfront.SessionError):
+        with pytest.raises(sessionbase.SessionError):
             asyncio.run(work())
 
     def test_a_disconnect_while_opening_leaves_no_session(self):
@@ -751,12 +761,12 @@
         backend = process.backend('p')
 
         async def work():
-            conn = await backend.acquire('a', clocks.boottime() + 1, {})
+            conn = await backend.acquire('a', WORK, clocks.boottime() + 1, {})
             backend.release(conn, clean=True)
             process.refusals_left = 1
             with pytest.raises(sessionpool.TargetRefusedError):
-                await backend.acquire('b', clocks.boottime() + 1, {})
-            taken = await backend.acquire('b', clocks.boottime() + 1, {})
+                await backend.acquire('b', WORK, clocks.boottime() + 1, {})
+            taken = await backend.acquire('b', WORK, clocks.boottime() + 1, {})
             assert conn.closed and taken.account == 'b'
             assert backend.pool.held == 1
 
@@ -767,10 +777,10 @@
         backend = process.backend('p')
 
         async def work():
-            conn = await backend.acquire('a', clocks.boottime() + 1, {})
+            conn = await backend.acquire('a', WORK, clocks.boottime() + 1, {})
             backend._mark_full()
             waiting = asyncio.ensure_future(
-                backend.acquire('a', clocks.boottime() + 1, {})
+                backend.acquire('a', WORK, clocks.boottime() + 1, {})
             )
             await asyncio.sleep(0.01)
             assert not waiting.done()
@@ -823,6 +833,9 @@
     def test_a_write_is_refused_early_if_the_change_takes_too_long(self):
         """Guards against holding callers that can't be served in time."""
         process = EntryProcess()
+        now = clocks.boottime()
+        process.state.primary_changes.begin(now - 2.0, 'g')
+        process.state.primary_changes.end(now, 'g')
         self.change(process, 0.0)
         result, late_s = self.write_during_change(process, 0.15)
         assert result.failure is StatementFailure.NO_PRIMARY
