Abort a transaction whose connection closed after an answer

A statement of a transaction was reported as done although its connection closed with the answer: the setup in its batch had failed, or the pool was closed before the task resumed. The next statement then began an empty transaction on another connection, and COMMIT acknowledged that one without the earlier writes. The closed connection was never released, so the counts of connections in use and the demand stayed one too high.

Release the connection and report the statement as aborted. An answer to COMMIT is delivered as before. The test fails a setup and closes the pool between the answer and the resumption.

--- a/packages/node/src/sassafrasridge_node/sessiontransactions.py
+++ b/packages/node/src/sassafrasridge_node/sessiontransactions.py
@@ -72,11 +72,20 @@
         answer = await self._send(
             backend, conn, commands, op.deadline, writes, keep=True
         )
-        if conn.closed:
+        lost = conn.closed
+        if lost:
+            # Closed by ``_send`` after a failed setup, or with the pool.
+            backend.release(conn, clean=False)
             tx.conn = None
         if commits:
             return self._finish_commit(tx, backend, answer)
         if answer.result_code is ResultCode.DONE:
+            if lost:
+                # The target rolls the transaction back, so a later COMMIT
+                # must not succeed.
+                raise sessionbase.SessionError(
+                    StatementFailure.ABORTED, 'the connection was lost'
+                )
             return sessiontargets.success(answer)
         raise self._statement_error(answer)
 
--- a/tests/node/test_sessionfront.py
+++ b/tests/node/test_sessionfront.py
@@ -365,6 +365,37 @@
             TransactionState.IDLE,
         )
 
+    @pytest.mark.parametrize('cause', ['failed setup', 'closed pool'])
+    def test_a_connection_closed_after_an_answer_aborts(
+        self, cause, monkeypatch
+    ):
+        """Guards against a COMMIT without the earlier write, and a leak."""
+        process = EntryProcess()
+        run = FakeConnection.run
+
+        async def run_and_close(conn, commands, timeout_s):
+            answer = await run(conn, commands, timeout_s)
+            if isinstance(commands[0], sessionpool.SetValue):
+                if cause == 'failed setup':
+                    answer.failed_setup = True
+                else:
+                    process.backend('p').pool.close()
+            return answer
+
+        monkeypatch.setattr(FakeConnection, 'run', run_and_close)
+        change = simple(StatementKind.SET, 'tone', 'deep')
+        _, written, _, lost, ended = process.run(
+            BEGIN, write(), change, write(), COMMIT
+        )
+        assert written.failure is None
+        assert (lost.failure, lost.state) == (
+            StatementFailure.ABORTED,
+            TransactionState.BROKEN,
+        )
+        assert ended.failure is StatementFailure.ABORTED
+        backend = process.backend('p')
+        assert (backend.in_flight, backend._turns._by_conn) == (0, {})
+
     def test_a_lost_commit_is_in_doubt(self):
         process = EntryProcess()
         process.targets['p'].result_codes = [ResultCode.DONE] * 2 + [
