End the wait for a target that was removed or moved

A target that left the list of targets or announced a new address only had its pool closed. Statements in its queue then waited until their time-out, though another target could run them.

Backend.close() fails the waiting requests first, and later ones at once, such as a statement whose turn came just before. The test drops a target in both ways while a statement waits.

--- a/packages/node/src/sassafrasridge_node/backends.py
+++ b/packages/node/src/sassafrasridge_node/backends.py
@@ -38,6 +38,7 @@
 CONNECTION_SILENT_AFTER_S = 1.5
 
 DRAINED_REASON = 'the availability zone is drained'
+REMOVED_REASON = 'the target was removed or has a new address'
 # Limit for a target of a drained availability zone.
 DRAINED_LIMIT = slots.Limit(0, 0)
 
@@ -105,6 +106,8 @@
         self.success_at = float('-inf')
         # Whether the target must not be used, because its zone is drained.
         self.drained = False
+        # Whether the target was removed or replaced by one at a new address.
+        self.closed = False
         self.role = info.role
         # The term for which the server accepts calls. While the server is
         # fenced, it is higher than the term of the server's log.
@@ -143,6 +146,9 @@
 
         Raises UnavailableError if the queue is full or the deadline passes.
         """
+        if self.closed:
+            # The queue of a removed target is never served again.
+            raise _lost_target_error(primary, REMOVED_REASON)
         now = clocks.boottime()
         fut: asyncio.Future[typing.Any] = (
             asyncio.get_running_loop().create_future()
@@ -238,12 +244,23 @@
         self.refresh_limits(clocks.boottime())
         if not drained:
             return
+        self._fail_waiting(DRAINED_REASON)
+
+    def close(self) -> None:
+        """Close the connections of a target that is no longer used.
+
+        Waiting requests are sent elsewhere at once.
+        """
+        self.closed = True
+        self._fail_waiting(REMOVED_REASON)
+        self.pool.close()
+
+    def _fail_waiting(self, reason: str) -> None:
+        """End the wait of all requests."""
         for ticket in self.queue.cancel(lambda _: True):
             if not ticket.fut.done():
                 ticket.fut.set_exception(
-                    ReplacedError()
-                    if ticket.primary
-                    else UnreachableError(DRAINED_REASON)
+                    _lost_target_error(ticket.primary, reason)
                 )
 
     def demand(self) -> float:
@@ -483,6 +500,11 @@
         return True
 
 
+def _lost_target_error(primary: bool, reason: str) -> Exception:
+    """Return the error of a request whose target must not be used."""
+    return ReplacedError() if primary else UnreachableError(reason)
+
+
 def refusal_error(refusal: model.Refusal) -> errors.UnavailableError:
     """Return the error for a request refused for the given reason."""
     messages = {
--- a/packages/node/src/sassafrasridge_node/entry.py
+++ b/packages/node/src/sassafrasridge_node/entry.py
@@ -289,7 +289,7 @@
         key = (info.group, info.server)
         backend = self.backends.get(key)
         if backend is not None and backend.info.address != info.address:
-            backend.pool.close()
+            backend.close()
             backend = None
         if backend is None:
             backend = self.backends[key] = self._create_backend(info)
@@ -380,7 +380,7 @@
         for key, backend in list(self.backends.items()):
             idle = now - backend.announced_at > ANNOUNCEMENT_TTL_S
             if not self.serves(key[0]) and idle and not backend.demand():
-                backend.pool.close()
+                backend.close()
                 del self.backends[key]
                 self._clear_backend_caches()
 
--- a/packages/node/src/sassafrasridge_node/sessionstate.py
+++ b/packages/node/src/sassafrasridge_node/sessionstate.py
@@ -127,7 +127,7 @@
         self.targets_revision = reply.targets_revision
         for key in list(self.backends):
             if key not in listed:
-                self.backends.pop(key).pool.close()
+                self.backends.pop(key).close()
                 self._clear_backend_caches()
 
     def reported_backends(
--- a/tests/node/test_scheduling.py
+++ b/tests/node/test_scheduling.py
@@ -1,6 +1,7 @@
 """Tests of statements of several classes that wait, under one failure."""
 
 import asyncio
+import types
 
 import pytest
 
@@ -11,6 +12,7 @@
 from sassafrasridge_core import statements
 from sassafrasridge_node import admission
 from sassafrasridge_node import clocks
+from sassafrasridge_node import codec
 from sassafrasridge_node import connections
 from tests.node import test_sessionfront as front
 
@@ -184,6 +186,55 @@
         assert len(process.targets['p'].sent()) == 1
         assert len(process.targets['r'].sent()) == 1
 
+    @pytest.mark.parametrize('turn_has_come', [False, True])
+    @pytest.mark.parametrize('removed', [False, True])
+    def test_waiting_statements_leave_a_dropped_target(
+        self, removed, turn_has_come
+    ):
+        """Guards against time-outs in the queue of a removed target."""
+        process = EntryProcess(connections_each=1)
+        process.stalled.add('p')
+
+        async def work():
+            sent = process.start('signoffs', front.write())
+            await settle()
+            waiting = process.start('signoffs', front.write())
+            await settle()
+            backend = process.backend('p')
+            assert len(backend.queue) == 1
+            process.stalled.clear()
+            if turn_has_come:
+                sent.cancel()
+                while len(backend.queue):
+                    await asyncio.sleep(0)
+                assert backend._admitted == 1
+            drop(process, removed)
+            started = clocks.boottime()
+            result = await waiting
+            assert clocks.boottime() - started < 0.2
+            sent.cancel()
+            return result
+
+        def drop(process, removed):
+            if removed:
+                infos = [process.backend(name).info for name in 'rs']
+                reply = types.SimpleNamespace(
+                    targets=[codec.target_to_wire(info) for info in infos],
+                    targets_complete=True,
+                    targets_revision=5,
+                )
+                process.state.apply_targets(reply)
+                process.set_primary(3, 'r')
+            else:
+                process.state.record_announcement(
+                    model.TargetInfo(
+                        'p', 'g', 'z', '10.0.0.9:1', '', 0, 0, 5, 0
+                    )
+                )
+                process.backend('p').pool.limit = 1
+
+        assert asyncio.run(work()).failure is None
+
     def test_an_unreachable_primary_is_a_sign_of_a_change(self):
         """Guards against refusals just before the change is known."""
         process = EntryProcess()
