Check the target again after an opening and each wait for the rate

A drain or a change of primary fails the statements in the queue of the target only. One that waited for a connection to open or for the rate of a cold target was still sent: to a target in a drained zone, or as a write to a former primary.

Check after both whether the target may still be used, and whether it is still the primary if the work needs that; release the connection if not. The tests drain, replace and remove the target during each of the waits.

--- a/packages/node/src/sassafrasridge_node/backends.py
+++ b/packages/node/src/sassafrasridge_node/backends.py
@@ -255,6 +255,16 @@
         self._fail_waiting(REMOVED_REASON)
         self.pool.close()
 
+    def require_usable(self, primary: bool) -> None:
+        """Raise ReplacedError or UnreachableError if it must not be used.
+
+        ``primary`` is set if the request can be served only by the primary.
+        """
+        if self.closed:
+            raise _lost_target_error(primary, REMOVED_REASON)
+        if self.drained:
+            raise _lost_target_error(primary, DRAINED_REASON)
+
     def _fail_waiting(self, reason: str) -> None:
         """End the wait of all requests."""
         for ticket in self.queue.cancel(lambda _: True):
--- a/packages/node/src/sassafrasridge_node/coldtargets.py
+++ b/packages/node/src/sassafrasridge_node/coldtargets.py
@@ -66,10 +66,15 @@
             self._metrics.cold_refusals.inc()
             raise backends.refusal_error(model.TARGET_COLD)
 
-    async def wait_for_rate(self, deadline: float) -> None:
+    async def wait_for_rate(
+        self,
+        deadline: float,
+        check: collections.abc.Callable[[], None] = lambda: None,
+    ) -> None:
         """Wait until the rate allows a statement, and count it.
 
         Raises UnavailableError at once if that is not before the deadline.
+        ``check`` is called after each wait and may raise.
         """
         now = clocks.boottime()
         if self.cold.take(now, self.cold_limit(now)):
@@ -86,6 +91,7 @@
                 await asyncio.sleep(wait_s)
             finally:
                 self._rate_waiters -= 1
+            check()
             now = clocks.boottime()
 
     def connection_broke(
--- a/packages/node/src/sassafrasridge_node/sessionpool.py
+++ b/packages/node/src/sassafrasridge_node/sessionpool.py
@@ -3,6 +3,7 @@
 import abc
 import asyncio
 import collections
+import functools
 import typing
 
 from sassafrasridge_core import errors
@@ -413,7 +414,7 @@
         Waits while this process has as many statements at the target as it
         may. Raises UnavailableError (nothing was run), UnreachableError,
         TargetRefusedError, or ReplacedError if the work needs the primary
-        and another target becomes primary.
+        and the target is not the primary any more.
         """
         self.require_rate(deadline)
         conn = None
@@ -427,7 +428,10 @@
         self._turns.add(conn, work)
         self.in_flight = len(self._in_use)
         try:
-            await self.wait_for_rate(deadline)
+            # A drain or a change of primary fails only queued statements.
+            check = functools.partial(self.require_usable, work.needs_primary)
+            check()
+            await self.wait_for_rate(deadline, check)
         except BaseException:
             self.release(conn, clean=True)
             raise
--- a/packages/node/src/sassafrasridge_node/sessionstate.py
+++ b/packages/node/src/sassafrasridge_node/sessionstate.py
@@ -58,6 +58,9 @@
             info, self.dialer, self.metrics, self.times.lease_s
         )
         backend.is_primary = lambda: self._is_primary(info.group, info.server)
+        backend.is_current_primary = lambda: (
+            self.primary(info.group) is backend
+        )
         backend.probe_account = self._any_account
         backend.connection_budget = lambda: self._connection_budget(info.group)
         backend.cold_fallback = lambda: self._cold_fallback(info.group)
--- a/packages/node/src/sassafrasridge_node/sessionturns.py
+++ b/packages/node/src/sassafrasridge_node/sessionturns.py
@@ -76,11 +76,21 @@
         self.run_times = scheduling.RunTimes()
         # Returns whether a part is reserved for the most urgent class.
         self.reserves: collections.abc.Callable[[], bool] = lambda: False
+        # Returns whether the target is the primary and no change is under way.
+        self.is_current_primary: collections.abc.Callable[[], bool] = lambda: (
+            True
+        )
 
     @abc.abstractmethod
     def _free_statements(self) -> int:
         """Return how many more statements may be sent to the target now."""
 
+    def require_usable(self, primary: bool) -> None:
+        """Raise ReplacedError or UnreachableError if it must not be used."""
+        super().require_usable(primary)
+        if primary and not self.is_current_primary():
+            raise backends.ReplacedError()
+
     def _stall_s(self) -> float:
         """Return after how long a statement no longer counts as running."""
         return STATEMENT_STALL_S
--- a/tests/node/test_coldtargets.py
+++ b/tests/node/test_coldtargets.py
@@ -3,6 +3,7 @@
 import asyncio
 
 import orjson
+import pytest
 
 from sassafrasridge_core import configuration
 from sassafrasridge_core import directory
@@ -60,6 +61,22 @@
         assert {r.failure for r in results} == {None}
         assert batches(process, 'r') == 3
 
+    def test_a_delayed_read_leaves_a_drained_target(self):
+        """Guards against reads of a target whose zone was drained."""
+        process = entry_process({'r': 1.0, 's': -1.0, 'p': -1.0})
+
+        async def work():
+            await process.session().execute(front.read())
+            session = process.session()
+            fut = asyncio.ensure_future(session.execute(front.read()))
+            await asyncio.sleep(0.1)
+            process.backend('r').set_drained(True)
+            await fut
+
+        asyncio.run(work())
+        assert batches(process, 'r') == 1
+        assert process.backend('r').in_flight == 0
+
     def test_an_expired_grant_is_not_used(self):
         """Guards against a process that is cut off from control."""
         process = entry_process({'r': 5.0, 's': None, 'p': None})
@@ -89,6 +106,33 @@
         assert len(done) == batches(process, 'p') == 6
         assert {r.failure for r in results} == {None, BUSY}
 
+    @pytest.mark.parametrize('event', ['drained', 'changing', 'replaced'])
+    def test_a_delayed_write_is_not_sent_to_a_former_primary(self, event):
+        """Guards against writes that a failover or a drain should stop."""
+        process = entry_process({'p': 1.0}, configuration.PRIMARY)
+
+        async def work():
+            result = await process.session().execute(front.write())
+            assert result.failure is None
+            session = process.session()
+            fut = asyncio.ensure_future(session.execute(front.write()))
+            await asyncio.sleep(0.1)
+            if event == 'drained':
+                process.backend('p').set_drained(True)
+            else:
+                changing = event == 'changing'
+                view = model.GroupView('g', 3, 'p', changing=changing)
+                if not changing:
+                    view.primary = 'r'
+                process.state.groups['g'] = view
+            await asyncio.sleep(1.3)
+            assert batches(process, 'p') == 1
+            fut.cancel()
+            await asyncio.wait([fut])
+            assert process.backend('p').in_flight == 0
+
+        asyncio.run(work())
+
     def test_every_statement_of_a_transaction_counts(self):
         """Guards against transactions that pass the rate by."""
         process = entry_process({'p': 3.0}, configuration.PRIMARY)
--- a/tests/node/test_scheduling.py
+++ b/tests/node/test_scheduling.py
@@ -235,6 +235,37 @@
 
         assert asyncio.run(work()).failure is None
 
+    @pytest.mark.parametrize('event', ['drained', 'replaced', 'removed'])
+    def test_a_write_leaves_a_target_lost_while_opening(self, event):
+        """Guards against a write sent where it must not run any more."""
+        process = EntryProcess()
+        opening, released = asyncio.Event(), asyncio.Event()
+        open_conn = process.open
+
+        async def open_slowly(info, account, timeout_s):
+            opening.set()
+            await released.wait()
+            return await open_conn(info, account, timeout_s)
+
+        process.open = open_slowly
+
+        async def work():
+            waiting = process.start('signoffs', front.write())
+            await opening.wait()
+            backend = process.backend('p')
+            if event == 'drained':
+                backend.set_drained(True)
+            elif event == 'removed':
+                backend.close()
+            process.set_primary(3, 'r')
+            released.set()
+            result = await waiting
+            assert backend.in_flight == 0
+            return result
+
+        assert asyncio.run(work()).failure is None
+        assert not process.targets['p'].sent()
+
     def test_an_unreachable_primary_is_a_sign_of_a_change(self):
         """Guards against refusals just before the change is known."""
         process = EntryProcess()
