Admit no statement above the limit when an opening ends

The end of an opening freed its place and dispatched the queue before the new connection counted as in use, so another statement got the same place and the target had one more than the limit.

Count the connection first; dispatch at once only if the opening failed. The test opens connections slowly while more statements wait than are allowed.

--- a/packages/node/src/sassafrasridge_node/sessionpool.py
+++ b/packages/node/src/sassafrasridge_node/sessionpool.py
@@ -437,6 +437,8 @@
             raise
         now = self._running[conn] = clocks.boottime()
         self._account_used_at[account] = now
+        if len(self.queue):
+            self._dispatch_waiting()
         return conn
 
     async def _take_or_open(
@@ -535,12 +537,14 @@
         ):
             raise backends.refusal_error(model.DEADLINE)
         self.pool.opening += 1
+        opened = False
         try:
             conn = await self._session_dialer.open(
                 self.info,
                 account,
                 min(OPEN_TIMEOUT_S, max(0.001, remaining_s)),
             )
+            opened = True
         except connections.ConnectionLostError as exc:
             if remaining_s < OPEN_TIMEOUT_S and clocks.boottime() >= deadline:
                 # The caller's deadline was shorter than the usual timeout, so
@@ -570,10 +574,13 @@
             raise
         finally:
             self.pool.opening -= 1
-            self._dispatch_waiting()
+            if not opened:
+                self._dispatch_waiting()
+        # The caller dispatches once the connection counts as in use or idle;
+        # until then, its place would be given to another statement.
+        self.pool.connections.add(conn)
         self._set_reachable(True)
         self.rtt_s = conn.rtt_s
-        self.pool.connections.add(conn)
         self.cold.connected(clocks.boottime())
         conn.on_close = lambda: self._connection_closed(conn)
         self.success_at = clocks.boottime()
@@ -671,6 +678,7 @@
                 conn = await self._open(
                     self.probe_account(), clocks.boottime() + PROBE_INTERVAL_S
                 )
+                self._dispatch_waiting()
             answered = await conn.status(STATUS_TIMEOUT_S)
         except (
             connections.ConnectionLostError,
@@ -686,4 +694,5 @@
                 self.pool.give_back(conn)
             else:
                 self.pool.discard(conn)
+            self._dispatch_waiting()
         return answered
--- a/tests/node/test_sessionfront.py
+++ b/tests/node/test_sessionfront.py
@@ -523,6 +523,34 @@
         asyncio.run(work())
         assert order.index('small') < 5
 
+    def test_the_end_of_an_opening_admits_no_statement_above_the_limit(self):
+        """Guards against overload whenever a connection was opened."""
+        process = EntryProcess()
+        backend = process.backend('p')
+        backend.statement_limit = lambda: 1
+        running = []
+        open_conn = process.open
+
+        async def open_slowly(info, account, timeout_s):
+            await asyncio.sleep(0.01)
+            return await open_conn(info, account, timeout_s)
+
+        process.open = open_slowly
+
+        async def run_one(account):
+            deadline = clocks.boottime() + 3
+            conn = await backend.acquire(account, WORK, deadline, {})
+            running.append(len(backend._running))
+            await asyncio.sleep(0.02)
+            backend.statement_ended(conn)
+            backend.release(conn, clean=True)
+
+        async def work():
+            await asyncio.gather(*(run_one(account) for account in 'abcd'))
+
+        asyncio.run(work())
+        assert running == [1] * 4
+
     def test_a_connection_that_is_not_free_in_time_is_refused(self):
         process = EntryProcess(connections_each=1)
         backend = process.backend('p')
