Do not count statements given up as answers of a target

A statement that was given up or not sent ended with the outcome NOT_RUN, which counts as an answer. A target that hung while statements were cancelled was therefore never taken as stalled.

Such a statement now has the outcome GIVEN_UP and only leaves the running statements. Answers with codes that tell nothing about the load, such as BEHIND, still count as answers.

Tests: TestStall in core and in node fails without the change.

--- a/packages/core/src/sassafrasridge_core/targetcapacity.py
+++ b/packages/core/src/sassafrasridge_core/targetcapacity.py
@@ -106,6 +106,8 @@
     UNANSWERED = 'unanswered'
     # The statement ended early, for a reason other than load.
     NOT_RUN = 'not_run'
+    # The statement was given up or not sent; the target answered nothing.
+    GIVEN_UP = 'given_up'
 
 
 class SpeedClass(enum.Enum):
@@ -265,6 +267,8 @@
         """
         if self._running.pop(running, self) is self:
             return
+        if outcome is Outcome.GIVEN_UP:
+            return
         idle_s = now - self._answered_at
         if outcome is not Outcome.UNANSWERED:
             self._answered_at = now
--- a/packages/node/src/sassafrasridge_node/targetload.py
+++ b/packages/node/src/sassafrasridge_node/targetload.py
@@ -108,9 +108,9 @@
         if running is None:
             return
         now = clocks.boottime()
-        outcome = Outcome.NOT_RUN
+        outcome = Outcome.GIVEN_UP
         if result_code is not None:
-            outcome = _OUTCOMES.get(result_code, outcome)
+            outcome = _OUTCOMES.get(result_code, Outcome.NOT_RUN)
         elsewhere_s = self._rtt_s + self._loop_delay.seconds()
         self._capacity.ended(now, running, outcome, elsewhere_s)
         speed_class = self._capacity.new_speed_class(now)
--- a/tests/core/test_targetcapacity.py
+++ b/tests/core/test_targetcapacity.py
@@ -8,6 +8,8 @@
 import random
 import statistics
 
+import pytest
+
 from sassafrasridge_core import targetcapacity
 
 SLOTS = 5
@@ -212,6 +214,23 @@
         waits = [p[1].expected_s(110.6, kind, 0.03) for p in load.pairs]
         assert min(waits) > 0.3
 
+    @pytest.mark.parametrize(
+        'outcome, limit', [(Outcome.GIVEN_UP, 1), (Outcome.NOT_RUN, 8)]
+    )
+    def test_only_answers_end_a_stall(self, outcome, limit):
+        """Guards against a stall hidden by statements that are given up.
+
+        Load: a statement that hangs, and one more every 0.1 s that ends.
+        """
+        estimator = targetcapacity.CapacityEstimator(
+            targetcapacity.UsualTimes()
+        )
+        estimator.started(10.0, ('db', 'read'))
+        for step in range(10):
+            running = estimator.started(10.0 + step * 0.1, ('db', 'read'))
+            estimator.ended(10.1 + step * 0.1, running, outcome)
+        assert estimator.limit(11.0, 8) == limit
+
     def test_a_rejection_halves_the_limit_once(self):
         """Guards against falling to one after a burst of rejections."""
         estimator = targetcapacity.CapacityEstimator(
--- a/tests/node/test_learnedlimits.py
+++ b/tests/node/test_learnedlimits.py
@@ -9,8 +9,10 @@
 from sassafrasridge_core import model
 from sassafrasridge_core import scheduling
 from sassafrasridge_core import statements
+from sassafrasridge_core import targetcapacity
 from sassafrasridge_node import clocks
 from sassafrasridge_node import logs
+from sassafrasridge_node import loopdelay
 from sassafrasridge_node import metrics
 from sassafrasridge_node import sessionpool
 from sassafrasridge_node import sessionstate
@@ -226,6 +228,32 @@
         assert process.counts()['p'] == 0
 
 
+class TestStall:
+    @pytest.mark.parametrize(
+        'result_code, limit',
+        [(None, 1), (ResultCode.BEHIND, 8), (ResultCode.NOT_PRIMARY, 8)],
+    )
+    def test_only_answers_end_a_stall(self, loop, result_code, limit):
+        """Guards against a stall hidden by statements that are given up.
+
+        Load: a statement that hangs, and one more every 0.1 s that ends.
+        """
+        load = targetload.TargetLoad(
+            'p', 'g', targetcapacity.UsualTimes(), loopdelay.LoopDelay()
+        )
+        kind = targetload.read_kind('db')
+
+        async def work():
+            load.started('hangs', kind, 0.001)
+            for _ in range(10):
+                load.started('ends', kind, 0.001)
+                await asyncio.sleep(0.1)
+                load.ended('ends', result_code)
+
+        loop.run_until_complete(work())
+        assert load.limit(8) == limit
+
+
 class TestFullTarget:
     def test_connections_are_opened_one_at_a_time_after_a_rejection(
         self, loop
