Halve a learned limit once per event of a full target

A rejected opening was recorded without the time at which it began, so the guard against rejections of what was sent before the last change of the limit never applied: each opening in progress halved the limit, and four of them took it to one.

The pool now passes the time at which the opening began, and the estimator requires it. A test calls _mark_full directly and passes the current time.

Test: test_openings_in_progress_halve_the_limit_once fails without the change.

--- a/packages/core/src/sassafrasridge_core/targetcapacity.py
+++ b/packages/core/src/sassafrasridge_core/targetcapacity.py
@@ -299,7 +299,7 @@
         self._mean_s += weight * (seconds - self._mean_s)
         self._decide(now, running.started, ratio)
 
-    def rejected(self, now: float, started: float = math.inf) -> None:
+    def rejected(self, now: float, started: float) -> None:
         """Halve the limit: the target rejected a statement or connection.
 
         ``started`` is the time at which it was sent. Rejections of what was
--- a/packages/node/src/sassafrasridge_node/sessionpool.py
+++ b/packages/node/src/sassafrasridge_node/sessionpool.py
@@ -530,6 +530,7 @@
             and self.pool.connections
         ):
             raise backends.refusal_error(model.DEADLINE)
+        started = clocks.boottime()
         self.pool.opening += 1
         try:
             conn = await self._session_dialer.open(
@@ -562,7 +563,7 @@
             raise backends.UnreachableError(reason)
         except TargetRefusedError as exc:
             if exc.result_code is statements.ResultCode.TOO_MANY_CONNECTIONS:
-                self._mark_full()
+                self._mark_full(started)
             raise
         finally:
             self.pool.opening -= 1
@@ -581,7 +582,7 @@
         if conn.broke:
             self.connection_broke(c.opened_at for c in self.pool.connections)
 
-    def _mark_full(self) -> None:
+    def _mark_full(self, started: float) -> None:
         now = clocks.boottime()
         if not self.is_full(now):
             logs.log_event(
@@ -592,7 +593,7 @@
             )
         self._full_until = now + FULL_BACKOFF_S
         if self.load is not None:
-            self.load.rejected()
+            self.load.rejected(started)
 
     def _set_reachable(self, reachable: bool, reason: str = '') -> None:
         """Record whether connections can be opened, and log a change."""
--- a/packages/node/src/sassafrasridge_node/targetload.py
+++ b/packages/node/src/sassafrasridge_node/targetload.py
@@ -123,9 +123,12 @@
                 relative_speed=round(self.relative_speed(), 2),
             )
 
-    def rejected(self) -> None:
-        """Record that the target rejected a connection because it is full."""
-        self._capacity.rejected(clocks.boottime())
+    def rejected(self, started: float) -> None:
+        """Record that the full target rejected a connection.
+
+        ``started`` is the time at which its opening began.
+        """
+        self._capacity.rejected(clocks.boottime(), started)
 
     def limit(self, most: int) -> int:
         """Return the number of statements in flight, at most ``most``."""
--- a/tests/node/test_learnedlimits.py
+++ b/tests/node/test_learnedlimits.py
@@ -287,6 +287,40 @@
         loop.run_until_complete(work())
         assert process.opened == 9
 
+    def test_openings_in_progress_halve_the_limit_once(self, loop):
+        """Guards against a limit of one after one event of a full target.
+
+        Load: four accounts whose connections the target rejects one after
+        the other, all of them opened before the first rejection.
+        """
+        process = Process(configuration.PRIMARY)
+        backend = process.backend('p')
+        process.refusals_left = 4
+        opened = process.open
+
+        async def open_later(info, account, timeout_s):
+            await asyncio.sleep(0.01 * int(account))
+            return await opened(info, account, timeout_s)
+
+        process.open = open_later
+
+        async def work():
+            limit = backend.statement_limit()
+            results = await asyncio.gather(
+                *(
+                    backend.acquire(
+                        str(n), scheduling.UNIFORM, clocks.boottime() + 1, {}
+                    )
+                    for n in range(4)
+                ),
+                return_exceptions=True,
+            )
+            refused = sessionpool.TargetRefusedError
+            assert all(isinstance(result, refused) for result in results)
+            assert backend.statement_limit() == limit // 2
+
+        loop.run_until_complete(work())
+
     def test_idle_connections_serve_while_one_is_opened(self, loop):
         """Guards against a stop of all statements after a rejection.
 
--- a/tests/node/test_sessionfront.py
+++ b/tests/node/test_sessionfront.py
@@ -778,7 +778,7 @@
 
         async def work():
             conn = await backend.acquire('a', WORK, clocks.boottime() + 1, {})
-            backend._mark_full()
+            backend._mark_full(clocks.boottime())
             waiting = asyncio.ensure_future(
                 backend.acquire('a', WORK, clocks.boottime() + 1, {})
             )
