Refuse the last live request for a rate token

The last waiting request was found as the greatest entry of a heap. An entry whose request had timed out stays there until it reaches the top, so it hid the last live request, which then waited until its time-out for no token. The search was linear in the waiting requests.

Requests now wait in one ordered dict for each priority. They leave it when they end, and those that ended are dropped when they are met.

Test: test_a_request_that_timed_out_hides_no_live_one fails without the change.

--- a/packages/node/src/sassafrasridge_node/admission.py
+++ b/packages/node/src/sassafrasridge_node/admission.py
@@ -3,8 +3,6 @@
 import asyncio
 import collections
 import collections.abc
-import heapq
-import itertools
 import typing
 
 from sassafrasridge_core import configuration
@@ -225,10 +223,10 @@
     def __init__(self, state: entry.EntryState, account: str) -> None:
         self._state = state
         self._account = account
-        # Priority, number, time-out and future of each request, as a heap.
-        self._waiting: list[tuple[int, int, float, asyncio.Future[None]]] = []
-        self._counts: collections.Counter[int] = collections.Counter()
-        self._numbers = itertools.count()
+        # Requests of each priority with their time-outs, in order of arrival.
+        self._waiting: dict[
+            int, collections.OrderedDict[asyncio.Future[None], float]
+        ] = {}
         self._service = queueing.ServiceRate()
         self._task: asyncio.Task[None] | None = None
 
@@ -238,7 +236,7 @@
         The account's rate bounds all processes together. This process may
         have a part of it, which shows in the rate measured here.
         """
-        ahead = sum(n for p, n in self._counts.items() if p <= priority)
+        ahead = sum(len(w) for p, w in self._waiting.items() if p <= priority)
         wait_s = ahead / max(rate, 1e-9)
         if self._service.measured_s() < MIN_MEASURED_S:
             return wait_s
@@ -247,12 +245,46 @@
 
     def _refuse_last(self, now: float, priority: int, rate: float) -> None:
         """Refuse the last request if more urgent ones leave it no token."""
-        last, _, until, fut = max(self._waiting, key=lambda w: w[:2])
+        found = self._last()
+        if found is None:
+            return
+        last, fut = found
         # The last request itself is not ahead of it.
-        wait_s = (sum(self._counts.values()) - 1) / max(rate, 1e-9)
-        if last > priority and now + wait_s > until and not fut.done():
+        ahead = sum(map(len, self._waiting.values())) - 1
+        wait_s = ahead / max(rate, 1e-9)
+        if last > priority and now + wait_s > self._waiting[last][fut]:
+            self._remove(last, fut)
             fut.set_exception(rate_limited_error(self._account, wait_s))
 
+    def _first(self) -> tuple[int, asyncio.Future[None]] | None:
+        """Return the request to serve next, dropping those that ended."""
+        while self._waiting:
+            priority = min(self._waiting)
+            fut = next(iter(self._waiting[priority]))
+            if not fut.done():
+                return priority, fut
+            self._remove(priority, fut)
+        return None
+
+    def _last(self) -> tuple[int, asyncio.Future[None]] | None:
+        """Return the request to serve last, dropping those that ended."""
+        while self._waiting:
+            priority = max(self._waiting)
+            fut = next(reversed(self._waiting[priority]))
+            if not fut.done():
+                return priority, fut
+            self._remove(priority, fut)
+        return None
+
+    def _remove(self, priority: int, fut: asyncio.Future[None]) -> None:
+        """Remove a request; repeated calls have no effect."""
+        waiting = self._waiting.get(priority)
+        if waiting is None:
+            return
+        waiting.pop(fut, None)
+        if not waiting:
+            del self._waiting[priority]
+
     async def take(self, deadline: float, priority: int = 0) -> None:
         """Take a token, waiting for one if necessary.
 
@@ -271,9 +303,8 @@
         if account.rate <= 0 or wait_s > limit:
             raise rate_limited_error(self._account, wait_s)
         fut: asyncio.Future[None] = asyncio.get_running_loop().create_future()
-        number = next(self._numbers)
-        heapq.heappush(self._waiting, (priority, number, now + limit, fut))
-        self._counts[priority] += 1
+        waiting = self._waiting.setdefault(priority, collections.OrderedDict())
+        waiting[fut] = now + limit
         self._refuse_last(now, priority, account.rate)
         self._service.mark_waiting(now)
         bucket.begin_wait()
@@ -286,22 +317,19 @@
             raise rate_limited_error(self._account, MAX_RATE_WAIT_S)
         finally:
             bucket.end_wait()
-            self._counts[priority] -= 1
+            self._remove(priority, fut)
 
     def _start_serving(self) -> None:
         if self._task is None or self._task.done():
             self._task = asyncio.ensure_future(self._run())
 
     async def _run(self) -> None:
-        while self._waiting:
-            *_, fut = self._waiting[0]
-            if fut.done():
-                heapq.heappop(self._waiting)
-                continue
+        while (found := self._first()) is not None:
+            priority, fut = found
             now = clocks.boottime()
             bucket = self._state.bucket(self._account)
             if bucket.take(now, waited=True):
-                heapq.heappop(self._waiting)
+                self._remove(priority, fut)
                 fut.set_result(None)
                 self._service.record_served(now, 1.0)
                 continue
--- a/tests/node/test_scheduling.py
+++ b/tests/node/test_scheduling.py
@@ -1,6 +1,7 @@
 """Tests of statements of several classes that wait, under one failure."""
 
 import asyncio
+import types
 
 import pytest
 
@@ -264,3 +265,49 @@
         assert order[:2] == [0, 0]
         assert len(order) <= 7
         assert sum(seconds < 0.1 for seconds in refused_s) >= 15
+
+    def test_a_request_that_timed_out_hides_no_live_one(self):
+        """Guards against a wait until the time-out for no token.
+
+        Load: urgent requests that leave no token to a less urgent one, after
+        the least urgent one has timed out.
+        """
+        bucket = types.SimpleNamespace(
+            take=lambda now, waited=False: False,
+            begin_wait=lambda: None,
+            end_wait=lambda: None,
+            wait_time=lambda now: 0.02,
+        )
+        state = types.SimpleNamespace(
+            bucket=lambda account: bucket,
+            config=types.SimpleNamespace(
+                account=lambda name: configuration.Account(name, 4.0, 1.0)
+            ),
+            renew_now=lambda: None,
+        )
+
+        async def work():
+            queue = admission.RateQueue(state, 'acme')
+
+            def start(priority, timeout_s):
+                deadline = clocks.boottime() + timeout_s
+                return asyncio.ensure_future(queue.take(deadline, priority))
+
+            first = start(0, 1.0)
+            await asyncio.sleep(0)
+            await asyncio.wait([start(3, 0.3)])
+            started = clocks.boottime()
+            last = start(2, 1.0)
+            await asyncio.sleep(0)
+            urgent = [start(0, 1.0) for _ in range(3)]
+            with pytest.raises(errors.RateLimitedError):
+                await last
+            waited_s = clocks.boottime() - started
+            for fut in (first, *urgent):
+                fut.cancel()
+            await asyncio.wait([first, *urgent])
+            return waited_s, queue
+
+        waited_s, queue = asyncio.run(work())
+        assert waited_s < 0.5
+        assert not queue._waiting
