Keep the precedence of urgent routes with account priorities

Each class, a pair of a route's and an account's priority, had to get one of any 8 turns. Three priorities of each kind make nine classes, so all of them were served equally. Each turn sorted all classes ever seen.

Route priorities now share the turns, and account priorities share the turns of their route priority, each with one of any 8. The expected wait follows. Empty classes are dropped, except for the last one, which keeps the order of its accounts as FairQueue does.

Tests: the property test checks both guarantees, with four account priorities in place of two. A test of the shares of nine classes and one of the dropped classes fail without the change.

--- a/packages/core/src/sassafrasridge_core/scheduling.py
+++ b/packages/core/src/sassafrasridge_core/scheduling.py
@@ -1,12 +1,14 @@
 """Order of service of the statements that wait for one target.
 
 The statements of a class share service between client accounts. More urgent
-classes are served first, but every waiting class gets a bounded part of the
-turns, so that none starves behind a class that is always busy.
+classes are served first, but every waiting route priority gets a bounded part
+of the turns, and every account priority a bounded part of the turns of its
+route priority, so that none starves behind one that is always busy.
 """
 
 import collections
 from collections.abc import Collection
+from collections.abc import Iterable
 import heapq
 import math
 import typing
@@ -14,7 +16,10 @@
 from sassafrasridge_core import model
 from sassafrasridge_core import queueing
 
-# A waiting class gets at least one of any so many consecutive turns.
+# A waiting route priority gets at least one of any so many consecutive turns,
+# a waiting account priority one of any so many turns of its route priority.
+# If classes shared the turns directly, three priorities of each kind would
+# leave no turn to decide by urgency.
 MAX_TURNS = 8
 
 # Number of recent turns from which the part of each class is estimated.
@@ -147,14 +152,56 @@
         self.lane = lane
 
 
-class _ClassQueue:
-    """Hold the waiting statements of one class.
+class _Turns:
+    """Give turns to waiting priorities, the most urgent first.
 
-    ``entries`` is in order of arrival. ``turns_left`` is the number of turns
-    within which the class has to be served.
+    Each waiting priority gets one of any MAX_TURNS consecutive turns, or of
+    as many turns as there are priorities if these are more.
     """
 
-    __slots__ = ('entries', 'costs', 'turns_left', '_lanes')
+    __slots__ = ('_left',)
+
+    def __init__(self) -> None:
+        # Number of turns within which each priority has to be served.
+        self._left: dict[int, int] = {}
+
+    def __bool__(self) -> bool:
+        return bool(self._left)
+
+    def add(self, priority: int) -> None:
+        self._left.setdefault(priority, MAX_TURNS)
+
+    def remove(self, priority: int) -> None:
+        del self._left[priority]
+
+    def first(self) -> int:
+        return min(self._left)
+
+    def take(self) -> int:
+        """Return the priority that has the next turn, and count the turn."""
+        priority = self._next()
+        for other in self._left:
+            self._left[other] -= 1
+        self._left[priority] = max(MAX_TURNS, len(self._left))
+        return priority
+
+    def _next(self) -> int:
+        """Return the most urgent priority that may have the next turn.
+
+        It is passed over if the others could then not be served within their
+        turns.
+        """
+        first = min(self._left)
+        others = sorted(n for p, n in self._left.items() if p != first)
+        if all(left > place for place, left in enumerate(others, start=1)):
+            return first
+        return min(sorted(self._left), key=self._left.__getitem__)
+
+
+class _ClassQueue:
+    """Hold the waiting statements of one class, in order of arrival."""
+
+    __slots__ = ('entries', 'costs', '_lanes')
 
     def __init__(self) -> None:
         self.entries: dict[_WorkEntry, None] = {}
@@ -162,7 +209,6 @@
         self.costs: list[collections.Counter[str]] = [
             collections.Counter() for _ in range(3)
         ]
-        self.turns_left = MAX_TURNS
         self._lanes = [_rotation(lane) for lane in range(3)]
 
     def add(self, entry: _WorkEntry) -> None:
@@ -222,6 +268,9 @@
 
     def _create_order(self) -> None:
         self._classes: dict[WorkClass, _ClassQueue] = {}
+        # Turns of the route priorities, and in each of the accounts'.
+        self._route_turns = _Turns()
+        self._account_turns: dict[int, _Turns] = {}
         self._by_start: list[tuple[float, int, _WorkEntry]] = []
         self._displaced: list[typing.Any] = []
         self._urgent_count = 0
@@ -323,23 +372,29 @@
         ahead = cost
         if own is not None:
             ahead = own.cost_until_served(account, cost, _lane(work, now))
-        ahead += sum(
-            found.cost()
-            for work_class, found in self._classes.items()
-            if work_class < work.work_class
-        )
-        # Less urgent classes get one turn each of so many.
-        return ahead + sum(
-            min(found.cost(), ahead / (MAX_TURNS - 1))
-            for work_class, found in self._classes.items()
-            if work_class > work.work_class
-        )
+        priority = work.work_class.priority
+        above = 0.0
+        # Cost of less urgent accounts, and by less urgent route priority.
+        accounts: list[float] = []
+        routes: dict[int, float] = collections.defaultdict(float)
+        for work_class, found in self._classes.items():
+            if work_class.priority > priority:
+                routes[work_class.priority] += found.cost()
+            elif work_class.priority < priority:
+                above += found.cost()
+            elif work_class < work.work_class:
+                ahead += found.cost()
+            elif work_class > work.work_class:
+                accounts.append(found.cost())
+        # The less urgent ones get one turn each of so many.
+        ahead += _cost_between(accounts, ahead) + above
+        return ahead + _cost_between(routes.values(), ahead)
 
     def pop(self, now: float, urgent_only: bool = False) -> typing.Any | None:
         """Remove and return the next statement before its deadline, or None.
 
-        With ``urgent_only``, only the most urgent class of the target is
-        served, which doesn't count as a turn.
+        With ``urgent_only``, only the most urgent route priority of the
+        target is served, which doesn't count as a turn of the others.
         """
         self._collect_expired(now)
         self._mark_late(now)
@@ -349,32 +404,14 @@
         return super().pop(now)
 
     def _take_next(self) -> queueing.Entry:
-        waiting = sorted(c for c, q in self._classes.items() if q.entries)
-        work_class = waiting[0]
-        if self._full_turn:
-            work_class = self._next_class(waiting)
-            for other in waiting:
-                self._classes[other].turns_left -= 1
-            turns = max(MAX_TURNS, len(waiting))
-            self._classes[work_class].turns_left = turns
+        turns = self._route_turns
+        priority = turns.take() if self._full_turn else turns.first()
+        account_priority = self._account_turns[priority].take()
+        work_class = WorkClass(priority, account_priority)
         entry = self._classes[work_class].take()
         self._count_served(work_class, entry.cost)
         return entry
 
-    def _next_class(self, waiting: list[WorkClass]) -> WorkClass:
-        """Return the most urgent class that may have the next turn.
-
-        It is passed over if the others could then not be served within their
-        turns.
-        """
-        others = sorted(self._turns_left(c) for c in waiting[1:])
-        if all(left > place for place, left in enumerate(others, start=1)):
-            return waiting[0]
-        return min(waiting, key=self._turns_left)
-
-    def _turns_left(self, work_class: WorkClass) -> int:
-        return self._classes[work_class].turns_left
-
     def waiting(self) -> dict[WorkClass, int]:
         """Return the number of waiting statements of the waiting classes."""
         return {
@@ -400,7 +437,7 @@
         if found is None:
             found = self._classes[work_class] = _ClassQueue()
         if not found.entries:
-            found.turns_left = MAX_TURNS
+            self._add_turns(work_class)
         found.add(added)
         self._urgent_count += added.work.urgent
         if added.lane == _ON_TIME and added.work.due_at < math.inf:
@@ -412,13 +449,40 @@
     def _remove(self, entry: queueing.Entry) -> None:
         super()._remove(entry)
         removed = typing.cast(_WorkEntry, entry)
-        self._classes[removed.work.work_class].remove(removed)
+        work_class = removed.work.work_class
+        found = self._classes[work_class]
+        found.remove(removed)
+        if not found.entries:
+            self._remove_turns(work_class)
+            # The last class keeps the order of its accounts while it is
+            # empty, as FairQueue does.
+            if len(self._classes) > 1:
+                del self._classes[work_class]
         self._urgent_count -= removed.work.urgent
 
+    def _add_turns(self, work_class: WorkClass) -> None:
+        priority, account_priority = work_class
+        self._route_turns.add(priority)
+        turns = self._account_turns.setdefault(priority, _Turns())
+        turns.add(account_priority)
+
+    def _remove_turns(self, work_class: WorkClass) -> None:
+        priority, account_priority = work_class
+        turns = self._account_turns[priority]
+        turns.remove(account_priority)
+        if not turns:
+            del self._account_turns[priority]
+            self._route_turns.remove(priority)
+
     def _cost_until_served(self, account: str, cost: float) -> float:
         return self._cost_ahead(account, cost, UNIFORM, -math.inf)
 
 
+def _cost_between(costs: Iterable[float], ahead: float) -> float:
+    """Return the cost served in the turns of less urgent priorities."""
+    return sum(min(cost, ahead / (MAX_TURNS - 1)) for cost in costs)
+
+
 def _lane(work: Work, now: float) -> int:
     if work.in_transaction:
         return _TRANSACTION
