--- a/packages/node/src/sassafrasridge_node/targetload.py
+++ b/packages/node/src/sassafrasridge_node/targetload.py
@@ -108,9 +108,9 @@
         if running is None:
             return
         now = clocks.boottime()
-        outcome = Outcome.NOT_RUN
+        outcome = Outcome.GIVEN_UP
         if result_code is not None:
-            outcome = _OUTCOMES.get(result_code, outcome)
+            outcome = _OUTCOMES.get(result_code, Outcome.NOT_RUN)
         elsewhere_s = self._rtt_s + self._loop_delay.seconds()
         self._capacity.ended(now, running, outcome, elsewhere_s)
         speed_class = self._capacity.new_speed_class(now)
@@ -123,9 +123,12 @@
                 relative_speed=round(self.relative_speed(), 2),
             )
 
-    def rejected(self) -> None:
-        """Record that the target rejected a connection because it is full."""
-        self._capacity.rejected(clocks.boottime())
+    def rejected(self, started: float) -> None:
+        """Record that the full target rejected a connection.
+
+        ``started`` is the time at which its opening began.
+        """
+        self._capacity.rejected(clocks.boottime(), started)
 
     def limit(self, most: int) -> int:
         """Return the number of statements in flight, at most ``most``."""
