Leave time for the primary when a read waits for a replica

Cause: a read whose replicas were behind waited for them until its objective less the expected time at the primary, so it was late when they stayed behind.

It waits for 0.4 of the objective now.

--- a/packages/node/src/sassafrasridge_node/sessionreads.py
+++ b/packages/node/src/sassafrasridge_node/sessionreads.py
@@ -19,6 +19,9 @@
 # Maximum number of attempts to run a read on replicas, with a pause after each
 # replica was tried, while the primary is outside the regions of the read.
 MAX_REPLICA_ATTEMPTS = 24
+# Share of the objective that a read may wait for a replica's position. The
+# rest is for the primary if the replica is later than expected.
+REPLICA_WAIT_SHARE = 0.4
 
 
 class ReadingSession(sessionprimary.PrimarySession):
@@ -128,12 +131,13 @@
 
         Replicas that were behind may be tried again afterwards.
         """
-        until = min(self._objective_at(op), self._latest_answer(op))
+        wait_s = op.access.route.objective_s * REPLICA_WAIT_SHARE
+        until = min(op.started + wait_s, self._latest_answer(op))
         while True:
-            wait_s = self._router.replica_wait_s(
+            pause_s = self._router.replica_wait_s(
                 op.access, floor, tried, until
             )
-            if not wait_s:
+            if not pause_s:
                 return
-            await asyncio.sleep(wait_s)
+            await asyncio.sleep(pause_s)
             tried.difference_update(self._router.replicas(op.access))
