Keep the metrics thread out of the engine's caches

Cause: rendering the learned limits called serves(), which fills caches of the engine from another thread. It could store a serving set that the engine had just cleared. The gauges read the list of targets and their flag instead.

--- a/packages/node/src/sassafrasridge_node/sessionstate.py
+++ b/packages/node/src/sassafrasridge_node/sessionstate.py
@@ -143,11 +143,16 @@
         return self.served_backends()
 
     def measured_targets(self) -> list[sessionpool.SessionBackend]:
-        """Return the targets whose load the metrics show."""
+        """Return the targets whose load the metrics show.
+
+        It is called in the thread that renders the metrics, so it must not
+        use ``serves``, which fills caches.
+        """
         return [
             backend
-            for _, backend in self.served_backends()
+            for backend in list(self.backends.values())
             if isinstance(backend, sessionpool.SessionBackend)
+            and backend.serving
         ]
 
     def _on_serving_sets_change(self) -> None:
--- a/tests/node/test_learnedlimits.py
+++ b/tests/node/test_learnedlimits.py
@@ -389,7 +389,6 @@
 
     def test_metrics_show_the_limit_and_the_speed(self, loop):
         process = Process(configuration.BOUNDED_AGE)
-        process.state.serves = lambda group: True
         counters = metrics.Metrics()
         for gauge in targetload.target_gauges(process.state.measured_targets):
             counters.register(gauge)
@@ -399,6 +398,17 @@
         assert f'target_statement_limit{labels} 4.0' in text
         assert f'target_relative_speed{labels} 1.0' in text
 
+    def test_metrics_leave_the_caches_of_the_engine_alone(self, loop):
+        """Guards against an outdated cache stored by the metrics thread."""
+        state = Process(configuration.BOUNDED_AGE).state
+        state._serving_sets.clear()
+        state._served_cache = None
+        state.backends['g', 'r'].serving = False
+        servers = {target.info.server for target in state.measured_targets()}
+        assert servers == {'p', 's'}
+        assert not state._serving_sets
+        assert state._served_cache is None
+
 
 def test_by_default_nothing_is_learned():
     """Guards against a changed behaviour of existing deployments."""
