--- a/packages/node/src/sassafrasridge_node/logs.py
+++ b/packages/node/src/sassafrasridge_node/logs.py
@@ -235,8 +235,18 @@
         self._count = 0
         self._suppressed = 0
 
-    def write(self, event: str, **fields: typing.Any) -> None:
-        """Log a decision, or only count it above the limit."""
+    def write(
+        self,
+        event: str,
+        context: typing.Callable[[], dict[str, typing.Any]] = dict,
+        /,
+        **fields: typing.Any,
+    ) -> None:
+        """Log a decision, or only count it above the limit.
+
+        ``context`` returns more fields. It is called only for a decision that
+        is logged, because most are left out when many statements fail.
+        """
         second = int(self._now())
         if second != self._second:
             if self._suppressed:
@@ -246,4 +256,4 @@
         if self._count > MAX_DECISIONS_PER_S:
             self._suppressed += 1
         else:
-            log_event(event, **fields)
+            log_event(event, **fields, **context())
--- a/packages/node/src/sassafrasridge_node/sessionbase.py
+++ b/packages/node/src/sassafrasridge_node/sessionbase.py
@@ -275,6 +275,7 @@
         self._service.metrics.retries.inc()
         self._service.decisions.write(
             'statement_moved',
+            self._decision_context,
             id=stmt.id,
             target=backend.info.server,
             floor=repr(floor) if floor else None,
@@ -282,7 +283,6 @@
             target_age_s=round(clocks.boottime() - backend.success_at, 3),
             reason=error.failure.value,
             detail=error.detail,
-            **self._decision_context(),
         )
 
     def session_state(self) -> TransactionState:
--- a/packages/node/src/sassafrasridge_node/sessionfront.py
+++ b/packages/node/src/sassafrasridge_node/sessionfront.py
@@ -147,12 +147,12 @@
         if failure is not None:
             self._service.decisions.write(
                 'statement_failed',
+                self._decision_context,
                 id=stmt.id,
                 statement=stmt.kind.value,
                 failure=failure.value,
                 detail=result.detail,
                 seconds=round(seconds, 4),
-                **self._decision_context(),
             )
 
     def _fail(self, exc: sessionbase.SessionError) -> Result:
--- a/tests/node/test_logs.py
+++ b/tests/node/test_logs.py
@@ -103,3 +103,22 @@
         file.write('three\n')
         file.drain(1.0)
         assert disk.written == ['{"log_lines_dropped":2}\n', 'three\n']
+
+
+class TestDecisionLog:
+    def test_lines_above_the_limit_cost_no_context(self, monkeypatch):
+        """Guards against work for lines that an overload leaves out."""
+        lines, contexts = [], []
+        monkeypatch.setattr(
+            logs, 'log_event', lambda event, **fields: lines.append(fields)
+        )
+        decisions = logs.DecisionLog(lambda: 10.0)
+
+        def context():
+            contexts.append(1)
+            return {'lease': True}
+
+        for number in range(3 * logs.MAX_DECISIONS_PER_S):
+            decisions.write('statement_failed', context, id=number)
+        assert len(contexts) == len(lines) == logs.MAX_DECISIONS_PER_S
+        assert lines[0] == {'id': 0, 'lease': True}
