--- a/packages/node/src/sassafrasridge_node/sessionreads.py
+++ b/packages/node/src/sassafrasridge_node/sessionreads.py
@@ -1,6 +1,7 @@
-"""Reads outside a transaction."""
+"""Reads, and the begin of transactions that only read."""
 
 import asyncio
+import collections.abc
 
 from sassafrasridge_core import model
 from sassafrasridge_core import statements
@@ -24,9 +25,33 @@
 
 
 class ReadingSession(sessionprimary.PrimarySession):
-    """Run the single reads of a session on replicas or the primary."""
+    """Run the reads of a session on replicas or the primary."""
 
     async def _read(self, op: sessionbase.Operation) -> Result:
+        _, _, answer = await self._run_read(
+            op, lambda conn, floor: self._build_commands(conn, op, floor)
+        )
+        return sessiontargets.success(answer)
+
+    async def _run_read(
+        self,
+        op: sessionbase.Operation,
+        build: collections.abc.Callable[
+            [sessionpool.SessionConnection, model.Position | None],
+            list[sessionpool.Command],
+        ],
+        keep: bool = False,
+    ) -> tuple[
+        sessionpool.SessionBackend,
+        sessionpool.SessionConnection,
+        sessionpool.TargetAnswer,
+    ]:
+        """Run the commands of a read on the best target that accepts them.
+
+        ``build`` returns the commands for a connection, given the position
+        that a replica needs. With ``keep``, the connection is not released
+        after a success. Raises SessionError.
+        """
         tried: set[sessionpool.SessionBackend] = set()
         behind: set[sessionpool.SessionBackend] = set()
         floor = await self._await_floor(op)
@@ -69,14 +94,18 @@
                     self._log_retry(op.stmt, backend, floor, error)
                     continue
             is_primary = self._state.primary(op.access.group) is backend
-            commands = self._build_commands(
-                conn, op, None if is_primary else floor
-            )
             answer = await self._send(
-                backend, conn, commands, op.deadline, False
+                backend,
+                conn,
+                build(conn, None if is_primary else floor),
+                op.deadline,
+                False,
+                keep,
             )
             if answer.result_code is ResultCode.DONE:
-                return sessiontargets.success(answer)
+                return backend, conn, answer
+            if keep:
+                backend.release(conn, clean=sessiontargets.is_clean(answer))
             error = sessiontargets.target_error(answer)
             if answer.result_code is ResultCode.BEHIND:
                 behind.add(backend)
--- a/tests/node/test_laggingreplicas.py
+++ b/tests/node/test_laggingreplicas.py
@@ -10,10 +10,14 @@
 import pytest
 
 from sassafrasridge_core import configuration
+from sassafrasridge_core import statements
 from sassafrasridge_node import clocks
 from tests.node import test_learnedlimits as learned
 from tests.node import test_sessionfront as front
 
+ResultCode = statements.ResultCode
+BEGIN_READ = front.simple(statements.StatementKind.BEGIN_READ)
+
 loop = learned.loop
 
 # At most this share of the reads may be rejected by replicas.
@@ -116,3 +120,33 @@
         loop.run_until_complete(work())
         assert rejected(process) - before <= REJECTED_SHARE * 60
         assert max(seconds) < 1.0
+
+
+class TestBeginOfTransactions:
+    """A transaction's first statement is rejected, and nothing has run."""
+
+    def test_a_read_transaction_begins_at_another_target(self):
+        """Guards against a refusal although the primary can serve it."""
+        process = front.EntryProcess(configuration.BOUNDED_AGE)
+        process.run(front.write())
+        for name in ('r', 's'):
+            process.targets[name].result_codes = [ResultCode.BEHIND] * 2
+        results = process.run(BEGIN_READ, front.read(), front.COMMIT)
+        assert [result.failure for result in results] == [None] * 3
+
+    def test_a_write_transaction_begins_once_the_primary_is_free(self):
+        """Guards against a caller's attempt lost to a full target."""
+        process = front.EntryProcess()
+        process.targets['p'].result_codes = [ResultCode.BUSY] * 2
+        results = process.run(front.BEGIN, front.write(), front.COMMIT)
+        assert [result.failure for result in results] == [None] * 3
+
+    def test_a_lost_begin_is_reported_as_aborted(self):
+        """Guards against an unknown outcome where nothing was kept."""
+        process = front.EntryProcess()
+        process.run(front.write())
+        lost = [ResultCode.LOST] * 9
+        for target in process.targets.values():
+            target.result_codes = list(lost)
+        _, result = process.run(BEGIN_READ, front.read())
+        assert result.failure is statements.StatementFailure.ABORTED
