--- a/packages/core/src/sassafrasridge_core/placement.py
+++ b/packages/core/src/sassafrasridge_core/placement.py
@@ -1,6 +1,7 @@
 """Assignment of entry processes to database groups and accounts."""
 
 from collections.abc import Collection
+from collections.abc import Iterable
 from collections.abc import Mapping
 from collections.abc import Sequence
 
@@ -59,6 +60,17 @@
     return max(entries, key=lambda entry: (_score(account, entry), entry))
 
 
+def account_order(account: str, entries: Iterable[str]) -> list[str]:
+    """Return entry processes in the order in which an account prefers them.
+
+    >>> account_order('acme', ['e1', 'e2', 'e3'])
+    ['e3', 'e1', 'e2']
+    >>> account_order('acme', ['e2', 'e1'])
+    ['e1', 'e2']
+    """
+    return sorted(entries, key=lambda entry: (-_score(account, entry), entry))
+
+
 def _spread_over_zones(
     ranked: list[str], zones: Mapping[str, str]
 ) -> list[str]:
--- a/packages/node/src/sassafrasridge_node/entry.py
+++ b/packages/node/src/sassafrasridge_node/entry.py
@@ -200,6 +200,24 @@
             key=lambda entry: (self.zone_of(entry) != self.zone, rng.random()),
         )
 
+    def relay_order(self, group: str, account: str, zone: str) -> list[str]:
+        """Return the serving set, the best process for an account first.
+
+        The processes in the region of ``zone`` come first. Among them, an
+        account always prefers the same one: connections to targets belong to
+        one account, and a process has fewer of them than there are accounts.
+        """
+        region = self.region_of(zone) or zone
+        near, far = [], []
+        for entry in self.serving_set(group):
+            entry_zone = self.zone_of(entry)
+            is_near = (self.region_of(entry_zone) or entry_zone) == region
+            (near if is_near else far).append(entry)
+        return [
+            *placement.account_order(account, near),
+            *placement.account_order(account, far),
+        ]
+
     def charging_entry(self, account: str) -> str | None:
         """Return the other entry process that charges an account.
 
--- a/packages/node/src/sassafrasridge_node/sessionrelay.py
+++ b/packages/node/src/sassafrasridge_node/sessionrelay.py
@@ -224,17 +224,28 @@
         return self._rng.getrandbits(TRANSACTION_NUMBER_BITS) + 1
 
     def candidates(
-        self, group: str, allowed: regions.Allowed = None
+        self,
+        group: str,
+        account: str,
+        needs_primary: bool,
+        allowed: regions.Allowed = None,
     ) -> list[str]:
         """Return the entry processes that serve a group, best one first.
 
-        Raises OutsideRegionsError if none is in the allowed regions.
+        A statement that needs the primary crosses regions once, on the way
+        to a process near the primary, whose connections need no round trips
+        between regions to open. Raises OutsideRegionsError if none is in the
+        allowed regions.
         """
+        zone = self._state.zone
+        primary = self._state.primary(group) if needs_primary else None
+        if primary is not None and primary.info.zone:
+            zone = primary.info.zone
         return sorted(
             regionrules.serving_entries(
                 self._state,
                 allowed,
-                self._state.near_serving_set(group, self._rng),
+                self._state.relay_order(group, account, zone),
             ),
             key=self._silent_peers.__contains__,
         )
--- a/packages/node/src/sassafrasridge_node/sessionrelaying.py
+++ b/packages/node/src/sassafrasridge_node/sessionrelaying.py
@@ -29,10 +29,15 @@
             waited_s=clocks.boottime() - op.started,
         )
 
-    def _relay_candidates(self, access: sessionrouting.Access) -> list[str]:
+    def _relay_candidates(
+        self, access: sessionrouting.Access, needs_primary: bool
+    ) -> list[str]:
         try:
             return self._service.relays.candidates(
-                access.group, access.regions
+                access.group,
+                access.account,
+                needs_primary or self._router.needs_primary(access),
+                access.regions,
             )
         except regionrules.OutsideRegionsError as exc:
             raise sessionbase.SessionError(
@@ -42,7 +47,7 @@
     async def _relay_single(self, op: sessionbase.Operation) -> Result:
         relays = self._service.relays
         _, answer = await relays.run(
-            self._relay_candidates(op.access),
+            self._relay_candidates(op.access, op.writes),
             self._relay_request(op),
             op.deadline,
             StatementFailure.IN_DOUBT
@@ -64,7 +69,7 @@
                 if tx.read_only
                 else StatementKind.BEGIN
             )
-            entry_names = self._relay_candidates(tx.access)
+            entry_names = self._relay_candidates(tx.access, not tx.read_only)
         req.transaction = tx.number
         commits = op.stmt.kind is StatementKind.COMMIT
         # Before COMMIT, a transaction is lost if the process that runs it does
--- a/tests/node/test_sessionrelay.py
+++ b/tests/node/test_sessionrelay.py
@@ -59,7 +59,7 @@
         }
         state = self.near.state
         state.serves = lambda group: False
-        state.near_serving_set = lambda group, rng: list(self.peers)
+        state.relay_order = lambda group, account, zone: list(self.peers)
         state.entries = {name: name for name in self.peers}
         self.near.service.relays = sessionrelay.StatementRelay(
             state, self, random.Random(1)
