--- a/packages/node/src/sassafrasridge_node/sessionreads.py
+++ b/packages/node/src/sassafrasridge_node/sessionreads.py
@@ -84,6 +84,10 @@
                 backend, has_others = await self._choose_for_read(
                     op, floor, tried
                 )
+                self.read_needed_primary = (
+                    backend.is_primary()
+                    and self._router.all_behind(op.access, floor)
+                )
                 if backend in tried:
                     await self._pause_before_retry(op, backend, attempt, error)
                 tried.add(backend)
--- a/packages/node/src/sassafrasridge_node/sessionrouting.py
+++ b/packages/node/src/sassafrasridge_node/sessionrouting.py
@@ -200,6 +200,14 @@
         """Return the replicas that may serve a read."""
         return self._usable_targets(access, None)
 
+    def all_behind(self, access: Access, floor: model.Position) -> bool:
+        """Return whether every replica is known to lack a position."""
+        timeline = self._state.timeline(access.group)
+        return all(
+            replicareads.catch_up_s(replica, timeline, floor)
+            for replica in self.replicas(access)
+        )
+
     def replica_wait_s(
         self,
         access: Access,
--- a/packages/node/src/sassafrasridge_node/sessionstate.py
+++ b/packages/node/src/sassafrasridge_node/sessionstate.py
@@ -49,8 +49,6 @@
         # Rates of cold targets by group, in a configuration revision.
         self._cold_rates: dict[str, float] = {}
         self._cold_rates_revision = -1
-        # Whether a session was authorized for some regions only.
-        self.regions_in_use = False
 
     def new_backend(self, info: model.TargetInfo) -> backends.Backend:
         """Return a new backend for a target."""
@@ -262,15 +260,12 @@
     def sample_primary(self, group: str, server: str, sent_at: float) -> None:
         """Record the primary's log position that a probe reported.
 
-        Needed for sessions with regions: statements that may not run on the
-        primary don't sample its position, and no replica could prove its age.
+        A process that sends nothing else to the primary could otherwise not
+        tell how old the data of a replica is.
         """
-        if self.regions_in_use:
-            backend = self.backends.get((group, server))
-            if isinstance(backend, sessionpool.SessionBackend):
-                self.sample_position(backend, sent_at)
-        else:
-            super().sample_primary(group, server, sent_at)
+        backend = self.backends.get((group, server))
+        if isinstance(backend, sessionpool.SessionBackend):
+            self.sample_position(backend, sent_at)
 
     def sample_position(
         self, backend: sessionpool.SessionBackend, sent_at: float
