--- a/packages/node/src/sassafrasridge_node/sessionreads.py
+++ b/packages/node/src/sassafrasridge_node/sessionreads.py
@@ -95,6 +95,10 @@
                     conn = await self._acquire(backend, op, False, has_others)
                 except sessionbase.SessionError as exc:
                     error = exc
+                    if not has_others and isinstance(
+                        exc, sessionbase.RefusedError
+                    ):
+                        raise
                     self._log_retry(op.stmt, backend, floor, error)
                     continue
             is_primary = self._state.primary(op.access.group) is backend
--- a/tests/core/test_scheduling.py
+++ b/tests/core/test_scheduling.py
@@ -323,3 +323,56 @@
         urgent = queue.expected_wait_s('a', 1.0, work(URGENT))
         assert urgent == pytest.approx(0.1 * 8 / 7 / 1.25, rel=0.2)
         assert queue.expected_wait_s('a', 1.0, work(LOW)) > 2.0
+
+
+class TestLastingOverload:
+    """Load: 1.6 times the capacity for 6 s, callers that come back twice.
+
+    A caller that is refused tries again 0.1 s later. Its objective of 1 s
+    counts from its first attempt, its time-out of 1 s from the last one.
+    """
+
+    def run(self):
+        queue, now = Queue(), 0.0
+        offers = [
+            (second / 80, 0, number)
+            for number, second in enumerate(range(480))
+        ]
+        first_at = {number: at for at, _, number in offers}
+        served, refused_after = [], []
+
+        def refuse(entry, waited):
+            refused_after.append(waited)
+            _, attempt, number = entry
+            if attempt < 2:
+                offers.append((now + 0.1, attempt + 1, number))
+
+        for step in range(700):
+            now = step / 50
+            due = [entry for entry in offers if entry[0] <= now]
+            offers = [entry for entry in offers if entry[0] > now]
+            for entry in due:
+                found = work(MIDDLE, due_at=now + 1.0, run_s=0.05)
+                account = f'a{entry[2] % 7}'
+                if queue.push(
+                    now, account, (now, entry), 1.0, now + 0.95, found
+                ):
+                    refuse(entry, 0.0)
+            for at, entry in queue.expire(now):
+                refuse(entry, now - at)
+            item = queue.pop(now)
+            if item is not None:
+                served.append(now - first_at[item[1][2]])
+        return served, refused_after
+
+    def test_what_is_served_meets_its_objective(self):
+        """Guards against a queue as long as the time-out, so all are late."""
+        served, _ = self.run()
+        assert len(served) >= 0.95 * 6 * 50
+        assert sum(s <= 0.95 for s in served) >= 0.9 * len(served)
+
+    def test_the_others_are_refused_at_once(self):
+        """Guards against callers that wait in vain for half of their time."""
+        _, refused_after = self.run()
+        at_once = [waited for waited in refused_after if waited < 0.2]
+        assert len(at_once) >= 0.95 * len(refused_after)
