--- a/packages/node/src/sassafrasridge_node/sessionrouting.py
+++ b/packages/node/src/sassafrasridge_node/sessionrouting.py
@@ -12,9 +12,10 @@
 from sassafrasridge_node import sessionpool
 from sassafrasridge_node import sessionstate
 
-# Subtracted from the maximum data age that a read accepts, to cover clock
-# drift and the time from the client's first byte to its arrival here.
-AGE_MARGIN_S = 0.2
+# Subtracted from the maximum data age that a read accepts, to cover the drift
+# of clocks. The time since the client's first byte needs no margin: the age is
+# counted from a later time, so the required position is only newer.
+AGE_MARGIN_S = 0.05
 
 # Estimated delay that each statement in flight, or waiting here to be sent,
 # adds at a target whose time is not learned. It lies between the mean
