--- a/packages/core/src/sassafrasridge_core/queueing.py
+++ b/packages/core/src/sassafrasridge_core/queueing.py
@@ -45,14 +45,12 @@
 class ServiceRate:
     """Estimate the cost served per second while requests wait."""
 
-    __slots__ = ('_cost', '_busy_s', '_last_at', '_steady_since')
+    __slots__ = ('_cost', '_busy_s', '_last_at')
 
     def __init__(self) -> None:
         self._cost = 0.0
         self._busy_s = 0.0
         self._last_at = -math.inf
-        # End of the last gap in the service.
-        self._steady_since = math.inf
 
     def mark_idle(self) -> None:
         """Stop measuring, because no request waits any more."""
@@ -61,29 +59,16 @@
     def mark_waiting(self, now: float) -> None:
         """Start measuring, because a request waits."""
         if self._last_at == -math.inf:
-            self._last_at = self._steady_since = now
+            self._last_at = now
 
     def record_served(self, now: float, cost: float) -> None:
         """Count the cost of a request taken from the queue."""
-        if now - self._last_at > MAX_SERVICE_GAP_S:
-            self._steady_since = now
         gap = min(max(0.0, now - self._last_at), MAX_SERVICE_GAP_S)
         kept = math.exp(-gap / RATE_DECAY_S)
         self._cost = self._cost * kept + cost
         self._busy_s = self._busy_s * kept + gap
         self._last_at = now
 
-    def is_steady(self, now: float) -> bool:
-        """Return whether requests are served, for some time without a gap.
-
-        Otherwise the estimate tells little about the time to come.
-        """
-        steady_s = self._last_at - self._steady_since
-        return (
-            now - self._last_at <= MAX_SERVICE_GAP_S
-            and steady_s >= MAX_SERVICE_GAP_S
-        )
-
     def measured_s(self) -> float:
         """Return the recent time in seconds that the estimate rests on."""
         return self._busy_s
--- a/packages/core/src/sassafrasridge_core/scheduling.py
+++ b/packages/core/src/sassafrasridge_core/scheduling.py
@@ -31,10 +31,6 @@
 # statements that a process may have at a target.
 LOWER_SHARE = 0.75
 
-# Share of the time to its latest start for which a new statement may expect to
-# wait. The rest is for another attempt of a caller that is refused at once.
-WAIT_SHARE = 0.5
-
 # Running time assumed before one was measured, in s: a statement of 8 to
 # 47 ms and a round trip between regions.
 DEFAULT_RUN_S = 0.06
@@ -300,12 +296,9 @@
         """
         if deadline <= now:
             return model.DEADLINE
-        latest = deadline
-        if self._service.is_steady(now):
-            latest = _latest_start(work, now, deadline)
         if (
             self._total
-            and now + self.expected_wait_s(account, cost, work, now) > latest
+            and now + self.expected_wait_s(account, cost, work, now) > deadline
         ):
             return model.DEADLINE
         if not self._make_room(account, work.work_class):
@@ -490,21 +483,6 @@
     return sum(min(cost, ahead / (MAX_TURNS - 1)) for cost in costs)
 
 
-def _latest_start(work: Work, now: float, deadline: float) -> float:
-    """Return the latest expected start with which a statement may wait.
-
-    >>> work = Work(due_at=11.0, run_s=0.1)
-    >>> round(_latest_start(work, 10.0, 12.0), 2)
-    10.45
-    >>> _latest_start(work, 10.95, 12.0)
-    12.0
-    """
-    left_s = work.start_by - now
-    if left_s <= 0 or left_s == math.inf:
-        return deadline
-    return min(deadline, now + left_s * WAIT_SHARE)
-
-
 def _lane(work: Work, now: float) -> int:
     if work.in_transaction:
         return _TRANSACTION
--- a/packages/node/src/sassafrasridge_node/relayedsessions.py
+++ b/packages/node/src/sassafrasridge_node/relayedsessions.py
@@ -168,9 +168,7 @@
             if session.ends_after_statement or not session.is_open():
                 self._end(req.transaction, session)
         still_open = session.transaction is not None
-        return sessionrelay.RelayedResult(
-            result, session.floor, still_open, session.read_needed_primary
-        )
+        return sessionrelay.RelayedResult(result, session.floor, still_open)
 
     def _roll_back(
         self, req: sessionrelay.RelayedStatement, session: RelayedSession
--- a/packages/node/src/sassafrasridge_node/replicareads.py
+++ b/packages/node/src/sassafrasridge_node/replicareads.py
@@ -5,6 +5,7 @@
 from sassafrasridge_core import configuration
 from sassafrasridge_core import freshness
 from sassafrasridge_core import model
+from sassafrasridge_core import statements
 from sassafrasridge_node import clocks
 from sassafrasridge_node import sessionpool
 from sassafrasridge_node import targetload
@@ -19,9 +20,8 @@
 # Shortest wait for a replica: a position that is a little behind is usually
 # reached when the next entries of the log arrive.
 MIN_WAIT_S = 0.02
-# Longest wait before the replicas are looked at again. Their lag may have
-# ended.
-MAX_WAIT_S = 0.1
+# Longest wait before a replica is asked again. Its lag may have ended.
+MAX_WAIT_S = 0.5
 # Reserved after the wait for running the read on the primary, beyond its
 # expected delay.
 RUN_RESERVE_S = 0.1
@@ -76,13 +76,35 @@
     timeline: freshness.PrimaryTimeline,
     floor: model.Position,
 ) -> float:
-    """Return in how many seconds a replica probably has a position.
+    """Return in how many seconds a replica probably reaches a position.
 
-    Returns 0 if it has the position, or if its lag is unknown.
+    Returns 0 if it was not behind lately.
     """
-    if backend.load is None:
+    now = clocks.boottime()
+    lag_s = backend.load.lag.expected_s(now) if backend.load else 0.0
+    if not lag_s:
         return 0.0
-    return backend.load.lag.catch_up_s(clocks.boottime(), timeline, floor)
+    written_at = timeline.first_seen(floor)
+    return max(0.0, lag_s + (now if written_at is None else written_at) - now)
+
+
+def record_read(
+    backend: sessionpool.SessionBackend,
+    timeline: freshness.PrimaryTimeline,
+    floor: model.Position,
+    sent_at: float,
+    result_code: statements.ResultCode,
+) -> None:
+    """Learn a replica's lag from the result of a read."""
+    written_at = timeline.first_seen(floor)
+    if backend.load is None or written_at is None:
+        return
+    now = clocks.boottime()
+    age_s = sent_at + backend.rtt_s / 2 - written_at
+    if result_code is statements.ResultCode.DONE:
+        backend.load.lag.reached(now, age_s)
+    elif result_code is statements.ResultCode.BEHIND:
+        backend.load.lag.behind(now, age_s)
 
 
 def wait_s(
--- a/packages/node/src/sassafrasridge_node/sessionbase.py
+++ b/packages/node/src/sassafrasridge_node/sessionbase.py
@@ -181,9 +181,6 @@
         self._values: dict[str, str] = {}
         self._prepared: dict[str, PreparedStatement] = {}
         self.floor: model.Position | None = None
-        # Whether the last read needed the primary because no replica had the
-        # required position.
-        self.read_needed_primary = False
         self._cleanup_tasks: set[asyncio.Task[None]] = set()
 
     def authorize(self) -> sessionrouting.Access:
@@ -208,6 +205,8 @@
         allowed = regions.intersect(
             route.regions, account.regions if account else ()
         )
+        if allowed is not None:
+            self._state.regions_in_use = True
         return sessionrouting.Access(
             account.name if account else admission.ANONYMOUS,
             route,
--- a/packages/node/src/sassafrasridge_node/sessionfront.py
+++ b/packages/node/src/sassafrasridge_node/sessionfront.py
@@ -16,6 +16,7 @@
 from sassafrasridge_node import metrics
 from sassafrasridge_node import sessionbase
 from sassafrasridge_node import sessiondrain
+from sassafrasridge_node import sessionreads
 from sassafrasridge_node import sessionrelay
 from sassafrasridge_node import sessionrouting
 from sassafrasridge_node import sessionstate
@@ -109,7 +110,9 @@
                 session.abort('this process is shutting down')
 
 
-class Session(sessiontransactions.TransactionSession):
+class Session(
+    sessionreads.ReadingSession, sessiontransactions.TransactionSession
+):
     """Run the statements of one client in order."""
 
     async def execute(
--- a/packages/node/src/sassafrasridge_node/sessionpool.py
+++ b/packages/node/src/sassafrasridge_node/sessionpool.py
@@ -7,7 +7,6 @@
 import typing
 
 from sassafrasridge_core import errors
-from sassafrasridge_core import freshness
 from sassafrasridge_core import model
 from sassafrasridge_core import scheduling
 from sassafrasridge_core import slots
@@ -41,12 +40,6 @@
 # status.
 PROBE_INTERVAL_S = 0.5
 
-# A replica that is behind by more than the lag, and whose position is older
-# than the interval, is asked for its status. The lag is many times the usual
-# one, and as long as a read may wait.
-PROBED_LAG_S = 0.3
-LAG_PROBE_INTERVAL_S = 0.2
-
 # Longer than the longest round trip, shorter than the probe interval.
 STATUS_TIMEOUT_S = 0.4
 
@@ -300,10 +293,6 @@
         self._full_until = float('-inf')
         self.is_primary: typing.Callable[[], bool] = lambda: False
         self.probe_account: typing.Callable[[], str] = str
-        # Returns what is known of the primary's log positions.
-        self.timeline: typing.Callable[[], freshness.PrimaryTimeline] = (
-            freshness.PrimaryTimeline
-        )
         # Returns the connection limit of the target, 0 if unknown.
         self.connection_budget: typing.Callable[[], int] = int
 
@@ -368,17 +357,8 @@
     def answered(self, position: model.Position | None) -> None:
         """Record that the target answered, with its log position if given."""
         self.success_at = clocks.boottime()
-        if position is None:
-            return
-        self.position = position
-        if self.load is not None and not self.is_primary():
-            self.load.lag.record(self.success_at, position, self.timeline())
-
-    def was_behind(self, floor: model.Position) -> None:
-        """Record that the target lacked a position that a read required."""
-        if self.load is not None:
-            now = clocks.boottime()
-            self.load.lag.rejected(now, floor, self.timeline())
+        if position is not None:
+            self.position = position
 
     def write_started(self, token: object) -> None:
         """Record a write that was sent and awaits its answer."""
@@ -676,12 +656,15 @@
     # Probes.
 
     async def probe(self) -> bool:
-        """Ask a primary that was silent, or a late replica, for its status.
+        """Ask a primary that was silent for its status.
 
         Returns whether it answered; False if no probe was due.
         """
         self.pool.shrink()
-        if self._probing or not self._probe_due(clocks.boottime()):
+        now = clocks.boottime()
+        if self._probing or not self.is_primary():
+            return False
+        if now - self.success_at < PROBE_INTERVAL_S:
             return False
         self._probing = True
         try:
@@ -689,21 +672,6 @@
         finally:
             self._probing = False
 
-    def _probe_due(self, now: float) -> bool:
-        """Return whether the target's state is not known well enough.
-
-        Reads avoid a replica that is far behind, so nothing else tells that
-        its lag has ended.
-        """
-        silent_s = now - self.success_at
-        if self.is_primary():
-            return silent_s >= PROBE_INTERVAL_S
-        return (
-            silent_s >= LAG_PROBE_INTERVAL_S
-            and self.load is not None
-            and self.load.lag.is_behind(now, PROBED_LAG_S)
-        )
-
     async def _probe_status(self) -> bool:
         conn = self.pool.take_newest_idle()
         try:
--- a/packages/node/src/sassafrasridge_node/sessionreads.py
+++ b/packages/node/src/sassafrasridge_node/sessionreads.py
@@ -1,11 +1,11 @@
-"""Reads, and the begin of transactions that only read."""
+"""Reads outside a transaction."""
 
 import asyncio
-import collections.abc
 
 from sassafrasridge_core import model
 from sassafrasridge_core import statements
 from sassafrasridge_node import clocks
+from sassafrasridge_node import replicareads
 from sassafrasridge_node import sessionbase
 from sassafrasridge_node import sessionpool
 from sassafrasridge_node import sessionprimary
@@ -25,33 +25,9 @@
 
 
 class ReadingSession(sessionprimary.PrimarySession):
-    """Run the reads of a session on replicas or the primary."""
+    """Run the single reads of a session on replicas or the primary."""
 
     async def _read(self, op: sessionbase.Operation) -> Result:
-        _, _, answer = await self._run_read(
-            op, lambda conn, floor: self._build_commands(conn, op, floor)
-        )
-        return sessiontargets.success(answer)
-
-    async def _run_read(
-        self,
-        op: sessionbase.Operation,
-        build: collections.abc.Callable[
-            [sessionpool.SessionConnection, model.Position | None],
-            list[sessionpool.Command],
-        ],
-        keep: bool = False,
-    ) -> tuple[
-        sessionpool.SessionBackend,
-        sessionpool.SessionConnection,
-        sessionpool.TargetAnswer,
-    ]:
-        """Run the commands of a read on the best target that accepts them.
-
-        ``build`` returns the commands for a connection, given the position
-        that a replica needs. With ``keep``, the connection is not released
-        after a success. Raises SessionError.
-        """
         tried: set[sessionpool.SessionBackend] = set()
         behind: set[sessionpool.SessionBackend] = set()
         floor = await self._await_floor(op)
@@ -84,10 +60,6 @@
                 backend, has_others = await self._choose_for_read(
                     op, floor, tried
                 )
-                self.read_needed_primary = (
-                    backend.is_primary()
-                    and self._router.all_behind(op.access, floor)
-                )
                 if backend in tried:
                     await self._pause_before_retry(op, backend, attempt, error)
                 tried.add(backend)
@@ -95,30 +67,29 @@
                     conn = await self._acquire(backend, op, False, has_others)
                 except sessionbase.SessionError as exc:
                     error = exc
-                    if not has_others and isinstance(
-                        exc, sessionbase.RefusedError
-                    ):
-                        raise
                     self._log_retry(op.stmt, backend, floor, error)
                     continue
             is_primary = self._state.primary(op.access.group) is backend
+            commands = self._build_commands(
+                conn, op, None if is_primary else floor
+            )
+            sent_at = clocks.boottime()
             answer = await self._send(
-                backend,
-                conn,
-                build(conn, None if is_primary else floor),
-                op.deadline,
-                False,
-                keep,
+                backend, conn, commands, op.deadline, False
             )
+            if floor is not None and not is_primary:
+                replicareads.record_read(
+                    backend,
+                    self._state.timeline(op.access.group),
+                    floor,
+                    sent_at,
+                    answer.result_code,
+                )
             if answer.result_code is ResultCode.DONE:
-                return backend, conn, answer
-            if keep:
-                backend.release(conn, clean=sessiontargets.is_clean(answer))
+                return sessiontargets.success(answer)
             error = sessiontargets.target_error(answer)
             if answer.result_code is ResultCode.BEHIND:
                 behind.add(backend)
-                if floor is not None:
-                    backend.was_behind(floor)
             if answer.result_code in (
                 ResultCode.TIMED_OUT,
                 ResultCode.REFUSED,
--- a/packages/node/src/sassafrasridge_node/sessionrelay.py
+++ b/packages/node/src/sassafrasridge_node/sessionrelay.py
@@ -44,10 +44,6 @@
 # primary or from control says so, another one may still serve it.
 MAX_REFUSALS = 3
 
-# Period for which reads of a group are relayed near its primary after one that
-# no replica could serve. A longer one would delay the return to replicas.
-NEAR_PRIMARY_S = 0.5
-
 # Length of random transaction numbers: collisions are negligible, and the
 # numbers fit into 64 bits.
 TRANSACTION_NUMBER_BITS = 62
@@ -147,22 +143,20 @@
     """Hold a statement's result and the updated state of its session.
 
     ``open`` tells whether the transaction may still be open at the other
-    process, ``needed_primary`` that no replica could serve a read.
+    process.
     """
 
-    __slots__ = ('result', 'floor', 'open', 'needed_primary')
+    __slots__ = ('result', 'floor', 'open')
 
     def __init__(
         self,
         result: statements.Result,
         floor: model.Position | None = None,
         open: bool = False,
-        needed_primary: bool = False,
     ) -> None:
         self.result = result
         self.floor = floor
         self.open = open
-        self.needed_primary = needed_primary
 
     def encode(self) -> bytes:
         """Return the encoded body of a reply."""
@@ -176,7 +170,6 @@
                 'position': _position_to_json(result.position),
                 'floor': _position_to_json(self.floor),
                 'open': self.open,
-                'needed_primary': self.needed_primary,
             }
         )
 
@@ -193,10 +186,7 @@
             position=_position_from_json(found['position']),
         )
         floor = _position_from_json(found['floor'])
-        # A process of an earlier release doesn't tell about the primary.
-        return cls(
-            result, floor, found['open'], found.get('needed_primary', False)
-        )
+        return cls(result, floor, found['open'])
 
 
 def _position_to_json(
@@ -228,8 +218,6 @@
         self._rng = rng
         self._silent_peers = peers.UnresponsivePeers()
         self._rollbacks: set[asyncio.Task[None]] = set()
-        # Time until which reads of a group are relayed near its primary.
-        self._reads_near_primary: dict[str, float] = {}
 
     def new_transaction_number(self) -> int:
         """Return a random number that identifies a transaction."""
@@ -246,13 +234,10 @@
 
         A statement that needs the primary crosses regions once, on the way
         to a process near the primary, whose connections need no round trips
-        between regions to open. So does a read while no replica of the group
-        can serve reads. Raises OutsideRegionsError if none is in the allowed
-        regions.
+        between regions to open. Raises OutsideRegionsError if none is in the
+        allowed regions.
         """
         zone = self._state.zone
-        if clocks.boottime() < self._reads_near_primary.get(group, 0.0):
-            needs_primary = True
         primary = self._state.primary(group) if needs_primary else None
         if primary is not None and primary.info.zone:
             zone = primary.info.zone
@@ -265,12 +250,6 @@
             key=self._silent_peers.__contains__,
         )
 
-    def note_read(self, group: str, needed_primary: bool) -> None:
-        """Record whether a relayed read of a group needed its primary."""
-        if needed_primary:
-            until = clocks.boottime() + NEAR_PRIMARY_S
-            self._reads_near_primary[group] = until
-
     async def run(
         self,
         entry_names: list[str],
--- a/packages/node/src/sassafrasridge_node/sessionrelaying.py
+++ b/packages/node/src/sassafrasridge_node/sessionrelaying.py
@@ -54,7 +54,6 @@
             if op.writes
             else StatementFailure.FAILED,
         )
-        relays.note_read(op.access.group, answer.needed_primary)
         return self._accept_relay_result(answer)
 
     async def _relay_in_transaction(
@@ -81,7 +80,6 @@
         tx.owner, answer = await relays.run(
             entry_names, req, op.deadline, unanswered
         )
-        relays.note_read(tx.access.group, answer.needed_primary)
         if not answer.open:
             tx.owner = ''
         if commits:
--- a/packages/node/src/sassafrasridge_node/sessionrouting.py
+++ b/packages/node/src/sassafrasridge_node/sessionrouting.py
@@ -12,10 +12,9 @@
 from sassafrasridge_node import sessionpool
 from sassafrasridge_node import sessionstate
 
-# Subtracted from the maximum data age that a read accepts, to cover the drift
-# of clocks. The time since the client's first byte needs no margin: the age is
-# counted from a later time, so the required position is only newer.
-AGE_MARGIN_S = 0.05
+# Subtracted from the maximum data age that a read accepts, to cover clock
+# drift and the time from the client's first byte to its arrival here.
+AGE_MARGIN_S = 0.2
 
 # Estimated delay that each statement in flight, or waiting here to be sent,
 # adds at a target whose time is not learned. It lies between the mean
@@ -146,22 +145,15 @@
         }
         if not self._state.learned_limits:
             return min(found, key=costs.__getitem__, default=None)
-        return self._choose_replica_first(
-            access, floor, costs, primary is not None
-        )
+        return self._choose_replica_first(access, floor, costs)
 
     def _choose_replica_first(
         self,
         access: Access,
         floor: model.Position,
         costs: dict[sessionpool.SessionBackend, float],
-        has_primary: bool,
     ) -> sessionpool.SessionBackend | None:
-        """Return the best replica, or the primary where that is better.
-
-        While there is a primary, no read goes to a replica that is known to
-        be behind: it would come back without a result.
-        """
+        """Return the best replica, or the primary where that is better."""
         timeline = self._state.timeline(access.group)
         primary = next((b for b in costs if b.is_primary()), None)
         replicas = [b for b in costs if b is not primary]
@@ -170,7 +162,7 @@
             for b in replicas
             if not replicareads.catch_up_s(b, timeline, floor)
         ]
-        if has_primary and not ready:
+        if primary is not None and not ready:
             return primary
         best = min(ready or replicas, key=costs.__getitem__, default=None)
         if (
@@ -201,14 +193,6 @@
         """Return the replicas that may serve a read."""
         return self._usable_targets(access, None)
 
-    def all_behind(self, access: Access, floor: model.Position) -> bool:
-        """Return whether every replica is known to lack a position."""
-        timeline = self._state.timeline(access.group)
-        return all(
-            replicareads.catch_up_s(replica, timeline, floor)
-            for replica in self.replicas(access)
-        )
-
     def replica_wait_s(
         self,
         access: Access,
--- a/packages/node/src/sassafrasridge_node/sessionstate.py
+++ b/packages/node/src/sassafrasridge_node/sessionstate.py
@@ -49,6 +49,8 @@
         # Rates of cold targets by group, in a configuration revision.
         self._cold_rates: dict[str, float] = {}
         self._cold_rates_revision = -1
+        # Whether a session was authorized for some regions only.
+        self.regions_in_use = False
 
     def new_backend(self, info: model.TargetInfo) -> backends.Backend:
         """Return a new backend for a target."""
@@ -60,7 +62,6 @@
             self.primary(info.group) is backend
         )
         backend.probe_account = self._any_account
-        backend.timeline = lambda: self.timeline(info.group)
         backend.connection_budget = lambda: self._connection_budget(info.group)
         backend.cold_fallback = lambda: self._cold_fallback(info.group)
         backend.reserves = lambda: self.work_classes.reserves(
@@ -260,12 +261,15 @@
     def sample_primary(self, group: str, server: str, sent_at: float) -> None:
         """Record the primary's log position that a probe reported.
 
-        A process that sends nothing else to the primary could otherwise not
-        tell how old the data of a replica is.
+        Needed for sessions with regions: statements that may not run on the
+        primary don't sample its position, and no replica could prove its age.
         """
-        backend = self.backends.get((group, server))
-        if isinstance(backend, sessionpool.SessionBackend):
-            self.sample_position(backend, sent_at)
+        if self.regions_in_use:
+            backend = self.backends.get((group, server))
+            if isinstance(backend, sessionpool.SessionBackend):
+                self.sample_position(backend, sent_at)
+        else:
+            super().sample_primary(group, server, sent_at)
 
     def sample_position(
         self, backend: sessionpool.SessionBackend, sent_at: float
--- a/packages/node/src/sassafrasridge_node/sessiontargets.py
+++ b/packages/node/src/sassafrasridge_node/sessiontargets.py
@@ -194,8 +194,11 @@
         if answer.result_code is ResultCode.DONE:
             backend.statement_done(conn, clocks.boottime() - sent_at)
         self._record_answer(backend, answer, sent_at)
+        clean = (
+            answer.state is TransactionState.IDLE and not answer.failed_setup
+        )
         if not keep:
-            backend.release(conn, clean=is_clean(answer))
+            backend.release(conn, clean=clean)
         elif answer.failed_setup:
             backend.release(conn, clean=False)
         return answer
@@ -243,11 +246,6 @@
     return targetload.statement_kind(database, stmt, writes, in_transaction)
 
 
-def is_clean(answer: sessionpool.TargetAnswer) -> bool:
-    """Return whether the connection of an answer may be used again."""
-    return answer.state is TransactionState.IDLE and not answer.failed_setup
-
-
 def success(answer: sessionpool.TargetAnswer) -> Result:
     return Result(answer.rows, answer.signature, position=answer.position)
 
--- a/packages/node/src/sassafrasridge_node/sessiontransactions.py
+++ b/packages/node/src/sassafrasridge_node/sessiontransactions.py
@@ -2,16 +2,14 @@
 
 import asyncio
 import collections.abc
-import itertools
 import typing
 
-from sassafrasridge_core import model
 from sassafrasridge_core import statements
 from sassafrasridge_node import admission
 from sassafrasridge_node import connections
 from sassafrasridge_node import sessionbase
 from sassafrasridge_node import sessionpool
-from sassafrasridge_node import sessionreads
+from sassafrasridge_node import sessionprimary
 from sassafrasridge_node import sessionrelaying
 from sassafrasridge_node import sessionrouting
 from sassafrasridge_node import sessiontargets
@@ -22,16 +20,13 @@
 TransactionState = statements.TransactionState
 Result = statements.Result
 
-# Failures of statements that may have run.
-_UNKNOWN_OUTCOMES = (StatementFailure.FAILED, StatementFailure.TIMED_OUT)
-
 # Timeout of a rollback: many times a round trip between regions plus the
 # processing time at the target.
 ROLLBACK_TIMEOUT_S = 1.0
 
 
 class TransactionSession(
-    sessionreads.ReadingSession, sessionrelaying.RelayingSession
+    sessionprimary.PrimarySession, sessionrelaying.RelayingSession
 ):
     """Run the transaction of a session on one connection."""
 
@@ -127,51 +122,28 @@
     async def _begin_on_target(
         self, op: sessionbase.Operation, tx: sessionbase.Transaction
     ) -> None:
-        """Choose a target and begin the transaction there.
-
-        Raises SessionError.
-        """
-
-        def build(
-            conn: sessionpool.SessionConnection, floor: model.Position | None
-        ) -> list[sessionpool.Command]:
-            begin = sessionpool.Begin(tx.read_only, floor)
-            return [*self._build_setup(conn, None), begin]
-
-        if tx.read_only:
-            tx.term = self._view_term(tx.access)
-            try:
-                found = await self._run_read(op, build, keep=True)
-            except sessionbase.SessionError as exc:
-                if exc.failure in _UNKNOWN_OUTCOMES:
-                    # A transaction that only reads leaves nothing behind.
-                    raise sessionbase.SessionError(
-                        StatementFailure.ABORTED, exc.detail
-                    )
-                raise
-            tx.backend, tx.conn, _ = found
-            return
-        for attempt in itertools.count(1):
+        """Choose a target and begin the transaction there."""
+        access = tx.access
+        floor = await self._await_floor(op) if tx.read_only else None
+        backend = self._router.choose_target(access, floor) if floor else None
+        if backend is None:
             backend, tx.term, conn = await self._acquire_primary(op)
-            answer = await self._send(
-                backend,
-                conn,
-                build(conn, None),
-                op.deadline,
-                False,
-                keep=True,
-            )
-            if answer.result_code is ResultCode.DONE:
-                tx.backend, tx.conn = backend, conn
-                return
-            backend.release(conn, clean=sessiontargets.is_clean(answer))
-            error = self._statement_error(answer)
-            if (
-                answer.result_code not in statements.NOT_RUN_CODES
-                or attempt >= sessionbase.MAX_ATTEMPTS
-            ):
-                raise error
-            await self._pause_before_retry(op, backend, attempt, error)
+        else:
+            tx.term = self._view_term(access)
+            conn = await self._acquire(backend, op, needs_primary=False)
+        is_primary = self._state.primary(access.group) is backend
+        commands = self._build_setup(conn, None)
+        commands.append(
+            sessionpool.Begin(tx.read_only, None if is_primary else floor)
+        )
+        answer = await self._send(
+            backend, conn, commands, op.deadline, False, keep=True
+        )
+        if answer.result_code is ResultCode.DONE:
+            tx.backend, tx.conn = backend, conn
+            return
+        backend.release(conn, clean=False)
+        raise self._statement_error(answer)
 
     def _finish_commit(
         self,
@@ -181,7 +153,11 @@
     ) -> Result:
         conn, self.transaction = tx.conn, None
         if conn is not None:
-            backend.release(conn, clean=sessiontargets.is_clean(answer))
+            clean = (
+                answer.state is TransactionState.IDLE
+                and not answer.failed_setup
+            )
+            backend.release(conn, clean=clean)
         if answer.result_code is ResultCode.DONE:
             if not tx.has_writes:
                 return sessiontargets.success(answer)
