Leave a quarter of a target's connections for processes that restart

Cause: after a loss of all power, the processes have their leases 0.55 s after power returns, but targets count the connections of the former processes until 3 s after the loss and reject new ones as too many. Entry processes then leave a target alone for 0.5 s, and callers are refused or late.

Change: the leader divides three quarters of what a target accepts. The limit of statements stays, because a process's part is of what is divided.

--- a/packages/core/src/sassafrasridge_core/slots.py
+++ b/packages/core/src/sassafrasridge_core/slots.py
@@ -28,6 +28,10 @@
 STATEMENTS_PER_SLOT = 3
 # Least number of statements that a process may have at a target.
 MIN_STATEMENTS = 2
+# One of so many of a target's connections is left for processes that restart.
+# A target counts the connections of a VM that lost its power for 3 s more. With
+# all of them in use, it would reject the new process until then.
+RESTART_RESERVE_DIVISOR = 4
 
 
 class Limit:
@@ -102,6 +106,15 @@
     return budgets
 
 
+def usable_connections(accepted: int) -> int:
+    """Return how many of a target's connections are divided.
+
+    >>> [usable_connections(accepted) for accepted in (0, 1, 3, 21, 78)]
+    [0, 1, 3, 16, 59]
+    """
+    return accepted - accepted // RESTART_RESERVE_DIVISOR
+
+
 def statement_limit(slots: int, budget: int, connections: int) -> int:
     """Return how many statements a process may have at a target at a time.
 
--- a/packages/node/src/sassafrasridge_node/leadership.py
+++ b/packages/node/src/sassafrasridge_node/leadership.py
@@ -391,8 +391,8 @@
         """Return connections and slots; service settings take precedence."""
         connections, slot_count = self._service_budgets.get(obs.group, (0, 0))
         announced = self._announced_budget(obs)
-        budget = (connections or announced[0]) - self._entries_without_lease
-        budget -= self._order_connections
+        budget = slots.usable_connections(connections or announced[0])
+        budget -= self._entries_without_lease + self._order_connections
         return max(1, budget), slot_count or announced[1]
 
     def _announced_budget(self, obs: typing.Any) -> tuple[int, int]:
--- a/packages/node/src/sassafrasridge_node/sessionstate.py
+++ b/packages/node/src/sassafrasridge_node/sessionstate.py
@@ -89,14 +89,15 @@
         return view is not None and view.primary == server
 
     def _connection_budget(self, group: str) -> int:
-        """Return the connections that each target of a group accepts.
+        """Return the connections to each target of a group to be divided.
 
         Returns 0 if the configuration doesn't tell.
         """
         if self._budgets_revision != self.config.revision:
             self._budgets_revision = self.config.revision
             self._budgets = slots.service_budgets(self.config.services())
-        return self._budgets.get(group, (0, 0))[0]
+        connections, _ = self._budgets.get(group, (0, 0))
+        return slots.usable_connections(connections)
 
     def _cold_fallback(self, group: str) -> int | None:
         """Return an equal part of a group's cold rate in statements/s.
--- a/tests/node/test_scheduling.py
+++ b/tests/node/test_scheduling.py
@@ -86,7 +86,7 @@
 
     def test_urgent_work_uses_the_reserve(self):
         """Guards against sign-offs that wait for reads to end."""
-        # With 8 of 30 connections, 4 of the 15 statements for 5 slots.
+        # With 8 of 30 usable connections, 4 of the 15 statements for 5 slots.
         process = EntryProcess(connections_each=8)
         process.stalled.add('p')
 
