--- a/packages/core/src/sassafrasridge_core/slots.py
+++ b/packages/core/src/sassafrasridge_core/slots.py
@@ -29,8 +29,8 @@
 # Least number of statements that a process may have at a target.
 MIN_STATEMENTS = 2
 # One of so many of a target's connections is left for processes that restart.
-# A target counts the connections of a VM that lost its power for 3 s more. With
-# all of them in use, it would reject the new process until then.
+# A target counts the connections of a VM that lost its power for 3 s more, and
+# would reject the new process until then if all of them were in use.
 RESTART_RESERVE_DIVISOR = 4
 
 
