Grant connections only to the processes that serve a group

Cause: after a start of all processes, the first one to renew its lease knows no others, so it reports the targets of every group. It learned 0.1 s later that others serve the group, and no longer reported, so its grant was reserved until its lease ended (5.65 s). The seven processes that serve the group ran on one connection each meanwhile. Statements that had arrived at a process that does not serve waited there.

Ruled out: the start of the processes (listening 0.01 s after power without processor time, leases 0.3 s after it), a grace period of the leader (ended when all holders had reported), the rates of accounts (10 refusals).

Change: the leader derives the serving set itself and grants connections only to its members; members that have not reported yet are assumed to have the mean demand. A statement that finds no connection at a process outside the serving set is relayed, or refused at once if it was relayed already.

--- a/packages/core/src/sassafrasridge_core/slots.py
+++ b/packages/core/src/sassafrasridge_core/slots.py
@@ -8,6 +8,7 @@
 later version or the holder's lease has expired.
 """
 
+from collections.abc import Collection
 from collections.abc import Iterable
 from collections.abc import Mapping
 import math
@@ -279,6 +280,9 @@
         return True
 
 
+_DecisionInputs = tuple[int, int, int, tuple[str, ...]]
+
+
 class _Holder:
     """Store the leader's state for one holder's limit for a target."""
 
@@ -295,8 +299,9 @@
 
     def __init__(self, entry: str) -> None:
         self.last_answer = VersionedLimit(0, -1, 0, 0)
-        # Budget, slots and change count that the last answer is based on.
-        self.decision_inputs: tuple[int, int, int] | None = None
+        # Budget, slots, change count and missing processes that the last
+        # answer is based on.
+        self.decision_inputs: _DecisionInputs | None = None
         self.entry = entry
         self.version = -1
         self.limit = 0
@@ -362,11 +367,15 @@
         demand: float,
         budget: int,
         slots: int,
+        expected: Collection[str] = (),
     ) -> VersionedLimit:
         """Process a holder's report and return its next limit.
 
         ``version`` and ``limit`` describe the grant that the holder applied
         last; ``demand`` is its mean number of statements in flight or queued.
+        ``expected`` are the entry processes that use the target. Those that
+        have not reported yet are assumed to have the mean demand: what the
+        others get before is taken back only after two renewals.
         """
         self.tick(now)
         key = (entry, incarnation)
@@ -383,14 +392,16 @@
             holder.demand = max(0.0, demand)
         if (holder.demand, holder.max_limit()) != before:
             self._change_count += 1
-        decision_inputs = (budget, slots, self._change_count)
+        known = {name for name, _ in self._holders}
+        missing = tuple(name for name in expected if name not in known)
+        decision_inputs = (budget, slots, self._change_count, missing)
         if (
             holder.last_answer.version == version
             and holder.decision_inputs == decision_inputs
         ):
             # Equal inputs result in the same limit, which the holder has.
             return holder.last_answer._replace(base=version)
-        connections, in_flight = self._decide(now, key, budget, slots)
+        connections, in_flight = self._decide(now, key, budget, slots, missing)
         self._version += 1
         most = holder.max_limit()
         holder.grants.append((self._version, connections))
@@ -401,16 +412,28 @@
         )
         holder.decision_inputs = None
         if now >= self._grace_ends_at:
-            holder.decision_inputs = (budget, slots, self._change_count)
+            holder.decision_inputs = (
+                budget,
+                slots,
+                self._change_count,
+                missing,
+            )
         return holder.last_answer
 
     def _decide(
-        self, now: float, key: tuple[str, int], budget: int, slots: int
+        self,
+        now: float,
+        key: tuple[str, int],
+        budget: int,
+        slots: int,
+        missing: Collection[str],
     ) -> tuple[int, int]:
         names = {key: f'{key[0]}/{key[1]}' for key in self._holders}
         demands = {
             names[k]: holder.demand for k, holder in self._holders.items()
         }
+        mean_demand = sum(demands.values()) / len(demands)
+        demands.update(dict.fromkeys(missing, mean_demand))
         held = {names[k]: h.max_limit() for k, h in self._holders.items()}
         limits = self._allocator.limits(budget, slots, demands, held)
         limit = limits[names[key]]
--- a/packages/node/src/sassafrasridge_node/leadership.py
+++ b/packages/node/src/sassafrasridge_node/leadership.py
@@ -12,6 +12,7 @@
 from sassafrasridge_core import incarnations
 from sassafrasridge_core import leases
 from sassafrasridge_core import model
+from sassafrasridge_core import placement
 from sassafrasridge_core import promotion
 from sassafrasridge_core import shares
 from sassafrasridge_core import slots
@@ -43,6 +44,10 @@
         self._revision = term << REVISION_COUNTER_BITS
         self._listed_fields: dict[str, tuple[typing.Any, ...]] = {}
         self._next_rebuild_at = float('-inf')
+        # Zones of the processes that take new work, and the serving sets that
+        # result from them, by group.
+        self._serving_zones: dict[str, str] = {}
+        self._serving_sets: dict[str, list[str]] = {}
 
     def refresh(self, now: float, holder: leases.LeaseHolder) -> int:
         """Update the list after a holder's renewal; return its revision."""
@@ -70,6 +75,23 @@
             )
             for h in live
         ]
+        self._serving_zones = {h.entry: h.zone for h in live if not h.draining}
+        self._serving_sets = {}
+
+    def serving_set(self, group: str, entry: str, zone: str) -> list[str]:
+        """Return the serving set that a process derives from the list.
+
+        A process that shuts down counts itself until its statements end.
+        """
+        if entry not in self._serving_zones:
+            zones = {**self._serving_zones, entry: zone}
+            return placement.serving_set(group, [*zones], zones=zones)
+        found = self._serving_sets.get(group)
+        if found is None:
+            found = self._serving_sets[group] = placement.serving_set(
+                group, [*self._serving_zones], zones=self._serving_zones
+            )
+        return found
 
     @staticmethod
     def _entry_fields(holder: leases.LeaseHolder) -> tuple[typing.Any, ...]:
@@ -168,12 +190,8 @@
                 req.sequence,
             )
         ]
-        reply.connections = [
-            self._grant_connections(now, req, obs)
-            for obs in req.observations or []
-            if obs.serves
-        ]
         reply.entries_revision = self._live.refresh(now, holder)
+        reply.connections = self._grant_all_connections(now, req)
         if req.entries_revision != reply.entries_revision:
             reply.entries = self._live.records
         self._add_targets(now, reply, req)
@@ -330,8 +348,29 @@
             )
         self._known_accounts = set(accounts)
 
+    def _grant_all_connections(
+        self, now: float, req: typing.Any
+    ) -> list[typing.Any]:
+        """Return the grants for the targets that a process is to serve.
+
+        While processes start, each derives its serving sets from the list of
+        those that started before it, so it reports targets of others.
+        """
+        grants = []
+        for obs in req.observations or []:
+            if not obs.serves:
+                continue
+            serving = self._live.serving_set(obs.group, req.entry, req.zone)
+            if req.entry in serving:
+                grants.append(self._grant_connections(now, req, obs, serving))
+        return grants
+
     def _grant_connections(
-        self, now: float, req: typing.Any, obs: typing.Any
+        self,
+        now: float,
+        req: typing.Any,
+        obs: typing.Any,
+        serving: list[str],
     ) -> typing.Any:
         key = (obs.group, obs.server)
         ledger = self._ledgers.get(key)
@@ -351,6 +390,7 @@
             obs.demand,
             budget,
             slot_count,
+            serving,
         )
         return rpc.idl.ConnectionGrant(
             group=obs.group,
--- a/packages/node/src/sassafrasridge_node/relayedsessions.py
+++ b/packages/node/src/sassafrasridge_node/relayedsessions.py
@@ -53,6 +53,17 @@
         """
         return True
 
+    def _require_serving(self, group: str) -> None:
+        """Raise SessionError if other processes serve a group.
+
+        The session's own process sends the statement to the next one.
+        """
+        if not self._state.serves(group):
+            raise sessionbase.SessionError(
+                StatementFailure.NO_PRIMARY,
+                'this process does not serve the database',
+            )
+
     def _wait_deadline(self, op: sessionbase.Operation) -> float:
         """Return the deadline on which a wait for the primary is based.
 
--- a/packages/node/src/sassafrasridge_node/sessionbase.py
+++ b/packages/node/src/sassafrasridge_node/sessionbase.py
@@ -53,6 +53,10 @@
     """Report that a target can't run a statement in time; it has not run."""
 
 
+class ServedElsewhereError(Exception):
+    """Report that other processes serve the group; nothing has run here."""
+
+
 class PreparedStatement:
     """Hold a prepared statement of a session.
 
@@ -335,3 +339,12 @@
     def _runs_here(self, group: str) -> bool:
         """Return whether this process runs statements for a group."""
         return self._state.serves(group)
+
+    def _require_serving(self, group: str) -> None:
+        """Raise ServedElsewhereError if other processes serve a group.
+
+        A process that has just started learns of the others after its first
+        statements have arrived.
+        """
+        if not self._state.serves(group):
+            raise ServedElsewhereError()
--- a/packages/node/src/sassafrasridge_node/sessionfront.py
+++ b/packages/node/src/sassafrasridge_node/sessionfront.py
@@ -260,6 +260,9 @@
         op = sessionbase.Operation(stmt, prepared, access, started)
         if not self._runs_here(access.group):
             return await self._relay_single(op)
-        if op.writes:
-            return await self._write(op)
-        return await self._read(op)
+        try:
+            if op.writes:
+                return await self._write(op)
+            return await self._read(op)
+        except sessionbase.ServedElsewhereError:
+            return await self._relay_single(op)
--- a/packages/node/src/sassafrasridge_node/sessionprimary.py
+++ b/packages/node/src/sassafrasridge_node/sessionprimary.py
@@ -111,12 +111,16 @@
         op: sessionbase.Operation,
         find: collections.abc.Callable[[], sessionpool.SessionBackend | None],
     ) -> sessionpool.SessionBackend:
-        """Wait until ``find`` returns a target; raise SessionError."""
+        """Wait until ``find`` returns a target.
+
+        Raises SessionError or ServedElsewhereError.
+        """
         changes, group = self._state.primary_changes, op.access.group
         while True:
             backend = find()
             if backend is not None:
                 return backend
+            self._require_serving(group)
             self._require_target(op.access)
             self._require_region(op.access)
             now = clocks.boottime()
--- a/packages/node/src/sassafrasridge_node/sessiontransactions.py
+++ b/packages/node/src/sassafrasridge_node/sessiontransactions.py
@@ -50,7 +50,10 @@
         if tx.owner or (tx.conn is None and not serves):
             return await self._relay_in_transaction(op, tx)
         if tx.conn is None:
-            await self._begin_on_target(op, tx)
+            try:
+                await self._begin_on_target(op, tx)
+            except sessionbase.ServedElsewhereError:
+                return await self._relay_in_transaction(op, tx)
         if tx.backend is not None:
             await self._wait_for_rate(tx.backend, op)
         conn, backend = tx.conn, tx.backend
--- /dev/null
+++ b/tests/node/test_startingfleet.py
@@ -0,0 +1,189 @@
+"""Load: a fleet that starts while all callers wait.
+
+Each process renews its lease before the leader has heard of all others, so its
+first list of processes is incomplete, and it believes that it serves groups of
+others. Callers send their statements at once.
+"""
+
+import asyncio
+
+from sassafrasridge_core import leases
+from sassafrasridge_core import placement
+from sassafrasridge_core import state as core_state
+from sassafrasridge_node import clocks
+from sassafrasridge_node import leadership
+from sassafrasridge_node import metrics
+from sassafrasridge_node import rpc
+from tests.node import test_sessionfront as front
+from tests.node import test_sessionrelay as relay
+
+SIZE = 79
+CONNECTIONS = 78
+# Control keeps one of the connections that are divided for its own orders.
+DIVIDED = 58
+# Statements that wait at the first processes that renew.
+WAITING = 9.0
+
+
+class StartingFleet:
+    """Renew the leases of a fleet with a leader that has just begun."""
+
+    def __init__(self, size=SIZE):
+        self.leader = leadership.Leadership(
+            core_state.State(),
+            leases.LeaseTimes(0.4, 1.5, 4.0),
+            1.2,
+            2,
+            0.0,
+            'demand',
+            metrics.Metrics(),
+            exclusive_names=True,
+            order_connections=1,
+        )
+        self.names = [f'entry-{number}' for number in range(size)]
+        # Version and connections of the last grant, by process.
+        self.grants = dict.fromkeys(self.names, (0, 0))
+
+    def renew(self, now, name, serves=False, demand=0.0, draining=False):
+        """Renew one lease; return the names that the reply lists."""
+        version, limit = self.grants[name]
+        obs = rpc.idl.Observation(
+            group='g',
+            server='s',
+            connections=CONNECTIONS,
+            slots=5,
+            demand=demand,
+            announcement_age_s=0.0,
+            success_age_s=0.0,
+            term=0,
+            position=0,
+            limit_version=version,
+            limit=limit,
+            serves=serves,
+        )
+        reply = self.leader.renew(
+            now,
+            rpc.idl.RenewRequest(
+                entry=name,
+                incarnation=2,
+                zone='z',
+                address=f'{name}:1',
+                revision=0,
+                view_revision=0,
+                draining=draining,
+                sequence=1,
+                unused_s=0.3,
+                observations=[obs] if serves else [],
+            ),
+        )
+        for grant in reply.connections:
+            self.grants[name] = grant.version, grant.connections
+        return [record.entry for record in reply.entries]
+
+    def start(self):
+        """Renew each lease once; return who believes to serve the group."""
+        mistaken = []
+        for number, name in enumerate(self.names):
+            listed = self.renew(number * 1e-4, name)
+            if name in placement.serving_set('g', listed):
+                mistaken.append(name)
+        return mistaken
+
+    def limits(self, names):
+        return [self.grants[name][1] for name in names]
+
+
+class TestConnectionsOfAStartingFleet:
+    def setup_method(self):
+        self.fleet = StartingFleet()
+        self.claims = self.fleet.start()
+        self.serving = placement.serving_set('g', self.fleet.names)
+
+    def test_only_the_serving_set_gets_connections(self):
+        """Guards against a process that takes all connections of others.
+
+        It keeps them until its lease ends, and the serving set has none.
+        """
+        assert set(self.claims) > set(self.serving)
+        for name in self.claims:
+            self.fleet.renew(0.02, name, serves=True)
+        others = set(self.claims) - set(self.serving)
+        assert not any(self.fleet.limits(others))
+        assert sum(self.fleet.limits(self.serving)) == DIVIDED
+
+    def test_the_first_to_renew_gets_an_equal_part(self):
+        """Guards against processes that wait until the first one returns."""
+        first, *others = self.serving
+        self.fleet.renew(0.02, first, serves=True, demand=WAITING)
+        (limit,) = self.fleet.limits([first])
+        assert limit <= DIVIDED // len(self.serving) + 1
+        for name in others:
+            self.fleet.renew(0.021, name, serves=True, demand=WAITING)
+        assert min(self.fleet.limits(others)) >= DIVIDED // len(self.serving)
+
+    def test_demand_decides_once_all_have_reported(self):
+        """Guards against equal parts for unequal demand."""
+        for turn in range(6):
+            for number, name in enumerate(self.serving):
+                demand = WAITING if number == 0 else 0.0
+                self.fleet.renew(0.02 + 0.1 * turn, name, True, demand)
+        first, *others = self.fleet.limits(self.serving)
+        assert first > DIVIDED // 2
+        assert min(others) == 1
+
+    def test_a_process_that_shuts_down_keeps_its_connections(self):
+        """Guards against a planned stop that interrupts statements."""
+        name = self.serving[0]
+        self.fleet.renew(0.02, name, serves=True, demand=WAITING)
+        self.fleet.renew(0.1, name, True, demand=WAITING, draining=True)
+        assert self.fleet.grants[name][1] > 0
+
+
+class TestStatementsOfAStartingFleet:
+    """Pattern: the list is completed while a statement waits here."""
+
+    def run(self, *stmts):
+        pair = relay.Pair()
+        near = pair.near
+        near.backend('p').pool.limit = 0
+        serving = [True]
+        near.state.serves = lambda group: serving[0]
+
+        async def complete_list():
+            await asyncio.sleep(0.05)
+            serving[0] = False
+
+        async def work():
+            task = asyncio.ensure_future(complete_list())
+            session = near.session()
+            results = [await session.execute(stmt) for stmt in stmts]
+            await task
+            return results
+
+        return pair, asyncio.run(work())
+
+    def test_a_waiting_statement_goes_to_a_process_that_serves(self):
+        """Guards against waiting for connections that never come."""
+        pair, (result,) = self.run(front.write())
+        assert result.failure is None
+        assert len(relay.forwarded(pair.first)) == 1
+
+    def test_a_waiting_transaction_begins_there(self):
+        """Guards against the same wait of a transaction's first statement."""
+        pair, results = self.run(front.BEGIN, front.write(), front.COMMIT)
+        assert [r.failure for r in results] == [None] * 3
+        assert len(relay.forwarded(pair.first)) == 2
+
+    def test_a_relayed_statement_is_refused_at_once(self):
+        """Guards against a wait at a process that can't run the statement."""
+        pair = relay.Pair()
+        process = pair.first.process
+        process.state.serves = lambda group: False
+        process.backend('p').pool.limit = 0
+        started = clocks.boottime()
+        (result,) = pair.run(front.write())
+        # Half of the time-out, which is how long a primary is waited for, is
+        # longer.
+        assert clocks.boottime() - started < 0.15
+        assert result.failure is None
+        assert len(relay.forwarded(pair.second)) == 1
