Keep the list of entry processes until a new leader's is complete

Cause: a new control leader sends each process the list of those that have renewed with it so far.

Change: a list of an earlier leader is kept until all leases that this one may have granted are known or over. Until then connections are granted to whoever presents them, as before.

Tests: TestListsOfANewLeader in tests/node/test_startingfleet.py; the first one fails without the change.

--- a/packages/node/src/sassafrasridge_node/leadership.py
+++ b/packages/node/src/sassafrasridge_node/leadership.py
@@ -33,14 +33,12 @@
 
 
 class LiveEntries:
-    """Maintain the list of live entry processes and its revision.
-
-    ``records`` is the current list as thrift records.
-    """
+    """Maintain the list of live entry processes and its revision."""
 
     def __init__(self, table: leases.LeaseTable, term: int) -> None:
-        self.records: list[typing.Any] = []
+        self._records: list[typing.Any] = []
         self._lease_table = table
+        self._term = term
         self._revision = term << REVISION_COUNTER_BITS
         self._listed_fields: dict[str, tuple[typing.Any, ...]] = {}
         self._next_rebuild_at = float('-inf')
@@ -66,7 +64,7 @@
             return
         self._listed_fields = known
         self._revision += 1
-        self.records = [
+        self._records = [
             rpc.idl.EntryAddress(
                 entry=h.entry,
                 zone=h.zone,
@@ -78,6 +76,26 @@
         self._serving_zones = {h.entry: h.zone for h in live if not h.draining}
         self._serving_sets = {}
 
+    def is_complete(self, now: float) -> bool:
+        """Return whether all processes that may hold a lease are listed."""
+        return self._lease_table.earlier_leases_expired(now)
+
+    def records_for(
+        self, now: float, revision: int
+    ) -> list[typing.Any] | None:
+        """Return the list for a process that has one of a given revision.
+
+        Returns None if it is to keep its list. That of an earlier leader is
+        kept until this one is complete: processes that are missing in it
+        still serve, and all others would take their groups over.
+        """
+        if revision == self._revision:
+            return None
+        earlier = 0 < revision >> REVISION_COUNTER_BITS < self._term
+        if earlier and not self.is_complete(now):
+            return None
+        return self._records
+
     def serving_set(self, group: str, entry: str, zone: str) -> list[str]:
         """Return the serving set that a process derives from the list.
 
@@ -192,8 +210,7 @@
         ]
         reply.entries_revision = self._live.refresh(now, holder)
         reply.connections = self._grant_all_connections(now, req)
-        if req.entries_revision != reply.entries_revision:
-            reply.entries = self._live.records
+        reply.entries = self._live.records_for(now, req.entries_revision or 0)
         self._add_targets(now, reply, req)
         reply.members = self.member_addresses()
         self._metrics.renewals.labels('granted').inc()
--- a/tests/node/test_startingfleet.py
+++ b/tests/node/test_startingfleet.py
@@ -7,6 +7,8 @@
 
 import asyncio
 
+import orjson
+
 from sassafrasridge_core import leases
 from sassafrasridge_core import placement
 from sassafrasridge_core import state as core_state
@@ -29,8 +31,21 @@
     """Renew the leases of a fleet with a leader that has just begun."""
 
     def __init__(self, size=SIZE):
+        self.names = [f'entry-{number}' for number in range(size)]
+        state = core_state.State()
+        for index, name in enumerate(self.names, start=1):
+            command = {
+                'type': 'entry',
+                'action': 'register',
+                'entry': name,
+                'zone': 'z',
+                'address': f'{name}:1',
+                'who': name,
+                'time': 1.0,
+            }
+            assert state.apply(index, orjson.dumps(command)).ok
         self.leader = leadership.Leadership(
-            core_state.State(),
+            state,
             leases.LeaseTimes(0.4, 1.5, 4.0),
             1.2,
             2,
@@ -40,7 +55,6 @@
             exclusive_names=True,
             order_connections=1,
         )
-        self.names = [f'entry-{number}' for number in range(size)]
         # Version and connections of the last grant, by process.
         self.grants = dict.fromkeys(self.names, (0, 0))
 
@@ -187,3 +201,54 @@
         assert clocks.boottime() - started < 0.15
         assert result.failure is None
         assert len(relay.forwarded(pair.second)) == 1
+
+
+class TestListsOfANewLeader:
+    """Pattern: control's leader is replaced while all processes serve."""
+
+    def setup_method(self):
+        self.fleet = StartingFleet()
+        # Lists of the former leader, of term 1.
+        self.former = 1 << leadership.REVISION_COUNTER_BITS | 7
+
+    def renew(self, now, name, revision):
+        return self.fleet.leader.renew(
+            now,
+            rpc.idl.RenewRequest(
+                entry=name,
+                incarnation=1,
+                zone='z',
+                address=f'{name}:1',
+                revision=0,
+                view_revision=0,
+                draining=False,
+                sequence=1,
+                entries_revision=revision,
+            ),
+        )
+
+    def test_an_incomplete_list_does_not_replace_a_former_one(self):
+        """Guards against processes that take over the groups of others.
+
+        Each of them would open connections to targets of these groups, and
+        relay statements to processes that have none.
+        """
+        for number, name in enumerate(self.fleet.names[:40]):
+            reply = self.renew(0.2 + number * 0.01, name, self.former)
+            assert reply.entries is None
+
+    def test_a_complete_list_replaces_it(self):
+        """Guards against lists that name lost processes for ever."""
+        for name in self.fleet.names[:40]:
+            self.renew(1.0, name, self.former)
+        reply = self.renew(1.6, self.fleet.names[0], self.former)
+        assert len(reply.entries) == 40
+
+    def test_a_process_without_a_list_gets_what_is_known(self):
+        """Guards against a restarted process that can't relay anything."""
+        self.renew(0.2, self.fleet.names[0], self.former)
+        reply = self.renew(0.3, self.fleet.names[1], 0)
+        assert len(reply.entries) == 2
+        self.renew(0.4, self.fleet.names[2], self.former)
+        again = self.renew(0.5, self.fleet.names[1], reply.entries_revision)
+        assert len(again.entries) == 3
