Keep the ranking of processes for each group at the leader

Deriving the serving sets of 400 groups from 640 processes takes 0.27 s of processor time (measured here), and a starting fleet of that size changes the list up to 40 times in two seconds. A process that joins or leaves now costs one score for each group. The sets are unchanged; a test compares them with those that the processes derive.

--- a/packages/core/src/sassafrasridge_core/placement.py
+++ b/packages/core/src/sassafrasridge_core/placement.py
@@ -1,5 +1,6 @@
 """Assignment of entry processes to database groups and accounts."""
 
+import bisect
 from collections.abc import Collection
 from collections.abc import Iterable
 from collections.abc import Mapping
@@ -42,6 +43,55 @@
     return ranked[:size]
 
 
+class ServingSets:
+    """Derive the serving sets of groups while the processes change.
+
+    The ranking of a group is kept, so that a process that joins or leaves
+    costs one score for each group. Ranking 640 processes takes 0.7 ms.
+
+    >>> sets = ServingSets()
+    >>> sets.update({'e1': 'z1', 'e2': 'z1'})
+    >>> sets.get('orders') == serving_set('orders', ['e1', 'e2'])
+    True
+    >>> sets.update({'e2': 'z1'})
+    >>> sets.get('orders')
+    ['e2']
+    """
+
+    __slots__ = ('zones', '_ranked', '_sets')
+
+    def __init__(self) -> None:
+        self.zones: Mapping[str, str] = {}
+        # Processes by descending score, and the sets that result, by group.
+        self._ranked: dict[str, list[tuple[int, str]]] = {}
+        self._sets: dict[str, list[str]] = {}
+
+    def update(self, zones: Mapping[str, str]) -> None:
+        """Set the processes to choose from, with their zones."""
+        added = zones.keys() - self.zones.keys()
+        removed = self.zones.keys() - zones.keys()
+        for group, ranked in self._ranked.items():
+            if removed:
+                ranked[:] = [item for item in ranked if item[1] in zones]
+            for entry in added:
+                bisect.insort(ranked, (-_score(group, entry), entry))
+        self.zones = zones
+        self._sets.clear()
+
+    def get(self, group: str) -> list[str]:
+        """Return the entry processes that serve a group, best one first."""
+        found = self._sets.get(group)
+        if found is None:
+            ranked = self._ranked.get(group)
+            if ranked is None:
+                ranked = sorted((-_score(group, e), e) for e in self.zones)
+                self._ranked[group] = ranked
+            names = [entry for _, entry in ranked]
+            found = _spread_over_zones(names, self.zones)[:SERVING_SET_SIZE]
+            self._sets[group] = found
+        return found
+
+
 def charging_entry(
     account: str, burst: float, entries: Collection[str]
 ) -> str | None:
--- a/packages/node/src/sassafrasridge_node/leadership.py
+++ b/packages/node/src/sassafrasridge_node/leadership.py
@@ -42,10 +42,8 @@
         self._revision = term << REVISION_COUNTER_BITS
         self._listed_fields: dict[str, tuple[typing.Any, ...]] = {}
         self._next_rebuild_at = float('-inf')
-        # Zones of the processes that take new work, and the serving sets that
-        # result from them, by group.
-        self._serving_zones: dict[str, str] = {}
-        self._serving_sets: dict[str, list[str]] = {}
+        # Sets of the processes that take new work.
+        self._serving_sets = placement.ServingSets()
 
     def refresh(self, now: float, holder: leases.LeaseHolder) -> int:
         """Update the list after a holder's renewal; return its revision."""
@@ -73,8 +71,9 @@
             )
             for h in live
         ]
-        self._serving_zones = {h.entry: h.zone for h in live if not h.draining}
-        self._serving_sets = {}
+        self._serving_sets.update(
+            {h.entry: h.zone for h in live if not h.draining}
+        )
 
     def is_complete(self, now: float) -> bool:
         """Return whether all processes that may hold a lease are listed."""
@@ -101,15 +100,11 @@
 
         A process that shuts down counts itself until its statements end.
         """
-        if entry not in self._serving_zones:
-            zones = {**self._serving_zones, entry: zone}
-            return placement.serving_set(group, [*zones], zones=zones)
-        found = self._serving_sets.get(group)
-        if found is None:
-            found = self._serving_sets[group] = placement.serving_set(
-                group, [*self._serving_zones], zones=self._serving_zones
-            )
-        return found
+        known = self._serving_sets.zones
+        if entry in known:
+            return self._serving_sets.get(group)
+        zones = {**known, entry: zone}
+        return placement.serving_set(group, [*zones], zones=zones)
 
     @staticmethod
     def _entry_fields(holder: leases.LeaseHolder) -> tuple[typing.Any, ...]:
--- a/tests/core/test_placement.py
+++ b/tests/core/test_placement.py
@@ -2,6 +2,9 @@
 
 import collections
 
+import hypothesis
+from hypothesis import strategies
+
 from sassafrasridge_core import placement
 
 ENTRIES = [f'entry-{n}' for n in range(640)]
@@ -37,3 +40,27 @@
             chosen = placement.serving_set(group, ENTRIES, zones=zones)
             assert len(set(chosen)) == 7
             assert {zones[entry] for entry in chosen} == set(zones.values())
+
+
+class TestServingSets:
+    @hypothesis.given(
+        strategies.lists(
+            strategies.dictionaries(
+                strategies.sampled_from([f'e{n}' for n in range(20)]),
+                strategies.sampled_from(['z1', 'z2', 'z3']),
+            ),
+            max_size=8,
+        )
+    )
+    def test_sets_are_those_of_the_current_processes(self, lists):
+        """Guards against a leader and processes with different sets.
+
+        A process that the leader leaves out gets no connections.
+        """
+        sets = placement.ServingSets()
+        for zones in lists:
+            sets.update(zones)
+            for group in ('g1', 'g2'):
+                assert sets.get(group) == placement.serving_set(
+                    group, list(zones), zones=zones
+                )
