--- a/tests/node/test_startingfleet.py
+++ b/tests/node/test_startingfleet.py
@@ -27,6 +27,19 @@
 WAITING = 9.0
 
 
+def request(name, **fields):
+    return rpc.idl.RenewRequest(
+        entry=name,
+        incarnation=2,
+        zone='z',
+        address=f'{name}:1',
+        revision=0,
+        view_revision=0,
+        sequence=1,
+        **{'draining': False, **fields},
+    )
+
+
 class StartingFleet:
     """Renew the leases of a fleet with a leader that has just begun."""
 
@@ -77,15 +90,9 @@
         )
         reply = self.leader.renew(
             now,
-            rpc.idl.RenewRequest(
-                entry=name,
-                incarnation=2,
-                zone='z',
-                address=f'{name}:1',
-                revision=0,
-                view_revision=0,
+            request(
+                name,
                 draining=draining,
-                sequence=1,
                 unused_s=0.3,
                 observations=[obs] if serves else [],
             ),
@@ -213,18 +220,7 @@
 
     def renew(self, now, name, revision):
         return self.fleet.leader.renew(
-            now,
-            rpc.idl.RenewRequest(
-                entry=name,
-                incarnation=1,
-                zone='z',
-                address=f'{name}:1',
-                revision=0,
-                view_revision=0,
-                draining=False,
-                sequence=1,
-                entries_revision=revision,
-            ),
+            now, request(name, entries_revision=revision)
         )
 
     def test_an_incomplete_list_does_not_replace_a_former_one(self):
