Rank processes for groups and accounts in one place

account_order repeated the ranking of serving_set. Behaviour is unchanged; the tests and doctests of placement, the starting fleet, the placement of accounts and the leadership passed, linters too.

--- a/packages/core/src/sassafrasridge_core/placement.py
+++ b/packages/core/src/sassafrasridge_core/placement.py
@@ -35,9 +35,7 @@
     >>> serving_set('orders', ['entry-1'])
     ['entry-1']
     """
-    ranked = sorted(
-        set(entries), key=lambda entry: (-_score(group, entry), entry)
-    )
+    ranked = _rank(group, set(entries))
     if zones is not None:
         ranked = _spread_over_zones(ranked, zones)
     return ranked[:size]
@@ -118,7 +116,12 @@
     >>> account_order('acme', ['e2', 'e1'])
     ['e1', 'e2']
     """
-    return sorted(entries, key=lambda entry: (-_score(account, entry), entry))
+    return _rank(account, entries)
+
+
+def _rank(name: str, entries: Iterable[str]) -> list[str]:
+    """Return entry processes by descending score for a group or account."""
+    return sorted(entries, key=lambda entry: (-_score(name, entry), entry))
 
 
 def _spread_over_zones(
