--- a/review/1/run.py
+++ b/review/1/run.py
@@ -1,6 +1,5 @@
-"""Case 1: a primary's replacement loses commits that only a new replica has."""
+"""Case 1: a change of primary loses commits that only a new replica has."""
 
-import asyncio
 import pathlib
 import signal
 import sys
@@ -18,7 +17,7 @@
 WRITERS = 15
 
 
-async def play(deployment):
+async def play(deployment: harness.Deployment) -> int:
     """Return whether the rule held."""
     group = deployment.world.groups['orders']
     primary = group.servers[0]
--- a/review/5/run.py
+++ b/review/5/run.py
@@ -18,9 +18,17 @@
 LONG_AFTER_S = 2.25
 PAUSE_S = 0.25
 CLIENTS = 4
+# The other transactions commit this long after SIGTERM. They are recorded,
+# and don't decide the outcome.
+COMMIT_AFTER_S = 2.85
 
 
-async def transact(deployment, node, number, stop_at):
+async def transact(
+    deployment: harness.Deployment,
+    node: harness.Node,
+    number: int,
+    stop_at: float,
+) -> tuple[str | None, float, float, str]:
     """Run a transaction whose last statement is long; return its outcome."""
     session = harness.Session(
         deployment.world, node.frontend, 'orders-primary'
@@ -44,7 +52,35 @@
     return statement_id, sent_s, time.monotonic() - stop_at, outcome
 
 
-async def play(deployment):
+async def commit_later(
+    deployment: harness.Deployment,
+    node: harness.Node,
+    number: int,
+    stop_at: float,
+) -> str:
+    """Run a transaction that ends before half of graceS is over."""
+    session = harness.Session(
+        deployment.world, node.frontend, 'orders-primary'
+    )
+    try:
+        await session.open()
+        await harness.at(deployment, stop_at, -0.2 + 0.01 * number)
+        await session.query('BEGIN')
+        for turn in range(11):
+            answer = await session.query(f'STORE c{number}s{turn} x')
+            if not answer.ok:
+                return f'{answer.code} {time.monotonic() - stop_at:.3f} s'
+            await asyncio.sleep(PAUSE_S)
+        await harness.at(deployment, stop_at, COMMIT_AFTER_S)
+        answer = await session.query('COMMIT')
+        return f'{answer.code or "ok"} {time.monotonic() - stop_at:.3f} s'
+    except OSError as exc:
+        return repr(exc)
+    finally:
+        session.close()
+
+
+async def play(deployment: harness.Deployment) -> int:
     """Return whether the rule held."""
     world = deployment.world
     world.work_s = lambda text: (
@@ -58,11 +94,15 @@
         asyncio.ensure_future(transact(deployment, node, number, stop_at))
         for number in range(CLIENTS)
     ]
+    commits = [
+        asyncio.ensure_future(commit_later(deployment, node, number, stop_at))
+        for number in range(CLIENTS)
+    ]
     await asyncio.sleep(STOP_AT)
     if harness.trouble():
         node.signal(signal.SIGTERM)
         deployment.record(f'SIGTERM to {node.name}')
-    broken, ran_ids = False, {s[2] for s in world.statements}
+    broken = False
     for found in await asyncio.gather(*tasks, return_exceptions=True):
         if isinstance(found, BaseException):
             deployment.record(f'transaction failed before: {found!r}')
@@ -80,6 +120,8 @@
         passed_on = statement_id in ran_ids
         if outcome == 'no answer' and passed_on and in_time:
             broken = True
+    for outcome in await asyncio.gather(*commits):
+        deployment.record(f'transaction to commit: {outcome} after SIGTERM')
     return harness.BROKEN if broken else harness.HELD
 
 
--- a/review/harness.py
+++ b/review/harness.py
@@ -4,6 +4,8 @@
 deploy file, each at an address of its own in 127.0.0.0/8.
 """
 
+from __future__ import annotations
+
 import asyncio
 import itertools
 import json
@@ -19,6 +21,7 @@
 import tempfile
 import time
 import tomllib
+import typing
 
 import standins
 
@@ -31,20 +34,23 @@
 
 HELD, BROKEN, NOT_RUN = 0, 1, 2
 
+# Plays a case on a deployment; returns one of the codes above.
+Play = typing.Callable[['Deployment'], typing.Awaitable[int]]
+
 
 class CaseError(Exception):
     """Report that a case could not run."""
 
 
-def trouble():
+def trouble() -> bool:
     """Return whether the disruption is to be injected."""
     return os.environ.get('TROUBLE', '1') != '0'
 
 
-def render(template, fields):
+def render(template: str, fields: standins.Json) -> str:
     """Fill in a settings template of the deploy file."""
 
-    def find(name):
+    def find(name: str) -> typing.Any:
         value = fields
         for part in name.split('.'):
             if isinstance(value, list):
@@ -53,14 +59,14 @@
                 value = value.get(part, '')
         return value
 
-    def text(value):
+    def text(value: typing.Any) -> str:
         if isinstance(value, bool):
             return str(value).lower()
         if isinstance(value, list):
             return ','.join(map(str, value))
         return str(value)
 
-    def section(match):
+    def section(match: re.Match[str]) -> str:
         body = match[2]
         return ''.join(
             body.replace('{{@}}', key).replace('{{.}}', value)
@@ -73,31 +79,35 @@
         template,
         flags=re.DOTALL,
     )
-    return re.sub(
-        r'\{\{([\w.]+)\}\}', lambda m: text(find(m[1])), template
-    )
+    return re.sub(r'\{\{([\w.]+)\}\}', lambda m: text(find(m[1])), template)
 
 
 class Node:
     """A process of the project, on a machine of its own."""
 
-    def __init__(self, name, role, zone, host):
+    def __init__(self, name: str, role: str, zone: str, host: str) -> None:
         self.name = name
         self.role = role
         self.zone = zone
         self.host = host
-        self.process = None
+        self.process: subprocess.Popen[bytes] | None = None
         self.frontend = self.ready = self.control = ''
 
-    def signal(self, number):
+    def signal(self, number: int) -> None:
         """Send a signal to the process, which this script started."""
+        assert self.process is not None
         self.process.send_signal(number)
 
 
 class Deployment:
     """Three control machines, some edge machines, and the stand-ins."""
 
-    def __init__(self, case, edges=5, services=('orders',)):
+    def __init__(
+        self,
+        case: str,
+        edges: int = 5,
+        services: typing.Sequence[str] = ('orders',),
+    ) -> None:
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix='review-'))
         path = pathlib.Path(case).resolve().parent / 'record.txt'
         self.world = standins.World(path)
@@ -110,13 +120,12 @@
         with open(ROOT / 'deploy' / 'system.toml', 'rb') as file:
             self._roles = tomllib.load(file)['roles']
         self.controls = [
-            self._add_node(f'core-{zone}-1', 'control', zone)
-            for zone in ZONES
+            self._add_node(f'core-{zone}-1', 'control', zone) for zone in ZONES
         ]
         zones = itertools.cycle(ZONES)
         self.edges = [
             self._add_node(f'edge-{zone}-{n}', 'entry', zone)
-            for n, zone in zip(range(edges), zones)
+            for n, zone in zip(range(edges), zones, strict=False)
         ]
         self.seeds = [node.control for node in self.controls]
         self.world.control_addresses = self.seeds
@@ -124,9 +133,9 @@
         for name in services:
             self._add_group(name)
         self.version = 0
-        self._tasks = []
+        self._tasks: list[asyncio.Task[None]] = []
 
-    def _add_node(self, name, role, zone):
+    def _add_node(self, name: str, role: str, zone: str) -> Node:
         node = Node(name, role, zone, next(self._hosts))
         if role == 'control':
             node.control = f'{node.host}:{self._port}'
@@ -140,14 +149,14 @@
         )
         return node
 
-    def _add_group(self, name):
+    def _add_group(self, name: str) -> None:
         group = standins.Group(self.world, name)
         self.world.groups[name] = group
         for zone in ZONES:
             self.new_server(group, zone)
         group.servers[0].primary = True
 
-    def new_server(self, group, zone):
+    def new_server(self, group: standins.Group, zone: str) -> standins.Server:
         """Return a new server of a group; it isn't started."""
         address = f'{next(self._hosts)}:{self._port}'
         server = standins.Server(
@@ -162,7 +171,7 @@
 
     # Processes.
 
-    def launch(self, node, bootstrap=False):
+    def launch(self, node: Node, bootstrap: bool = False) -> None:
         """Start the process of a node with the deploy file's command."""
         role = self._roles[node.role]
         data = self.folder / f'data-{node.name}'
@@ -206,7 +215,7 @@
         log.close()
         self.record(f'started {node.name} pid {node.process.pid}')
 
-    async def start(self):
+    async def start(self) -> None:
         """Start everything; return once all nodes serve all services."""
         if not (ROOT / 'target' / 'deps').exists():
             raise CaseError('the build of the deploy file is missing')
@@ -223,16 +232,18 @@
                 await self._wait_serving(node, name)
         self.record('all machines serve')
 
-    async def start_server(self, server):
+    async def start_server(self, server: standins.Server) -> None:
         """Start a server, its heartbeats and its replication."""
         await server.start()
         self._spawn(server.announce())
         self._spawn(server.replicate())
 
-    def _spawn(self, coroutine):
+    def _spawn(
+        self, coroutine: typing.Coroutine[typing.Any, typing.Any, None]
+    ) -> None:
         self._tasks.append(asyncio.ensure_future(coroutine))
 
-    async def _wait_serving(self, node, service):
+    async def _wait_serving(self, node: Node, service: str) -> None:
         end = time.monotonic() + 30
         while time.monotonic() < end:
             session = Session(self.world, node.frontend, f'{service}-primary')
@@ -248,7 +259,7 @@
             await asyncio.sleep(0.2)
         raise CaseError(f'{node.name} does not serve {service}')
 
-    def stop(self):
+    def stop(self) -> None:
         """End all processes that this script started."""
         for task in self._tasks:
             task.cancel()
@@ -264,7 +275,9 @@
 
     # The operator.
 
-    def configuration(self, timeout_ms=1000, **changes):
+    def configuration(
+        self, timeout_ms: int = 1000, **changes: typing.Any
+    ) -> standins.Json:
         """Return a configuration with the next version."""
         self.version += 1
         routes = [
@@ -317,7 +330,7 @@
             **changes,
         }
 
-    async def configure(self, body):
+    async def configure(self, body: standins.Json) -> None:
         """Send a configuration until it is acknowledged."""
         end = time.monotonic() + 30
         for turn in itertools.count():
@@ -338,14 +351,16 @@
 
     __slots__ = ('rows', 'signature', 'code', 'state')
 
-    def __init__(self, rows, signature, code, state):
+    def __init__(
+        self, rows: list[str], signature: str, code: str, state: str
+    ) -> None:
         self.rows = rows
         self.signature = signature
         self.code = code
         self.state = state
 
     @property
-    def ok(self):
+    def ok(self) -> bool:
         """Return whether the statement succeeded."""
         return not self.code
 
@@ -355,16 +370,22 @@
 
     _numbers = itertools.count(1)
 
-    def __init__(self, world, address, database, key=KEY):
+    def __init__(
+        self,
+        world: standins.World,
+        address: str,
+        database: str,
+        key: str = KEY,
+    ) -> None:
         self._world = world
         self._address = address
         self._database = database
         self._key = key
-        self._writer = None
+        self._writer: asyncio.StreamWriter | None = None
         self._prefix = f'{next(self._numbers):04x}{secrets.token_hex(4)}'
         self._count = 0
 
-    async def open(self):
+    async def open(self) -> None:
         """Connect and start the session."""
         host, port = self._address.split(':')
         async with asyncio.timeout(2):
@@ -376,18 +397,20 @@
         if not answer.ok:
             raise ConnectionError(answer.code)
 
-    def _send(self, line):
+    def _send(self, line: str) -> None:
+        assert self._writer is not None
         self._writer.write(line.encode() + b'\r\n')
 
-    def next_id(self):
+    def next_id(self) -> str:
         """Return the id of the next statement."""
         return f'{self._prefix}{self._count + 1:06x}'
 
-    async def query(self, text, timeout_s=4.0):
+    async def query(self, text: str, timeout_s: float = 4.0) -> Answer:
         """Run a statement; raise OSError without a complete answer."""
         self._count += 1
         statement_id = f'{self._prefix}{self._count:06x}'
         self._world.record(f'send {statement_id} {text}')
+        self._world.sent[statement_id] = self._world.now()
         self._send(f'QUERY {statement_id} {text}')
         try:
             async with asyncio.timeout(timeout_s):
@@ -399,8 +422,9 @@
         self._world.record(f'got  {statement_id} {result}')
         return answer
 
-    async def _read(self):
-        rows, signature, code = [], '', ''
+    async def _read(self) -> Answer:
+        rows: list[str] = []
+        signature = code = ''
         while True:
             raw = await self._reader.readline()
             if not raw.endswith(b'\r\n'):
@@ -417,7 +441,7 @@
             else:
                 return Answer(rows, signature, code, rest.split(' ')[0])
 
-    def close(self):
+    def close(self) -> None:
         """Close the connection."""
         if self._writer is not None:
             self._writer.close()
@@ -425,21 +449,32 @@
 
 
 class Writers:
-    """Clients that write new items all the time, one after the other."""
+    """Clients that write new items all the time, one after the other.
+
+    With ``reads`` each write is followed by a read of its item.
+    """
 
-    def __init__(self, deployment, database, count, pause_s=0.01):
+    def __init__(
+        self,
+        deployment: Deployment,
+        database: str,
+        count: int,
+        pause_s: float = 0.01,
+    ) -> None:
+        # Whether each write is followed by a read.
+        self.reads = False
         self._deployment = deployment
         self._database = database
         self._pause_s = pause_s
         # Time of the acknowledgement and item of each write, by id.
-        self.acknowledged = {}
+        self.acknowledged: dict[str, tuple[float, str]] = {}
         edges = itertools.cycle(deployment.edges)
         self._tasks = [
             asyncio.ensure_future(self._write(next(edges), number))
             for number in range(count)
         ]
 
-    async def _write(self, node, number):
+    async def _write(self, node: Node, number: int) -> None:
         world = self._deployment.world
         for turn in itertools.count():
             session = Session(world, node.frontend, self._database)
@@ -451,9 +486,10 @@
                     answer = await session.query(f'STORE {item} data')
                     if answer.ok and answer.signature not in ('', '-'):
                         self.acknowledged[statement_id] = world.now(), item
-                    await asyncio.sleep(
-                        self._pause_s if answer.ok else 0.1
-                    )
+                        world.acknowledge(statement_id)
+                    await asyncio.sleep(self._pause_s if answer.ok else 0.1)
+                    if self.reads:
+                        await session.query(f'FETCH {item}')
                     if not answer.ok and answer.state != 'I':
                         break
             except OSError:
@@ -461,13 +497,13 @@
             finally:
                 session.close()
 
-    def stop(self):
+    def stop(self) -> None:
         """End all clients."""
         for task in self._tasks:
             task.cancel()
 
 
-async def judge_promotions(deployment, writers):
+async def judge_promotions(deployment: Deployment, writers: Writers) -> int:
     """Return whether each promoted server held all acknowledged commits.
 
     The commits that one lacked are read back through the proxy.
@@ -509,23 +545,23 @@
     return BROKEN if broken else HELD
 
 
-def free_port():
+def free_port() -> int:
     """Return a port that is free on all loopback addresses now."""
     with socket.socket() as sock:
         sock.bind(('0.0.0.0', 0))
         return sock.getsockname()[1]
 
 
-async def at(deployment, started, seconds):
+async def at(deployment: Deployment, started: float, seconds: float) -> None:
     """Wait until a time after the start of the traffic."""
     await asyncio.sleep(max(0.0, started + seconds - time.monotonic()))
     deployment.record(f'--- {seconds} s of traffic')
 
 
-def run_case(case, play, **options):
+def run_case(case: str, play: Play, **options: typing.Any) -> typing.NoReturn:
     """Run a case and exit with 0, 1 or 2."""
 
-    async def main():
+    async def main() -> int:
         deployment = Deployment(case, **options)
         try:
             async with asyncio.timeout(110):
@@ -544,6 +580,6 @@
     sys.exit(code)
 
 
-def dump(deployment, name, value):
+def dump(deployment: Deployment, name: str, value: typing.Any) -> None:
     """Write a finding into the record."""
     deployment.record(f'{name}: {json.dumps(value)}')
