--- a/review/harness.py
+++ b/review/harness.py
@@ -130,8 +130,8 @@
         self.seeds = [node.control for node in self.controls]
         self.world.control_addresses = self.seeds
         self.platform = f'127.0.0.1:{free_port()}'
-        for name in services:
-            self._add_group(name)
+        for number, name in enumerate(services):
+            self._add_group(name, number)
         self.version = 0
         self._tasks: list[asyncio.Task[None]] = []
 
@@ -149,12 +149,12 @@
         )
         return node
 
-    def _add_group(self, name: str) -> None:
+    def _add_group(self, name: str, first: int) -> None:
         group = standins.Group(self.world, name)
         self.world.groups[name] = group
         for zone in ZONES:
             self.new_server(group, zone)
-        group.servers[0].primary = True
+        group.servers[first].primary = True
 
     def new_server(self, group: standins.Group, zone: str) -> standins.Server:
         """Return a new server of a group; it isn't started."""
@@ -503,7 +503,9 @@
             task.cancel()
 
 
-async def judge_promotions(deployment: Deployment, writers: Writers) -> int:
+async def judge_promotions(
+    deployment: Deployment, writers: Writers, service: str = 'orders'
+) -> int:
     """Return whether each promoted server held all acknowledged commits.
 
     The commits that one lacked are read back through the proxy.
@@ -526,7 +528,7 @@
         for statement_id in lost[:5]:
             acknowledged_at, item = writers.acknowledged[statement_id]
             session = Session(
-                world, deployment.edges[0].frontend, 'orders-primary'
+                world, deployment.edges[0].frontend, f'{service}-primary'
             )
             try:
                 await session.open()
--- a/review/standins.py
+++ b/review/standins.py
@@ -427,6 +427,8 @@
 
     def lead(self) -> None:
         """Become the primary of the next term with the log received."""
+        if self is self.group.present_primary():
+            return
         self.term = max(s.term for s in self.group.servers) + 1
         self.primary, self.held, self.acked = True, 0, {}
         self._changed.set()
