--- a/review/harness.py
+++ b/review/harness.py
@@ -569,7 +569,8 @@
             async with asyncio.timeout(110):
                 await deployment.start()
                 return await play(deployment)
-        except (CaseError, TimeoutError) as exc:
+        except Exception as exc:
+            # An error of the script is no broken rule.
             deployment.record(f'not run: {exc!r}')
             return NOT_RUN
         finally:
