Compare a promotion with the commits that entry processes acknowledged

Cause: a new server that control doesn't list yet confirms commits. The leader paused the replicas that it knew and took that for a proof, although the primary had stepped down at 1.1185 and the promoted replica was at 1.1161.

Ruled out: a discarded announcement, and an acknowledgement under an old view; the record of the run shows the commits acknowledged before the step-down.

Change: a replica that reached the position of the step-down is the first proof. A planned change pauses and demotes only after entry processes have confirmed the new view, so no write is in flight and a new replica has time to announce itself. Entry processes report the least position of the last commit that they acknowledged; paused replicas below it are no proof.

Before: with the former failover.py, TestUnlistedReplica fails in 3 of 3 tests (c is promoted instead of d). The planned change takes about one renewal longer.

--- a/packages/core/src/sassafrasridge_core/leases.py
+++ b/packages/core/src/sassafrasridge_core/leases.py
@@ -6,6 +6,8 @@
 covered.
 """
 
+from sassafrasridge_core import model
+
 # Highest tolerated relative difference between the rates of two clocks.
 MAX_CLOCK_DRIFT = 0.02
 
@@ -79,7 +81,11 @@
 
 
 class LeaseHolder:
-    """Store the grantor's state for one lease holder."""
+    """Store the grantor's state for one lease holder.
+
+    ``acknowledged`` maps groups to the position of the last commit that the
+    holder acknowledged to a client.
+    """
 
     __slots__ = (
         'name',
@@ -90,6 +96,7 @@
         'revision',
         'view_revision',
         'draining',
+        'acknowledged',
     )
 
     def __init__(self, name: str, entry: str) -> None:
@@ -101,6 +108,7 @@
         self.revision = 0
         self.view_revision = 0
         self.draining = False
+        self.acknowledged: dict[str, model.Position] = {}
 
 
 class LeaseTable:
@@ -165,6 +173,17 @@
         """Remove a holder that returned its lease."""
         self.holders.pop(name, None)
 
+    def acknowledged(self, group: str) -> model.Position | None:
+        """Return the last commit in a group that a holder acknowledged."""
+        return max(
+            (
+                holder.acknowledged[group]
+                for holder in self.holders.values()
+                if group in holder.acknowledged
+            ),
+            default=None,
+        )
+
     def view_confirmed(self, now: float, view_revision: int) -> bool:
         """Return whether all live holders have at least this view revision.
 
--- a/packages/node/src/sassafrasridge_node/codec.py
+++ b/packages/node/src/sassafrasridge_node/codec.py
@@ -89,6 +89,28 @@
     )
 
 
+def acknowledged_to_wire(
+    positions: dict[str, model.Position],
+) -> list[typing.Any]:
+    """Return the thrift records of the last acknowledged commits."""
+    return [
+        rpc.idl.AcknowledgedCommit(
+            group=group, term=position.term, index=position.index
+        )
+        for group, position in positions.items()
+    ]
+
+
+def acknowledged_from_wire(
+    records: list[typing.Any] | None,
+) -> dict[str, model.Position]:
+    """Return the last acknowledged commits by group."""
+    return {
+        record.group: model.Position(record.term, record.index)
+        for record in records or []
+    }
+
+
 def report_to_wire(report: shares.Report) -> typing.Any:
     """Return the thrift report on a client account."""
     return rpc.idl.AccountReport(
--- a/packages/node/src/sassafrasridge_node/entry.py
+++ b/packages/node/src/sassafrasridge_node/entry.py
@@ -58,6 +58,8 @@
         self.lease = leases.HolderLease(times)
         self.config = core_state.ConfigView()
         self.groups: dict[str, model.GroupView] = {}
+        # Last commits that a client was told of, by group.
+        self.acknowledged: dict[str, model.Position] = {}
         self.view_revision = 0
         self.view_changed = asyncio.Event()
         # Set when the first lease that includes a configuration is granted.
--- a/packages/node/src/sassafrasridge_node/failover.py
+++ b/packages/node/src/sassafrasridge_node/failover.py
@@ -57,14 +57,17 @@
     former: str | None,
     paused: typing.Sequence[grouporders.ServerStatus],
     stepped_down: grouporders.ServerStatus | None,
+    acknowledged: model.Position | None = None,
 ) -> PromotionProof:
     """Return the replicas that are safe to promote, none without proof.
 
-    A commit is acknowledged once one replica has received it. So if all
-    members except the former primary are paused, those with the highest
-    position hold every acknowledged commit. If a replica is missing, a
-    candidate must have reached the position at which the former primary
-    stepped down.
+    Replicas that have reached the position at which the former primary
+    stepped down hold all its commits. Otherwise all members except the former
+    primary must be paused: a commit is acknowledged once one replica has
+    received it, so those with the highest position hold every commit that a
+    member confirmed. A replica that is not a member yet confirms commits too,
+    so they must also have reached ``acknowledged``, the last commit that an
+    entry process reported as acknowledged.
 
     >>> def at(server, index):
     ...     received = model.Position(1, index)
@@ -77,20 +80,25 @@
     []
     >>> prove_candidates(members, 'a', [at('b', 5)], at('a', 5)).reason
     'former_position'
+    >>> last = model.Position(1, 8)
+    >>> paused = [at('b', 5), at('c', 7)]
+    >>> prove_candidates(members, 'a', paused, None, last).reason
+    'lacks_acknowledged'
     """
+    if stepped_down is not None:
+        reached = [s for s in paused if s.received >= stepped_down.received]
+        if reached:
+            return PromotionProof(reached, 'former_position')
     answered = {status.server for status in paused}
     missing = set(members) - answered - {former}
-    if paused and not missing:
-        furthest = max(status.received for status in paused)
-        return PromotionProof(
-            [s for s in paused if s.received == furthest], 'all_paused'
-        )
-    if stepped_down is not None:
-        return PromotionProof(
-            [s for s in paused if s.received >= stepped_down.received],
-            'former_position',
-        )
-    return PromotionProof([], 'not_proved')
+    if not paused or missing:
+        return PromotionProof([], 'not_proved')
+    furthest = max(status.received for status in paused)
+    if acknowledged is not None and furthest < acknowledged:
+        return PromotionProof([], 'lacks_acknowledged')
+    return PromotionProof(
+        [s for s in paused if s.received == furthest], 'all_paused'
+    )
 
 
 class FailoverReconciler(groups.Reconciler):
@@ -239,6 +247,10 @@
         """Finish a change; return False if it must be tried again."""
         revision = self._store.revision()
         started = clocks.boottime()
+        if self._is_planned(view):
+            # The primary still works: statements in progress end there, and
+            # replicas receive the last commits before they are paused.
+            await self._wait_until_confirmed(revision)
         targets = self._group_targets(view)
         statuses = await self._request_statuses(
             targets, self._failed_primary(view)
@@ -274,18 +286,22 @@
             stepped_down = await self._orders.step_down(
                 targets[acting_primary.server], highest_term + 1
             )
-        proof = prove_candidates(targets, view.primary, paused, stepped_down)
+        acknowledged = self._lease_table.acknowledged(view.group)
+        proof = prove_candidates(
+            targets, view.primary, paused, stepped_down, acknowledged
+        )
         chosen = self._choose_candidate(targets, proof)
         logs.log_event(
             'promotion_considered',
             group=view.group,
             term=view.term,
             proof=proof.reason,
-            paused={
-                s.server: f'{s.received.term}.{s.received.index}'
-                for s in paused
-            },
+            paused={s.server: _position_text(s.received) for s in paused},
             silent=sorted(set(targets) - {s.server for s in statuses}),
+            stepped_down=_position_text(
+                stepped_down and stepped_down.received
+            ),
+            acknowledged=_position_text(acknowledged),
             chosen=None if chosen is None else chosen.server,
         )
         if chosen is None or not await self._promote(
@@ -319,6 +335,14 @@
                 )
         return found
 
+    def _is_planned(self, view: model.GroupView) -> bool:
+        """Return whether a change replaces a primary that still works."""
+        now, name = clocks.boottime(), view.primary or ''
+        info = self._targets.group(view.group).get(name)
+        if info is None or self._failed_primary(view):
+            return False
+        return info.leaving or self._is_drained(now, info)
+
     def _failed_primary(self, view: model.GroupView) -> str:
         """Return the primary's name if it counts as failed, else ''."""
         now, name = clocks.boottime(), view.primary or ''
@@ -571,6 +595,11 @@
     return task.done() and task.result() is not None
 
 
+def _position_text(position: model.Position | None) -> str | None:
+    """Return a position as TERM.INDEX for the log."""
+    return position and f'{position.term}.{position.index}'
+
+
 def _addresses(
     targets: typing.Iterable[model.TargetInfo],
 ) -> dict[str, str]:
--- a/packages/node/src/sassafrasridge_node/leadership.py
+++ b/packages/node/src/sassafrasridge_node/leadership.py
@@ -176,6 +176,7 @@
         holder.revision = req.revision
         holder.view_revision = req.view_revision
         holder.draining = req.draining
+        holder.acknowledged = codec.acknowledged_from_wire(req.acknowledged)
         reply = rpc.idl.RenewReply(
             granted=True,
             reason='',
--- a/packages/node/src/sassafrasridge_node/renewal.py
+++ b/packages/node/src/sassafrasridge_node/renewal.py
@@ -189,6 +189,7 @@
             entries_revision=state.entries_revision,
             targets_revision=state.targets_revision,
             unused_s=self._unused_s(),
+            acknowledged=codec.acknowledged_to_wire(state.acknowledged),
         )
 
     def _unused_s(self) -> float:
--- a/packages/node/src/sassafrasridge_node/ridge.thrift
+++ b/packages/node/src/sassafrasridge_node/ridge.thrift
@@ -95,6 +95,14 @@
   7: bool leaving,
 }
 
+// The last commit in a group that an entry process acknowledged to a client,
+// by the least position that it can have.
+struct AcknowledgedCommit {
+  1: string group,
+  2: i64 term,
+  3: i64 index,
+}
+
 struct RenewRequest {
   1: string entry,
   2: i64 incarnation,
@@ -109,6 +117,7 @@
   11: i64 entries_revision, // revision of the list of entry processes it holds
   12: i64 targets_revision, // revision of the list of targets it holds
   13: double unused_s,      // age of a process that has held no shares, else 0
+  14: optional list<AcknowledgedCommit> acknowledged,
 }
 
 struct RenewReply {
--- a/packages/node/src/sassafrasridge_node/sessionpool.py
+++ b/packages/node/src/sassafrasridge_node/sessionpool.py
@@ -79,6 +79,7 @@
     """Hold a target's answer to the last command of a batch.
 
     ``failed_setup`` tells whether an earlier command of the batch failed.
+    ``commit`` is the least position that the commit of a write can have.
     """
 
     __slots__ = (
@@ -89,6 +90,7 @@
         'state',
         'position',
         'failed_setup',
+        'commit',
     )
 
     def __init__(
@@ -108,6 +110,7 @@
         self.state = state
         self.position = position
         self.failed_setup = failed_setup
+        self.commit: model.Position | None = None
 
 
 class SessionConnection(abc.ABC):
--- a/packages/node/src/sassafrasridge_node/sessionprimary.py
+++ b/packages/node/src/sassafrasridge_node/sessionprimary.py
@@ -152,6 +152,8 @@
             )
         if answer.position is not None:
             self.floor = answer.position
+        if answer.commit is not None:
+            self._state.record_acknowledged(access.group, answer.commit)
         return sessiontargets.success(answer)
 
     def _raise_unless_retryable(
--- a/packages/node/src/sassafrasridge_node/sessionstate.py
+++ b/packages/node/src/sassafrasridge_node/sessionstate.py
@@ -197,8 +197,18 @@
         if view.changing:
             self.primary_changes.begin(clocks.boottime(), view.group)
         else:
+            if view.primary != known.primary:
+                self.acknowledged.pop(view.group, None)
             self.primary_changes.end(clocks.boottime(), view.group)
 
+    def record_acknowledged(
+        self, group: str, position: model.Position
+    ) -> None:
+        """Record the least position of a commit that a client is told of."""
+        known = self.acknowledged.get(group)
+        if known is None or known < position:
+            self.acknowledged[group] = position
+
     def primary_reached(self, backend: sessionpool.SessionBackend) -> None:
         """Record that a target answered; it matters if it is a primary."""
         if self.primary(backend.info.group) is backend:
--- a/packages/node/src/sassafrasridge_node/sessiontargets.py
+++ b/packages/node/src/sassafrasridge_node/sessiontargets.py
@@ -163,6 +163,7 @@
         """Run commands; release the connection unless ``keep`` is set."""
         sent_at = clocks.boottime()
         token = object()
+        position_before = backend.position
         if writes:
             backend.write_started(token)
         kind = _statement_kind(self.database, commands, writes, keep)
@@ -193,6 +194,8 @@
             backend.statement_ended(conn, ended_with)
         if answer.result_code is ResultCode.DONE:
             backend.statement_done(conn, clocks.boottime() - sent_at)
+            if writes:
+                answer.commit = _least_commit(position_before, answer.position)
         self._record_answer(backend, answer, sent_at)
         clean = (
             answer.state is TransactionState.IDLE and not answer.failed_setup
@@ -232,6 +235,19 @@
             self._state.primary_changes.suspect(clocks.boottime(), group)
 
 
+def _least_commit(
+    before: model.Position | None, after: model.Position | None
+) -> model.Position | None:
+    """Return the least position of a commit, None if it isn't known.
+
+    ``before`` and ``after`` are positions of the log before the write was sent
+    and with its answer. The latter may include commits that no replica has.
+    """
+    if before is None or after is None or before.term != after.term:
+        return None
+    return model.Position(before.term, before.index + 1)
+
+
 def _statement_kind(
     database: str,
     commands: list[sessionpool.Command],
--- a/tests/node/test_failover.py
+++ b/tests/node/test_failover.py
@@ -188,6 +188,82 @@
             'abc', 'a', [at], former
         ).candidates
 
+    def test_a_listed_replica_behind_the_former_primary_is_no_proof(self):
+        """Guards against losing commits that only an unlisted replica has."""
+        paused = [
+            grouporders.ServerStatus(name, False, 1, 2, Position(1, 7))
+            for name in 'bc'
+        ]
+        former = grouporders.ServerStatus('a', False, 1, 0, Position(1, 9))
+        proof = failover.prove_candidates(
+            'abc', 'a', paused, former, Position(1, 8)
+        )
+        assert proof.candidates == []
+        assert proof.reason == 'lacks_acknowledged'
+
+    def test_commits_that_nobody_was_told_of_may_be_discarded(self):
+        """Guards against waiting for a primary that replicates no more."""
+        paused = [
+            grouporders.ServerStatus(name, False, 1, 2, Position(1, 7))
+            for name in 'bc'
+        ]
+        former = grouporders.ServerStatus('a', False, 1, 0, Position(1, 9))
+        proof = failover.prove_candidates(
+            'abc', 'a', paused, former, Position(1, 7)
+        )
+        assert len(proof.candidates) == 2
+
+
+class TestUnlistedReplica:
+    """Pattern: a primary is replaced before control knows its newest replica.
+
+    The replica's first announcement went to a control member that is frozen.
+    It confirms commits, so the primary acknowledges them although control has
+    paused all replicas that it knows.
+    """
+
+    def cluster(self, servers):
+        cluster = Cluster(servers)
+        servers['d'] = FakeServer(12)
+        servers['a'].received = Position(1, 12)
+        now = clocks.boottime()
+        holder = cluster.table.grant(now, 'e1#1', 'e1')
+        holder.view_revision = 99
+        holder.acknowledged = {'g': Position(1, 12)}
+        return cluster
+
+    def test_a_planned_change_keeps_its_commits(self, servers):
+        """Guards against promoting a replica that lacks them."""
+        cluster = self.cluster(servers)
+        cluster.announce('a', servers['a'], sequence=2, leaving=True)
+        assert cluster.step().changing
+        assert not servers['b'].primary and not servers['c'].primary
+        cluster.announce('d', servers['d'])
+        assert cluster.step().primary == 'd'
+
+    def test_a_replica_that_joins_during_the_wait_is_paused(self, servers):
+        """Guards against orders to the members known at the beginning."""
+        cluster = self.cluster(servers)
+        cluster.announce('a', servers['a'], sequence=2, leaving=True)
+        wait = cluster.reconciler._wait_until_confirmed
+
+        async def wait_and_join(revision):
+            cluster.announce('d', servers['d'])
+            await wait(revision)
+
+        cluster.reconciler._wait_until_confirmed = wait_and_join
+        assert cluster.step().primary == 'd'
+
+    def test_a_failed_primary_is_not_replaced_by_one_behind(self, servers):
+        """Guards against the same loss if the primary doesn't answer."""
+        cluster = self.cluster(servers)
+        servers['a'].reachable = False
+        cluster.fail('a')
+        assert cluster.step().changing
+        assert not [o for o in cluster.orders.sent_orders if o[0] == 'promote']
+        cluster.announce('d', servers['d'])
+        assert cluster.step().primary == 'd'
+
 
 class TestFailoverReconciler:
     def test_a_failed_primary_is_replaced_by_the_latest_replica(self, servers):
--- a/tests/node/test_sessionfront.py
+++ b/tests/node/test_sessionfront.py
@@ -22,6 +22,7 @@
 from sassafrasridge_node import sessionpool
 from sassafrasridge_node import sessionrelay
 from sassafrasridge_node import sessionstate
+from sassafrasridge_node import sessiontargets
 
 StatementKind = statements.StatementKind
 ResultCode = statements.ResultCode
@@ -262,6 +263,36 @@
         (result,) = process.run(write())
         assert result.failure is StatementFailure.IN_DOUBT
 
+    def test_acknowledged_commits_are_recorded_for_control(self):
+        """Guards against a promotion that control can't compare with them."""
+        process = EntryProcess()
+        process.run(read(), write(), write())
+        assert process.state.acknowledged['g'].term == 1
+
+    def test_a_commit_is_not_recorded_beyond_its_least_position(self):
+        """Guards against a proof that waits for commits that nobody has.
+
+        An answer's position may include commits that no replica has received.
+        """
+        before, after = Position(1, 4), Position(1, 7)
+        least = sessiontargets._least_commit(before, after)
+        assert least == Position(1, 5)
+        assert (
+            sessiontargets._least_commit(Position(1, 9), Position(2, 9))
+            is None
+        )
+
+    def test_a_new_primary_clears_the_record(self):
+        """Guards against positions of a log that was replaced."""
+        process = EntryProcess()
+        state = process.state
+        state.record_acknowledged('g', Position(1, 5))
+        changing = model.GroupView('g', 3, 'p', changing=True)
+        state._on_primary_change(state.groups['g'], changing)
+        assert state.acknowledged
+        state._on_primary_change(changing, model.GroupView('g', 4, 'r'))
+        assert not state.acknowledged
+
     def test_without_a_lease_a_write_is_refused_at_once(self):
         process = EntryProcess()
         process.state.lease._renewal_sent_at -= 2.0
