Don't make a replaced primary the primary again

Cause: a target that acts as primary and isn't the view's primary was taken for a promotion whose answer was lost, in whatever term it acts. The former primary acts on in its term until it is told.

Ruled out: a promotion by the platform (the record has one call, for the successor), and entry processes with the old view.

Change: the group's record holds the term of its primary's log. Only a target that acts as primary in the newest term is adopted or kept; any other is demoted and paused like a replica. The same comparison now chooses between two acting primaries when the view's primary works again.

--- a/packages/core/src/sassafrasridge_core/grouprecords.py
+++ b/packages/core/src/sassafrasridge_core/grouprecords.py
@@ -15,6 +15,7 @@
         'members': dict(sorted(view.members.items())),
         'starts': {str(t): view.starts[t] for t in sorted(view.starts)},
         'changing': view.changing,
+        'log_term': view.log_term,
     }
 
 
@@ -28,6 +29,8 @@
             data['members'],
             {int(term): start for term, start in data['starts'].items()},
             data['changing'],
+            # Records of earlier builds don't have it.
+            data.get('log_term', 0),
         )
     except (KeyError, TypeError, ValueError, AttributeError) as exc:
         raise errors.BadRequestError(f'malformed group record: {exc!r}')
@@ -38,6 +41,7 @@
         and all(isinstance(a, str) for a in view.members.values())
         and all(isinstance(start, int) for start in view.starts.values())
         and isinstance(view.changing, bool)
+        and isinstance(view.log_term, int)
     )
     if not valid:
         raise errors.BadRequestError(
--- a/packages/core/src/sassafrasridge_core/model.py
+++ b/packages/core/src/sassafrasridge_core/model.py
@@ -110,10 +110,19 @@
     ``primary`` is None while no server may act as primary. ``members`` maps
     server names to addresses. ``starts`` maps a term to the log index at which
     it began. ``changing`` is true from the decision to replace the primary
-    until the next one is chosen.
+    until the next one is chosen. ``log_term`` is the term that the primary of
+    a group that manages replication itself began in its log, 0 if unknown.
     """
 
-    __slots__ = ('group', 'term', 'primary', 'members', 'starts', 'changing')
+    __slots__ = (
+        'group',
+        'term',
+        'primary',
+        'members',
+        'starts',
+        'changing',
+        'log_term',
+    )
 
     def __init__(
         self,
@@ -123,6 +132,7 @@
         members: dict[str, str] | None = None,
         starts: dict[int, int] | None = None,
         changing: bool = False,
+        log_term: int = 0,
     ) -> None:
         self.group = group
         self.term = term
@@ -130,6 +140,7 @@
         self.members = dict(members or {})
         self.starts = dict(starts or {})
         self.changing = changing
+        self.log_term = log_term
 
     def majority(self) -> int:
         """Return how many members form a majority."""
--- a/packages/node/src/sassafrasridge_node/failover.py
+++ b/packages/node/src/sassafrasridge_node/failover.py
@@ -101,6 +101,27 @@
     )
 
 
+def find_acting_primary(
+    view: model.GroupView,
+    statuses: typing.Sequence[grouporders.ServerStatus],
+) -> grouporders.ServerStatus | None:
+    """Return the target that acts as primary in the newest known term.
+
+    A primary that was replaced acts on until it is told, so one of an earlier
+    term lacks commits of its successor.
+
+    >>> position = model.Position(1, 5)
+    >>> old = grouporders.ServerStatus('a', True, 1, 0, position)
+    >>> find_acting_primary(model.GroupView('g', log_term=1), [old]).server
+    'a'
+    >>> find_acting_primary(model.GroupView('g', log_term=2), [old])
+    """
+    newest_term = max(view.log_term, *(s.term for s in statuses), 0)
+    return next(
+        (s for s in statuses if s.primary and s.term == newest_term), None
+    )
+
+
 class FailoverReconciler(groups.Reconciler):
     """Reconcile groups whose targets manage replication themselves.
 
@@ -238,6 +259,7 @@
             view.primary,
             self._current_members(view),
             changing=True,
+            log_term=view.log_term,
         )
         await self._commit_view(changing_view, reason)
         self._begun_terms[view.group] = changing_view.term
@@ -255,11 +277,10 @@
         statuses = await self._request_statuses(
             targets, self._failed_primary(view)
         )
-        claimants = [s for s in statuses if s.primary]
         highest_term = max(
-            (max(s.term, s.held_term) for s in statuses), default=0
+            view.log_term, *(max(s.term, s.held_term) for s in statuses), 0
         )
-        acting_primary = max(claimants, key=lambda s: s.term, default=None)
+        acting_primary = find_acting_primary(view, statuses)
         if (
             acting_primary is not None
             and acting_primary.server != view.primary
@@ -268,14 +289,19 @@
             await self._wait_until_confirmed(revision)
             await self._finish_change(view, targets, acting_primary, started)
             return True
-        if await self._keep_working_primary(view, targets, claimants):
+        if acting_primary is not None and await self._keep_working_primary(
+            view, targets, acting_primary
+        ):
             return True
         if acting_primary is not None and not await self._has_successor(
             targets, acting_primary, statuses, revision
         ):
             return False
+        replicas = await self._demote_former_primaries(
+            targets, statuses, acting_primary, highest_term + 1
+        )
         paused = await self._pause_replicas(
-            targets, statuses, highest_term + 1
+            targets, replicas, highest_term + 1
         )
         begun_here = self._begun_terms.get(view.group) == view.term
         if not begun_here:
@@ -304,9 +330,10 @@
             acknowledged=_position_text(acknowledged),
             chosen=None if chosen is None else chosen.server,
         )
-        if chosen is None or not await self._promote(
+        promoted = chosen and await self._promote(
             targets, chosen, highest_term
-        ):
+        )
+        if promoted is None:
             await self._resume_replicas(targets, paused)
             return False
         # The paused replicas keep the former primary from acknowledging
@@ -314,7 +341,7 @@
         # primary gets no work before that, because holders of the former view
         # may still read from the former primary.
         await self._wait_until_confirmed(revision)
-        await self._finish_change(view, targets, chosen, started)
+        await self._finish_change(view, targets, promoted, started)
         return True
 
     def _group_targets(
@@ -381,12 +408,12 @@
         self,
         view: model.GroupView,
         targets: dict[str, model.TargetInfo],
-        claimants: list[grouporders.ServerStatus],
+        acting_primary: grouporders.ServerStatus,
     ) -> bool:
         """End the change if the primary works; return whether it did."""
         now = clocks.boottime()
         info = targets.get(view.primary or '')
-        if info is None or info.leaving or not claimants:
+        if info is None or info.leaving:
             return False
         if self._is_drained(now, info) and any(
             self._may_use(t) and not t.leaving for t in targets.values()
@@ -395,7 +422,7 @@
         if self._primary_failed(now, view, self._live_holder_names()):
             return False
         await self._finish_change(
-            view, targets, claimants[0], clocks.boottime()
+            view, targets, acting_primary, clocks.boottime()
         )
         return True
 
@@ -456,17 +483,47 @@
                 silent=silent,
             )
 
-    async def _pause_replicas(
+    async def _demote_former_primaries(
         self,
         targets: dict[str, model.TargetInfo],
         statuses: list[grouporders.ServerStatus],
+        acting_primary: grouporders.ServerStatus | None,
+        term: int,
+    ) -> list[grouporders.ServerStatus]:
+        """Demote primaries of earlier terms; return all replicas.
+
+        One that was cut off while it was replaced acts as primary until it is
+        told. As a replica it can be paused and its position counts.
+        """
+        replicas = []
+        for status in statuses:
+            if status.primary and status is not acting_primary:
+                info = targets[status.server]
+                answer = await self._orders.step_down(info, term)
+                logs.log_event(
+                    'step_down_ordered',
+                    group=info.group,
+                    server=info.server,
+                    log_term=status.term,
+                    answered=answer is not None,
+                )
+                if answer is None:
+                    continue
+                status = answer
+            if not status.primary:
+                replicas.append(status)
+        return replicas
+
+    async def _pause_replicas(
+        self,
+        targets: dict[str, model.TargetInfo],
+        replicas: list[grouporders.ServerStatus],
         term: int,
     ) -> list[grouporders.ServerStatus]:
         answers = await asyncio.gather(
             *(
                 self._orders.pause(targets[status.server], term)
-                for status in statuses
-                if not status.primary
+                for status in replicas
             )
         )
         return [s for s in answers if s is not None and not s.primary]
@@ -501,8 +558,11 @@
         targets: dict[str, model.TargetInfo],
         chosen: grouporders.ServerStatus,
         highest_term: int,
-    ) -> bool:
-        """Have a target promoted; return whether it became the primary."""
+    ) -> grouporders.ServerStatus | None:
+        """Have a target promoted; return its status as the primary.
+
+        Returns None if the promotion was refused or didn't take effect.
+        """
         info = targets[chosen.server]
         answer = await self._orders.promote(info, self._token)
         logs.log_event(
@@ -513,7 +573,7 @@
             answer=answer.value,
         )
         if answer is grouporders.PromotionAnswer.REFUSED:
-            return False
+            return None
         deadline = clocks.boottime() + PROMOTION_TIMEOUT_S
         while clocks.boottime() < deadline:
             status = await self._orders.status(info)
@@ -522,9 +582,9 @@
                 and status.primary
                 and status.term > highest_term
             ):
-                return True
+                return status
             await asyncio.sleep(STATUS_POLL_INTERVAL_S)
-        return False
+        return None
 
     async def _finish_change(
         self,
@@ -534,7 +594,11 @@
         started: float,
     ) -> None:
         new_view = model.GroupView(
-            view.group, view.term + 1, chosen.server, view.members
+            view.group,
+            view.term + 1,
+            chosen.server,
+            view.members,
+            log_term=max(view.log_term, chosen.term),
         )
         self._changed_at[view.group] = clocks.boottime()
         await self._commit_view(
@@ -549,7 +613,11 @@
         members = self._current_members(view)
         if members != view.members:
             view = model.GroupView(
-                view.group, view.term, view.primary, members
+                view.group,
+                view.term,
+                view.primary,
+                members,
+                log_term=view.log_term,
             )
             await self._commit_view(view, 'members')
         for info in self._stale_primaries(view):
--- a/tests/node/test_failover.py
+++ b/tests/node/test_failover.py
@@ -265,6 +265,76 @@
         assert cluster.step().primary == 'd'
 
 
+class TestReplacedPrimary:
+    """Pattern: a primary is replaced while it is cut off, then returns.
+
+    It acts as primary in its term until it is told. Its successor b, whose
+    commits c has, goes dark meanwhile.
+    """
+
+    def cluster(self, servers, log_term=2):
+        cluster = Cluster(servers)
+        servers['b'].term, servers['b'].primary = 2, True
+        servers['b'].received = servers['c'].received = Position(2, 12)
+        cluster.store.views['g'] = model.GroupView(
+            'g',
+            3,
+            'b',
+            cluster.store.views['g'].members,
+            log_term=log_term,
+        )
+        servers['b'].reachable = False
+        cluster.announce('b', servers['b'], sequence=2)
+        cluster.fail('b')
+        return cluster
+
+    def test_it_does_not_become_the_primary_again(self, servers):
+        """Guards against reads that miss commits of its successor."""
+        cluster = self.cluster(servers)
+        view = cluster.step()
+        assert (view.primary, view.log_term) == ('c', 3)
+        assert not servers['a'].primary
+
+    def test_a_replica_that_knows_a_newer_term_is_enough(self, servers):
+        """Guards against the same with a record of an earlier build."""
+        cluster = self.cluster(servers, log_term=0)
+        servers['c'].term = 2
+        assert cluster.step().primary == 'c'
+
+    def test_without_proof_it_does_not_become_the_primary_either(
+        self, servers
+    ):
+        """Guards against adopting the only target that answers."""
+        cluster = self.cluster(servers)
+        servers['c'].reachable = False
+        assert cluster.step().changing
+        assert not [o for o in cluster.orders.sent_orders if o[0] == 'promote']
+
+    def test_a_working_successor_is_kept(self, servers):
+        """Guards against keeping the first of two primaries that answer."""
+        cluster = self.cluster(servers)
+        servers['b'].reachable = True
+        cluster.detector.forget('e1#1')
+        cluster.detector.forget('e2#1')
+        view = cluster.store.views['g']
+        cluster.store.views['g'] = model.GroupView(
+            'g', 4, 'b', view.members, changing=True, log_term=2
+        )
+        view = cluster.step()
+        assert (view.primary, view.log_term) == ('b', 2)
+
+    def test_the_term_outlives_a_change_of_members(self, servers):
+        """Guards against forgetting the term before the primary returns."""
+        cluster = self.cluster(servers)
+        servers['b'].reachable = True
+        cluster.detector.forget('e1#1')
+        cluster.detector.forget('e2#1')
+        servers['d'] = FakeServer(9)
+        cluster.announce('d', servers['d'])
+        view = cluster.step()
+        assert (len(view.members), view.log_term) == (4, 2)
+
+
 class TestFailoverReconciler:
     def test_a_failed_primary_is_replaced_by_the_latest_replica(self, servers):
         cluster = Cluster(servers)
