Use the whole time until the kill for a planned stop

Cause: drain_timeout counted from the end of the notice to the load balancer, and the deployment's value had been reduced by hand so that both fit.

Ruled out: a discarded answer, and the time that the end of the process takes.

Change: drain_timeout counts from the request to stop and covers the whole stop. A session with statements that were read but not started isn't idle.

--- a/packages/node/src/sassafrasridge_node/main.py
+++ b/packages/node/src/sassafrasridge_node/main.py
@@ -34,6 +34,7 @@
 from sassafrasridge_node import sessionstate
 from sassafrasridge_node import settings
 from sassafrasridge_node import startup
+from sassafrasridge_node import stopping
 from sassafrasridge_node import targetload
 
 if typing.TYPE_CHECKING:
@@ -47,10 +48,6 @@
 # Time for the load balancer to notice that the process is not ready, before
 # its listener closes.
 READINESS_PROPAGATION_S = 1.0
-# Interval of the checks for open transactions and sessions during a drain.
-DRAIN_POLL_S = 0.02
-# Fraction of the drain time-out after which open transactions are rolled back.
-TRANSACTION_DRAIN_SHARE = 0.4
 # Allocation policy for shares of client accounts' rates, by the setting.
 SHARE_POLICIES = {'adaptive': 'demand', 'plain': 'static'}
 # Missing heartbeats before an election, and before entries are resent.
@@ -127,6 +124,8 @@
         self.renewer: renewal.LeaseRenewer | None = None
         self._storage: storage.Storage | None = None
         self._dialer = connections.Dialer()
+        # When a planned stop was requested, 0 before that.
+        self._drain_started = 0.0
 
     # Start, on the engine's loop.
 
@@ -419,42 +418,37 @@
     def drain(self) -> None:
         """Start a planned stop: report not ready, then request the stop."""
         logs.log_event('stopping')
+        self._drain_started = self._drain_started or clocks.boottime()
         if self.state is not None:
             self.state.draining = True
         self.loop.call_later(READINESS_PROPAGATION_S, self.stop_requested.set)
 
+    def stop_deadline(self, timeout_s: float) -> float:
+        """Return the time by which a stop has to end, from its request on."""
+        return (self._drain_started or clocks.boottime()) + timeout_s
+
     async def finish_transactions(self, timeout_s: float) -> None:
-        """Wait for open transactions; roll back those left at the time-out."""
+        """Wait for open transactions; roll back those left at the time-out.
+
+        ``timeout_s`` counts from the time at which the stop was requested.
+        """
+        deadline = self.stop_deadline(timeout_s)
         if self.service is not None and self._session_server is not None:
-            await self._finish_sessions(self.service, self._session_server)
+            await stopping.finish_sessions(
+                self.service,
+                self._session_server,
+                deadline - timeout_s,
+                timeout_s,
+            )
         if self.gateway is None:
             return
-        end = clocks.boottime() + timeout_s
         open_transactions = self.gateway.transactions
-        while len(open_transactions) and clocks.boottime() < end:
-            await asyncio.sleep(DRAIN_POLL_S)
+        await stopping.wait_while(
+            lambda: len(open_transactions),
+            deadline - timeout_s * (1 - stopping.CLOSE_SHARE),
+        )
         open_transactions.close_all()
 
-    async def _finish_sessions(
-        self,
-        service: sessionfront.SessionService,
-        server: extension.SessionServer,
-    ) -> None:
-        """Close idle sessions, roll back transactions, then close the rest."""
-        grace_s = self.cfg.entry.drain_timeout
-        started = clocks.boottime()
-        server.close_idle()
-        while service.has_open_transactions() and (
-            clocks.boottime() < started + grace_s * TRANSACTION_DRAIN_SHARE
-        ):
-            await asyncio.sleep(DRAIN_POLL_S)
-        service.abort_idle_transactions()
-        server.close_idle()
-        while service.sessions and clocks.boottime() < started + grace_s:
-            await asyncio.sleep(DRAIN_POLL_S)
-        logs.log_event('sessions_ended', left=len(service.sessions))
-        server.close_all()
-
     async def stop(self) -> None:
         """Cancel all tasks, release the lease and close all connections."""
         for task in self._tasks:
--- a/packages/node/src/sassafrasridge_node/process.py
+++ b/packages/node/src/sassafrasridge_node/process.py
@@ -13,6 +13,7 @@
 import orjson
 
 from sassafrasridge_core import errors
+from sassafrasridge_node import clocks
 from sassafrasridge_node import logs
 from sassafrasridge_node import operators
 from sassafrasridge_node import settings
@@ -26,6 +27,8 @@
 # Limit on how long an entry process keeps its log lines while it waits for
 # its first lease. Control has a leader again 0.8 s after a loss of power.
 LOG_DELAY_S = 1.0
+# Shortest time that HTTP requests in flight get at the end of a stop.
+MIN_FRONT_STOP_S = 0.1
 
 
 class Process:
@@ -186,7 +189,8 @@
             timeout_s = self.cfg.entry.drain_timeout
         self._front.drain()
         self._run_on_loop(self.daemon.finish_transactions(timeout_s))
-        finished = self._front.stop(timeout_s)
+        remaining_s = self.daemon.stop_deadline(timeout_s) - clocks.boottime()
+        finished = self._front.stop(max(MIN_FRONT_STOP_S, remaining_s))
         self._run_on_loop(self.daemon.stop())
         logs.log_event('stopped', finished=finished)
         return 0 if finished else 1
--- a/packages/testkit/src/sassafrasridge_testkit/linecluster.py
+++ b/packages/testkit/src/sassafrasridge_testkit/linecluster.py
@@ -38,7 +38,7 @@
 seeds = {seeds}
 sessions = {sessions}
 worker_threads = 2
-drain_timeout = 3s
+drain_timeout = 4s
 [regions]
 z0 = r0
 z1 = r1
--- a/tests/platform/test_sessions.py
+++ b/tests/platform/test_sessions.py
@@ -54,6 +54,24 @@
 
         asyncio.run(run())
 
+    def test_statements_that_were_read_are_answered_before_the_close(self):
+        """Guards against a stop that drops a statement that was queued."""
+
+        async def run():
+            _, server, port = await start(2)
+            reader, writer = await connect(port)
+            assert await reader.readline() == b'READY I -\r\n'
+            writer.write(b'QUERY 1 FETCH a\r\nQUERY 2 FETCH b\r\n')
+            while not server.clients or any(
+                client.is_idle for client in server.clients
+            ):
+                await asyncio.sleep(0)
+            server.close_idle()
+            answers = await reader.read()
+            assert answers.count(b'COMPLETE signed') == 2
+
+        asyncio.run(run())
+
     def test_statements_wait_while_client_does_not_read(self):
         """Guards against answers that accumulate in memory."""
 
