Refuse announcements that messages between daemons can't carry

Reported by other operators for systems like this one: after one odd entry among the servers, processes ended again and again or stopped following.

Cause: a capacity from 2^31 to 2^62 was accepted, but the list of targets in a renewal carries 32-bit numbers, so no renewal could be answered. Found by parsing odd heartbeats and encoding the result: "'i' format requires - <= number <=". The product's own announcements, configured connections and priorities had the same limits; a port of 65536 raised OverflowError where connecting expects OSError; bodies of 254 to 1,023 levels were decoded but could not be encoded again.

Ruled out: numbers beyond 64 bits, infinities, invalid characters and 100,000 levels, which were refused before.

Change: announcements are limited to model.MAX_COUNT, configured values above it count as that, addresses are checked in one place, and bodies deeper than 100 levels are refused.

--- a/packages/core/src/sassafrasridge_core/model.py
+++ b/packages/core/src/sassafrasridge_core/model.py
@@ -2,6 +2,11 @@
 
 import functools
 
+# Highest number of statements or connections that a target may accept, and
+# highest priority. Messages between daemons carry them, and small multiples of
+# them, as 32-bit numbers.
+MAX_COUNT = 1_000_000
+
 
 @functools.total_ordering
 class Position:
--- a/packages/core/src/sassafrasridge_core/settings.py
+++ b/packages/core/src/sassafrasridge_core/settings.py
@@ -167,6 +167,21 @@
     return address, int(port)
 
 
+def is_target_address(text: str) -> bool:
+    """Return whether a text is an IPv4 address and a port to connect to.
+
+    >>> is_target_address('10.0.0.1:80'), is_target_address('10.0.0.1:0')
+    (True, False)
+    >>> is_target_address('10.0.0.1:99999'), is_target_address('db1')
+    (False, False)
+    """
+    try:
+        _, port = split_address(text)
+    except ValueError:
+        return False
+    return port > 0
+
+
 def _parse_address(text: str) -> str:
     try:
         split_address(text)
--- a/packages/core/src/sassafrasridge_core/slots.py
+++ b/packages/core/src/sassafrasridge_core/slots.py
@@ -15,6 +15,7 @@
 import typing
 
 from sassafrasridge_core import configuration
+from sassafrasridge_core import model
 
 LEASE_S = 1.2
 # Highest tolerated relative difference between the rates of two clocks.
@@ -90,7 +91,7 @@
     """Return the connections and slots that services set, by group.
 
     Zero means that none is set. If several services of a group set a value,
-    the last one applies.
+    the last one applies. Values above ``model.MAX_COUNT`` count as that.
 
     >>> service = configuration.Service
     >>> service_budgets([service('a', 'g', 5, 30, ''),
@@ -101,8 +102,8 @@
     for service in services:
         connections, slot_count = budgets.get(service.group, (0, 0))
         budgets[service.group] = (
-            service.connections or connections,
-            service.slots or slot_count,
+            min(service.connections or connections, model.MAX_COUNT),
+            min(service.slots or slot_count, model.MAX_COUNT),
         )
     return budgets
 
--- a/packages/node/src/sassafrasridge_node/charging.py
+++ b/packages/node/src/sassafrasridge_node/charging.py
@@ -7,6 +7,7 @@
 import typing
 
 from sassafrasridge_core import errors
+from sassafrasridge_core import model
 from sassafrasridge_node import admission
 from sassafrasridge_node import clocks
 from sassafrasridge_node import entry
@@ -110,7 +111,9 @@
     ) -> typing.Any:
         """Return the holder's reply, None if it did not answer in time."""
         call = rpc.idl.ChargeCall(
-            account=account, wait_s=wait_s, priority=priority
+            account=account,
+            wait_s=wait_s,
+            priority=min(priority, model.MAX_COUNT),
         )
         try:
             return await self._pool.get(address).call(
--- a/packages/node/src/sassafrasridge_node/connections.py
+++ b/packages/node/src/sassafrasridge_node/connections.py
@@ -12,6 +12,7 @@
 import httptools
 import orjson
 
+from sassafrasridge_core import settings
 from sassafrasridge_node import clocks
 
 MAX_ANSWER_BYTES = 64 * 1024 * 1024
@@ -256,13 +257,13 @@
         timeout_s: float,
     ) -> _Protocol:
         """Connect a protocol instance; raises ConnectionLostError."""
-        host, port = address.rsplit(':', 1)
         loop = asyncio.get_running_loop()
         local = (self.source, 0) if self.source else None
         try:
+            host, port = settings.split_address(address)
             async with asyncio.timeout(timeout_s):
                 _, conn = await loop.create_connection(
-                    create, host, int(port), local_addr=local
+                    create, host, port, local_addr=local
                 )
         except (OSError, ValueError) as exc:
             raise ConnectionLostError(
--- a/packages/node/src/sassafrasridge_node/httpresponses.py
+++ b/packages/node/src/sassafrasridge_node/httpresponses.py
@@ -8,6 +8,10 @@
 
 from sassafrasridge_core import errors
 
+# Deepest nesting of a request body. Bodies are encoded again for other
+# daemons, and the encoder allows less nesting than the decoder.
+MAX_NESTING = 100
+
 
 class Response:
     """Hold a complete HTTP response."""
@@ -50,6 +54,22 @@
         self.on_undelivered = on_undelivered
 
 
+def _is_nested_deeper(value: typing.Any, depth: int) -> bool:
+    """Return whether lists and objects are nested deeper than ``depth``."""
+    level = [value]
+    for _ in range(depth):
+        children: list[typing.Any] = []
+        for item in level:
+            if isinstance(item, dict):
+                children.extend(item.values())
+            elif isinstance(item, list):
+                children.extend(item)
+        level = [c for c in children if isinstance(c, dict | list)]
+        if not level:
+            return False
+    return True
+
+
 def parse_json_object(raw: bytes) -> dict[str, typing.Any]:
     """Parse a request body; raise BadRequestError if not a JSON object."""
     try:
@@ -60,6 +80,11 @@
         ) from None
     if not isinstance(body, dict):
         raise errors.BadRequestError('the body must be a JSON object')
+    opening_brackets = raw.count(b'[') + raw.count(b'{')
+    if opening_brackets > MAX_NESTING and _is_nested_deeper(body, MAX_NESTING):
+        raise errors.BadRequestError(
+            f'the body is nested deeper than {MAX_NESTING} levels'
+        )
     return body
 
 
--- a/packages/node/src/sassafrasridge_node/operatorapi.py
+++ b/packages/node/src/sassafrasridge_node/operatorapi.py
@@ -15,6 +15,7 @@
 
 from sassafrasridge_core import errors
 from sassafrasridge_core import model
+from sassafrasridge_core import settings as core_settings
 from sassafrasridge_node import front
 from sassafrasridge_node import httpserver
 from sassafrasridge_node import metrics as metrics_
@@ -138,6 +139,16 @@
         return parse_announcement(environ['wsgi.input'].read())
 
 
+# Highest values of the numbers in an announcement. Messages between daemons
+# carry positions as 64-bit numbers.
+_NUMBER_LIMITS = {
+    'term': (1 << 63) - 1,
+    'position': (1 << 63) - 1,
+    'slots': model.MAX_COUNT,
+    'connections': model.MAX_COUNT,
+}
+
+
 def parse_announcement(raw: bytes) -> model.TargetInfo:
     """Return the target that an announcement describes.
 
@@ -156,12 +167,16 @@
         texts[field] = value
     if texts['role'] not in ('primary', 'replica'):
         raise errors.BadRequestError("'role' must be 'primary' or 'replica'")
+    if not core_settings.is_target_address(texts['address']):
+        raise errors.BadRequestError(
+            "'address' must be an IPv4 address and port"
+        )
     numbers = {}
-    for field in ('term', 'position', 'slots', 'connections'):
+    for field, limit in _NUMBER_LIMITS.items():
         number = body.get(field)
-        if type(number) is not int or not 0 <= number < 1 << 63:
+        if type(number) is not int or not 0 <= number <= limit:
             raise errors.BadRequestError(
-                f"'{field}' must be an integer from 0 to 2^63 - 1"
+                f"'{field}' must be an integer from 0 to {limit}"
             )
         numbers[field] = number
     leaving = body.get('leaving', False)
--- a/tests/core/test_slots.py
+++ b/tests/core/test_slots.py
@@ -7,6 +7,8 @@
 from hypothesis import strategies as st
 import pytest
 
+from sassafrasridge_core import configuration
+from sassafrasridge_core import model
 from sassafrasridge_core import slots
 
 ENTRIES = ('a', 'b', 'c')
@@ -188,3 +190,11 @@
             now = 9.0 + step * slots.LEASE_S / 2
             self.renew('x', 1.0, now=now)
             assert self.held['x'].limit(now + 0.1).connections == 5
+
+
+class TestServiceBudgets:
+    def test_numbers_too_large_for_messages_are_limited(self):
+        """Guards against a configuration that no renewal can carry."""
+        service = configuration.Service('a', 'g', 1 << 40, 1 << 40, '')
+        budgets = slots.service_budgets([service])
+        assert budgets == {'g': (model.MAX_COUNT, model.MAX_COUNT)}
--- a/tests/node/test_connections.py
+++ b/tests/node/test_connections.py
@@ -122,3 +122,11 @@
         (result,) = call_all(ScriptedServer(truncated), 'a', timeout_s=0.2)
         assert isinstance(result, connections.ConnectionLostError)
         assert result.sent
+
+
+class TestDialer:
+    @pytest.mark.parametrize('address', ['127.0.0.1:65536', 'db1', 'db1:1'])
+    def test_an_invalid_address_is_a_lost_connection(self, address):
+        """Guards against an error that ends the task which connects."""
+        with pytest.raises(connections.ConnectionLostError):
+            asyncio.run(connections.Dialer().open(address, 1.0))
--- a/tests/node/test_operatorapi.py
+++ b/tests/node/test_operatorapi.py
@@ -150,6 +150,14 @@
         for field in ANNOUNCEMENT.keys() - {'leaving'}:
             wrong = {**ANNOUNCEMENT, field: None}
             assert client.call('/v1/announce', wrong)[0] == 400
+        # Numbers that don't fit into messages, and a port out of range.
+        for odd in (
+            {'slots': 1 << 31},
+            {'connections': 1 << 31},
+            {'address': '127.0.0.1:65536'},
+            {'address': '127.0.0.1:0'},
+        ):
+            assert client.call('/v1/announce', ANNOUNCEMENT | odd)[0] == 400
         assert len(node.port.announced) == 1
 
     def test_token_is_required_if_settings_have_one(self, start_node):
