Suspend a control member until it can write again

Looked for after a report of other operators about disks that fill up one after another. But for 3.05 s after the leader's disk had filled nobody led, while two members worked.

Cause: after a disk error a member reloads its state and takes part again even if its disk is still full, because loading writes nothing. It fails at its next write and starts over, and members that support its candidacy wait.

Change: the member stays suspended until it has written and synced a frame.

Before: TestFullDisk fails (one attempt instead of three).

--- a/packages/node/src/sassafrasridge_node/control.py
+++ b/packages/node/src/sassafrasridge_node/control.py
@@ -184,10 +184,12 @@
             return
 
     async def _reopen(self, exc: errors.StorageError) -> None:
-        """Suspend this member until the data folder can be opened again.
+        """Suspend this member until the data folder can be written again.
 
         The state is reloaded from disk. The log in memory may hold entries
-        that were never persisted, so it is discarded.
+        that were never persisted, so it is discarded. A member that took part
+        before it can write would win elections that it can't complete, and
+        the members that support it wait for it.
         """
         if self._open_storage is None:
             raise exc
@@ -200,9 +202,11 @@
             await asyncio.sleep(REOPEN_INTERVAL_S)
             try:
                 self._storage, self.log, self.state = self._open_storage()
+                self._storage.check_writable()
                 break
             except errors.StorageError as failure:
                 logs.log_event('disk_failed', reason=failure.message)
+                self._storage.close()
         self.applied_index = self._snapshot_index = self.log.snapshot_index
         self.suspended = False
         logs.log_event('disk_works', disk_id=self.log.disk_id)
--- a/packages/node/src/sassafrasridge_node/storage.py
+++ b/packages/node/src/sassafrasridge_node/storage.py
@@ -195,6 +195,10 @@
         if items:
             self._append_frame(items)
 
+    def check_writable(self) -> None:
+        """Write and sync the current term and vote; raise StorageError."""
+        self._append_frame([self._encode_hard_state()])
+
     def save_snapshot(self, snapshot: raftlog.Snapshot) -> None:
         """Save a snapshot, then drop the log entries that it covers."""
         head = orjson.dumps(
--- a/tests/node/test_control.py
+++ b/tests/node/test_control.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from sassafrasridge_core import errors
 from sassafrasridge_core import leases
 from sassafrasridge_core import state as core_state
 from sassafrasridge_node import connections
@@ -16,6 +17,7 @@
     """Stub of a replicated log; the test sets whether it leads."""
 
     snapshot_index = 0
+    disk_id = 'disk'
     leader = None
 
     def __init__(self):
@@ -70,3 +72,46 @@
             member._end_leadership()
 
         asyncio.run(run())
+
+
+class _FullDisk:
+    """Stub of a storage whose disk is full for some attempts to write."""
+
+    def __init__(self, failures):
+        self._failures = failures
+        self.closed = 0
+
+    def check_writable(self):
+        if self._failures:
+            self._failures.pop()
+            raise errors.StorageError('no space left on device')
+
+    def close(self):
+        self.closed += 1
+
+
+class TestFullDisk:
+    def test_a_member_stays_suspended_until_it_can_write(self, monkeypatch):
+        """Guards against a candidate that wins but can't record its vote.
+
+        The members that support it wait for it, so nobody leads.
+        """
+        monkeypatch.setattr(control, 'REOPEN_INTERVAL_S', 0.01)
+        failures = [1, 2]
+        opened = []
+
+        async def run():
+            member = _member(_Log())
+            member._storage = _FullDisk([])
+
+            def open_storage():
+                assert member.suspended
+                opened.append(_FullDisk(failures))
+                return opened[-1], _Log(), core_state.State()
+
+            member._open_storage = open_storage
+            await member._reopen(errors.StorageError('full'))
+            assert not member.suspended
+
+        asyncio.run(run())
+        assert [storage.closed for storage in opened] == [1, 1, 0]
