--- a/packages/node/src/sassafrasridge_node/failover.py
+++ b/packages/node/src/sassafrasridge_node/failover.py
@@ -18,6 +18,7 @@
 from sassafrasridge_node import groups
 from sassafrasridge_node import logs
 from sassafrasridge_node import metrics
+from sassafrasridge_node import promotionproof
 
 # Time after a change during which the new primary is not considered failed.
 # Entry processes learn of it and probe it within two renewals and two probes.
@@ -40,88 +41,6 @@
 RETRY_DELAY_S = 0.25
 
 
-class PromotionProof:
-    """Hold the replicas that provably have every acknowledged commit."""
-
-    __slots__ = ('candidates', 'reason')
-
-    def __init__(
-        self, candidates: list[grouporders.ServerStatus], reason: str = ''
-    ) -> None:
-        self.candidates = candidates
-        self.reason = reason
-
-
-def prove_candidates(
-    members: typing.Collection[str],
-    former: str | None,
-    paused: typing.Sequence[grouporders.ServerStatus],
-    stepped_down: grouporders.ServerStatus | None,
-    acknowledged: model.Position | None = None,
-) -> PromotionProof:
-    """Return the replicas that are safe to promote, none without proof.
-
-    Replicas that have reached the position at which the former primary
-    stepped down hold all its commits. Otherwise all members except the former
-    primary must be paused: a commit is acknowledged once one replica has
-    received it, so those with the highest position hold every commit that a
-    member confirmed. A replica that is not a member yet confirms commits too,
-    so they must also have reached ``acknowledged``, the last commit that an
-    entry process reported as acknowledged.
-
-    >>> def at(server, index):
-    ...     received = model.Position(1, index)
-    ...     return grouporders.ServerStatus(server, False, 1, 2, received)
-    >>> members = ['a', 'b', 'c']
-    >>> both = prove_candidates(members, 'a', [at('b', 5), at('c', 7)], None)
-    >>> [status.server for status in both.candidates]
-    ['c']
-    >>> prove_candidates(members, 'a', [at('b', 5)], None).candidates
-    []
-    >>> prove_candidates(members, 'a', [at('b', 5)], at('a', 5)).reason
-    'former_position'
-    >>> last = model.Position(1, 8)
-    >>> paused = [at('b', 5), at('c', 7)]
-    >>> prove_candidates(members, 'a', paused, None, last).reason
-    'lacks_acknowledged'
-    """
-    if stepped_down is not None:
-        reached = [s for s in paused if s.received >= stepped_down.received]
-        if reached:
-            return PromotionProof(reached, 'former_position')
-    answered = {status.server for status in paused}
-    missing = set(members) - answered - {former}
-    if not paused or missing:
-        return PromotionProof([], 'not_proved')
-    furthest = max(status.received for status in paused)
-    if acknowledged is not None and furthest < acknowledged:
-        return PromotionProof([], 'lacks_acknowledged')
-    return PromotionProof(
-        [s for s in paused if s.received == furthest], 'all_paused'
-    )
-
-
-def find_acting_primary(
-    view: model.GroupView,
-    statuses: typing.Sequence[grouporders.ServerStatus],
-) -> grouporders.ServerStatus | None:
-    """Return the target that acts as primary in the newest known term.
-
-    A primary that was replaced acts on until it is told, so one of an earlier
-    term lacks commits of its successor.
-
-    >>> position = model.Position(1, 5)
-    >>> old = grouporders.ServerStatus('a', True, 1, 0, position)
-    >>> find_acting_primary(model.GroupView('g', log_term=1), [old]).server
-    'a'
-    >>> find_acting_primary(model.GroupView('g', log_term=2), [old])
-    """
-    newest_term = max(view.log_term, *(s.term for s in statuses), 0)
-    return next(
-        (s for s in statuses if s.primary and s.term == newest_term), None
-    )
-
-
 class FailoverReconciler(groups.Reconciler):
     """Reconcile groups whose targets manage replication themselves.
 
@@ -146,6 +65,8 @@
         self._changed_at: dict[str, float] = {}
         # Terms of the changes that this leader began, by group.
         self._begun_terms: dict[str, int] = {}
+        # Since when no replica has every acknowledged commit, by group.
+        self._lacking_since: dict[str, float] = {}
         # Groups whose primary waits for a successor outside drained zones.
         self._without_successor: set[str] = set()
 
@@ -280,7 +201,7 @@
         highest_term = max(
             view.log_term, *(max(s.term, s.held_term) for s in statuses), 0
         )
-        acting_primary = find_acting_primary(view, statuses)
+        acting_primary = promotionproof.find_acting_primary(view, statuses)
         if (
             acting_primary is not None
             and acting_primary.server != view.primary
@@ -312,10 +233,12 @@
             stepped_down = await self._orders.step_down(
                 targets[acting_primary.server], highest_term + 1
             )
-        acknowledged = self._lease_table.acknowledged(view.group)
-        proof = prove_candidates(
+        acknowledged = self._acknowledged_commit(view.group)
+        proof = promotionproof.prove_candidates(
             targets, view.primary, paused, stepped_down, acknowledged
         )
+        if proof.reason == promotionproof.LACKS_ACKNOWLEDGED:
+            self._lacking_since.setdefault(view.group, clocks.boottime())
         chosen = self._choose_candidate(targets, proof)
         logs.log_event(
             'promotion_considered',
@@ -362,6 +285,27 @@
                 )
         return found
 
+    def _acknowledged_commit(self, group: str) -> model.Position | None:
+        """Return the commit that a replica must have, None if it is lost.
+
+        A target that has not announced itself for as long as the directory
+        lists silent ones is taken for gone, and the commits with it.
+        """
+        position = self._lease_table.acknowledged(group)
+        since = self._lacking_since.get(group)
+        if since is None or position is None:
+            return position
+        waited_s = clocks.boottime() - since
+        if waited_s <= directory.EXPIRE_AFTER_S:
+            return position
+        logs.log_event(
+            'acknowledged_commits_given_up',
+            group=group,
+            acknowledged=_position_text(position),
+            waited_s=round(waited_s, 3),
+        )
+        return None
+
     def _is_planned(self, view: model.GroupView) -> bool:
         """Return whether a change replaces a primary that still works."""
         now, name = clocks.boottime(), view.primary or ''
@@ -539,7 +483,9 @@
         )
 
     def _choose_candidate(
-        self, targets: dict[str, model.TargetInfo], proof: PromotionProof
+        self,
+        targets: dict[str, model.TargetInfo],
+        proof: promotionproof.PromotionProof,
     ) -> grouporders.ServerStatus | None:
         """Choose a candidate; prefer usable, not leaving, in this zone."""
         return min(
@@ -601,6 +547,7 @@
             log_term=max(view.log_term, chosen.term),
         )
         self._changed_at[view.group] = clocks.boottime()
+        self._lacking_since.pop(view.group, None)
         await self._commit_view(
             new_view, 'changed', clocks.boottime() - started
         )
--- a/tests/node/test_failover.py
+++ b/tests/node/test_failover.py
@@ -13,6 +13,7 @@
 from sassafrasridge_node import grouporders
 from sassafrasridge_node import groups
 from sassafrasridge_node import metrics
+from sassafrasridge_node import promotionproof
 
 Position = model.Position
 
@@ -177,14 +178,14 @@
     def test_no_proof_if_a_replica_is_missing(self):
         """Guards against losing a commit that only that replica has."""
         at = grouporders.ServerStatus('b', False, 1, 2, Position(1, 7))
-        assert not failover.prove_candidates(
+        assert not promotionproof.prove_candidates(
             ['a', 'b', 'c'], 'a', [at], None
         ).candidates
 
     def test_replicas_behind_the_former_primary_are_excluded(self):
         at = grouporders.ServerStatus('b', False, 1, 2, Position(1, 7))
         former = grouporders.ServerStatus('a', False, 1, 0, Position(1, 9))
-        assert not failover.prove_candidates(
+        assert not promotionproof.prove_candidates(
             'abc', 'a', [at], former
         ).candidates
 
@@ -195,7 +196,7 @@
             for name in 'bc'
         ]
         former = grouporders.ServerStatus('a', False, 1, 0, Position(1, 9))
-        proof = failover.prove_candidates(
+        proof = promotionproof.prove_candidates(
             'abc', 'a', paused, former, Position(1, 8)
         )
         assert proof.candidates == []
@@ -208,7 +209,7 @@
             for name in 'bc'
         ]
         former = grouporders.ServerStatus('a', False, 1, 0, Position(1, 9))
-        proof = failover.prove_candidates(
+        proof = promotionproof.prove_candidates(
             'abc', 'a', paused, former, Position(1, 7)
         )
         assert len(proof.candidates) == 2
@@ -264,6 +265,16 @@
         cluster.announce('d', servers['d'])
         assert cluster.step().primary == 'd'
 
+    def test_a_replica_that_is_gone_is_not_waited_for(self, servers):
+        """Guards against a group that never has a primary again."""
+        cluster = self.cluster(servers)
+        servers['a'].reachable = False
+        cluster.fail('a')
+        assert cluster.step().changing
+        since = clocks.boottime() - directory.EXPIRE_AFTER_S - 1.0
+        cluster.reconciler._lacking_since['g'] = since
+        assert cluster.step().primary == 'c'
+
 
 class TestReplacedPrimary:
     """Pattern: a primary is replaced while it is cut off, then returns.
