--- a/tests/node/test_failover.py
+++ b/tests/node/test_failover.py
@@ -175,6 +175,17 @@
 
 
 class TestPromotionProof:
+    def prove_behind_former(self, acknowledged):
+        """Return the proof if both replicas are at 7, the former one at 9."""
+        paused = [
+            grouporders.ServerStatus(name, False, 1, 2, Position(1, 7))
+            for name in 'bc'
+        ]
+        former = grouporders.ServerStatus('a', False, 1, 0, Position(1, 9))
+        return promotionproof.prove_candidates(
+            'abc', 'a', paused, former, acknowledged
+        )
+
     def test_no_proof_if_a_replica_is_missing(self):
         """Guards against losing a commit that only that replica has."""
         at = grouporders.ServerStatus('b', False, 1, 2, Position(1, 7))
@@ -191,27 +202,13 @@
 
     def test_a_listed_replica_behind_the_former_primary_is_no_proof(self):
         """Guards against losing commits that only an unlisted replica has."""
-        paused = [
-            grouporders.ServerStatus(name, False, 1, 2, Position(1, 7))
-            for name in 'bc'
-        ]
-        former = grouporders.ServerStatus('a', False, 1, 0, Position(1, 9))
-        proof = promotionproof.prove_candidates(
-            'abc', 'a', paused, former, Position(1, 8)
-        )
+        proof = self.prove_behind_former(Position(1, 8))
         assert proof.candidates == []
         assert proof.reason == 'lacks_acknowledged'
 
     def test_commits_that_nobody_was_told_of_may_be_discarded(self):
         """Guards against waiting for a primary that replicates no more."""
-        paused = [
-            grouporders.ServerStatus(name, False, 1, 2, Position(1, 7))
-            for name in 'bc'
-        ]
-        former = grouporders.ServerStatus('a', False, 1, 0, Position(1, 9))
-        proof = promotionproof.prove_candidates(
-            'abc', 'a', paused, former, Position(1, 7)
-        )
+        proof = self.prove_behind_former(Position(1, 7))
         assert len(proof.candidates) == 2
 
 
