Log what tells apart the causes of commits lost in a promotion

A promotion whose outcome wasn't learned in time, a change that ends with the former primary, and a commit that was acknowledged though its proof didn't include it now have log lines; the first and the last are counted. The last line names the targets that joined after the comparison and those that are no longer paused. No decision is changed.

--- a/packages/node/src/sassafrasridge_node/failover.py
+++ b/packages/node/src/sassafrasridge_node/failover.py
@@ -256,7 +256,7 @@
         promoted = chosen and await self._promote(
             targets, chosen, highest_term
         )
-        if promoted is None:
+        if chosen is None or promoted is None:
             await self._resume_replicas(targets, paused)
             return False
         # The paused replicas keep the former primary from acknowledging
@@ -264,9 +264,33 @@
         # primary gets no work before that, because holders of the former view
         # may still read from the former primary.
         await self._wait_until_confirmed(revision)
+        await self._check_acknowledged(targets, chosen)
         await self._finish_change(view, targets, promoted, started)
         return True
 
+    async def _check_acknowledged(
+        self,
+        compared: dict[str, model.TargetInfo],
+        proved: grouporders.ServerStatus,
+    ) -> None:
+        """Log if a commit was acknowledged that the proof didn't include."""
+        group = compared[proved.server].group
+        acknowledged = self._lease_table.acknowledged(group)
+        if acknowledged is None or acknowledged <= proved.received:
+            return
+        self._metrics.missing_commits.inc()
+        listed = self._targets.group(group)
+        statuses = await self._request_statuses(listed)
+        logs.log_event(
+            'acknowledged_commit_missing',
+            group=group,
+            server=proved.server,
+            received=_position_text(proved.received),
+            acknowledged=_position_text(acknowledged),
+            joined=sorted(set(listed) - set(compared)),
+            not_paused=sorted(s.server for s in statuses if not s.held_term),
+        )
+
     def _group_targets(
         self, view: model.GroupView
     ) -> dict[str, model.TargetInfo]:
@@ -530,6 +554,10 @@
             ):
                 return status
             await asyncio.sleep(STATUS_POLL_INTERVAL_S)
+        self._metrics.unknown_promotions.inc()
+        logs.log_event(
+            'promotion_outcome_unknown', group=info.group, server=info.server
+        )
         return None
 
     async def _finish_change(
@@ -548,9 +576,8 @@
         )
         self._changed_at[view.group] = clocks.boottime()
         self._lacking_since.pop(view.group, None)
-        await self._commit_view(
-            new_view, 'changed', clocks.boottime() - started
-        )
+        reason = 'kept' if chosen.server == view.primary else 'changed'
+        await self._commit_view(new_view, reason, clocks.boottime() - started)
         self._metrics.promotions.inc()
         others = [i for i in targets.values() if i.server != chosen.server]
         await asyncio.gather(*(self._orders.resume(info) for info in others))
--- a/packages/node/src/sassafrasridge_node/metrics.py
+++ b/packages/node/src/sassafrasridge_node/metrics.py
@@ -198,6 +198,14 @@
         self.promotions = self.counter(
             'promotions', 'Changes of a primary ordered here'
         )
+        self.unknown_promotions = self.counter(
+            'unknown_promotions',
+            'Promotions ordered here whose outcome was not learned in time',
+        )
+        self.missing_commits = self.counter(
+            'missing_commits',
+            'Promotions of a target that lacks an acknowledged commit',
+        )
 
     def count_refusal(self, reason: str) -> None:
         """Count a statement that was refused without being sent."""
