Add failing tests for three ways to lose commits in a promotion

The group goes back to its former primary while an ordered promotion may still take effect; commits are acknowledged between the proof and the promotion; the report of the last acknowledged commit ends with the lease of the process that made it.

--- a/tests/core/test_leases.py
+++ b/tests/core/test_leases.py
@@ -4,6 +4,7 @@
 from hypothesis import strategies as st
 
 from sassafrasridge_core import leases
+from sassafrasridge_core import model
 
 TIMES = leases.LeaseTimes(0.3, 1.2, 4.0)
 
@@ -76,3 +77,30 @@
         now = sent + delay + later
         if not table.may_be_valid(now, record):
             assert not holder.valid(now * speed)
+
+
+class TestAcknowledgedCommits:
+    """Pattern: the entry process that acknowledged a commit ends.
+
+    The replica that confirmed the commit isn't listed, so the report is all
+    that tells of it.
+    """
+
+    def table(self):
+        table = leases.LeaseTable(leases.LeaseTimes(), float('-inf'))
+        table.grant(0.0, 'e1#1', 'e1').acknowledged = {
+            'g': model.Position(1, 12)
+        }
+        return table
+
+    def test_a_report_outlives_the_lease(self):
+        """Guards against a promotion without that commit after 4 s."""
+        table = self.table()
+        assert table.expire(100.0)
+        assert table.acknowledged('g') == model.Position(1, 12)
+
+    def test_a_report_outlives_a_planned_stop(self):
+        """Guards against the same loss after a restart of the process."""
+        table = self.table()
+        table.release('e1#1')
+        assert table.acknowledged('g') == model.Position(1, 12)
--- a/tests/node/test_failover.py
+++ b/tests/node/test_failover.py
@@ -37,6 +37,12 @@
         self.views[view.group] = view
         self.history.append(view)
 
+    @property
+    def changed_at(self):
+        """Return the revision of the last change of primary that began."""
+        changing = [v.changing for v in self.history]
+        return changing.index(True) + 1
+
     def names(self):
         return list(self.views)
 
@@ -98,13 +104,17 @@
     async def promote(self, info, token):
         self.sent_orders.append(('promote', info.server))
         if self.takes_effect:
-            for server in self.servers.values():
-                server.primary = server.primary and not server.reachable
-            chosen = self.servers[info.server]
-            chosen.primary, chosen.held_term = True, 0
-            chosen.term = max(s.term for s in self.servers.values()) + 1
+            self.lead(info.server)
         return self.answer
 
+    def lead(self, name):
+        """Make a target the primary of the next term."""
+        for server in self.servers.values():
+            server.primary = server.primary and not server.reachable
+        chosen = self.servers[name]
+        chosen.primary, chosen.held_term = True, 0
+        chosen.term = max(s.term for s in self.servers.values()) + 1
+
     def close(self):
         """Do nothing: there are no connections."""
 
@@ -121,19 +131,23 @@
         self.directory = directory.TargetDirectory(float('-inf'))
         for name, server in servers.items():
             self.announce(name, server)
+        self.start_leader('z')
+        self.store.views['g'] = model.GroupView(
+            'g', 1, 'a', {n: f'10.0.0.1:{ord(n)}' for n in servers}
+        )
+
+    def start_leader(self, zone):
+        """Replace the control leader by one in a zone."""
         self.reconciler = failover.FailoverReconciler(
             self.store,
             self.detector,
             self.table,
-            'z',
+            zone,
             metrics.Metrics(),
             self.directory,
             self.orders,
             3,
         )
-        self.store.views['g'] = model.GroupView(
-            'g', 1, 'a', {n: f'10.0.0.1:{ord(n)}' for n in servers}
-        )
 
     def announce(self, name, server, sequence=1, leaving=False):
         info = model.TargetInfo(
@@ -423,6 +437,91 @@
         assert not [o for o in cluster.orders.sent_orders if o[0] == 'promote']
 
 
+class TestUnknownOutcome:
+    """Pattern: the platform handles an order to promote late.
+
+    Clients write to the former primary, if the group goes back to it, until
+    the promotion takes effect. The promoted target lacks these commits.
+    """
+
+    @pytest.fixture
+    def cluster(self, servers, monkeypatch):
+        monkeypatch.setattr(failover, 'PROMOTION_TIMEOUT_S', 0.05)
+        # Both replicas are as far; the first leader prefers c, its zone.
+        servers['b'].received = Position(1, 9)
+        cluster = Cluster(servers, {'b': 'y', 'c': 'z'})
+        cluster.orders.answer = grouporders.PromotionAnswer.UNKNOWN
+        cluster.orders.takes_effect = False
+        servers['a'].reachable = False
+        cluster.fail('a')
+        assert cluster.step().changing
+        assert self.promoted(cluster) == {'c'}
+        return cluster
+
+    def return_former_primary(self, cluster):
+        cluster.orders.servers['a'].reachable = True
+        cluster.detector.forget('e1#1')
+        cluster.detector.forget('e2#1')
+
+    def promoted(self, cluster):
+        orders = cluster.orders.sent_orders
+        return {server for order, server in orders if order == 'promote'}
+
+    def test_the_former_primary_is_not_kept(self, cluster):
+        """Guards against writes to it before the promotion takes effect."""
+        self.return_former_primary(cluster)
+        assert cluster.step().changing
+        cluster.orders.lead('c')
+        assert cluster.step().primary == 'c'
+
+    def test_replicas_stay_paused(self, cluster):
+        """Guards against commits that a resumed replica confirms."""
+        cluster.step()
+        assert 'resume' not in {o for o, _ in cluster.orders.sent_orders}
+
+    def test_the_next_leader_keeps_to_the_order(self, cluster):
+        """Guards against two promotions that take effect one after another.
+
+        The next leader is in the zone of b and would prefer it.
+        """
+        cluster.start_leader('y')
+        self.return_former_primary(cluster)
+        assert cluster.step().changing
+        assert self.promoted(cluster) == {'c'}
+        cluster.orders.takes_effect = True
+        assert cluster.step().primary == 'c'
+        assert self.promoted(cluster) == {'c'}
+
+
+class TestProofUntilEffect:
+    """Pattern: a replica confirms commits between proof and promotion.
+
+    It restarted, joined, or was resumed by a late order, so it isn't paused.
+    An entry process that is cut off from control writes to the former primary
+    until its lease runs out.
+    """
+
+    def test_no_commit_is_acknowledged_after_the_proof(self, servers):
+        """Guards against a promoted target without that commit."""
+        cluster = Cluster(servers)
+        servers['a'].reachable = False
+        cluster.fail('a')
+        cluster.table.grant(clocks.boottime(), 'cut-off#1', 'cut-off')
+        acknowledged = []
+        promote = cluster.orders.promote
+
+        async def promote_after_restart(info, token):
+            now = clocks.boottime()
+            if not cluster.table.view_confirmed(now, cluster.store.changed_at):
+                servers['b'].received = Position(1, 12)
+                acknowledged.append(servers['b'].received)
+            return await promote(info, token)
+
+        cluster.orders.promote = promote_after_restart
+        assert cluster.step().primary == 'c'
+        assert all(servers['c'].received >= p for p in acknowledged)
+
+
 class TestEndOfLeadership:
     def test_connections_for_orders_are_closed(self, servers):
         """Guards against connections of former leaders that targets count."""
