Fix the set of acknowledged commits before a promotion is proved

Cause: an unplanned change compared the paused replicas while entry processes that didn't have the new view could still acknowledge commits of the former primary, for up to a lease. A replica confirms commits again after a restart or a late order to resume, and one that joins was never paused, so a commit could be acknowledged between the proof and the moment at which the promotion took effect.

All changes now wait until the leases confirm the view that the group is changing, as planned ones did. Entry processes with that view acknowledge nothing, so the proof holds whatever replicas do afterwards.

--- a/packages/node/src/sassafrasridge_node/failover.py
+++ b/packages/node/src/sassafrasridge_node/failover.py
@@ -1,9 +1,9 @@
 """Changes of primary for groups whose targets manage replication.
 
 The targets of such a group replicate commits and report their positions.
-This module selects the primary. It pauses the replicas, so that the former
-primary can acknowledge no further commits, proves that one replica holds
-every acknowledged commit, and has that replica promoted.
+This module selects the primary. It waits until no entry process acknowledges
+commits of the former primary, pauses the replicas, proves that one of them
+holds every acknowledged commit, and has that replica promoted.
 """
 
 import asyncio
@@ -63,8 +63,6 @@
         self._orders = orders
         self._token = token
         self._changed_at: dict[str, float] = {}
-        # Terms of the changes that this leader began, by group.
-        self._begun_terms: dict[str, int] = {}
         # Since when no replica has every acknowledged commit, by group.
         self._lacking_since: dict[str, float] = {}
         # Groups whose primary waits for a successor outside drained zones.
@@ -183,17 +181,15 @@
             log_term=view.log_term,
         )
         await self._commit_view(changing_view, reason)
-        self._begun_terms[view.group] = changing_view.term
         return changing_view
 
     async def _replace_primary(self, view: model.GroupView) -> bool:
         """Finish a change; return False if it must be tried again."""
-        revision = self._store.revision()
         started = clocks.boottime()
-        if self._is_planned(view):
-            # The primary still works: statements in progress end there, and
-            # replicas receive the last commits before they are paused.
-            await self._wait_until_confirmed(revision)
+        # From then on no entry process acknowledges a commit of the former
+        # primary. So what is proved below holds until the promotion takes
+        # effect, even if a replica is no longer paused by then.
+        await self._wait_until_confirmed(self._store.revision())
         targets = self._group_targets(view)
         statuses = await self._request_statuses(
             targets, self._failed_primary(view)
@@ -207,7 +203,6 @@
             and acting_primary.server != view.primary
         ):
             # An earlier promotion took effect, but its answer was lost.
-            await self._wait_until_confirmed(revision)
             await self._finish_change(view, targets, acting_primary, started)
             return True
         if acting_primary is not None and await self._keep_working_primary(
@@ -215,7 +210,7 @@
         ):
             return True
         if acting_primary is not None and not await self._has_successor(
-            targets, acting_primary, statuses, revision
+            targets, acting_primary, statuses
         ):
             return False
         replicas = await self._demote_former_primaries(
@@ -224,10 +219,6 @@
         paused = await self._pause_replicas(
             targets, replicas, highest_term + 1
         )
-        begun_here = self._begun_terms.get(view.group) == view.term
-        if not begun_here:
-            # Orders of the leader that began the change may still arrive.
-            await self._wait_until_confirmed(revision)
         stepped_down = None
         if paused and acting_primary is not None:
             stepped_down = await self._orders.step_down(
@@ -259,11 +250,6 @@
         if chosen is None or promoted is None:
             await self._resume_replicas(targets, paused)
             return False
-        # The paused replicas keep the former primary from acknowledging
-        # commits, so the promotion takes effect while leases run out. The new
-        # primary gets no work before that, because holders of the former view
-        # may still read from the former primary.
-        await self._wait_until_confirmed(revision)
         await self._check_acknowledged(targets, chosen)
         await self._finish_change(view, targets, promoted, started)
         return True
@@ -330,14 +316,6 @@
         )
         return None
 
-    def _is_planned(self, view: model.GroupView) -> bool:
-        """Return whether a change replaces a primary that still works."""
-        now, name = clocks.boottime(), view.primary or ''
-        info = self._targets.group(view.group).get(name)
-        if info is None or self._failed_primary(view):
-            return False
-        return info.leaving or self._is_drained(now, info)
-
     def _failed_primary(self, view: model.GroupView) -> str:
         """Return the primary's name if it counts as failed, else ''."""
         now, name = clocks.boottime(), view.primary or ''
@@ -399,7 +377,6 @@
         targets: dict[str, model.TargetInfo],
         primary: grouporders.ServerStatus,
         statuses: list[grouporders.ServerStatus],
-        revision: int,
     ) -> bool:
         """Return whether a working primary may step down.
 
@@ -417,8 +394,6 @@
             if other.server != primary.server
         ):
             return True
-        # Entry processes send no more writes once they have the view.
-        await self._wait_until_confirmed(revision)
         deadline = now + SUCCESSOR_WAIT_S
         while self._is_drained(clocks.boottime(), info):
             statuses = await self._request_statuses(targets)
