Record an ordered promotion until its outcome is known

Cause: an order to promote whose answer didn't come in time, or whose leader lost the leadership, was forgotten. The leader resumed the replicas, and it or its successor kept the former primary when that worked again.

The group's record now names the target and its proved position before the order is sent. Until the target leads, every leader repeats this order only. It is withdrawn when the first order is refused or can no longer take effect. A target that leads while an older order to it is unanswered isn't replaced until that order has ended.

--- a/packages/core/src/sassafrasridge_core/model.py
+++ b/packages/core/src/sassafrasridge_core/model.py
@@ -1,6 +1,7 @@
 """Data types shared by several modules."""
 
 import functools
+import typing
 
 # Highest number of statements or connections that a target may accept, and
 # highest priority. Messages between daemons carry them, and small multiples of
@@ -109,6 +110,24 @@
         self.cold_s = cold_s
 
 
+class PromotionOrder:
+    """Hold a promotion that was ordered and may still take effect.
+
+    ``view_term`` is the term of the group's view in whose change it was
+    ordered. ``position`` is the end of the target's log that was proved to
+    include every acknowledged commit.
+    """
+
+    __slots__ = ('server', 'view_term', 'position')
+
+    def __init__(
+        self, server: str, view_term: int, position: Position
+    ) -> None:
+        self.server = server
+        self.view_term = view_term
+        self.position = position
+
+
 class GroupView:
     """Hold the primary, the term and the members of a database group.
 
@@ -117,6 +136,8 @@
     it began. ``changing`` is true from the decision to replace the primary
     until the next one is chosen. ``log_term`` is the term that the primary of
     a group that manages replication itself began in its log, 0 if unknown.
+    ``promotion`` is committed before its order is sent, and removed only when
+    the order can no longer take effect.
     """
 
     __slots__ = (
@@ -127,6 +148,7 @@
         'starts',
         'changing',
         'log_term',
+        'promotion',
     )
 
     def __init__(
@@ -138,6 +160,7 @@
         starts: dict[int, int] | None = None,
         changing: bool = False,
         log_term: int = 0,
+        promotion: PromotionOrder | None = None,
     ) -> None:
         self.group = group
         self.term = term
@@ -146,6 +169,17 @@
         self.starts = dict(starts or {})
         self.changing = changing
         self.log_term = log_term
+        self.promotion = promotion
+
+    def replace(self, **fields: typing.Any) -> 'GroupView':
+        """Return a copy with some fields replaced.
+
+        >>> view = GroupView('g', 1, 'a', log_term=3).replace(term=2)
+        >>> view.term, view.primary, view.log_term
+        (2, 'a', 3)
+        """
+        held = {name: getattr(self, name) for name in self.__slots__}
+        return GroupView(**{**held, **fields})
 
     def majority(self) -> int:
         """Return how many members form a majority."""
--- a/packages/node/src/sassafrasridge_node/failover.py
+++ b/packages/node/src/sassafrasridge_node/failover.py
@@ -18,6 +18,7 @@
 from sassafrasridge_node import groups
 from sassafrasridge_node import logs
 from sassafrasridge_node import metrics
+from sassafrasridge_node import pendingorders
 from sassafrasridge_node import promotionproof
 
 # Time after a change during which the new primary is not considered failed.
@@ -62,6 +63,7 @@
         self._targets = targets
         self._orders = orders
         self._token = token
+        self._pending = pendingorders.PendingOrders(clocks.boottime())
         self._changed_at: dict[str, float] = {}
         # Since when no replica has every acknowledged commit, by group.
         self._lacking_since: dict[str, float] = {}
@@ -150,11 +152,13 @@
         ]
         if not others or not self._lease_table.earlier_leases_expired(now):
             return None
-        if info is not None and info.leaving:
-            return 'primary_leaving'
         if info is None and self._targets.complete(now):
             return 'primary_gone'
-        if info is not None and self._is_drained(now, info):
+        # A working primary isn't replaced while an order may promote it again.
+        movable = not self._pending.may_take_effect(now, view)
+        if movable and info is not None and info.leaving:
+            return 'primary_leaving'
+        if movable and info is not None and self._is_drained(now, info):
             found = any(self._may_use(target) for target in others)
             return 'primary_drained' if found else None
         if self._changed_recently(view, now):
@@ -172,13 +176,10 @@
     async def _begin_primary_change(
         self, view: model.GroupView, reason: str
     ) -> model.GroupView:
-        changing_view = model.GroupView(
-            view.group,
-            view.term + 1,
-            view.primary,
-            self._current_members(view),
+        changing_view = view.replace(
+            term=view.term + 1,
+            members=self._current_members(view),
             changing=True,
-            log_term=view.log_term,
         )
         await self._commit_view(changing_view, reason)
         return changing_view
@@ -191,6 +192,8 @@
         # effect, even if a replica is no longer paused by then.
         await self._wait_until_confirmed(self._store.revision())
         targets = self._group_targets(view)
+        if view.promotion and view.promotion.view_term == view.term:
+            return await self._continue_promotion(view, targets, started)
         statuses = await self._request_statuses(
             targets, self._failed_primary(view)
         )
@@ -244,25 +247,63 @@
             acknowledged=_position_text(acknowledged),
             chosen=None if chosen is None else chosen.server,
         )
-        promoted = chosen and await self._promote(
-            targets, chosen, highest_term
-        )
-        if chosen is None or promoted is None:
+        if chosen is None or not self._may_promote(view, chosen):
             await self._resume_replicas(targets, paused)
             return False
-        await self._check_acknowledged(targets, chosen)
-        await self._finish_change(view, targets, promoted, started)
-        return True
+        newest_term = max(view.log_term, *(s.term for s in statuses))
+        ordered_view = view.replace(
+            log_term=newest_term,
+            promotion=model.PromotionOrder(
+                chosen.server, view.term, chosen.received
+            ),
+        )
+        await self._commit_view(ordered_view, 'promotion_ordered')
+        self._pending.recorded(view.group)
+        return await self._continue_promotion(ordered_view, targets, started)
+
+    def _may_promote(
+        self, view: model.GroupView, chosen: grouporders.ServerStatus
+    ) -> bool:
+        """Return whether no earlier order may promote another target."""
+        ordered = self._pending.remaining(clocks.boottime(), view)
+        return ordered is None or ordered.server == chosen.server
+
+    async def _continue_promotion(
+        self,
+        view: model.GroupView,
+        targets: dict[str, model.TargetInfo],
+        started: float,
+    ) -> bool:
+        """Bring about the recorded promotion; return whether it took effect.
+
+        No other target leads the group before that, nor does the former
+        primary, unless it is certain that the order has no effect.
+        """
+        assert view.promotion is not None
+        order, info = view.promotion, targets.get(view.promotion.server)
+        status = info and await self._orders.status(info)
+        if info is not None and status and not _leads(status, view):
+            status = await self._promote(view, info, status)
+        if info is not None and status and _leads(status, view):
+            await self._check_acknowledged(targets, order)
+            await self._finish_change(view, targets, status, started)
+            return True
+        if not self._pending.may_take_effect(clocks.boottime(), view):
+            await self._commit_view(
+                view.replace(promotion=None), 'promotion_withdrawn'
+            )
+            await self._resume_replicas(targets, [])
+        return False
 
     async def _check_acknowledged(
         self,
         compared: dict[str, model.TargetInfo],
-        proved: grouporders.ServerStatus,
+        order: model.PromotionOrder,
     ) -> None:
         """Log if a commit was acknowledged that the proof didn't include."""
-        group = compared[proved.server].group
+        group = compared[order.server].group
         acknowledged = self._lease_table.acknowledged(group)
-        if acknowledged is None or acknowledged <= proved.received:
+        if acknowledged is None or acknowledged <= order.position:
             return
         self._metrics.missing_commits.inc()
         listed = self._targets.group(group)
@@ -270,8 +311,8 @@
         logs.log_event(
             'acknowledged_commit_missing',
             group=group,
-            server=proved.server,
-            received=_position_text(proved.received),
+            server=order.server,
+            received=_position_text(order.position),
             acknowledged=_position_text(acknowledged),
             joined=sorted(set(listed) - set(compared)),
             not_paused=sorted(s.server for s in statuses if not s.held_term),
@@ -500,15 +541,25 @@
 
     async def _promote(
         self,
-        targets: dict[str, model.TargetInfo],
-        chosen: grouporders.ServerStatus,
-        highest_term: int,
+        view: model.GroupView,
+        info: model.TargetInfo,
+        status: grouporders.ServerStatus,
     ) -> grouporders.ServerStatus | None:
         """Have a target promoted; return its status as the primary.
 
-        Returns None if the promotion was refused or didn't take effect.
+        Returns None if the promotion was refused, didn't take effect in time,
+        or isn't ordered because the target has lost part of its log.
         """
-        info = targets[chosen.server]
+        assert view.promotion is not None
+        if status.received < view.promotion.position:
+            logs.log_event(
+                'promotion_target_behind',
+                group=info.group,
+                server=info.server,
+                received=_position_text(status.received),
+                proved=_position_text(view.promotion.position),
+            )
+            return None
         answer = await self._orders.promote(info, self._token)
         logs.log_event(
             'promotion_ordered',
@@ -521,14 +572,13 @@
             return None
         deadline = clocks.boottime() + PROMOTION_TIMEOUT_S
         while clocks.boottime() < deadline:
-            status = await self._orders.status(info)
-            if (
-                status is not None
-                and status.primary
-                and status.term > highest_term
-            ):
-                return status
+            found = await self._orders.status(info)
+            if found is not None and _leads(found, view):
+                if answer is grouporders.PromotionAnswer.UNKNOWN:
+                    self._pending.unanswered(clocks.boottime(), info.group)
+                return found
             await asyncio.sleep(STATUS_POLL_INTERVAL_S)
+        self._pending.unanswered(clocks.boottime(), info.group)
         self._metrics.unknown_promotions.inc()
         logs.log_event(
             'promotion_outcome_unknown', group=info.group, server=info.server
@@ -542,12 +592,12 @@
         chosen: grouporders.ServerStatus,
         started: float,
     ) -> None:
-        new_view = model.GroupView(
-            view.group,
-            view.term + 1,
-            chosen.server,
-            view.members,
+        new_view = view.replace(
+            term=view.term + 1,
+            primary=chosen.server,
+            changing=False,
             log_term=max(view.log_term, chosen.term),
+            promotion=self._pending.remaining(clocks.boottime(), view),
         )
         self._changed_at[view.group] = clocks.boottime()
         self._lacking_since.pop(view.group, None)
@@ -561,13 +611,7 @@
     async def _reconcile(self, view: model.GroupView) -> None:
         members = self._current_members(view)
         if members != view.members:
-            view = model.GroupView(
-                view.group,
-                view.term,
-                view.primary,
-                members,
-                log_term=view.log_term,
-            )
+            view = view.replace(members=members)
             await self._commit_view(view, 'members')
         for info in self._stale_primaries(view):
             primary = self._targets.group(view.group).get(view.primary or '')
@@ -612,6 +656,11 @@
     return task.done() and task.result() is not None
 
 
+def _leads(status: grouporders.ServerStatus, view: model.GroupView) -> bool:
+    """Return whether a target has taken over from the former primary."""
+    return status.primary and status.term > view.log_term
+
+
 def _position_text(position: model.Position | None) -> str | None:
     """Return a position as TERM.INDEX for the log."""
     return position and f'{position.term}.{position.index}'
--- a/tests/node/test_failover.py
+++ b/tests/node/test_failover.py
@@ -13,6 +13,7 @@
 from sassafrasridge_node import grouporders
 from sassafrasridge_node import groups
 from sassafrasridge_node import metrics
+from sassafrasridge_node import pendingorders
 from sassafrasridge_node import promotionproof
 
 Position = model.Position
@@ -492,6 +493,76 @@
         assert cluster.step().primary == 'c'
         assert self.promoted(cluster) == {'c'}
 
+    def test_the_record_precedes_the_order(self, servers):
+        """Guards against an order that the next leader doesn't know of."""
+        cluster = Cluster(servers)
+        servers['a'].reachable = False
+        cluster.fail('a')
+        recorded = []
+        promote = cluster.orders.promote
+
+        async def check_record(info, token):
+            recorded.append(cluster.store.views['g'].promotion)
+            return await promote(info, token)
+
+        cluster.orders.promote = check_record
+        assert cluster.step().promotion is None
+        assert [(o.server, o.position) for o in recorded] == [
+            ('c', Position(1, 9))
+        ]
+
+    def test_a_target_that_lost_its_log_is_not_ordered_again(self, cluster):
+        """Guards against a promotion of a target that started empty."""
+        cluster.orders.sent_orders.clear()
+        cluster.orders.servers['c'].received = Position(1, 2)
+        assert cluster.step().changing
+        assert not self.promoted(cluster)
+
+    def test_an_order_without_effect_is_withdrawn(self, cluster, monkeypatch):
+        """Guards against a group that never has a primary again."""
+        cluster.orders.servers['c'].reachable = False
+        assert cluster.step().promotion.server == 'c'
+        monkeypatch.setattr(pendingorders, 'MAX_ORDER_DELAY_S', 0.0)
+        assert cluster.step().promotion is None
+        self.return_former_primary(cluster)
+        assert cluster.step().primary == 'a'
+
+    def test_a_repeated_refusal_withdraws_nothing(self, cluster):
+        """Guards against forgetting the first order, which isn't refused."""
+        cluster.orders.answer = grouporders.PromotionAnswer.REFUSED
+        assert cluster.step().promotion.server == 'c'
+
+    def test_the_new_primary_stays_until_the_order_has_ended(
+        self, cluster, monkeypatch
+    ):
+        """Guards against a first order that promotes c again later.
+
+        The second order takes effect, so c leads, and then it leaves.
+        """
+        cluster.orders.lead('c')
+        assert cluster.step().primary == 'c'
+        server = cluster.orders.servers['c']
+        cluster.announce('c', server, sequence=2, leaving=True)
+        cluster.announce('a', cluster.orders.servers['a'], sequence=2)
+        assert cluster.step().primary == 'c'
+        monkeypatch.setattr(pendingorders, 'MAX_ORDER_DELAY_S', 0.0)
+        self.return_former_primary(cluster)
+        cluster.orders.takes_effect = True
+        assert cluster.step().primary != 'c'
+
+    def test_a_failed_new_primary_is_not_replaced_before(self, cluster):
+        """Guards against the same if c fails and another target leads."""
+        cluster.orders.lead('c')
+        assert cluster.step().primary == 'c'
+        cluster.orders.sent_orders.clear()
+        cluster.orders.servers['c'].reachable = False
+        cluster.reconciler._changed_at.clear()
+        cluster.fail('c')
+        self.return_former_primary(cluster)
+        cluster.fail('c')
+        assert cluster.step().changing
+        assert not self.promoted(cluster)
+
 
 class TestProofUntilEffect:
     """Pattern: a replica confirms commits between proof and promotion.
