Keep reports of acknowledged commits beyond the lease of their holder

Cause: control forgot the last commit that an entry process had acknowledged together with its lease: after 4 s without a renewal, at once after a planned stop, and at the first renewal of a process that was killed and started again. The report is the only proof against a promotion that leaves out a replica which control doesn't list, and clients rely on the commit however long its process runs.

The lease table now keeps the furthest report of each group until another target leads it, and the message that ends a lease at a planned stop carries the commits since the last renewal.

--- a/packages/core/src/sassafrasridge_core/leases.py
+++ b/packages/core/src/sassafrasridge_core/leases.py
@@ -81,11 +81,7 @@
 
 
 class LeaseHolder:
-    """Store the grantor's state for one lease holder.
-
-    ``acknowledged`` maps groups to the position of the last commit that the
-    holder acknowledged to a client.
-    """
+    """Store the grantor's state for one lease holder."""
 
     __slots__ = (
         'name',
@@ -96,7 +92,6 @@
         'revision',
         'view_revision',
         'draining',
-        'acknowledged',
     )
 
     def __init__(self, name: str, entry: str) -> None:
@@ -108,7 +103,6 @@
         self.revision = 0
         self.view_revision = 0
         self.draining = False
-        self.acknowledged: dict[str, model.Position] = {}
 
 
 class LeaseTable:
@@ -120,12 +114,15 @@
     renewed leases.
     """
 
-    __slots__ = ('_times', '_elected_at', 'holders')
+    __slots__ = ('_times', '_elected_at', '_acknowledged', 'holders')
 
     def __init__(self, times: LeaseTimes, elected_at: float) -> None:
         self._times = times
         self._elected_at = elected_at
         self.holders: dict[str, LeaseHolder] = {}
+        # Last commit that any holder acknowledged to a client, by group. It
+        # outlives the lease: the client still relies on the commit.
+        self._acknowledged: dict[str, model.Position] = {}
 
     def end_grace_period(self) -> None:
         """End the grace period: all holders of earlier leases are known."""
@@ -173,16 +170,21 @@
         """Remove a holder that returned its lease."""
         self.holders.pop(name, None)
 
+    def report_acknowledged(
+        self, positions: dict[str, model.Position]
+    ) -> None:
+        """Record the last commits that a holder acknowledged, by group."""
+        for group, position in positions.items():
+            known = self._acknowledged.get(group, position)
+            self._acknowledged[group] = max(known, position)
+
     def acknowledged(self, group: str) -> model.Position | None:
         """Return the last commit in a group that a holder acknowledged."""
-        return max(
-            (
-                holder.acknowledged[group]
-                for holder in self.holders.values()
-                if group in holder.acknowledged
-            ),
-            default=None,
-        )
+        return self._acknowledged.get(group)
+
+    def forget_acknowledged(self, group: str) -> None:
+        """Forget the commits of a group's former primary."""
+        self._acknowledged.pop(group, None)
 
     def view_confirmed(self, now: float, view_revision: int) -> bool:
         """Return whether all live holders have at least this view revision.
--- a/packages/node/src/sassafrasridge_node/failover.py
+++ b/packages/node/src/sassafrasridge_node/failover.py
@@ -603,6 +603,8 @@
         self._lacking_since.pop(view.group, None)
         reason = 'kept' if chosen.server == view.primary else 'changed'
         await self._commit_view(new_view, reason, clocks.boottime() - started)
+        if chosen.server != view.primary:
+            self._lease_table.forget_acknowledged(view.group)
         self._metrics.promotions.inc()
         others = [i for i in targets.values() if i.server != chosen.server]
         await asyncio.gather(*(self._orders.resume(info) for info in others))
--- a/packages/node/src/sassafrasridge_node/leadership.py
+++ b/packages/node/src/sassafrasridge_node/leadership.py
@@ -176,7 +176,7 @@
         holder.revision = req.revision
         holder.view_revision = req.view_revision
         holder.draining = req.draining
-        holder.acknowledged = codec.acknowledged_from_wire(req.acknowledged)
+        self._record_acknowledged(req)
         reply = rpc.idl.RenewReply(
             granted=True,
             reason='',
@@ -297,8 +297,14 @@
 
     def release(self, now: float, req: typing.Any) -> None:
         """Release the lease and all grants of a holder that shuts down."""
+        self._record_acknowledged(req)
         self._release_holder(now, req.entry, req.incarnation)
 
+    def _record_acknowledged(self, req: typing.Any) -> None:
+        self.lease_table.report_acknowledged(
+            codec.acknowledged_from_wire(req.acknowledged)
+        )
+
     def _release_holder(
         self, now: float, entry: str, incarnation: int
     ) -> None:
--- a/packages/node/src/sassafrasridge_node/renewal.py
+++ b/packages/node/src/sassafrasridge_node/renewal.py
@@ -224,6 +224,7 @@
             accounts=[],
             observations=[],
             sequence=next(self._sequence),
+            acknowledged=codec.acknowledged_to_wire(self._state.acknowledged),
         )
         client = self._pool.get(self.choice.current)
         try:
--- a/tests/core/test_leases.py
+++ b/tests/core/test_leases.py
@@ -88,9 +88,8 @@
 
     def table(self):
         table = leases.LeaseTable(leases.LeaseTimes(), float('-inf'))
-        table.grant(0.0, 'e1#1', 'e1').acknowledged = {
-            'g': model.Position(1, 12)
-        }
+        table.grant(0.0, 'e1#1', 'e1')
+        table.report_acknowledged({'g': model.Position(1, 12)})
         return table
 
     def test_a_report_outlives_the_lease(self):
@@ -104,3 +103,9 @@
         table = self.table()
         table.release('e1#1')
         assert table.acknowledged('g') == model.Position(1, 12)
+
+    def test_an_earlier_report_replaces_nothing(self):
+        """Guards against a holder that acknowledged less than another."""
+        table = self.table()
+        table.report_acknowledged({'g': model.Position(1, 11)})
+        assert table.acknowledged('g') == model.Position(1, 12)
--- a/tests/node/test_failover.py
+++ b/tests/node/test_failover.py
@@ -240,9 +240,8 @@
         servers['d'] = FakeServer(12)
         servers['a'].received = Position(1, 12)
         now = clocks.boottime()
-        holder = cluster.table.grant(now, 'e1#1', 'e1')
-        holder.view_revision = 99
-        holder.acknowledged = {'g': Position(1, 12)}
+        cluster.table.grant(now, 'e1#1', 'e1').view_revision = 99
+        cluster.table.report_acknowledged({'g': Position(1, 12)})
         return cluster
 
     def test_a_planned_change_keeps_its_commits(self, servers):
--- a/tests/node/test_leadership.py
+++ b/tests/node/test_leadership.py
@@ -84,6 +84,19 @@
         assert [e.entry for e in reply.entries] == ['e2']
 
 
+class TestAcknowledgedCommits:
+    def report(self, index):
+        return [rpc.idl.AcknowledgedCommit(group='g', term=1, index=index)]
+
+    def test_a_planned_stop_reports_the_last_one(self):
+        """Guards against a promotion without commits of the last moment."""
+        current = leader()
+        current.renew(10.0, request('e1', acknowledged=self.report(7)))
+        stop = request('e1', draining=True, acknowledged=self.report(9))
+        current.release(10.2, stop)
+        assert current.lease_table.acknowledged('g').index == 9
+
+
 class TestFullCopies:
     def setup_method(self):
         self.state = core_state.State()
