Count no new group revision for a recorded promotion

A record that differed in its promotion only raised the revision of the group views. A member of an earlier release ignores the field and counts no change, so revisions differed during an upgrade: if that member led next, entry processes with a higher revision weren't sent the following views but counted as having confirmed them.

The promotion is stored without a new revision. Entry processes don't need it, so they aren't sent the view again either. The test failed before (2 instead of 1).

--- a/packages/core/src/sassafrasridge_core/grouprecords.py
+++ b/packages/core/src/sassafrasridge_core/grouprecords.py
@@ -20,6 +20,16 @@
     }
 
 
+def same_view(record: model.GroupView, other: model.GroupView) -> bool:
+    """Return whether two records differ in their promotion at most.
+
+    Entry processes aren't told of the promotion.
+    """
+    return as_json(record) == as_json(
+        other.replace(promotion=record.promotion)
+    )
+
+
 def _promotion_as_json(
     order: model.PromotionOrder | None,
 ) -> dict[str, Any] | None:
--- a/packages/core/src/sassafrasridge_core/state.py
+++ b/packages/core/src/sassafrasridge_core/state.py
@@ -315,7 +315,9 @@
         previous = self.groups.get(view.group)
         if previous is not None:
             _check_group_successor(previous, view)
-            if grouprecords.as_json(previous) == grouprecords.as_json(view):
+            if grouprecords.same_view(previous, view):
+                # Members of earlier releases count no change here either.
+                self.groups[view.group] = view
                 revision = self.groups_revision
                 return Reply(True, 200, {'groups_revision': revision})
         self.groups_revision += 1
--- a/tests/core/test_state.py
+++ b/tests/core/test_state.py
@@ -65,7 +65,7 @@
             confirmed_revision=confirmed,
         )
 
-    def group(self, term, primary, starts=None, changing=False):
+    def group(self, term, primary, starts=None, changing=False, **fields):
         record = {
             'group': 'g',
             'term': term,
@@ -73,6 +73,7 @@
             'members': {'x': '127.0.0.1:1', 'y': '127.0.0.1:2'},
             'starts': starts or {},
             'changing': changing,
+            **fields,
         }
         return self.apply(type='group', group=record, time=1.0)
 
@@ -247,6 +248,19 @@
         assert [v.group for v in member.state.groups_since(0)] == ['g']
         assert member.state.groups_since(1) == []
 
+    def test_a_promotion_alone_does_not_raise_the_revision(self, member):
+        """Guards against revisions that differ between releases.
+
+        A member of the former release ignores the field and counts no change.
+        If it leads next, entry processes that have a higher revision aren't
+        sent the views that follow, and count as having confirmed them.
+        """
+        order = {'server': 'y', 'view_term': 2, 'term': 1, 'index': 9}
+        member.group(2, 'x', changing=True)
+        member.group(2, 'x', changing=True, promotion=order)
+        assert member.state.groups['g'].promotion.server == 'y'
+        assert member.state.groups_revision == 1
+
 
 class TestCommands:
     @pytest.mark.parametrize(
