Remove an order from the group's record once it is over

Found by review. A promotion that took effect while an order was unanswered left its order in the record for good. Each later control leader counted the order as sent at its own start, so for 15 s after every change of leader a leaving primary wasn't moved and a failed one wasn't replaced. A reconciled group now loses the order as soon as it can no longer take effect. Both tests failed before.

--- a/packages/node/src/sassafrasridge_node/failover.py
+++ b/packages/node/src/sassafrasridge_node/failover.py
@@ -87,10 +87,16 @@
             return False
         if self._current_members(view) != view.members:
             return False
-        if self._stale_primaries(view):
+        if self._stale_primaries(view) or self._has_ended_order(view):
             return False
         return not self._change_reason(view, live)
 
+    def _has_ended_order(self, view: model.GroupView) -> bool:
+        """Return whether the record holds an order that is over."""
+        return view.promotion is not None and not (
+            self._pending.may_take_effect(clocks.boottime(), view)
+        )
+
     async def _step(self, group: str) -> None:
         view = self._store.view(group)
         if view is None:
@@ -615,6 +621,9 @@
         if members != view.members:
             view = view.replace(members=members)
             await self._commit_view(view, 'members')
+        if self._has_ended_order(view):
+            view = view.replace(promotion=None)
+            await self._commit_view(view, 'promotion_ended')
         for info in self._stale_primaries(view):
             primary = self._targets.group(view.group).get(view.primary or '')
             status = primary and await self._orders.status(primary)
--- a/tests/node/test_failover.py
+++ b/tests/node/test_failover.py
@@ -563,6 +563,48 @@
         assert not self.promoted(cluster)
 
 
+class TestEndedOrders:
+    """Pattern: an order that was answered late is over, and much later the
+    control leader changes.
+    """
+
+    @pytest.fixture
+    def cluster(self, servers):
+        """Return a cluster whose primary c was promoted without an answer."""
+        servers['b'].received = Position(1, 9)
+        cluster = Cluster(servers, {'b': 'y'})
+        cluster.orders.answer = grouporders.PromotionAnswer.UNKNOWN
+        servers['a'].reachable = False
+        cluster.fail('a')
+        assert cluster.step().primary == 'c'
+        servers['a'].reachable = True
+        cluster.announce('a', servers['a'], sequence=2)
+        return cluster
+
+    def test_an_order_that_is_over_leaves_the_record(
+        self, cluster, monkeypatch
+    ):
+        """Guards against a later leader that takes it for a recent one."""
+        monkeypatch.setattr(pendingorders, 'MAX_ORDER_DELAY_S', 0.0)
+        assert not cluster.reconciler._is_reconciled('g', set())
+        assert cluster.step().promotion is None
+
+    def test_the_next_leader_replaces_a_failed_primary(
+        self, cluster, monkeypatch
+    ):
+        """Guards against a group without a primary for 15 s.
+
+        The order ends while the group's record is reconciled.
+        """
+        monkeypatch.setattr(pendingorders, 'MAX_ORDER_DELAY_S', 0.0)
+        cluster.step()
+        monkeypatch.setattr(pendingorders, 'MAX_ORDER_DELAY_S', 15.0)
+        cluster.start_leader('z')
+        cluster.orders.servers['c'].reachable = False
+        cluster.fail('c')
+        assert cluster.step().changing is False
+
+
 class TestProofUntilEffect:
     """Pattern: a replica confirms commits between proof and promotion.
 
