Order a proved promotion without asking the target again

Found by review. Between the record and the order the target's status was requested once more. One BUSY answer then withdrew the record, resumed the replicas and began the change again: two more commits and another wait for all leases. The answer to the order to pause, which the proof rests on, is used instead. The test failed before.

--- a/packages/node/src/sassafrasridge_node/failover.py
+++ b/packages/node/src/sassafrasridge_node/failover.py
@@ -265,7 +265,9 @@
         )
         await self._commit_view(ordered_view, 'promotion_ordered')
         self._pending.recorded(view.group)
-        return await self._continue_promotion(ordered_view, targets, started)
+        return await self._continue_promotion(
+            ordered_view, targets, started, chosen
+        )
 
     def _may_promote(
         self, view: model.GroupView, chosen: grouporders.ServerStatus
@@ -279,15 +281,18 @@
         view: model.GroupView,
         targets: dict[str, model.TargetInfo],
         started: float,
+        status: grouporders.ServerStatus | None = None,
     ) -> bool:
         """Bring about the recorded promotion; return whether it took effect.
 
         No other target leads the group before that, nor does the former
-        primary, unless it is certain that the order has no effect.
+        primary, unless it is certain that the order has no effect. ``status``
+        is that of the target if it was just requested.
         """
         assert view.promotion is not None
         order, info = view.promotion, targets.get(view.promotion.server)
-        status = info and await self._orders.status(info)
+        if info is not None and status is None:
+            status = await self._orders.status(info)
         if info is not None and status and not _leads(status, view):
             status = await self._promote(view, info, status)
         if info is not None and status and _leads(status, view):
--- a/tests/node/test_failover.py
+++ b/tests/node/test_failover.py
@@ -605,6 +605,32 @@
         assert cluster.step().changing is False
 
 
+class TestBusyTarget:
+    """Pattern: a target under load answers one status request with BUSY.
+
+    It has just answered the order to pause.
+    """
+
+    def test_a_proved_target_is_ordered_at_once(self, servers):
+        """Guards against a change that begins again without need."""
+        cluster = Cluster(servers)
+        servers['a'].reachable = False
+        cluster.fail('a')
+        status, refused = cluster.orders.status, []
+
+        async def answer_busy_once(info):
+            recorded = cluster.store.views['g'].promotion is not None
+            if recorded and not refused:
+                refused.append(info.server)
+                return None
+            return await status(info)
+
+        cluster.orders.status = answer_busy_once
+        assert cluster.step().primary == 'c'
+        reasons = [(v.changing, v.promotion) for v in cluster.store.history]
+        assert (True, None) not in reasons[1:]
+
+
 class TestProofUntilEffect:
     """Pattern: a replica confirms commits between proof and promotion.
 
