Keep an unanswered order when its target is ordered again

A target that led after an order without an answer, failed and was chosen again in the next change started with a clean record. A refusal of the new order then withdrew both, and another target could be promoted while the first order might still act. Its time is kept now. While an order may act, only its target is a candidate; before, another one was chosen and the change was tried again until the order was over. Both tests failed before.

--- a/packages/node/src/sassafrasridge_node/failover.py
+++ b/packages/node/src/sassafrasridge_node/failover.py
@@ -239,7 +239,10 @@
         )
         if proof.reason == promotionproof.LACKS_ACKNOWLEDGED:
             self._lacking_since.setdefault(view.group, clocks.boottime())
-        chosen = self._choose_candidate(targets, proof)
+        chosen = self._choose_candidate(
+            targets,
+            [s for s in proof.candidates if self._may_promote(view, s)],
+        )
         logs.log_event(
             'promotion_considered',
             group=view.group,
@@ -253,7 +256,7 @@
             acknowledged=_position_text(acknowledged),
             chosen=None if chosen is None else chosen.server,
         )
-        if chosen is None or not self._may_promote(view, chosen):
+        if chosen is None:
             await self._resume_replicas(targets, paused)
             return False
         newest_term = max(view.log_term, *(s.term for s in statuses))
@@ -264,17 +267,17 @@
             ),
         )
         await self._commit_view(ordered_view, 'promotion_ordered')
-        self._pending.recorded(view.group)
+        self._pending.recorded(clocks.boottime(), view)
         return await self._continue_promotion(
             ordered_view, targets, started, chosen
         )
 
     def _may_promote(
-        self, view: model.GroupView, chosen: grouporders.ServerStatus
+        self, view: model.GroupView, candidate: grouporders.ServerStatus
     ) -> bool:
         """Return whether no earlier order may promote another target."""
         ordered = self._pending.remaining(clocks.boottime(), view)
-        return ordered is None or ordered.server == chosen.server
+        return ordered is None or ordered.server == candidate.server
 
     async def _continue_promotion(
         self,
@@ -536,11 +539,11 @@
     def _choose_candidate(
         self,
         targets: dict[str, model.TargetInfo],
-        proof: promotionproof.PromotionProof,
+        candidates: list[grouporders.ServerStatus],
     ) -> grouporders.ServerStatus | None:
         """Choose a candidate; prefer usable, not leaving, in this zone."""
         return min(
-            proof.candidates,
+            candidates,
             key=lambda s: (
                 not self._may_use(targets[s.server]),
                 targets[s.server].leaving,
--- a/packages/node/src/sassafrasridge_node/pendingorders.py
+++ b/packages/node/src/sassafrasridge_node/pendingorders.py
@@ -19,7 +19,10 @@
     >>> view = model.GroupView('g', 2, promotion=order)
     >>> orders.may_take_effect(14.0, view), orders.may_take_effect(16.0, view)
     (True, False)
-    >>> orders.recorded('g')
+    >>> orders.recorded(14.0, view)
+    >>> orders.may_take_effect(14.0, view)
+    True
+    >>> orders.recorded(16.0, view)
     >>> orders.may_take_effect(14.0, view)
     False
     >>> orders.unanswered(20.0, 'g')
@@ -35,9 +38,14 @@
         # whose promotion an earlier leader recorded is missing.
         self._unanswered_at: dict[str, float] = {}
 
-    def recorded(self, group: str) -> None:
-        """Note that this leader recorded a promotion, but sent no order."""
-        self._unanswered_at[group] = float('-inf')
+    def recorded(self, now: float, replaced: model.GroupView) -> None:
+        """Note that this leader recorded a promotion, but sent no order.
+
+        An order in the ``replaced`` record, to the same target, stays
+        unanswered.
+        """
+        if not self.may_take_effect(now, replaced):
+            self._unanswered_at[replaced.group] = float('-inf')
 
     def unanswered(self, now: float, group: str) -> None:
         """Note that an order was sent whose outcome isn't known."""
--- a/tests/node/test_failover.py
+++ b/tests/node/test_failover.py
@@ -631,6 +631,48 @@
         assert (True, None) not in reasons[1:]
 
 
+class TestRepeatedTarget:
+    """Pattern: a target is ordered again in the next change.
+
+    It led after an order without an answer, failed, and is a replica again.
+    """
+
+    def cluster(self, servers, zones):
+        servers['b'].received = Position(1, 9)
+        cluster = Cluster(servers, zones)
+        order = model.PromotionOrder('c', 2, Position(1, 9))
+        servers['a'].primary = False
+        for server in servers.values():
+            server.term = 2
+        cluster.store.views['g'] = model.GroupView(
+            'g',
+            4,
+            'c',
+            cluster.store.views['g'].members,
+            changing=True,
+            log_term=2,
+            promotion=order,
+        )
+        cluster.store.history.append(cluster.store.views['g'])
+        # The leader has begun, so the order of its predecessor may still
+        # take effect.
+        cluster.fail('c')
+        return cluster
+
+    def test_a_refusal_does_not_withdraw_the_earlier_order(self, servers):
+        """Guards against a promotion of another target meanwhile."""
+        cluster = self.cluster(servers, {'a': 'x', 'b': 'x', 'c': 'z'})
+        cluster.orders.answer = grouporders.PromotionAnswer.REFUSED
+        cluster.orders.takes_effect = False
+        assert cluster.step().promotion is not None
+
+    def test_the_ordered_target_is_preferred(self, servers):
+        """Guards against a group without a primary until the order ends."""
+        cluster = self.cluster(servers, {'a': 'z', 'b': 'z', 'c': 'x'})
+        assert cluster.step().primary == 'c'
+        assert ('promote', 'c') in cluster.orders.sent_orders
+
+
 class TestProofUntilEffect:
     """Pattern: a replica confirms commits between proof and promotion.
 
