Require silent members for 15 s after a change of control leader

A new leader counted a member of a group's record that it hadn't heard as gone after 4 s, while one leader counts a silent target for 15 s. A replica that was cut off together with the leader and the primary could have confirmed commits that an entry process acknowledged until its lease ran out; after 4 s another replica was promoted without it.

A member of the record now counts until targets of an earlier directory would have expired. One that reported that it has left counts for 4 s, as before, and one whose address another target announces isn't waited for. The test failed before (b at 7 was promoted while c at 9 was silent).

--- a/packages/core/src/sassafrasridge_core/directory.py
+++ b/packages/core/src/sassafrasridge_core/directory.py
@@ -119,6 +119,12 @@
             self._left_incarnations[server] = entry.announcement.born
             self.revision += 1
 
+    def has_left(self, server: str) -> bool:
+        """Return whether a target reported that it has left."""
+        return server in self._left_incarnations and (
+            server not in self._entries
+        )
+
     def expire(self, now: float) -> list[str]:
         """Remove and return the targets that were silent for too long."""
         if now <= self._expire_from:
@@ -139,6 +145,10 @@
         """Return whether every live target must be listed by now."""
         return now - self._started_at > COMPLETE_AFTER_S
 
+    def expired_before(self, now: float) -> bool:
+        """Return whether targets of an earlier directory count as gone."""
+        return now - self._started_at > EXPIRE_AFTER_S
+
     def targets(self) -> collections.abc.Iterable[model.TargetInfo]:
         """Return all known targets."""
         return [e.announcement.info for e in self._entries.values()]
--- a/packages/node/src/sassafrasridge_node/failover.py
+++ b/packages/node/src/sassafrasridge_node/failover.py
@@ -337,14 +337,19 @@
     ) -> dict[str, model.TargetInfo]:
         """Return the group's targets by server name.
 
-        Until a new leader's directory is complete, members of the view that
-        aren't in it yet are added with their recorded addresses.
+        A new leader's directory lacks targets that have been silent since
+        before its election. Members of the view are added with their recorded
+        addresses for as long as silent targets stay listed, unless they have
+        left or another target has replaced them there.
         """
-        found = self._targets.group(view.group)
-        if self._targets.complete(clocks.boottime()):
+        found, now = self._targets.group(view.group), clocks.boottime()
+        if self._targets.expired_before(now):
             return found
+        complete = self._targets.complete(now)
+        replaced = {info.address for info in found.values()}
         for server, address in view.members.items():
-            if server not in found:
+            left = complete and self._targets.has_left(server)
+            if server not in found and address not in replaced and not left:
                 found[server] = model.TargetInfo(
                     server, view.group, '', address, '', 0, 0, 0, 0
                 )
--- a/tests/node/test_failover.py
+++ b/tests/node/test_failover.py
@@ -673,6 +673,44 @@
         assert ('promote', 'c') in cluster.orders.sent_orders
 
 
+class TestMembersOfEarlierLeaders:
+    """Pattern: a zone with the leader, the primary and a replica is cut off.
+
+    The replica confirms commits until the lease of the entry process there
+    runs out. The next leader never hears the replica.
+    """
+
+    def test_a_silent_member_counts_as_long_as_with_one_leader(self, servers):
+        """Guards against promoting a replica that lacks its commits."""
+        cluster = Cluster(servers)
+        started = clocks.boottime() - directory.COMPLETE_AFTER_S - 0.5
+        cluster.directory = directory.TargetDirectory(started)
+        cluster.announce('b', servers['b'])
+        cluster.start_leader('z')
+        servers['a'].reachable = servers['c'].reachable = False
+        cluster.fail('a')
+        assert cluster.step().changing
+        assert not [o for o in cluster.orders.sent_orders if o[0] == 'promote']
+
+    @pytest.mark.parametrize('replaced', [False, True])
+    def test_a_member_that_is_gone_is_not_waited_for(self, servers, replaced):
+        """Guards against a group without a primary after a planned stop."""
+        cluster = Cluster(servers)
+        started = clocks.boottime() - directory.COMPLETE_AFTER_S - 0.5
+        cluster.directory = directory.TargetDirectory(started)
+        cluster.announce('b', servers['b'])
+        if replaced:
+            view = cluster.store.views['g']
+            view.members['c'] = view.members['b']
+        else:
+            cluster.announce('c', servers['c'])
+            cluster.directory.leave('c')
+        cluster.start_leader('z')
+        servers['a'].reachable = servers['c'].reachable = False
+        cluster.fail('a')
+        assert cluster.step().primary == 'b'
+
+
 class TestProofUntilEffect:
     """Pattern: a replica confirms commits between proof and promotion.
 
