Replace a primary that stepped down after its change had ended

Found by review. An order to step down whose answer was lost could arrive after the group had kept its primary. That target was a replica then, nobody led the group, and since it answered every probe it didn't count as failed; only a second acting primary began a change. The primary's announcement as a replica is a reason by itself now, if it arrived after the last change. The test failed before.

--- a/packages/core/src/sassafrasridge_core/directory.py
+++ b/packages/core/src/sassafrasridge_core/directory.py
@@ -149,6 +149,11 @@
         """Return whether targets of an earlier directory count as gone."""
         return now - self._started_at > EXPIRE_AFTER_S
 
+    def heard_at(self, server: str) -> float:
+        """Return when a target last announced itself, -inf if not listed."""
+        entry = self._entries.get(server)
+        return float('-inf') if entry is None else entry.heard_at
+
     def targets(self) -> collections.abc.Iterable[model.TargetInfo]:
         """Return all known targets."""
         return [e.announcement.info for e in self._entries.values()]
--- a/packages/node/src/sassafrasridge_node/failover.py
+++ b/packages/node/src/sassafrasridge_node/failover.py
@@ -171,14 +171,20 @@
             return None
         if self._primary_failed(now, view, live):
             return 'primary_failed'
-        if (
-            info is not None
-            and info.role == 'replica'
-            and self._stale_primaries(view)
-        ):
-            return 'primary_replaced'
+        if info is not None and self._has_stepped_down(info):
+            return 'primary_stepped_down'
         return None
 
+    def _has_stepped_down(self, primary: model.TargetInfo) -> bool:
+        """Return whether a primary announced since its change that it isn't.
+
+        It was replaced, or an order of an earlier change reached it late.
+        """
+        changed_at = self._changed_at.get(primary.group, float('-inf'))
+        return primary.role == 'replica' and (
+            self._targets.heard_at(primary.server) > changed_at
+        )
+
     async def _begin_primary_change(
         self, view: model.GroupView, reason: str
     ) -> model.GroupView:
--- a/tests/node/test_failover.py
+++ b/tests/node/test_failover.py
@@ -711,6 +711,41 @@
         assert cluster.step().primary == 'b'
 
 
+class TestOrdersWithoutAnswer:
+    """Pattern: an order to a target takes effect, or gets lost, after the
+    leader has stopped waiting for its answer.
+    """
+
+    def test_a_primary_that_stepped_down_late_is_replaced(self, servers):
+        """Guards against a group without a primary that answers status.
+
+        The view keeps a, and then an earlier order to step down arrives.
+        """
+        cluster = Cluster(servers)
+        servers['a'].primary = False
+        cluster.announce('a', servers['a'], sequence=2)
+        assert not cluster.reconciler._is_reconciled('g', set())
+        cluster.table.grant(clocks.boottime(), 'e1#1', 'e1').view_revision = 99
+        cluster.step()
+        assert any(server.primary for server in servers.values())
+
+    def test_a_late_announcement_replaces_nothing(self, servers):
+        """Guards against a change each time that news of a primary is late.
+
+        The target announced itself as a replica before it was promoted, and
+        control hears nothing of it since.
+        """
+        cluster = Cluster(servers)
+        servers['a'].reachable = False
+        cluster.fail('a')
+        assert cluster.step().primary == 'c'
+        since = clocks.boottime() - failover.NEW_PRIMARY_GRACE_S - 1.0
+        cluster.reconciler._changed_at['g'] = since
+        cluster.directory._entries['c'].heard_at = since - 1.0
+        cluster.directory._entries['a'].announcement.info.role = 'replica'
+        assert cluster.reconciler._is_reconciled('g', set())
+
+
 class TestProofUntilEffect:
     """Pattern: a replica confirms commits between proof and promotion.
 
