Resume replicas until they answer that they receive commits

Found by review. A replica that missed the order to resume after a change, or that an earlier order to pause reached later, stayed paused until the next change of its group; so did all of them if the leader ended between the new view and these orders. With all replicas paused, writes hang.

The leader checks the replicas of reconciled groups once a second, at most eight at once, until each has answered that it isn't paused; a new leader asks all of them in turn. The first test failed before.

--- a/packages/node/src/sassafrasridge_node/failover.py
+++ b/packages/node/src/sassafrasridge_node/failover.py
@@ -18,6 +18,7 @@
 from sassafrasridge_node import groups
 from sassafrasridge_node import logs
 from sassafrasridge_node import metrics
+from sassafrasridge_node import pausedreplicas
 from sassafrasridge_node import pendingorders
 from sassafrasridge_node import promotionproof
 
@@ -63,6 +64,9 @@
         self._targets = targets
         self._orders = orders
         self._token = token
+        self.paused_replicas = pausedreplicas.PausedReplicas(
+            orders, store, targets
+        )
         self._pending = pendingorders.PendingOrders(clocks.boottime())
         self._changed_at: dict[str, float] = {}
         # Since when no replica has every acknowledged commit, by group.
@@ -72,9 +76,11 @@
 
     async def run(self) -> None:
         """Start a step for each group that needs one, until cancelled."""
+        checks = asyncio.ensure_future(self.paused_replicas.run())
         try:
             await super().run()
         finally:
+            checks.cancel()
             self._orders.close()
 
     def _group_names(self) -> set[str]:
@@ -231,6 +237,7 @@
         replicas = await self._demote_former_primaries(
             targets, statuses, acting_primary, highest_term + 1
         )
+        self.paused_replicas.forget(view.group)
         paused = await self._pause_replicas(
             targets, replicas, highest_term + 1
         )
@@ -394,27 +401,10 @@
     async def _request_statuses(
         self, targets: dict[str, model.TargetInfo], failed: str = ''
     ) -> list[grouporders.ServerStatus]:
-        """Return the statuses that arrive in time.
-
-        The status of the ``failed`` target is not waited for once all others
-        have answered: their positions are the proof then.
-        """
-        tasks = {
-            server: asyncio.ensure_future(self._orders.status(info))
-            for server, info in targets.items()
-        }
-        others = [task for name, task in tasks.items() if name != failed]
-        deadline = clocks.boottime() + STATUS_WAIT_S
-        await _wait_for(others, deadline)
-        if not all(_has_status(task) for task in others):
-            await _wait_for(tasks.values(), deadline)
-        statuses = []
-        for task in tasks.values():
-            if _has_status(task):
-                statuses.append(task.result())
-            else:
-                task.cancel()
-        return statuses
+        """Return the statuses that arrive in time."""
+        return await grouporders.request_statuses(
+            self._orders, targets, STATUS_WAIT_S, failed
+        )
 
     async def _keep_working_primary(
         self,
@@ -543,9 +533,7 @@
         paused: list[grouporders.ServerStatus],
     ) -> None:
         names = {s.server for s in paused} or set(targets)
-        await asyncio.gather(
-            *(self._orders.resume(targets[name]) for name in names)
-        )
+        await self.paused_replicas.resume(targets[name] for name in names)
 
     def _choose_candidate(
         self,
@@ -631,8 +619,9 @@
         if chosen.server != view.primary:
             self._lease_table.forget_acknowledged(view.group)
         self._metrics.promotions.inc()
-        others = [i for i in targets.values() if i.server != chosen.server]
-        await asyncio.gather(*(self._orders.resume(info) for info in others))
+        await self.paused_replicas.resume(
+            i for i in targets.values() if i.server != chosen.server
+        )
         await self._reconcile(new_view)
 
     async def _reconcile(self, view: model.GroupView) -> None:
@@ -670,22 +659,6 @@
         )
 
 
-async def _wait_for(
-    tasks: typing.Collection['asyncio.Task[typing.Any]'], deadline: float
-) -> None:
-    """Wait until all tasks have ended or the deadline passes."""
-    if tasks:
-        remaining_s = max(0.0, deadline - clocks.boottime())
-        await asyncio.wait(tasks, timeout=remaining_s)
-
-
-def _has_status(
-    task: 'asyncio.Task[grouporders.ServerStatus | None]',
-) -> bool:
-    """Return whether a status request was answered."""
-    return task.done() and task.result() is not None
-
-
 def _leads(status: grouporders.ServerStatus, view: model.GroupView) -> bool:
     """Return whether a target has taken over from the former primary."""
     return status.primary and status.term > view.log_term
--- a/packages/node/src/sassafrasridge_node/grouporders.py
+++ b/packages/node/src/sassafrasridge_node/grouporders.py
@@ -1,10 +1,13 @@
 """Orders to the targets of a group, as a change of primary sends them."""
 
 import abc
+import asyncio
 import collections.abc
 import enum
+import typing
 
 from sassafrasridge_core import model
+from sassafrasridge_node import clocks
 from sassafrasridge_node import logs
 
 
@@ -77,6 +80,49 @@
         """Close the connections to targets, which count for their limits."""
 
 
+async def request_statuses(
+    orders: GroupOrders,
+    targets: dict[str, model.TargetInfo],
+    timeout_s: float,
+    failed: str = '',
+) -> list[ServerStatus]:
+    """Return the statuses that arrive in time, in seconds.
+
+    The status of the ``failed`` target is not waited for once all others have
+    answered: their positions are the proof then.
+    """
+    tasks = {
+        server: asyncio.ensure_future(orders.status(info))
+        for server, info in targets.items()
+    }
+    others = [task for name, task in tasks.items() if name != failed]
+    deadline = clocks.boottime() + timeout_s
+    await _wait_for(others, deadline)
+    if not all(_has_status(task) for task in others):
+        await _wait_for(tasks.values(), deadline)
+    statuses = []
+    for task in tasks.values():
+        if _has_status(task):
+            statuses.append(task.result())
+        else:
+            task.cancel()
+    return [status for status in statuses if status is not None]
+
+
+async def _wait_for(
+    tasks: typing.Collection['asyncio.Task[typing.Any]'], deadline: float
+) -> None:
+    """Wait until all tasks have ended or the deadline passes."""
+    if tasks:
+        remaining_s = max(0.0, deadline - clocks.boottime())
+        await asyncio.wait(tasks, timeout=remaining_s)
+
+
+def _has_status(task: 'asyncio.Task[ServerStatus | None]') -> bool:
+    """Return whether a status request was answered."""
+    return task.done() and task.result() is not None
+
+
 class ConfirmedOrders(GroupOrders):
     """Send orders only while this member is the confirmed control leader.
 
--- a/tests/node/test_failover.py
+++ b/tests/node/test_failover.py
@@ -93,7 +93,8 @@
 
     async def resume(self, info):
         self.sent_orders.append(('resume', info.server))
-        self.servers[info.server].held_term = 0
+        if self.servers[info.server].reachable:
+            self.servers[info.server].held_term = 0
         return self._status(info.server)
 
     async def step_down(self, info, term):
@@ -746,6 +747,64 @@
         assert cluster.reconciler._is_reconciled('g', set())
 
 
+class TestPausedReplicas:
+    """Pattern: an order to resume a replica, or its answer, is lost."""
+
+    def check(self, cluster):
+        asyncio.run(cluster.reconciler.paused_replicas.check_all())
+
+    def test_a_replica_that_missed_the_resume_is_resumed(self, servers):
+        """Guards against a replica that stays paused after a kept primary."""
+        cluster = Cluster(servers)
+        servers['b'].held_term = 2
+        cluster.store.views['g'] = cluster.store.views['g'].replace(
+            term=2, changing=True
+        )
+        resume = cluster.orders.resume
+
+        async def lose_order(info):
+            return None if info.server == 'b' else await resume(info)
+
+        cluster.orders.resume = lose_order
+        assert cluster.step().primary == 'a'
+        cluster.orders.resume = resume
+        self.check(cluster)
+        assert servers['b'].held_term == 0
+
+    def test_the_next_leader_resumes_it(self, servers):
+        """Guards against the same if the leader is replaced at once."""
+        cluster = Cluster(servers)
+        servers['b'].held_term = 2
+        self.check(cluster)
+        assert servers['b'].held_term == 0
+
+    def test_a_silent_replica_is_asked_again(self, servers):
+        """Guards against one that is reached again after a while."""
+        cluster = Cluster(servers)
+        servers['b'].held_term, servers['b'].reachable = 2, False
+        self.check(cluster)
+        servers['b'].reachable = True
+        self.check(cluster)
+        assert servers['b'].held_term == 0
+
+    def test_replicas_of_a_change_stay_paused(self, servers):
+        """Guards against resuming what a change has just paused."""
+        cluster = Cluster(servers)
+        servers['b'].held_term = 2
+        cluster.store.views['g'] = cluster.store.views['g'].replace(
+            term=2, changing=True
+        )
+        self.check(cluster)
+        assert servers['b'].held_term == 2
+
+    def test_those_that_answered_are_not_asked_again(self, servers):
+        """Guards against requests that use the targets' slots for nothing."""
+        cluster = Cluster(servers)
+        self.check(cluster)
+        cluster.orders.hanging = {'a', 'b', 'c'}
+        self.check(cluster)
+
+
 class TestProofUntilEffect:
     """Pattern: a replica confirms commits between proof and promotion.
 
