Acknowledge a target's departure only as a confirmed leader

A former leader that didn't know of its successor acknowledged that a target leaves. The new leader listed the target for up to 15 s more and waited for it in every proof. Like registrations, departures are refused now unless the leadership is confirmed. The test failed before.

--- a/packages/node/src/sassafrasridge_node/commands.py
+++ b/packages/node/src/sassafrasridge_node/commands.py
@@ -550,6 +550,7 @@
     member: control.ControlMember, body: Body
 ) -> core_state.Reply:
     """Remove a target that told another member that it shuts down."""
+    _require_all_applied(member)
     _leadership(member).unregister(body['server'])
     return _ok({})
 
--- a/packages/node/src/sassafrasridge_node/control.py
+++ b/packages/node/src/sassafrasridge_node/control.py
@@ -606,8 +606,12 @@
             )
 
     async def unregister(self, server: str) -> bool:
-        """Remove a target that shut down, forwarding to the leader."""
+        """Remove a target that shut down, forwarding to the leader.
+
+        Raises NoLeaderError if no leader has processed it.
+        """
         if self.leadership is not None:
+            self.require_confirmed_leadership()
             self.leadership.unregister(server)
             return True
         return await self._send_to_leader('unregister', {'server': server})
--- a/tests/node/test_control.py
+++ b/tests/node/test_control.py
@@ -74,6 +74,28 @@
         asyncio.run(run())
 
 
+class TestTargetsThatLeave:
+    def test_a_former_leader_acknowledges_none(self):
+        """Guards against a target that the new leader lists on.
+
+        It leaves once it is acknowledged, and the proof of a promotion waits
+        for it until it has been silent for 15 s.
+        """
+
+        async def run():
+            log = _Log()
+            member = _member(log)
+            member._update_leadership()
+            log.leading = False
+            try:
+                with pytest.raises(control.NoLeaderError):
+                    await member.unregister('i-1')
+            finally:
+                member._end_leadership()
+
+        asyncio.run(run())
+
+
 class _FullDisk:
     """Stub of a storage whose disk is full for some attempts to write."""
 
