Don't take a step-down behind acknowledged commits for a proof

Found by review. Replicas that reached the position at which the former primary stepped down were candidates whatever entry processes had reported. A primary that started again without its log steps down behind the commits that it acknowledged, so a replica without them could be promoted. The report now counts there too. The test failed before.

--- a/packages/node/src/sassafrasridge_node/promotionproof.py
+++ b/packages/node/src/sassafrasridge_node/promotionproof.py
@@ -54,7 +54,10 @@
     >>> prove_candidates(members, 'a', paused, None, last).reason
     'lacks_acknowledged'
     """
-    if stepped_down is not None:
+    # A primary that lost its log steps down behind what it acknowledged.
+    if stepped_down is not None and (
+        acknowledged is None or stepped_down.received >= acknowledged
+    ):
         reached = [s for s in paused if s.received >= stepped_down.received]
         if reached:
             return PromotionProof(reached, 'former_position')
--- a/tests/node/test_failover.py
+++ b/tests/node/test_failover.py
@@ -222,6 +222,18 @@
         assert proof.candidates == []
         assert proof.reason == 'lacks_acknowledged'
 
+    def test_a_former_primary_without_its_log_is_no_proof(self):
+        """Guards against b, which only reached what the primary still has."""
+        paused = [
+            grouporders.ServerStatus('b', False, 1, 2, Position(1, 5)),
+            grouporders.ServerStatus('c', False, 1, 2, Position(1, 7)),
+        ]
+        former = grouporders.ServerStatus('a', False, 1, 0, Position(1, 0))
+        proof = promotionproof.prove_candidates(
+            'abc', 'a', paused, former, Position(1, 7)
+        )
+        assert [s.server for s in proof.candidates] == ['c']
+
     def test_commits_that_nobody_was_told_of_may_be_discarded(self):
         """Guards against waiting for a primary that replicates no more."""
         proof = self.prove_behind_former(Position(1, 7))
