Keep targets listed that entry processes still reach

A replica that was cut off from control alone for over 15 s was dropped from the directory, though it went on to confirm commits. A target that answered an entry process within that time stays listed, so no promotion is proved without it.

--- a/packages/core/src/sassafrasridge_core/directory.py
+++ b/packages/core/src/sassafrasridge_core/directory.py
@@ -125,14 +125,26 @@
             server not in self._entries
         )
 
-    def expire(self, now: float) -> list[str]:
-        """Remove and return the targets that were silent for too long."""
+    def expire(
+        self,
+        now: float,
+        answers: collections.abc.Callable[[model.TargetInfo], bool] = (
+            lambda info: False
+        ),
+    ) -> list[str]:
+        """Remove and return the targets that were silent for too long.
+
+        ``answers`` tells whether entry processes still get answers from a
+        target. One that is only cut off from control may confirm commits, so
+        it stays listed.
+        """
         if now <= self._expire_from:
             return []
         silent = [
             server
             for server, entry in self._entries.items()
             if now - entry.heard_at > EXPIRE_AFTER_S
+            and not answers(entry.announcement.info)
         ]
         for server in silent:
             del self._entries[server]
--- a/packages/core/src/sassafrasridge_core/promotion.py
+++ b/packages/core/src/sassafrasridge_core/promotion.py
@@ -158,6 +158,15 @@
             default=float('inf'),
         )
 
+    def answered_within(
+        self, now: float, group: str, server: str, seconds: float
+    ) -> bool:
+        """Return whether an observer got an answer in the last seconds."""
+        return any(
+            now - s.reported_at + s.success_age_s <= seconds
+            for s in self._observations(group, server).values()
+        )
+
     def failed(
         self, now: float, group: str, server: str, live: set[str]
     ) -> bool:
--- a/packages/node/src/sassafrasridge_node/leadership.py
+++ b/packages/node/src/sassafrasridge_node/leadership.py
@@ -215,7 +215,12 @@
     def _add_targets(
         self, now: float, reply: typing.Any, req: typing.Any
     ) -> None:
-        for server in self.directory.expire(now):
+        for server in self.directory.expire(
+            now,
+            lambda info: self.detector.answered_within(
+                now, info.group, info.server, directory.EXPIRE_AFTER_S
+            ),
+        ):
             logs.log_event('target_expired', server=server)
             self._count_cold_targets()
         reply.targets_revision = self.directory.revision
--- a/tests/core/test_directory.py
+++ b/tests/core/test_directory.py
@@ -52,6 +52,14 @@
         found.announce(3.0, announce('a', 100, 3, leaving=True))
         assert found.revision == revision + 1
 
+    def test_a_target_that_answers_entry_processes_stays(self):
+        """Guards against a proof without a replica that confirms commits."""
+        found = directory.TargetDirectory(0.0)
+        found.announce(0.0, announce('a', 100, 1))
+        found.announce(0.0, announce('b', 100, 1, address='10.0.0.2:1'))
+        assert found.expire(16.0, lambda info: info.server == 'a') == ['b']
+        assert found.expire(17.0) == ['a']
+
     def test_new_directory_is_not_complete(self):
         """Guards against a promotion based on an incomplete member list."""
         found = directory.TargetDirectory(10.0)
--- a/tests/node/test_leadership.py
+++ b/tests/node/test_leadership.py
@@ -2,8 +2,11 @@
 
 import orjson
 
+from sassafrasridge_core import directory
 from sassafrasridge_core import leases
+from sassafrasridge_core import model
 from sassafrasridge_core import state as core_state
+from sassafrasridge_node import codec
 from sassafrasridge_node import connections
 from sassafrasridge_node import entry
 from sassafrasridge_node import leadership
@@ -97,6 +100,31 @@
         assert current.lease_table.acknowledged('g').index == 9
 
 
+class TestTargetsCutOffFromControl:
+    """Pattern: a replica's announcements don't reach control for long.
+
+    Entry processes still get answers from it, and it confirms commits.
+    """
+
+    def targets(self, success_age_s):
+        current = leader()
+        info = model.TargetInfo('b', 'g', 'z', '10.0.0.1:1', '', 0, 0, 5, 0)
+        current.register(0.0, directory.Announcement(info, 1, 1))
+        seen = codec.observation_to_wire(
+            info, 20.0, success_age_s, 0.0, (0, 0), True
+        )
+        current.renew(20.0, request('e1', observations=[seen]))
+        return list(current.directory.group('g'))
+
+    def test_it_stays_listed(self):
+        """Guards against a promotion without the commits it confirms."""
+        assert self.targets(success_age_s=0.2) == ['b']
+
+    def test_a_silent_one_expires(self):
+        """Guards against waiting for a target that is gone."""
+        assert self.targets(success_age_s=20.0) == []
+
+
 class TestFullCopies:
     def setup_method(self):
         self.state = core_state.State()
