Drop a held-up promotion call with the process that sent it

Found by review. The kernel of an ended process goes on sending what a partition has held up, for minutes, so a former leader's call could reach the platform after every limit of the group's record.

--- a/tests/platform/test_cloud.py
+++ b/tests/platform/test_cloud.py
@@ -7,6 +7,7 @@
 
 from sassafrasridge_core import model
 from sassafrasridge_node import grouporders
+from sassafrasridge_node import pendingorders
 from sassafrasridge_platform import calls
 
 TARGET = model.TargetInfo('i-1', 'g', 'z', '10.0.0.1:1', '', 0, 0, 5, 0)
@@ -92,6 +93,27 @@
         asyncio.run(run())
         assert errors == [ConnectionResetError]
 
+    def test_a_held_up_call_of_an_ended_process_is_dropped(self):
+        """Guards against a kernel that sends it again for minutes."""
+
+        async def read_timeout():
+            server = await asyncio.start_server(
+                lambda reader, writer: writer.close(), '127.0.0.1', 0
+            )
+            host, port = server.sockets[0].getsockname()
+            client = calls.CloudClient(f'{host}:{port}', 'n1', '127.0.0.1')
+            _, writer = await client._connect()
+            sock = writer.get_extra_info('socket')
+            found = sock.getsockopt(
+                socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT
+            )
+            writer.close()
+            server.close()
+            return found
+
+        timeout_ms = asyncio.run(read_timeout())
+        assert 0 < timeout_ms / 1000 < pendingorders.MAX_ORDER_DELAY_S
+
     def test_a_call_that_was_not_sent_is_refused(self):
         """Guards against waiting for an order that was never given.
 
