Count the lease of a replaced process until it has run out

Found by review. A renewal that was held up, of a process that had ended, could reach a new leader after the renewals of the process that runs now. The leader took the running one for ended and dropped its lease, so a change of primary could be proved while it still acknowledged commits. Its shares are released at once as before, but its lease counts until it has run out.

The test of confirmed views failed before. The other one still fails: the running process gets no lease from this leader.

--- a/packages/node/src/sassafrasridge_node/leadership.py
+++ b/packages/node/src/sassafrasridge_node/leadership.py
@@ -280,7 +280,9 @@
             return
         ended = known.renewed(req.entry, req.incarnation)
         if ended is not None:
-            self._release_holder(now, req.entry, ended)
+            # A renewal that was held up may be from the one that ended, so
+            # the lease of the other counts until it has run out.
+            self._release_shares(now, req.entry, ended)
         if self._all_holders_known:
             return
         known.report_unused(
@@ -303,22 +305,22 @@
     def release(self, now: float, req: typing.Any) -> None:
         """Release the lease and all grants of a holder that shuts down."""
         self._record_acknowledged(req)
-        self._release_holder(now, req.entry, req.incarnation)
+        self._release_shares(now, req.entry, req.incarnation)
+        name = holder_name(req.entry, req.incarnation)
+        self.lease_table.release(name)
 
     def _record_acknowledged(self, req: typing.Any) -> None:
         self.lease_table.report_acknowledged(
             codec.acknowledged_from_wire(req.acknowledged)
         )
 
-    def _release_holder(
+    def _release_shares(
         self, now: float, entry: str, incarnation: int
     ) -> None:
-        name = holder_name(entry, incarnation)
         self._allocator.release(now, entry, incarnation)
         for ledger in self._ledgers.values():
             ledger.release(entry, incarnation)
-        self.detector.forget(name)
-        self.lease_table.release(name)
+        self.detector.forget(holder_name(entry, incarnation))
 
     def expire(self, now: float) -> None:
         """Drop expired leases; apply changes of accounts and services."""
--- a/tests/node/test_leadership.py
+++ b/tests/node/test_leadership.py
@@ -87,6 +87,30 @@
         assert [e.entry for e in reply.entries] == ['e2']
 
 
+class TestReplacedIncarnations:
+    """Pattern: a renewal of a process that has ended arrives late.
+
+    A partition or a frozen relay held it, and the process has started again.
+    This leader has not heard the earlier incarnation.
+    """
+
+    def setup_method(self):
+        self.leader = leadership.Leadership(
+            core_state.State(), TIMES, 0.8, 3, 0.0, 'demand', COUNTERS, True
+        )
+        self.leader.renew(10.0, request('e1', incarnation=9))
+        self.leader.renew(10.1, request('e1', incarnation=7, unused_s=5.0))
+
+    def test_the_running_process_keeps_its_lease(self):
+        """Guards against a process without a lease until the next leader."""
+        assert not self.leader.is_retired(request('e1', incarnation=9))
+
+    def test_the_running_process_confirms_views(self):
+        """Guards against a promotion while it acknowledges commits."""
+        self.leader.renew(10.1, request('e1', incarnation=7, view_revision=5))
+        assert not self.leader.lease_table.view_confirmed(10.2, 5)
+
+
 class TestAcknowledgedCommits:
     def report(self, index):
         return [rpc.idl.AcknowledgedCommit(group='g', term=1, index=index)]
