Let the stand-in platform handle promotions late and lose its answers

A promotion call is handled a given time after it arrived, also when its caller has given up or is dead, and its promotion takes effect after the answer. What the promoted server's log holds then is recorded, so that a test can compare it with the commits that clients saw acknowledged. Servers can be cut off from their primary or from given hosts, and new ones can join.

A commit counts as replicated when another server has this very entry. Before, a longer log of a later term sufficed, so a commit that was rolled back could be acknowledged. A restarted server is no longer paused, as the protocol says.

--- a/packages/testkit/src/sassafrasridge_testkit/linegroup.py
+++ b/packages/testkit/src/sassafrasridge_testkit/linegroup.py
@@ -1,10 +1,10 @@
 """Stand-in for the users' platform: database groups and the promote call.
 
 One process runs the servers of all its groups on addresses in 127.0.0.0/8.
-The servers replicate and send heartbeats, and tests can make them crash, lag
-or leave. On the control address, ``GET /state`` returns the commits and the
-promotions, ``POST /faults`` injects faults, and ``POST /failover`` promotes
-a server.
+The servers replicate and send heartbeats, and tests can make them crash, lag,
+leave or join. On the control address, ``GET /state`` returns the commits and
+the promotions, ``GET /promotions`` only these, ``POST /faults`` injects
+faults, and ``POST /failover`` promotes a server.
 """
 
 import argparse
@@ -65,8 +65,9 @@
     """A database server of a group.
 
     While ``dark``, it runs no statements, sends no heartbeats and does not
-    replicate. While ``held_term`` is above the primary's term, it accepts no
-    log entries.
+    replicate. ``cut_hosts`` are cut off from it in the same way, while other
+    hosts and servers still reach it. While not ``receiving``, or while
+    ``held_term`` is above the primary's term, it accepts no log entries.
     """
 
     def __init__(
@@ -90,6 +91,8 @@
         self.apply_delay_s = 0.002
         self.leaving = False
         self.dark = False
+        self.receiving = True
+        self.cut_hosts: list[str] = []
         self.born = int(time.time() * 1000)
         self.sequence = 0
         self.heartbeat_address = ''
@@ -168,7 +171,8 @@
             if word == 'TERMINATE':
                 return
             id, _, text = rest.partition(' ')
-            while self.dark:
+            peer = writer.get_extra_info('peername')[0]
+            while self.dark or peer in self.cut_hosts:
                 await asyncio.sleep(POLL_INTERVAL_S)
             try:
                 rows, signature = await self._run_statement(conn, id, text)
@@ -306,20 +310,24 @@
             await self._append(writes, ids)
 
     async def _append(self, writes: dict[str, str], ids: list[str]) -> None:
-        number = self.log_end()[1] + 1
-        self.log.append(Entry(self.term, number, writes, ids))
+        entry = Entry(self.term, self.log_end()[1] + 1, writes, ids)
+        self.log.append(entry)
         self.applied = len(self.log)
         while not any(
-            other.running and other.log_end() >= (self.term, number)
+            other.running and other.has_entry(entry)
             for other in self.group.servers
             if other is not self
         ):
             await asyncio.sleep(POLL_INTERVAL_S)
-            if not self.running:
+            if not self.running or not self.has_entry(entry):
                 raise ConnectionResetError(
-                    'the server crashed before replication'
+                    'the server crashed or was replaced before replication'
                 )
 
+    def has_entry(self, entry: Entry) -> bool:
+        """Return whether the log has a commit at its position."""
+        return self.log[entry.number - 1 : entry.number] == [entry]
+
 
 class Group:
     """The servers that replicate one database."""
@@ -348,7 +356,8 @@
                     continue
                 if server.primary:
                     server.primary = False
-                if server.held_term <= primary.term and not server.dark:
+                paused = server.held_term > primary.term
+                if server.receiving and not paused and not server.dark:
                     self._copy_log(primary, server)
 
     def _copy_log(self, primary: Server, server: Server) -> None:
@@ -370,31 +379,63 @@
         if length <= len(server.log):
             server.applied = max(server.applied, length)
 
-    async def promote(self, name: str) -> bool:
-        """Make a server primary of the next term, with the log it has.
+    def find_running(self, name: str) -> Server | None:
+        """Return a server by name if it is running."""
+        return next(
+            (s for s in self.servers if s.name == name and s.running), None
+        )
 
-        Returns False if the server is unknown or not running.
-        """
-        server = next((s for s in self.servers if s.name == name), None)
-        if server is None or not server.running:
-            return False
-        if server is self.current_primary():
-            return True
-        await asyncio.sleep(PROMOTION_DELAY_S)
+    def lead(self, server: Server) -> None:
+        """Make a server primary of the next term, with the log it has."""
         server.term = max(s.term for s in self.servers) + 1
         server.applied = len(server.log)
         server.primary, server.held_term = True, 0
-        return True
 
 
 class Platform:
-    """All groups, their heartbeats and the control interface."""
+    """All groups, their heartbeats and the control interface.
+
+    ``promotions`` are the calls as they arrived, with their ``holder``, and
+    ``effects`` what the log of each promoted server held when its promotion
+    took effect. A call is handled ``platform_delay_s`` after it arrived, even
+    if its caller has given up. With ``lose_answers``, callers get no answer.
+    """
 
     def __init__(self, control: list[str]) -> None:
         self.control = control
         self.groups: dict[str, Group] = {}
         self.promotions: list[dict[str, str]] = []
+        self.effects: list[dict[str, typing.Any]] = []
         self.signatures: set[str] = set()
+        self.platform_delay_s = 0.0
+        self.lose_answers = False
+        self.tasks: set[asyncio.Task[typing.Any]] = set()
+
+    def run_task(
+        self, coroutine: typing.Coroutine[typing.Any, typing.Any, typing.Any]
+    ) -> 'asyncio.Task[typing.Any]':
+        """Run a coroutine beside the requests."""
+        task = asyncio.ensure_future(coroutine)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+        return task
+
+    async def add_server(
+        self, group: Group, address: str, announced_address: str = ''
+    ) -> Server:
+        """Start the next server of a group, with an empty log."""
+        index = len(group.servers)
+        server = Server(
+            group,
+            f'{group.name}-{index}',
+            f'z{index % 3}',
+            address,
+            announced_address,
+        )
+        await server.start()
+        group.servers.append(server)
+        self.run_task(self.send_heartbeats(server))
+        return server
 
     async def send_heartbeats(self, server: Server) -> None:
         """Send the heartbeats of a server until cancelled."""
@@ -405,6 +446,9 @@
                     server.heartbeat_address
                     or self.control[turn % len(self.control)]
                 )
+                if address.split(':')[0] in server.cut_hosts:
+                    server.heartbeat_address = ''
+                    continue
                 server.heartbeat_address = await self._send_heartbeat(
                     server, address
                 )
@@ -437,16 +481,52 @@
         """Handle a control request; return the HTTP status and body."""
         if path == '/failover':
             self.promotions.append(body)
-            group = self.groups.get(str(body.get('service')))
-            done = group is not None and await group.promote(str(body['id']))
+            # A request is cancelled when its caller closes the connection.
+            done = await asyncio.shield(self.run_task(self._promote(body)))
             return (200 if done else 409), {}
         if path == '/faults':
             return 200, await self._apply_faults(body)
+        if path == '/promotions':
+            return 200, self._describe_promotions()
         return 200, self._describe_state()
 
+    async def _promote(self, body: dict[str, typing.Any]) -> bool:
+        """Handle a promotion; return False if the server isn't running."""
+        await asyncio.sleep(self.platform_delay_s)
+        group = self.groups.get(str(body.get('service')))
+        if group is None:
+            return False
+        server = group.find_running(str(body['id']))
+        if server is None:
+            return False
+        if server is not group.current_primary():
+            asyncio.get_running_loop().call_later(
+                PROMOTION_DELAY_S, self._take_effect, group, server
+            )
+        return True
+
+    def _take_effect(self, group: Group, server: Server) -> None:
+        if not server.running or server is group.current_primary():
+            return
+        group.lead(server)
+        self.effects.append(
+            {
+                'group': group.name,
+                'server': server.name,
+                'term': server.term,
+                'monotonic_s': time.monotonic(),
+                'ids': [id for entry in server.log for id in entry.ids],
+            }
+        )
+
     async def _apply_faults(
         self, body: dict[str, typing.Any]
     ) -> dict[str, typing.Any]:
+        for name in ('platform_delay_s', 'lose_answers'):
+            if name in body:
+                setattr(self, name, body[name])
+        if 'join' in body:
+            await self.add_server(self.groups[body['join']], body['address'])
         for group in self.groups.values():
             for server in group.servers:
                 if server.name == body.get('server'):
@@ -456,20 +536,29 @@
     async def _apply_fault(
         self, server: Server, body: dict[str, typing.Any]
     ) -> None:
-        for name in ('dark', 'leaving', 'apply_delay_s'):
+        for name in (
+            'dark',
+            'leaving',
+            'apply_delay_s',
+            'receiving',
+            'cut_hosts',
+        ):
             if name in body:
                 setattr(server, name, body[name])
         if body.get('crash'):
             server.crash()
         if body.get('start') and not server.running:
             server.born = int(time.time() * 1000)
-            server.sequence = 0
+            server.sequence = server.held_term = 0
             server.cold_until = time.monotonic() + body.get('cold_s', 0.0)
             await server.start()
 
+    def _describe_promotions(self) -> dict[str, typing.Any]:
+        return {'promotions': self.promotions, 'effects': self.effects}
+
     def _describe_state(self) -> dict[str, typing.Any]:
         return {
-            'promotions': self.promotions,
+            **self._describe_promotions(),
             'signatures': sorted(self.signatures),
             'servers': [
                 {
@@ -519,34 +608,28 @@
 
 async def _serve_platform(args: argparse.Namespace) -> None:
     platform = Platform(args.control.split(','))
-    tasks = []
     for number, text in enumerate(args.group):
         name, addresses = text.split('=')
         group = platform.groups[name] = Group(platform, name)
         for index, pair in enumerate(addresses.split(',')):
             address, _, announced_address = pair.partition('@')
-            server = Server(
-                group,
-                f'{name}-{index}',
-                f'z{index}',
-                address,
-                announced_address,
+            server = await platform.add_server(
+                group, address, announced_address
             )
             server.primary = index == number % 3
-            await server.start()
-            group.servers.append(server)
-            tasks.append(
-                asyncio.ensure_future(platform.send_heartbeats(server))
-            )
-        tasks.append(asyncio.ensure_future(group.replicate()))
+        platform.run_task(group.replicate())
 
     async def handle(
         conn: webserver.Connection, req: webserver.Request
     ) -> webserver.Answer:
         body = orjson.loads(req.body) if req.body else {}
+        if req.path == '/failover':
+            body['holder'] = dict(req.headers).get('lease-holder', '')
         status, answer = await platform.handle_request(
             req.method, req.path, body
         )
+        if req.path == '/failover' and platform.lose_answers:
+            conn.stall_mode = 'run'
         return webserver.Answer(status, answer)
 
     host, port = args.listen.rsplit(':', 1)
@@ -556,7 +639,7 @@
     )
     sys.stdout.write(orjson.dumps({'listen': args.listen}).decode() + '\n')
     sys.stdout.flush()
-    await asyncio.gather(*tasks)
+    await asyncio.gather(*platform.tasks)
 
 
 def main() -> None:
