Test promotions that take effect late, with real processes

Control members of the test cluster can be reached through the fault proxy, so that one entry process can be cut off from them.

--- a/packages/testkit/src/sassafrasridge_testkit/faultproxy.py
+++ b/packages/testkit/src/sassafrasridge_testkit/faultproxy.py
@@ -3,8 +3,8 @@
 Use ``Proxy`` within an event loop, or run ``python -m
 sassafrasridge_testkit.faultproxy`` and send JSON to its control address:
 
-- ``POST /links {"name", "target", "port", "zone"}`` adds a link, or changes
-  the target of an existing link, and returns its address;
+- ``POST /links {"name", "target", "host", "port", "zone"}`` adds a link, or
+  changes the target of an existing link, and returns its address;
 - ``POST /zones {"zones": {zone: address prefix}}`` sets the address prefixes
   that map the peer address of a connection to its source zone;
 - ``POST /paths {"paths": [[from, to], ...], "delay_ms", "cut"}`` sets the
@@ -421,7 +421,12 @@
         self._seed = seed
 
     async def add_link(
-        self, name: str, target: str, port: int = 0, zone: str = ''
+        self,
+        name: str,
+        target: str,
+        port: int = 0,
+        zone: str = '',
+        host: str = '127.0.0.1',
     ) -> str:
         """Add a link, or change its target, and return its address.
 
@@ -434,7 +439,7 @@
             return link.address
         rng = random.Random(f'{self._seed}/{name}')
         link = Link(name, target, rng, zone, self.zones)
-        await link.start(port=port)
+        await link.start(host, port)
         self.links[name] = link
         return link.address
 
@@ -538,6 +543,7 @@
                 body['target'],
                 body.get('port', 0),
                 body.get('zone', ''),
+                body.get('host', '127.0.0.1'),
             )
             return {'name': body['name'], 'address': address}
         if path == '/zones':
--- a/packages/testkit/src/sassafrasridge_testkit/harness.py
+++ b/packages/testkit/src/sassafrasridge_testkit/harness.py
@@ -172,9 +172,20 @@
         self.process = process
         self._client = callers.HttpClient(process.ready['control'])
 
-    def add_link(self, name: str, target: str = '', zone: str = '') -> str:
-        """Add a link, or set its target, and return its address."""
-        body = self._post('/links', name=name, target=target, zone=zone)
+    def add_link(
+        self,
+        name: str,
+        target: str = '',
+        zone: str = '',
+        **listen: typing.Any,
+    ) -> str:
+        """Add a link, or set its target, and return its address.
+
+        ``host`` and ``port`` choose the address of a new link.
+        """
+        body = self._post(
+            '/links', name=name, target=target, zone=zone, **listen
+        )
         address: str = body['address']
         return address
 
--- a/packages/testkit/src/sassafrasridge_testkit/linecluster.py
+++ b/packages/testkit/src/sassafrasridge_testkit/linecluster.py
@@ -26,7 +26,7 @@
 zone = {zone}
 region = {zone}
 http = {http}
-rpc = {host}:{rpc}
+rpc = {rpc_host}:{rpc}
 cluster_secret_text = {secret}
 """
 
@@ -49,6 +49,7 @@
 CONTROL_SETTINGS = (
     NODE_SETTINGS
     + """roles = control
+advertise_rpc = {host}:{rpc}
 data_folder = {folder}
 [control]
 seeds = {seeds}
@@ -98,7 +99,8 @@
     """Control members, entry processes and the stand-in platform.
 
     With ``proxied``, connections to entry processes and database servers
-    pass through the fault proxy.
+    pass through the fault proxy, with ``control_proxied`` connections to
+    control members.
     """
 
     def __init__(
@@ -107,11 +109,14 @@
         entries: int = 2,
         groups: int = 2,
         proxied: bool = False,
+        control_proxied: bool = False,
     ) -> None:
         self.folder = folder
         self.proxy: harness.FaultProxy | None = None
         self.links: list[str] = []
-        if proxied:
+        self._control_proxied = control_proxied
+        self._proxied = proxied
+        if proxied or control_proxied:
             self.proxy = self._start_proxy()
         self.rpc = processes.free_port('127.0.0.1')
         self.control_port = processes.free_port('127.0.0.1')
@@ -124,6 +129,8 @@
             f'127.{16 + os.getpid() % 200}.{next(_network_numbers) % 250}'
         )
         self._unused_hosts = (f'{network}.{n}' for n in range(1, 200))
+        # Local addresses of the connections that control members open.
+        self.control_hosts: list[str] = []
         seeds = [next(self._unused_hosts) for _ in ZONES]
         self.seeds = ', '.join(f'{h}:{self.control_port}' for h in seeds)
         self.platform_address = f'127.0.0.1:{processes.free_port()}'
@@ -144,7 +151,7 @@
 
     def _add_link(self, name: str, address: str) -> str:
         """Return a proxied address for ``address`` if there is a proxy."""
-        if self.proxy is None:
+        if self.proxy is None or not self._proxied:
             return address
         self.links.append(name)
         return self.proxy.add_link(name, address)
@@ -169,11 +176,23 @@
     def _create_control(self, host: str, zone: str, bootstrap: bool) -> Node:
         name = f'control-{host}'
         address = f'{host}:{self.control_port}'
+        rpc_host = host
+        if self.proxy is not None and self._control_proxied:
+            rpc_host = next(self._unused_hosts)
+            self.proxy.add_link(
+                name,
+                f'{rpc_host}:{self.rpc}',
+                'control',
+                host=host,
+                port=self.rpc,
+            )
+        self.control_hosts.append(rpc_host)
         text = CONTROL_SETTINGS.format(
             name=name,
             zone=zone,
             http=address,
             host=host,
+            rpc_host=rpc_host,
             rpc=self.rpc,
             folder=self.folder / f'data-{host}',
             secret=SECRET,
@@ -201,13 +220,15 @@
 
     def _create_entry(self, name: str, zone: str) -> Node:
         host = next(self._unused_hosts)
+        if self.proxy is not None:
+            self.proxy.set_zone_prefixes({name: host})
         address = f'{host}:{processes.free_port()}'
         sessions = f'{host}:{processes.free_port()}'
         text = ENTRY_SETTINGS.format(
             name=name,
             zone=zone,
             http=address,
-            host=host,
+            rpc_host=host,
             rpc=self.rpc,
             peers=self._add_link(f'peers of {name}', f'{host}:{self.rpc}'),
             secret=SECRET,
@@ -237,6 +258,17 @@
             argv += ['--group', f'{name}={",".join(addresses)}']
         return processes.Process('platform', argv, self.folder)
 
+    def cut_from_control(self, node: Node, cut: bool) -> None:
+        """Cut an entry process off from control members, or end the cut.
+
+        This requires ``control_proxied``.
+        """
+        if self.proxy is None:
+            raise ValueError('control members are not proxied')
+        self.proxy.set_path_faults(
+            [(node.name, 'control'), ('control', node.name)], cut=cut
+        )
+
     # Process life cycle.
 
     def start(self) -> None:
