Let the soak delay promotions at the platform

A primary stops answering while the platform handles promotions up to 6 s late or loses its answers.

--- a/packages/testkit/src/sassafrasridge_testkit/soak.py
+++ b/packages/testkit/src/sassafrasridge_testkit/soak.py
@@ -2,8 +2,9 @@
 
 Real processes are killed, paused, stopped and restarted, lose their disks or
 can't write to them; links are delayed, reset, silenced or cut one way; targets
-crash, stop answering and announce that they leave. Clients run meanwhile, and
-a checker compares the answers they got with what was committed.
+crash, stop answering and announce that they leave; the platform handles
+promotions late. Clients run meanwhile, and a checker compares the answers they
+got with what was committed.
 ``python -m sassafrasridge_testkit.soak --seed N`` repeats a run; ``--count``
 runs that many seeds.
 """
@@ -170,6 +171,7 @@
             self._crash_target,
             self._silence_target,
             self._announce_leaving,
+            self._slow_platform,
             self._change_configuration,
         )
         threads = [
@@ -314,6 +316,29 @@
         time.sleep(2.5)
         self._cluster.post_to_platform('/faults', server=server, leaving=False)
 
+    def _slow_platform(self) -> None:
+        """Have a primary fail while promotions are handled late."""
+        delay_s = self._rng.uniform(0.0, 6.0)
+        lose_answers = self._rng.random() < 0.5
+        self._log_fault(f'slow platform, {delay_s:.1f} s, {lose_answers=}')
+        self._cluster.post_to_platform(
+            '/faults', platform_delay_s=delay_s, lose_answers=lose_answers
+        )
+        primary = self._cluster.primary(
+            self._rng.choice(self._cluster.group_names)
+        )
+        if primary is not None:
+            server = primary['server']
+            self._log_fault(f'silence {server}')
+            self._cluster.post_to_platform('/faults', server=server, dark=True)
+            time.sleep(self._rng.uniform(1.0, 3.0))
+            self._cluster.post_to_platform(
+                '/faults', server=server, dark=False
+            )
+        self._cluster.post_to_platform(
+            '/faults', platform_delay_s=0.0, lose_answers=False
+        )
+
     def _change_configuration(self) -> None:
         self._log_fault('change the configuration')
         self._cluster.configure()
