Add a stateful test of changes of primary

It runs the reconciler, the lease table and the directory of targets against a simulated group in virtual time: late, lost and repeated orders, replicas that restart, join, lag and leave, entry processes that are cut off or killed, and leaders that end at any await. No promotion may take effect at a target that lacks an acknowledged commit, and every order in flight must be in the group's record.

--- /dev/null
+++ b/tests/node/simulatedgroup.py
@@ -0,0 +1,765 @@
+"""A simulated group of targets, its entry processes and its control leader.
+
+All of it runs in virtual time. The control leader is the real reconciler with
+its lease table, directory and failure detector; the rest is simulated.
+"""
+
+import asyncio
+import itertools
+
+from sassafrasridge_core import directory
+from sassafrasridge_core import errors
+from sassafrasridge_core import leases
+from sassafrasridge_core import model
+from sassafrasridge_core import promotion
+from sassafrasridge_node import failover
+from sassafrasridge_node import grouporders
+from sassafrasridge_node import groups
+from sassafrasridge_node import metrics
+
+GROUP = 'g'
+# Time of one message between two processes.
+NETWORK_DELAY_S = 0.005
+# Time after which an order to a target counts as unanswered.
+ORDER_TIMEOUT_S = 0.5
+# Time after which a call of the platform counts as unanswered.
+PROMOTE_TIMEOUT_S = 1.5
+# Time from the handling of a promotion call until the target leads.
+USUAL_EFFECT_DELAY_S = 0.6
+ANNOUNCE_INTERVAL_S = 1.0
+# Time after which a former primary that reaches its successor follows it.
+FOLLOW_SUCCESSOR_AFTER_S = 1.0
+# Replication delays, of which each target has another one every second, so
+# that a target which holds all commits now is behind others later.
+LAGS_S = (0.01, 0.25, 0.03)
+SUSPECT_AFTER_S = 0.8
+NEVER_S = promotion.NEVER_HEARD_S
+TIMES = leases.LeaseTimes()
+
+
+class Commit:
+    """Represent one commit in a log, and who was told of it."""
+
+    def __init__(self, term, index):
+        self.position = model.Position(term, index)
+        # Holder of the lease under which it was acknowledged, and when.
+        self.holder = None
+        self.acknowledged_at = None
+        # Leaders that were told that it was acknowledged.
+        self.reported_to = set()
+
+    def __repr__(self):
+        return f'{self.position.term}.{self.position.index}'
+
+    def is_in(self, log):
+        """Return whether a log holds this commit."""
+        index = self.position.index
+        return len(log) >= index and log[index - 1] is self
+
+
+class Target:
+    """Represent a server of the group."""
+
+    def __init__(self, name, address, zone, log, born):
+        self.name, self.address, self.zone = name, address, zone
+        self.log, self.born = log, born
+        self.primary = False
+        self.term = 1
+        self.held_term = 0
+        self.running = True
+        self.leaving = False
+        self.sequence = 0
+        self.extra_lag_s = 0.0
+        self.stopped_at = 0.0
+        # Writes that wait until another target has received them.
+        self.waiting = []
+
+    def lag_s(self, now):
+        turn = ord(self.name[0]) + int(now)
+        return self.extra_lag_s + LAGS_S[turn % len(LAGS_S)]
+
+    @property
+    def received(self):
+        return self.log[-1].position
+
+    def status(self):
+        return grouporders.ServerStatus(
+            self.name, self.primary, self.term, self.held_term, self.received
+        )
+
+
+class Holder:
+    """Represent one incarnation of an entry process."""
+
+    def __init__(self, name, number):
+        self.entry, self.name = name, f'{name}#{number}'
+        self.cut_off_at = float('inf')
+
+
+class PromotionCall:
+    """Represent a call that may still take effect.
+
+    ``unlisted`` are the targets that its leader didn't know, and
+    ``primary_silent`` tells whether the former primary didn't answer it.
+    """
+
+    def __init__(self, server, unlisted, primary_silent):
+        self.server = server
+        self.unlisted, self.primary_silent = unlisted, primary_silent
+
+
+class Links:
+    """Track which pairs of processes can't reach each other until when."""
+
+    def __init__(self, loop):
+        self._loop = loop
+        self._cut_until = {}
+
+    def cut(self, one, other, seconds):
+        self._cut_until[frozenset((one, other))] = self._loop.time() + seconds
+
+    def up(self, one, other):
+        until = self._cut_until.get(frozenset((one, other)), 0.0)
+        return self._loop.time() >= until
+
+
+class History:
+    """Record events with their times, for the report of a failure."""
+
+    def __init__(self, loop):
+        self._loop = loop
+        self._started_at = loop.time()
+        self._lines = []
+        self.violations = []
+
+    def add(self, text):
+        passed_s = self._loop.time() - self._started_at
+        self._lines.append(f'{passed_s:8.3f} {text}')
+
+    def violation(self, text):
+        self.add(f'VIOLATION {text}')
+        self.violations.append(text)
+
+    def log_event(self, message_type, **fields):
+        """Record an event that the product logs."""
+        shown = {k: v for k, v in fields.items() if k != 'group'}
+        self.add(f'control: {message_type} {shown}')
+        if message_type == 'group_step_failed':
+            if 'leadership' not in fields['exc']:
+                self.violations.append(f'a step failed: {fields["exc"]}')
+
+    def text(self):
+        return '\n'.join(self._lines)
+
+
+class ReplicatedGroup:
+    """Replicate commits from primaries to replicas, and change the primary.
+
+    ``leading`` is the target whose promotion took effect last.
+    """
+
+    def __init__(self, loop, links, history, count):
+        self.loop, self.links, self.history = loop, links, history
+        self.targets = {}
+        self.acknowledged = []
+        self.calls_in_flight = []
+        self.answer_delay_s = NETWORK_DELAY_S
+        self.on_role_change = lambda target: None
+        self._syncing = set()
+        self._births = itertools.count(1)
+        first = [Commit(1, 1)]
+        for index in range(count):
+            self.add(list(first), f'10.0.0.{index}:1', f'z{index % 3}')
+        self.leading = self.targets['a']
+        self.leading.primary = True
+
+    def add(self, log, address, zone):
+        born = next(self._births)
+        target = Target(chr(96 + born), address, zone, log, born)
+        self.targets[target.name] = target
+        return target
+
+    def running(self):
+        return [t for t in self.targets.values() if t.running]
+
+    def lead(self, target, call):
+        """Let a promotion call take effect."""
+        if not target.running or target.name not in self.targets:
+            self.history.add(f'{target.name} was to lead but is not running')
+            return
+        if target is self.leading and target.primary:
+            return
+        self.leading = target
+        target.primary, target.held_term = True, 0
+        target.term = max(t.term for t in self.targets.values()) + 1
+        self.history.add(f'{target.name} leads term {target.term}')
+        for commit in list(self.acknowledged):
+            if not commit.is_in(target.log):
+                if self._may_be_lost(commit, call):
+                    self.history.add(f'{commit} is lost, as documented')
+                    self.acknowledged.remove(commit)
+                else:
+                    self._report_missing('a promotion took effect', commit)
+        self.on_role_change(target)
+        self.touch()
+
+    def acknowledge(self, commit, holder):
+        """Record that a client was told of a commit."""
+        commit.holder, commit.acknowledged_at = holder, self.loop.time()
+        self.acknowledged.append(commit)
+        if not commit.is_in(self.leading.log):
+            self._report_missing('acknowledged at a former primary', commit)
+
+    def _may_be_lost(self, commit, call):
+        """Return whether docs/testing.md says that a commit isn't proved.
+
+        The primary doesn't answer, only targets that the leader doesn't list
+        hold the commit, and the process that acknowledged it was cut off
+        within one renewal interval, before it could report the commit.
+        """
+        others = (t for t in self.targets.values() if not t.primary)
+        reported_by = commit.acknowledged_at + TIMES.renew_interval_s
+        return (
+            call.primary_silent
+            and all(t in call.unlisted for t in others if commit.is_in(t.log))
+            and not commit.reported_to
+            and commit.holder.cut_off_at <= reported_by
+        )
+
+    def _report_missing(self, when, commit):
+        leading = self.leading
+        holders = [
+            t.name for t in self.targets.values() if commit.is_in(t.log)
+        ]
+        self.history.violation(
+            f'{when}: {leading.name} (term {leading.term}) lacks {commit},'
+            f' which {commit.holder.name} acknowledged, {holders} hold and'
+            f' {commit.reported_to or "no leader"} was told of'
+        )
+
+    def commit(self, target, write):
+        """Run a write at a target that may or may not be a primary."""
+        if not target.running or not target.primary:
+            return
+        write.commit = Commit(target.term, len(target.log) + 1)
+        target.log.append(write.commit)
+        target.waiting.append(write)
+        self.touch()
+
+    # Replication.
+
+    def touch(self):
+        """Let every target receive what it can after its lag."""
+        for target in self.running():
+            if target.name not in self._syncing:
+                self._syncing.add(target.name)
+                lag_s = target.lag_s(self.loop.time())
+                self.loop.call_later(lag_s, self._sync, target)
+
+    def _sync(self, target):
+        self._syncing.discard(target.name)
+        if not target.running:
+            return
+        source = self._source(target)
+        if source is None:
+            return
+        if target.primary:
+            self.loop.call_later(
+                FOLLOW_SUCCESSOR_AFTER_S, self._follow, target
+            )
+            return
+        target.held_term = 0
+        target.term = source.term
+        target.log[:] = source.log
+        for write in source.waiting:
+            self.loop.call_later(self.answer_delay_s, write.answer)
+        source.waiting.clear()
+
+    def _source(self, target):
+        """Return the primary from which a target receives, if any."""
+        least_term = max(target.term + target.primary, target.held_term)
+        return max(
+            (
+                t
+                for t in self.running()
+                if t.primary
+                and t is not target
+                and t.term >= least_term
+                and self.links.up(t.name, target.name)
+            ),
+            key=lambda t: t.term,
+            default=None,
+        )
+
+    def _follow(self, target):
+        if target.running and target.primary and self._source(target):
+            self.demote(target)
+
+    def demote(self, target):
+        target.primary = False
+        target.waiting.clear()
+        self.history.add(f'{target.name} is a replica')
+        self.on_role_change(target)
+        self.touch()
+
+    # Starts and stops.
+
+    def crash(self, target):
+        target.running = False
+        target.stopped_at = self.loop.time()
+        target.waiting.clear()
+        self.history.add(f'{target.name} crashes')
+
+    def restart(self, target):
+        """Start a target that crashed, with its log and not paused."""
+        if target.running or target.name not in self.targets:
+            return
+        target.running, target.held_term = True, 0
+        target.born, target.sequence = next(self._births), 0
+        target.primary = target.primary and target is self.leading
+        self.history.add(f'{target.name} restarts')
+        self.touch()
+
+    def end(self, target):
+        """End a target that leaves; return its successor, which waits."""
+        del self.targets[target.name]
+        target.running = False
+        target.waiting.clear()
+        successor = self.add(target.log, target.address, target.zone)
+        successor.term = target.term
+        successor.running = False
+        if self.leading is target:
+            self.leading = successor
+        self.history.add(f'{target.name} ends, {successor.name} follows')
+        return successor
+
+    def join(self):
+        """Start a new replica with the log of the primary."""
+        number = next(self._births)
+        target = self.add(
+            list(self.leading.log), f'10.0.1.{number}:1', f'z{number % 3}'
+        )
+        target.term = self.leading.term
+        self.history.add(f'{target.name} joins')
+        self.touch()
+        return target
+
+
+class Fates:
+    """Hold what happens to orders of a kind to a target for some time.
+
+    The platform's own kind, ``promote``, has no target.
+    """
+
+    def __init__(self, loop):
+        self._loop = loop
+        self._fates = {}
+
+    def set(self, kind, target, seconds, fate, delay_s):
+        until = self._loop.time() + seconds
+        self._fates[kind, target] = until, fate, delay_s
+
+    def get(self, kind, target=''):
+        until, *fate = self._fates.get((kind, target), (0.0, 'ok', 0.0))
+        return fate if self._loop.time() < until else ('ok', 0.0)
+
+
+class SimulatedOrders(grouporders.GroupOrders):
+    """Deliver a leader's orders; each may be lost, late or unanswered.
+
+    An order on its way arrives even if its leader has ended.
+    """
+
+    def __init__(self, group, fates, leader_name, targets):
+        self.group, self.fates = group, fates
+        self.leader_name, self.directory = leader_name, targets
+
+    async def _order(self, kind, info, handle):
+        fate, delay_s = self.fates.get(kind, info.server)
+        loop = self.group.loop
+        fut = loop.create_future()
+        if kind != 'status':
+            self.group.history.add(
+                f'{self.leader_name}: {kind} {info.server} ({fate} {delay_s})'
+            )
+
+        def arrive():
+            target = self.group.targets.get(info.server)
+            if target is None or not target.running:
+                return
+            if not self.group.links.up('control', info.server):
+                return
+            handle(target)
+            if fate != 'late':
+                self.group.history.add(
+                    f'{kind} handled: {target.name} {target.primary}'
+                    f' {target.held_term} {target.received}'
+                ) if kind != 'status' else None
+            if fate == 'ok':
+                loop.call_later(NETWORK_DELAY_S, answer, target.status())
+
+        def answer(status):
+            if not fut.done():
+                fut.set_result(status)
+
+        if fate != 'lost':
+            late_s = delay_s if fate == 'late' else 0.0
+            loop.call_later(NETWORK_DELAY_S + late_s, arrive)
+        try:
+            async with asyncio.timeout(ORDER_TIMEOUT_S):
+                return await fut
+        except TimeoutError:
+            return None
+
+    async def status(self, info):
+        return await self._order('status', info, lambda target: None)
+
+    async def pause(self, info, term):
+        def handle(target):
+            if not target.primary and term > target.term:
+                target.held_term = term
+
+        return await self._order('pause', info, handle)
+
+    async def resume(self, info):
+        def handle(target):
+            target.held_term = 0
+            self.group.touch()
+
+        return await self._order('resume', info, handle)
+
+    async def step_down(self, info, term):
+        def handle(target):
+            if target.primary and target.term < term:
+                self.group.demote(target)
+
+        return await self._order('step_down', info, handle)
+
+    async def promote(self, info, token):
+        """Call the platform, which promotes a target after a while."""
+        fate, delay_s = self.fates.get('promote')
+        group, loop = self.group, self.group.loop
+        answers = grouporders.PromotionAnswer
+        group.history.add(
+            f'{self.leader_name}: promote {info.server} ({fate} {delay_s})'
+        )
+        if fate == 'refused':
+            # The platform can't be reached, or has too many calls.
+            await asyncio.sleep(NETWORK_DELAY_S)
+            return answers.REFUSED
+        fut = loop.create_future()
+
+        call = self._new_call(info)
+
+        def take_effect(target):
+            group.calls_in_flight.remove(call)
+            group.lead(target, call)
+
+        def arrive():
+            target = group.targets.get(info.server)
+            accepted = target is not None and target.running
+            if accepted:
+                effect_s = delay_s if fate == 'effect' else None
+                loop.call_later(
+                    effect_s or USUAL_EFFECT_DELAY_S, take_effect, target
+                )
+            else:
+                group.calls_in_flight.remove(call)
+            if fate in ('ok', 'effect') and not fut.done():
+                fut.set_result(
+                    answers.ACCEPTED if accepted else answers.REFUSED
+                )
+
+        if fate != 'lost':
+            group.calls_in_flight.append(call)
+            late_s = delay_s if fate == 'late' else 0.0
+            loop.call_later(NETWORK_DELAY_S + late_s, arrive)
+        try:
+            async with asyncio.timeout(PROMOTE_TIMEOUT_S):
+                return await fut
+        except TimeoutError:
+            return answers.UNKNOWN
+
+    def _new_call(self, info):
+        listed, primary = self.directory.group(GROUP), self.group.leading
+        stepped_down, _ = self.fates.get('step_down', primary.name)
+        return PromotionCall(
+            info.server,
+            [t for t in self.group.targets.values() if t.name not in listed],
+            not primary.running
+            or not self.group.links.up('control', primary.name)
+            or stepped_down != 'ok',
+        )
+
+    def close(self):
+        """Do nothing: there are no connections."""
+
+
+class SharedViews:
+    """Hold the replicated views and their revision."""
+
+    def __init__(self):
+        self.views = {}
+        self.count = 0
+        self.drained = frozenset()
+
+
+class LeaderStore(groups.GroupStore):
+    """Commit views on behalf of one leader."""
+
+    def __init__(self, store):
+        self.store = store
+        self.in_flight = None
+
+    def drained_zones(self):
+        return self.store.drained
+
+    def view(self, group):
+        return self.store.views.get(group)
+
+    def revision(self):
+        return self.store.count
+
+    def names(self):
+        return list(self.store.views)
+
+    async def commit(self, view):
+        self.in_flight = view
+        await asyncio.sleep(NETWORK_DELAY_S)
+        self.apply_in_flight()
+
+    def apply_in_flight(self):
+        if self.in_flight is None:
+            raise errors.UnavailableError('the leadership has ended')
+        self.store.views[self.in_flight.group] = self.in_flight
+        self.store.count += 1
+        self.in_flight = None
+
+
+class Leader:
+    """Run the real reconciler with the state of one leadership."""
+
+    counters = metrics.Metrics()
+
+    def __init__(self, control, token, elected_at):
+        now = control.group.loop.time()
+        self.name = f'leader {token}'
+        self.zone = f'z{token % 3}'
+        self.table = leases.LeaseTable(TIMES, elected_at)
+        self.directory = directory.TargetDirectory(elected_at)
+        self.detector = promotion.FailureDetector(SUSPECT_AFTER_S)
+        self.store = LeaderStore(control.store)
+        self.renewed = set()
+        control.group.history.add(f'{self.name} begins at {now}')
+        self.reconciler = failover.FailoverReconciler(
+            self.store,
+            self.detector,
+            self.table,
+            self.zone,
+            self.counters,
+            self.directory,
+            SimulatedOrders(
+                control.group, control.fates, self.name, self.directory
+            ),
+            token,
+        )
+        self.task = control.group.loop.create_task(self.reconciler.run())
+
+    def end(self, commit_lands):
+        self.task.cancel()
+        if commit_lands and self.store.in_flight is not None:
+            self.store.apply_in_flight()
+        self.store.in_flight = None
+
+
+class Control:
+    """Keep one leader at a time; take renewals and announcements."""
+
+    def __init__(self, group, fates):
+        self.group, self.fates = group, fates
+        self.store = SharedViews()
+        addresses = {t.name: t.address for t in group.targets.values()}
+        self.store.views[GROUP] = model.GroupView(GROUP, 1, 'a', addresses)
+        self.leader = None
+        self.entry_names = set()
+        self._tokens = itertools.count(1)
+
+    def elect(self, elected_at=None):
+        if self.leader is None:
+            now = self.group.loop.time()
+            self.leader = Leader(
+                self,
+                next(self._tokens),
+                now if elected_at is None else elected_at,
+            )
+
+    def end_leadership(self, commit_lands):
+        if self.leader is not None:
+            self.group.history.add(f'{self.leader.name} ends')
+            self.leader.end(commit_lands)
+            self.leader = None
+
+    def announce(self, info, born, sequence):
+        if self.leader is not None:
+            self.leader.directory.announce(
+                self.group.loop.time(),
+                directory.Announcement(info, born, sequence),
+            )
+
+    def leave(self, server):
+        if self.leader is not None:
+            self.leader.directory.leave(server)
+
+    def renew(self, entry, sequence, revision, acknowledged, observations):
+        """Grant a renewal; the reply takes the time of a message."""
+        leader, now = self.leader, self.group.loop.time()
+        if leader is None:
+            return
+        leader.directory.expire(now)
+        for holder in leader.table.expire(now):
+            leader.detector.forget(holder.name)
+        name = entry.holder.name
+        holder = leader.table.grant(now, name, entry.name)
+        holder.view_revision = revision
+        if acknowledged is not None:
+            self._record_acknowledged(leader, holder, acknowledged)
+            for commit in self.group.acknowledged:
+                if (
+                    commit.holder.name == name
+                    and commit.position <= acknowledged
+                ):
+                    commit.reported_to.add(leader.name)
+        for server, observation in observations(now).items():
+            leader.detector.report(name, GROUP, server, observation)
+        leader.renewed.add(entry.name)
+        if leader.renewed >= self.entry_names:
+            leader.table.end_grace_period()
+        self.group.loop.call_later(
+            NETWORK_DELAY_S,
+            entry.granted,
+            sequence,
+            self.store.count,
+            self.store.views[GROUP],
+        )
+
+    @staticmethod
+    def _record_acknowledged(leader, holder, acknowledged):
+        leader.table.report_acknowledged({GROUP: acknowledged})
+
+
+class Write:
+    """Represent one write of an entry process."""
+
+    def __init__(self, entry):
+        self.entry, self.view = entry, entry.view
+        self.commit = None
+
+    def answer(self):
+        self.entry.answered(self)
+
+
+class Entry:
+    """Simulate an entry process: renew, send writes, acknowledge commits."""
+
+    def __init__(self, name, group, control):
+        self.name, self.group, self.control = name, group, control
+        self.loop = group.loop
+        self.generation = itertools.count(1)
+        control.entry_names.add(name)
+        self.start()
+
+    def start(self):
+        self.holder = Holder(self.name, next(self.generation))
+        self.running = True
+        self.lease = leases.HolderLease(TIMES)
+        self.sequence = 0
+        self.revision = -1
+        self.view = None
+        self.acknowledged = None
+        self.heard_at = {}
+        self._renew(self.holder)
+
+    def kill(self):
+        self.running = False
+        self.cut_off()
+
+    def cut_off(self):
+        """Record that the process can report nothing to control."""
+        self.holder.cut_off_at = min(self.holder.cut_off_at, self.loop.time())
+
+    def _reaches_control(self):
+        return self.running and self.group.links.up(self.name, 'control')
+
+    def _renew(self, holder):
+        if not self.running or holder is not self.holder:
+            return
+        self.loop.call_later(TIMES.renew_interval_s, self._renew, holder)
+        now = self.loop.time()
+        for target in self.group.running():
+            if self.group.links.up(self.name, target.name):
+                self.heard_at[target.name] = now
+        self.sequence += 1
+        self.lease.sent(now, self.sequence)
+        if self._reaches_control():
+            self.loop.call_later(
+                NETWORK_DELAY_S,
+                self.control.renew,
+                self,
+                self.sequence,
+                self.revision,
+                self.acknowledged,
+                self._observations,
+            )
+
+    def _observations(self, now):
+        return {
+            name: promotion.TargetObservation(
+                now,
+                NEVER_S,
+                now - self.heard_at.get(name, now - NEVER_S),
+                model.TargetInfo(name, GROUP, '', '', '', 0, 0, 0, 0),
+                self._refused_s(now, target),
+            )
+            for name, target in self.group.targets.items()
+        }
+
+    def _refused_s(self, now, target):
+        return 0.0 if target.running else now - target.stopped_at
+
+    def granted(self, sequence, revision, view):
+        if not self._reaches_control():
+            return
+        if revision > self.revision:
+            known, self.view = self.view, view
+            self.revision = revision
+            if not view.changing and known and known.primary != view.primary:
+                self.acknowledged = None
+        self.lease.granted(sequence)
+        self.holder.cut_off_at = float('inf')
+
+    def may_write(self):
+        return (
+            self.running
+            and self.view is not None
+            and not self.view.changing
+            and self.lease.valid(self.loop.time())
+        )
+
+    def write(self):
+        """Send a write to the primary of the view."""
+        if not self.may_write():
+            return
+        target = self.group.targets.get(self.view.primary)
+        if target and self.group.links.up(self.name, target.name):
+            self.loop.call_later(
+                NETWORK_DELAY_S, self.group.commit, target, Write(self)
+            )
+
+    def answered(self, write):
+        same_term = self.may_write() and self.view.term == write.view.term
+        if not same_term:
+            return
+        position = write.commit.position
+        if self.acknowledged is None or self.acknowledged < position:
+            self.acknowledged = position
+        self.group.acknowledge(write.commit, self.holder)
--- /dev/null
+++ b/tests/node/test_promotion_fuzz.py
@@ -0,0 +1,371 @@
+"""Stateful test of changes of primary: no acknowledged commit is lost.
+
+Not checked, because docs/testing.md lists it as not proved: a commit that an
+entry process acknowledged at most one renewal interval before it was cut off,
+or after that under its last lease, and that no leader was told of, if only the
+former primary, which doesn't answer, and targets that the leader doesn't list
+hold it. Not simulated: orders that take effect later than
+``pendingorders.MAX_ORDER_DELAY_S``, and targets that lose their log or are
+silent for so long that the directory drops them.
+"""
+
+import asyncio
+import functools
+
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies as st
+import pytest
+
+from sassafrasridge_core import model
+from sassafrasridge_node import clocks
+from sassafrasridge_node import logs
+from sassafrasridge_testkit import virtualtime
+from tests.node import simulatedgroup
+
+ENTRIES = ('e1', 'e2', 'e3')
+# Longest interval between two writes while time passes.
+WRITE_INTERVAL_S = 0.1
+# Targets by their place in the order of names.
+TARGETS = st.integers(0, 3)
+# Durations of disturbances.
+SECONDS = st.sampled_from([0.2, 0.7, 2.0, 5.0, 9.0])
+ORDERS = st.sampled_from(['pause', 'resume', 'step_down'])
+# Time that passes after an event.
+PAUSES = st.sampled_from([0.02, 0.3, 1.0, 4.0])
+
+
+def event(**arguments):
+    """Make a method a rule that lets some time pass after the event."""
+
+    def decorate(method):
+        @functools.wraps(method)
+        def run(self, after_s, **values):
+            method(self, **values)
+            self.advance(after_s)
+
+        return stateful.rule(after_s=PAUSES, **arguments)(run)
+
+    return decorate
+
+
+class PromotionMachine(stateful.RuleBasedStateMachine):
+    """Guards against promoting a target that lacks an acknowledged commit.
+
+    Also guards against acknowledging commits of a primary after another
+    target was promoted.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.loop = virtualtime.VirtualTimeLoop()
+        asyncio.set_event_loop(self.loop)
+        self.loop_errors = []
+        self.loop.set_exception_handler(
+            lambda _, c: self.loop_errors.append(c)
+        )
+        self.history = simulatedgroup.History(self.loop)
+        self.boottime, clocks.boottime = clocks.boottime, self.loop.time
+        self.log_event, logs.log_event = (
+            logs.log_event,
+            self.history.log_event,
+        )
+        self.links = simulatedgroup.Links(self.loop)
+        self.group = simulatedgroup.ReplicatedGroup(
+            self.loop, self.links, self.history, count=3
+        )
+        self.fates = simulatedgroup.Fates(self.loop)
+        self.control = simulatedgroup.Control(self.group, self.fates)
+        self.group.on_role_change = self.announce
+        self.control.elect(self.loop.time() - 100.0)
+        self.entries = [
+            simulatedgroup.Entry(name, self.group, self.control)
+            for name in ENTRIES
+        ]
+        self.turn = 0
+        self.announce_all()
+        self.advance(0.4)
+
+    # Announcements.
+
+    def announce_all(self):
+        self.loop.call_later(
+            simulatedgroup.ANNOUNCE_INTERVAL_S, self.announce_all
+        )
+        for target in self.group.running():
+            self.announce(target)
+
+    def announce(self, target):
+        target.sequence += 1
+        reachable = self.links.up(target.name, 'control')
+        if not reachable or not self.links.up(target.name, 'announcements'):
+            return
+        info = model.TargetInfo(
+            target.name,
+            simulatedgroup.GROUP,
+            target.zone,
+            target.address,
+            'primary' if target.primary else 'replica',
+            0,
+            0,
+            5,
+            0,
+            target.leaving,
+        )
+        self.loop.call_later(
+            simulatedgroup.NETWORK_DELAY_S,
+            self.control.announce,
+            info,
+            target.born,
+            target.sequence,
+        )
+
+    # Rules.
+
+    def pick(self, index):
+        """Return one of the targets."""
+        names = sorted(self.group.targets)
+        return self.group.targets[names[index % len(names)]]
+
+    def advance(self, seconds):
+        end = self.loop.time() + seconds
+        while self.loop.time() < end - 1e-6:
+            self.turn += 1
+            self.entries[self.turn % len(self.entries)].write()
+            self.loop.advance(min(WRITE_INTERVAL_S, end - self.loop.time()))
+        assert not self.loop_errors, self.loop_errors
+
+    @stateful.rule(seconds=PAUSES)
+    def wait(self, seconds):
+        self.advance(seconds)
+
+    @stateful.rule(gap_s=st.sampled_from([0.3, 1.0, 3.0]), lands=st.booleans())
+    def change_leader(self, gap_s, lands):
+        self.control.end_leadership(commit_lands=lands)
+        self.advance(gap_s)
+        self.control.elect()
+
+    @event(seconds=SECONDS)
+    def crash_primary(self, seconds):
+        self.crash_for(self.group.leading, seconds)
+
+    @event(index=TARGETS, seconds=SECONDS)
+    def crash(self, index, seconds):
+        self.crash_for(self.pick(index), seconds)
+
+    def crash_for(self, target, seconds):
+        if target.running:
+            self.group.crash(target)
+            self.loop.call_later(seconds, self.restart, target)
+
+    def restart(self, target):
+        self.group.restart(target)
+        if target.running:
+            self.announce(target)
+
+    @event(seconds=SECONDS, start_s=SECONDS)
+    def leave_primary(self, seconds, start_s):
+        self.leave_in(self.group.leading, seconds, start_s)
+
+    @event(index=TARGETS, seconds=SECONDS, start_s=SECONDS)
+    def leave(self, index, seconds, start_s):
+        self.leave_in(self.pick(index), seconds, start_s)
+
+    def leave_in(self, target, seconds, start_s):
+        if target.running and not target.leaving:
+            self.history.add(f'{target.name} leaves in {seconds}')
+            target.leaving = True
+            self.announce(target)
+            self.loop.call_later(seconds, self.end, target, start_s)
+
+    def end(self, target, start_s):
+        if target.name not in self.group.targets:
+            return
+        successor = self.group.end(target)
+        if self.links.up(target.name, 'announcements'):
+            self.control.leave(target.name)
+        self.loop.call_later(start_s, self.restart, successor)
+
+    @stateful.precondition(lambda self: len(self.group.targets) < 5)
+    @event(silent_s=SECONDS)
+    def join(self, silent_s):
+        target = self.group.join()
+        self.links.cut(target.name, 'announcements', silent_s)
+
+    @event(seconds=SECONDS)
+    def drain_zone_of_primary(self, seconds):
+        zone = self.group.leading.zone
+        self.history.add(f'{zone} is drained for {seconds}')
+        self.control.store.drained = frozenset([zone])
+        self.loop.call_later(seconds, self.restore_zones)
+
+    def restore_zones(self):
+        self.control.store.drained = frozenset()
+
+    @event(
+        index=TARGETS,
+        peer=st.sampled_from(['announcements', 'control', 'primary']),
+        seconds=SECONDS,
+    )
+    def cut_target(self, index, peer, seconds):
+        target = self.pick(index)
+        if peer == 'primary':
+            peer = self.group.leading.name
+        self.history.add(f'{target.name}: no {peer} for {seconds}')
+        self.links.cut(target.name, peer, seconds)
+        self.loop.call_later(seconds + 0.001, self.group.touch)
+
+    @event(
+        entries=st.sets(st.sampled_from(ENTRIES), min_size=1),
+        peer=st.sampled_from(['control', 'primary']),
+        seconds=SECONDS,
+    )
+    def cut_entries(self, entries, peer, seconds):
+        if peer == 'primary':
+            peer = self.group.leading.name
+        for entry in self.entries:
+            if entry.name in entries:
+                self.history.add(f'{entry.name}: no {peer} for {seconds}')
+                self.links.cut(entry.name, peer, seconds)
+                if peer == 'control':
+                    entry.cut_off()
+
+    @event(index=st.sampled_from(range(3)), seconds=SECONDS)
+    def kill_entry(self, index, seconds):
+        entry = self.entries[index]
+        if entry.running:
+            self.history.add(f'{entry.holder.name} is killed')
+            entry.kill()
+            self.loop.call_later(seconds, entry.start)
+
+    @event(index=TARGETS, lag_s=st.sampled_from([0.0, 0.1, 1.0]))
+    def set_lag(self, index, lag_s):
+        target = self.pick(index)
+        self.history.add(f'{target.name} lags by {lag_s} more')
+        target.extra_lag_s = lag_s
+
+    @event(delay_s=st.sampled_from([0.005, 0.2, 1.0]))
+    def set_answer_delay(self, delay_s):
+        self.history.add(f'answers to writes take {delay_s}')
+        self.group.answer_delay_s = delay_s
+
+    @event(
+        kind=ORDERS,
+        index=TARGETS,
+        seconds=SECONDS,
+        fate=st.sampled_from(['late', 'lost', 'unanswered']),
+        delay_s=st.sampled_from([0.3, 0.8, 2.0, 5.0]),
+    )
+    def disturb_orders(self, kind, index, seconds, fate, delay_s):
+        name = self.pick(index).name
+        self.history.add(f'{kind} {name}: {fate} {delay_s} for {seconds}')
+        self.fates.set(kind, name, seconds, fate, delay_s)
+
+    @event(
+        seconds=SECONDS,
+        fate=st.sampled_from(
+            ['late', 'effect', 'unanswered', 'refused', 'lost']
+        ),
+        delay_s=st.sampled_from([0.3, 1.0, 3.0, 6.0, 10.0]),
+    )
+    def disturb_platform(self, seconds, fate, delay_s):
+        if fate == 'effect':
+            delay_s = min(delay_s, 1.0)
+        self.history.add(f'platform: {fate} {delay_s} for {seconds}')
+        self.fates.set('promote', '', seconds, fate, delay_s)
+
+    @event(
+        seconds=SECONDS,
+        delay_s=st.sampled_from([3.0, 6.0, 10.0]),
+        crash_s=SECONDS,
+    )
+    def crash_primary_while_platform_is_late(self, seconds, delay_s, crash_s):
+        self.history.add(f'platform: late {delay_s} for {seconds}')
+        self.fates.set('promote', '', seconds, 'late', delay_s)
+        self.crash_for(self.group.leading, crash_s)
+
+    # Checks.
+
+    @stateful.invariant()
+    def no_commit_was_lost(self):
+        found = self.history.violations
+        assert not found, f'{found[0]}\n{self.history.text()}'
+
+    @stateful.invariant()
+    def orders_in_flight_are_recorded(self):
+        # Otherwise another target may lead until the order takes effect.
+        order = self.control.store.views[simulatedgroup.GROUP].promotion
+        for call in self.group.calls_in_flight:
+            recorded = order is not None and order.server == call.server
+            assert recorded, f'{call.server}\n{self.history.text()}'
+
+    def teardown(self):
+        try:
+            self.control.end_leadership(commit_lands=False)
+            self.loop.advance(0.0)
+        finally:
+            clocks.boottime = self.boottime
+            logs.log_event = self.log_event
+            asyncio.set_event_loop(None)
+            self.loop.close()
+
+
+# Shrinking an example that fails takes up to five minutes.
+TestPromotionMachine = pytest.mark.timeout(400)(PromotionMachine.TestCase)
+TestPromotionMachine.settings = hypothesis.settings(
+    max_examples=120, stateful_step_count=30
+)
+
+
+@pytest.fixture
+def machine():
+    """Return a machine that ends after its test."""
+    machine = PromotionMachine()
+    yield machine
+    machine.teardown()
+
+
+class TestTraces:
+    """Sequences of events that lost acknowledged commits."""
+
+    def test_an_order_that_takes_effect_after_the_primary_returned(
+        self, machine
+    ):
+        """Guards against going back to the primary while an order is out."""
+        machine.crash_primary_while_platform_is_late(
+            after_s=4.0, seconds=9.0, delay_s=10.0, crash_s=5.0
+        )
+        machine.advance(2.0)
+        machine.set_lag(after_s=6.0, index=1, lag_s=1.0)
+        machine.no_commit_was_lost()
+
+    def test_a_second_order_to_a_target_whose_first_one_is_out(self, machine):
+        """Guards against forgetting the first when the second is refused."""
+        platform, b = machine.disturb_platform, 1
+        machine.crash_primary_while_platform_is_late(
+            after_s=6.0, seconds=2.0, delay_s=10.0, crash_s=5.0
+        )
+        assert machine.group.leading.name == 'b'
+        platform(after_s=0.0, seconds=3.0, fate='refused', delay_s=0.0)
+        machine.cut_entries(
+            after_s=2.65, entries=set(ENTRIES), peer='primary', seconds=5.0
+        )
+        platform(after_s=0.0, seconds=3.0, fate='effect', delay_s=0.3)
+        machine.cut_target(after_s=0.0, index=b, peer='control', seconds=5.0)
+        machine.set_lag(after_s=4.0, index=b, lag_s=1.0)
+        machine.no_commit_was_lost()
+
+    def test_a_report_to_a_leader_that_ended(self, machine):
+        """Guards against losing the report together with that leader."""
+        machine.join(after_s=0.5, silent_s=9.0)
+        for index in (1, 2):
+            machine.cut_target(
+                after_s=0.0, index=index, peer='primary', seconds=9.0
+            )
+        machine.advance(0.8)
+        machine.crash_primary(after_s=0.0, seconds=9.0)
+        for index in range(len(ENTRIES)):
+            machine.kill_entry(after_s=0.0, index=index, seconds=0.7)
+        machine.change_leader(gap_s=1.0, lands=False)
+        machine.advance(3.0)
+        machine.no_commit_was_lost()
