--- a/tests/node/simulatedgroup.py
+++ b/tests/node/simulatedgroup.py
@@ -277,6 +277,7 @@
 
     def _source(self, target):
         """Return the primary from which a target receives, if any."""
+        # A primary follows only one of a later term.
         least_term = max(target.term + target.primary, target.held_term)
         return max(
             (
@@ -390,11 +391,11 @@
             if not self.group.links.up('control', info.server):
                 return
             handle(target)
-            if fate != 'late':
+            if kind != 'status':
                 self.group.history.add(
-                    f'{kind} handled: {target.name} {target.primary}'
-                    f' {target.held_term} {target.received}'
-                ) if kind != 'status' else None
+                    f'{kind} handled: {target.name} primary={target.primary}'
+                    f' held={target.held_term} at {target.log[-1]}'
+                )
             if fate == 'ok':
                 loop.call_later(NETWORK_DELAY_S, answer, target.status())
 
