Search for silent targets once a second at most

A target that stays listed because entry processes reach it made the leader search all targets at each renewal.

--- a/packages/core/src/sassafrasridge_core/directory.py
+++ b/packages/core/src/sassafrasridge_core/directory.py
@@ -11,6 +11,8 @@
 # A target is removed after this time without an announcement. It is far longer
 # than the longest link outage, so that a partitioned target stays listed.
 EXPIRE_AFTER_S = 15.0
+# Shortest interval between two searches for silent targets.
+EXPIRE_CHECK_INTERVAL_S = 1.0
 # Time within which every live target has announced itself: three times the
 # longest interval between announcements.
 COMPLETE_AFTER_S = 4.0
@@ -150,14 +152,16 @@
             del self._entries[server]
             self.revision += 1
         oldest = min((e.heard_at for e in self._entries.values()), default=now)
-        self._expire_from = oldest + EXPIRE_AFTER_S
+        self._expire_from = max(
+            oldest + EXPIRE_AFTER_S, now + EXPIRE_CHECK_INTERVAL_S
+        )
         return silent
 
     def complete(self, now: float) -> bool:
         """Return whether every live target must be listed by now."""
         return now - self._started_at > COMPLETE_AFTER_S
 
-    def expired_before(self, now: float) -> bool:
+    def earlier_targets_expired(self, now: float) -> bool:
         """Return whether targets of an earlier directory count as gone."""
         return now - self._started_at > EXPIRE_AFTER_S
 
--- a/packages/node/src/sassafrasridge_node/failover.py
+++ b/packages/node/src/sassafrasridge_node/failover.py
@@ -356,7 +356,7 @@
         left or another target has replaced them there.
         """
         found, now = self._targets.group(view.group), clocks.boottime()
-        if self._targets.expired_before(now):
+        if self._targets.earlier_targets_expired(now):
             return found
         complete = self._targets.complete(now)
         replaced = {info.address for info in found.values()}
--- a/packages/node/src/sassafrasridge_node/grouporders.py
+++ b/packages/node/src/sassafrasridge_node/grouporders.py
@@ -86,7 +86,7 @@
     timeout_s: float,
     failed: str = '',
 ) -> list[ServerStatus]:
-    """Return the statuses that arrive in time, in seconds.
+    """Return the statuses that arrive within a timeout in seconds.
 
     The status of the ``failed`` target is not waited for once all others have
     answered: their positions are the proof then.
