--- a/packages/testkit/src/sassafrasridge_testkit/starttime.py
+++ b/packages/testkit/src/sassafrasridge_testkit/starttime.py
@@ -59,6 +59,7 @@
             zone='z0',
             host=host,
             http=f'{host}:{self._control_port}',
+            rpc_host=host,
             rpc=self._rpc,
             peers=f'{host}:{self._rpc}',
             secret=linecluster.SECRET,
