Log the first reads after a change of primary

The logs didn't tell why a read was sent where it was: the position that it required, how old that position was, and whether the target was taken for the primary. read_decided has these for at most 20 reads of a group in the 3 s after a change of its view, and session_reads counts all reads by what let their target serve them. The text of a position moves from failover to core.model, because both modules need it.

--- a/packages/core/src/sassafrasridge_core/model.py
+++ b/packages/core/src/sassafrasridge_core/model.py
@@ -38,6 +38,15 @@
         return f'Position({self.term}, {self.index})'
 
 
+def position_text(position: Position | None) -> str | None:
+    """Return a position as TERM.INDEX for the log.
+
+    >>> position_text(Position(2, 7)), position_text(None)
+    ('2.7', None)
+    """
+    return position and f'{position.term}.{position.index}'
+
+
 class Refusal:
     """Represent a refused request: a falsy sentinel with a reason."""
 
--- a/packages/node/src/sassafrasridge_node/failover.py
+++ b/packages/node/src/sassafrasridge_node/failover.py
@@ -261,12 +261,12 @@
             group=view.group,
             term=view.term,
             proof=proof.reason,
-            paused={s.server: _position_text(s.received) for s in paused},
+            paused={s.server: model.position_text(s.received) for s in paused},
             silent=sorted(set(targets) - {s.server for s in statuses}),
-            stepped_down=_position_text(
+            stepped_down=model.position_text(
                 stepped_down and stepped_down.received
             ),
-            acknowledged=_position_text(acknowledged),
+            acknowledged=model.position_text(acknowledged),
             chosen=None if chosen is None else chosen.server,
         )
         if chosen is None:
@@ -339,8 +339,8 @@
             'acknowledged_commit_missing',
             group=group,
             server=order.server,
-            received=_position_text(order.position),
-            acknowledged=_position_text(acknowledged),
+            received=model.position_text(order.position),
+            acknowledged=model.position_text(acknowledged),
             joined=sorted(set(listed) - set(compared)),
             not_paused=sorted(s.server for s in statuses if not s.held_term),
         )
@@ -384,7 +384,7 @@
         logs.log_event(
             'acknowledged_commits_given_up',
             group=group,
-            acknowledged=_position_text(position),
+            acknowledged=model.position_text(position),
             waited_s=round(waited_s, 3),
         )
         return None
@@ -569,8 +569,8 @@
                 'promotion_target_behind',
                 group=info.group,
                 server=info.server,
-                received=_position_text(status.received),
-                proved=_position_text(view.promotion.position),
+                received=model.position_text(status.received),
+                proved=model.position_text(view.promotion.position),
             )
             return None
         answer = await self._orders.promote(info, self._token)
@@ -664,11 +664,6 @@
     return status.primary and status.term > view.log_term
 
 
-def _position_text(position: model.Position | None) -> str | None:
-    """Return a position as TERM.INDEX for the log."""
-    return position and f'{position.term}.{position.index}'
-
-
 def _addresses(
     targets: typing.Iterable[model.TargetInfo],
 ) -> dict[str, str]:
--- a/packages/node/src/sassafrasridge_node/metrics.py
+++ b/packages/node/src/sassafrasridge_node/metrics.py
@@ -53,6 +53,9 @@
 REFUSAL_REASONS = ('deadline', 'queue_full', 'zone_drained', 'other')
 # Priorities used as label values; less urgent ones count as the last.
 PRIORITIES = range(10)
+# What lets a target serve a read: that it is the primary, or that its log has
+# a position that the age limit or the session's last write requires.
+READ_BASES = ('primary', 'age', 'session')
 REQUEST_KINDS = ('statements', 'begin', 'in', 'commit', 'rollback')
 # Histogram buckets of request times in seconds, from a local read to a
 # failover.
@@ -165,6 +168,14 @@
             reason: refusals.labels(reason) for reason in REFUSAL_REASONS
         }
         self.sessions = self.gauge('sessions', 'Open sessions')
+        session_reads = self.counter(
+            'session_reads',
+            'Reads of sessions sent to a target, by what lets it serve them',
+            ('basis',),
+        )
+        self.session_reads = {
+            basis: session_reads.labels(basis) for basis in READ_BASES
+        }
         session_seconds = self._histogram(
             'session_statement_seconds',
             'Time from a complete statement to its result, by kind',
--- a/packages/node/src/sassafrasridge_node/sessionbase.py
+++ b/packages/node/src/sassafrasridge_node/sessionbase.py
@@ -19,6 +19,7 @@
 from sassafrasridge_node import clocks
 from sassafrasridge_node import logs
 from sassafrasridge_node import metrics
+from sassafrasridge_node import readlog
 from sassafrasridge_node import sessionpool
 from sassafrasridge_node import sessionrelay
 from sassafrasridge_node import sessionrouting
@@ -163,6 +164,7 @@
         self.admitter = admitter
         self.relays = relays
         self.decisions = logs.DecisionLog(clocks.boottime)
+        self.read_log = readlog.ReadLog(state)
 
 
 class SessionBase:
--- a/packages/node/src/sassafrasridge_node/sessionreads.py
+++ b/packages/node/src/sassafrasridge_node/sessionreads.py
@@ -70,13 +70,16 @@
                     self._log_retry(op.stmt, backend, floor, error)
                     continue
             is_primary = self._state.primary(op.access.group) is backend
-            commands = self._build_commands(
-                conn, op, None if is_primary else floor
+            required = None if is_primary else floor
+            commands = self._build_commands(conn, op, required)
+            decision = self._service.read_log.sending(
+                op.stmt.id, backend, required, self.floor, is_primary
             )
             sent_at = clocks.boottime()
             answer = await self._send(
                 backend, conn, commands, op.deadline, False
             )
+            self._service.read_log.answered(decision, answer)
             if floor is not None and not is_primary:
                 replicareads.record_read(
                     backend,
--- a/packages/node/src/sassafrasridge_node/sessiontransactions.py
+++ b/packages/node/src/sassafrasridge_node/sessiontransactions.py
@@ -135,13 +135,16 @@
             tx.term = self._view_term(access)
             conn = await self._acquire(backend, op, needs_primary=False)
         is_primary = self._state.primary(access.group) is backend
+        required = None if is_primary else floor
         commands = self._build_setup(conn, None)
-        commands.append(
-            sessionpool.Begin(tx.read_only, None if is_primary else floor)
+        commands.append(sessionpool.Begin(tx.read_only, required))
+        decision = self._service.read_log.sending(
+            op.stmt.id, backend, required, self.floor, is_primary
         )
         answer = await self._send(
             backend, conn, commands, op.deadline, False, keep=True
         )
+        self._service.read_log.answered(decision, answer)
         if answer.result_code is ResultCode.DONE:
             tx.backend, tx.conn = backend, conn
             return
