Don't take a promoted replica's late answer for one of the primary

Cause: a sample of the primary's log says that every commit acknowledged before its request was sent is at or below its position. Whether the target is the primary was asked only when the answer arrived, so a replica that was promoted in between set the floor of reads to the position at which it ran as a replica.

A request now records the term of the view in which its target is the primary when it is sent, and its answer is a sample only if that term is still the one in force. The HTTP path asked the same question and was protected by the log term alone; it follows the same rule now.

--- a/packages/core/src/sassafrasridge_core/freshness.py
+++ b/packages/core/src/sassafrasridge_core/freshness.py
@@ -71,9 +71,10 @@
     def sample(self, sent_at: float, term: int, index: int) -> None:
         """Add the position from a response to a request sent at ``sent_at``.
 
-        The response must come from the primary. When it arrives, the caller
-        must hold a valid lease and have ``term`` in its view, because a
-        replaced primary does not know of later writes.
+        The response must come from the primary. From the sending of the
+        request until the response arrives, the caller must hold a valid lease
+        and have the same view of the group: a replaced primary does not know
+        of later writes, and a replica does not know of all earlier ones.
         """
         position = model.Position(term, index)
         newest = self._newest
--- a/packages/node/src/sassafrasridge_node/entry.py
+++ b/packages/node/src/sassafrasridge_node/entry.py
@@ -28,6 +28,20 @@
 MAX_LOGGED_NAMES = 20
 
 
+class SentRequest:
+    """Hold when a request was sent to a target, and whether as the primary.
+
+    ``primary_term`` is the term of the view in which the target was the
+    primary and this process held a lease, None otherwise.
+    """
+
+    __slots__ = ('sent_at', 'primary_term')
+
+    def __init__(self, sent_at: float, primary_term: int | None) -> None:
+        self.sent_at = sent_at
+        self.primary_term = primary_term
+
+
 class EntryState:
     """Hold the configuration, lease, group views, rate shares and backends.
 
@@ -287,19 +301,42 @@
         backend.set_drained(not self.drains.usable(info.zone))
         return backend
 
-    def sample_primary(self, group: str, server: str, sent_at: float) -> None:
-        """Record a position of the primary, used to compute replica age.
+    def sent_request(self, group: str, server: str) -> SentRequest:
+        """Return the record of a request that is sent to a target now."""
+        return SentRequest(
+            clocks.boottime(), self._primary_term(group, server)
+        )
 
-        The sample is valid only while no other primary can acknowledge
-        writes. A valid lease guarantees that.
-        """
+    def _primary_term(self, group: str, server: str) -> int | None:
         view = self.groups.get(group)
+        if view is None or view.changing or view.primary != server:
+            return None
+        return view.term if self.lease_valid() else None
+
+    def bounds_commits(
+        self, group: str, server: str, sent: SentRequest
+    ) -> bool:
+        """Return whether an answer covers commits acknowledged before.
+
+        Its position does if no other target could acknowledge commits when the
+        request was sent, nor since. A replica that was promoted in between may
+        have answered before that.
+        """
+        return (
+            sent.primary_term is not None
+            and sent.primary_term == self._primary_term(group, server)
+        )
+
+    def sample_primary(
+        self, group: str, server: str, sent: SentRequest
+    ) -> None:
+        """Record a position of the primary, used to compute replica age."""
         backend = self.backends.get((group, server))
-        if view is None or backend is None or not self.lease_valid():
+        if backend is None or not self.bounds_commits(group, server, sent):
             return
-        if view.primary == server and backend.log_term == view.term:
+        if backend.log_term == sent.primary_term:
             self.timeline(group).sample(
-                sent_at, backend.log_term, backend.applied
+                sent.sent_at, backend.log_term, backend.applied
             )
 
     # State changes.
--- a/packages/node/src/sassafrasridge_node/reads.py
+++ b/packages/node/src/sassafrasridge_node/reads.py
@@ -293,7 +293,8 @@
             conn = await backend.connection(adm.account, req.deadline)
         except (backends.UnreachableError, backends.ReplacedError):
             return None
-        started = clocks.boottime()
+        sent = self._state.sent_request(adm.group, backend.info.server)
+        started = sent.sent_at
         known_position = model.Position(backend.log_term, backend.applied)
         body = {
             'term': backend.term,
@@ -324,7 +325,7 @@
                 answers.raise_for_error(answer)
             backend.coverage.record(covered=False)
             return None
-        self._state.sample_primary(adm.group, backend.info.server, started)
+        self._state.sample_primary(adm.group, backend.info.server, sent)
         backend.circuit.success(clocks.boottime(), clocks.boottime() - started)
         return self._body_if_fresh(
             started, adm.group, need, backend, answer.body
--- a/packages/node/src/sassafrasridge_node/renewal.py
+++ b/packages/node/src/sassafrasridge_node/renewal.py
@@ -267,6 +267,6 @@
     async def _probe(
         self, group: str, server: str, backend: typing.Any
     ) -> None:
-        sent_at = clocks.boottime()
+        sent = self._state.sent_request(group, server)
         if await backend.probe():
-            self._state.sample_primary(group, server, sent_at)
+            self._state.sample_primary(group, server, sent)
--- a/packages/node/src/sassafrasridge_node/sessionstate.py
+++ b/packages/node/src/sassafrasridge_node/sessionstate.py
@@ -269,7 +269,9 @@
             and not backend.leaving(now)
         ]
 
-    def sample_primary(self, group: str, server: str, sent_at: float) -> None:
+    def sample_primary(
+        self, group: str, server: str, sent: entry.SentRequest
+    ) -> None:
         """Record the primary's log position that a probe reported.
 
         Needed for sessions with regions: statements that may not run on the
@@ -278,20 +280,19 @@
         if self.regions_in_use:
             backend = self.backends.get((group, server))
             if isinstance(backend, sessionpool.SessionBackend):
-                self.sample_position(backend, sent_at)
+                self.sample_position(backend, sent)
         else:
-            super().sample_primary(group, server, sent_at)
+            super().sample_primary(group, server, sent)
 
     def sample_position(
-        self, backend: sessionpool.SessionBackend, sent_at: float
+        self, backend: sessionpool.SessionBackend, sent: entry.SentRequest
     ) -> None:
-        """Record the log position of an answer if the primary sent it.
-
-        The position bounds the age of data only while no other primary can
-        acknowledge writes, which the lease ensures.
-        """
-        group, position = backend.info.group, backend.position
-        if position is None or not self.lease_valid():
+        """Record the log position of an answer if the primary sent it."""
+        info, position = backend.info, backend.position
+        if position is None or not self.bounds_commits(
+            info.group, info.server, sent
+        ):
             return
-        if self.primary(group) is backend:
-            self.timeline(group).sample(sent_at, position.term, position.index)
+        self.timeline(info.group).sample(
+            sent.sent_at, position.term, position.index
+        )
--- a/packages/node/src/sassafrasridge_node/sessiontargets.py
+++ b/packages/node/src/sassafrasridge_node/sessiontargets.py
@@ -10,6 +10,7 @@
 from sassafrasridge_node import backends
 from sassafrasridge_node import clocks
 from sassafrasridge_node import connections
+from sassafrasridge_node import entry
 from sassafrasridge_node import sessionbase
 from sassafrasridge_node import sessionpool
 from sassafrasridge_node import sessionrouting
@@ -161,7 +162,8 @@
         keep: bool = False,
     ) -> sessionpool.TargetAnswer:
         """Run commands; release the connection unless ``keep`` is set."""
-        sent_at = clocks.boottime()
+        info = backend.info
+        sent = self._state.sent_request(info.group, info.server)
         token = object()
         position_before = backend.position
         if writes:
@@ -170,7 +172,9 @@
         ended_with: ResultCode | None = None
         backend.statement_started(conn, kind)
         try:
-            answer = await conn.run(commands, max(0.001, deadline - sent_at))
+            answer = await conn.run(
+                commands, max(0.001, deadline - sent.sent_at)
+            )
             ended_with = answer.result_code
         except connections.ConnectionLostError as exc:
             backend.circuit.failure(clocks.boottime())
@@ -193,10 +197,10 @@
             backend.write_ended(token)
             backend.statement_ended(conn, ended_with)
         if answer.result_code is ResultCode.DONE:
-            backend.statement_done(conn, clocks.boottime() - sent_at)
+            backend.statement_done(conn, clocks.boottime() - sent.sent_at)
             if writes:
                 answer.commit = _least_commit(position_before, answer.position)
-        self._record_answer(backend, answer, sent_at)
+        self._record_answer(backend, answer, sent)
         clean = (
             answer.state is TransactionState.IDLE and not answer.failed_setup
         )
@@ -210,7 +214,7 @@
         self,
         backend: sessionpool.SessionBackend,
         answer: sessionpool.TargetAnswer,
-        sent_at: float,
+        sent: entry.SentRequest,
     ) -> None:
         backend.answered(answer.position)
         now = clocks.boottime()
@@ -218,8 +222,8 @@
             self._suspect_change(backend)
         if answer.result_code is ResultCode.DONE:
             self._state.primary_reached(backend)
-            backend.circuit.success(now, now - sent_at)
-            self._state.sample_position(backend, sent_at)
+            backend.circuit.success(now, now - sent.sent_at)
+            self._state.sample_position(backend, sent)
         elif answer.result_code is ResultCode.FAILED:
             backend.circuit.failure(now)
         elif answer.result_code is ResultCode.BEHIND:
--- a/packages/node/src/sassafrasridge_node/writes.py
+++ b/packages/node/src/sassafrasridge_node/writes.py
@@ -300,7 +300,9 @@
         body: dict[str, typing.Any],
         deadline: float,
     ) -> connections.Answer | None:
-        started = clocks.boottime()
+        info = backend.info
+        sent = self._state.sent_request(info.group, info.server)
+        started = sent.sent_at
         try:
             answer = await backend.call(
                 conn, body, max(0.001, deadline - started)
@@ -312,9 +314,7 @@
         backend.update_from_answer(answer)
         # No probes are sent while writes are answered, so replica age can be
         # computed only from the positions in these answers.
-        self._state.sample_primary(
-            backend.info.group, backend.info.server, started
-        )
+        self._state.sample_primary(info.group, info.server, sent)
         backend.circuit.success(clocks.boottime(), clocks.boottime() - started)
         return answer
 
--- a/tests/node/test_regions.py
+++ b/tests/node/test_regions.py
@@ -118,9 +118,9 @@
                 process.session().execute(front.read())
             )
             await asyncio.sleep(0.05)
-            sent_at = clocks.boottime()
+            sent = state.sent_request('g', 'p')
             assert await backend.probe()
-            state.sample_primary('g', 'p', sent_at)
+            state.sample_primary('g', 'p', sent)
             return await task
 
         assert asyncio.run(work()).failure is None
--- a/tests/node/test_writes.py
+++ b/tests/node/test_writes.py
@@ -133,6 +133,7 @@
 
         class LostBackend:
             circuit = circuits.Circuit()
+            info = model.TargetInfo('a', 'g', 'z', '', 'primary', 1, 0, 2, 30)
 
             def __init__(self, sent):
                 self.sent = sent
