Don't record an answer without a position as a sample

Cause: sample_position took the last position that the target had reported, which is that of an earlier answer if this one has none. The sample then said that commits acknowledged in between are at or below that position, so replicas without them could serve reads. The same held for probes.

The position now comes from the answer, or from that of the probe, itself.

--- a/packages/node/src/sassafrasridge_node/sessionpool.py
+++ b/packages/node/src/sassafrasridge_node/sessionpool.py
@@ -281,6 +281,8 @@
         self._session_dialer = dialer
         self.pool: AccountPool = AccountPool()  # type: ignore[assignment]
         self.position: model.Position | None = None
+        # Position in the answer to the last probe, if it had one.
+        self.probed_position: model.Position | None = None
         # Set if the limit of statements is learned.
         self.load: targetload.TargetLoad | None = None
         self.avoid_until = float('-inf')
@@ -693,6 +695,7 @@
             answered = False
         if conn is not None:
             if answered:
+                self.probed_position = conn.position
                 self.answered(conn.position)
                 self.circuit.success(self.success_at)
                 self.pool.give_back(conn)
--- a/packages/node/src/sassafrasridge_node/sessionstate.py
+++ b/packages/node/src/sassafrasridge_node/sessionstate.py
@@ -280,15 +280,18 @@
         if self.regions_in_use:
             backend = self.backends.get((group, server))
             if isinstance(backend, sessionpool.SessionBackend):
-                self.sample_position(backend, sent)
+                self.sample_position(backend, backend.probed_position, sent)
         else:
             super().sample_primary(group, server, sent)
 
     def sample_position(
-        self, backend: sessionpool.SessionBackend, sent: entry.SentRequest
+        self,
+        backend: sessionpool.SessionBackend,
+        position: model.Position | None,
+        sent: entry.SentRequest,
     ) -> None:
         """Record the log position of an answer if the primary sent it."""
-        info, position = backend.info, backend.position
+        info = backend.info
         if position is None or not self.bounds_commits(
             info.group, info.server, sent
         ):
--- a/packages/node/src/sassafrasridge_node/sessiontargets.py
+++ b/packages/node/src/sassafrasridge_node/sessiontargets.py
@@ -223,7 +223,7 @@
         if answer.result_code is ResultCode.DONE:
             self._state.primary_reached(backend)
             backend.circuit.success(now, now - sent.sent_at)
-            self._state.sample_position(backend, sent)
+            self._state.sample_position(backend, answer.position, sent)
         elif answer.result_code is ResultCode.FAILED:
             backend.circuit.failure(now)
         elif answer.result_code is ResultCode.BEHIND:
--- a/tests/node/test_readfloors.py
+++ b/tests/node/test_readfloors.py
@@ -118,3 +118,33 @@
 
         asyncio.run(work())
         assert not process.targets['s'].ran_at
+
+
+class TestAnswersWithoutPosition:
+    def test_an_answer_without_a_position_is_no_sample(self):
+        """Guards against a floor from before the answer's request was sent."""
+        process = EntryProcess(
+            configuration.PRIMARY, p=Position(1, 90), r=Position(1, 90)
+        )
+        process.run(front.read())
+        process.targets['p'].position = None
+        sent_at = clocks.boottime()
+        process.run(front.read())
+        assert process.state.timeline('g').floor(sent_at, 0.0) is None
+
+    def test_a_probe_without_a_position_is_no_sample(self):
+        """Guards against the same where only probes sample the primary."""
+        process = EntryProcess(configuration.BOUNDED_AGE, p=Position(1, 90))
+        state, backend = process.state, process.backend('p')
+        state.regions_in_use = True
+        process.run(front.read())
+        process.targets['p'].position = None
+        backend.success_at = float('-inf')
+        sent = state.sent_request('g', 'p')
+
+        async def probe():
+            assert await backend.probe()
+            state.sample_primary('g', 'p', sent)
+
+        asyncio.run(probe())
+        assert state.timeline('g').floor(sent.sent_at, 0.0) is None
