Stop using a primary that lacks what it reported before

Cause: a read that goes to the primary carried no position, so it ran there whatever the log was. A server may start again under its name, and nothing compared what it then reported with what it had reported before: it would have served reads without the commits of its former run, and entry processes would have acknowledged writes there. This is the class of the late answers: an answer is taken for one of the primary of the view because of the name of its server.

Reads and transactions at the primary now require the last position that it reported in the same view, so that the server itself refuses them. An answer or probe with a lower position than one that had arrived before its request was sent ends the use of the primary until the next view; the process reports no progress of it from then on, so control replaces it as one that has failed, by a replica that has every acknowledged commit.

--- a/packages/core/src/sassafrasridge_core/freshness.py
+++ b/packages/core/src/sassafrasridge_core/freshness.py
@@ -110,6 +110,18 @@
                 return level.samples[start].position
         return None
 
+    def newest(self) -> model.Position | None:
+        """Return the position of the last sample, None without one.
+
+        >>> timeline = PrimaryTimeline()
+        >>> timeline.newest()
+        >>> timeline.sample(10.0, term=1, index=5)
+        >>> timeline.newest()
+        Position(1, 5)
+        """
+        newest = self._newest
+        return None if newest.sent_at == -math.inf else newest.position
+
     def first_seen(self, position: model.Position) -> float | None:
         """Return when the primary is first known to have had a position.
 
--- a/packages/node/src/sassafrasridge_node/entry.py
+++ b/packages/node/src/sassafrasridge_node/entry.py
@@ -32,14 +32,21 @@
     """Hold when a request was sent to a target, and whether as the primary.
 
     ``primary_term`` is the term of the view in which the target was the
-    primary and this process held a lease, None otherwise.
+    primary and this process held a lease, None otherwise. ``known_position``
+    is the last one that the primary had reported in that view, if any.
     """
 
-    __slots__ = ('sent_at', 'primary_term')
+    __slots__ = ('sent_at', 'primary_term', 'known_position')
 
-    def __init__(self, sent_at: float, primary_term: int | None) -> None:
+    def __init__(
+        self,
+        sent_at: float,
+        primary_term: int | None,
+        known_position: model.Position | None = None,
+    ) -> None:
         self.sent_at = sent_at
         self.primary_term = primary_term
+        self.known_position = known_position
 
 
 class EntryState:
@@ -304,7 +311,9 @@
     def sent_request(self, group: str, server: str) -> SentRequest:
         """Return the record of a request that is sent to a target now."""
         return SentRequest(
-            clocks.boottime(), self._primary_term(group, server)
+            clocks.boottime(),
+            self._primary_term(group, server),
+            self.timeline(group).newest(),
         )
 
     def _primary_term(self, group: str, server: str) -> int | None:
--- a/packages/node/src/sassafrasridge_node/metrics.py
+++ b/packages/node/src/sassafrasridge_node/metrics.py
@@ -203,6 +203,10 @@
             'drained_transactions',
             'Transactions aborted because the zone of their target is drained',
         )
+        self.lost_logs = self.counter(
+            'lost_logs',
+            'Primaries found to lack log positions that they had reported',
+        )
         self.is_leader = self.gauge(
             'control_leader', 'Whether this member is the control leader'
         )
--- a/packages/node/src/sassafrasridge_node/sessionpool.py
+++ b/packages/node/src/sassafrasridge_node/sessionpool.py
@@ -4,6 +4,7 @@
 import asyncio
 import collections
 import functools
+import math
 import typing
 
 from sassafrasridge_core import errors
@@ -293,6 +294,8 @@
         self._reachable = True
         # First refused connection since the last answer, if it is later.
         self._refused_at = float('-inf')
+        # When the primary was found to lack positions that it had reported.
+        self.lost_log_at = math.inf
         self.status_due = False
         self.serving = True
         self._full_until = float('-inf')
@@ -377,13 +380,14 @@
         """Return the time at which the target was last known to work.
 
         A primary that answers reads but not writes can't reach its replicas,
-        so its oldest unanswered write counts.
+        so its oldest unanswered write counts. One that has lost its log does
+        not work either.
         """
         now = clocks.boottime()
         oldest_write_at = min(self._pending_writes.values(), default=now)
-        if now - oldest_write_at > WRITE_SILENT_AFTER_S:
-            return min(oldest_write_at, self.success_at)
-        return self.success_at
+        if now - oldest_write_at <= WRITE_SILENT_AFTER_S:
+            oldest_write_at = now
+        return min(oldest_write_at, self.success_at, self.lost_log_at)
 
     def avoid(self, seconds: float) -> None:
         """Prefer other targets for the given number of seconds."""
--- a/packages/node/src/sassafrasridge_node/sessionreads.py
+++ b/packages/node/src/sassafrasridge_node/sessionreads.py
@@ -70,7 +70,9 @@
                     self._log_retry(op.stmt, backend, floor, error)
                     continue
             is_primary = self._state.primary(op.access.group) is backend
-            required = None if is_primary else floor
+            required = floor
+            if is_primary:
+                required = self._state.reported_position(backend)
             commands = self._build_commands(conn, op, required)
             decision = self._service.read_log.sending(
                 op.stmt.id, backend, required, self.floor, is_primary
--- a/packages/node/src/sassafrasridge_node/sessionstate.py
+++ b/packages/node/src/sassafrasridge_node/sessionstate.py
@@ -1,6 +1,7 @@
 """State of an entry process that serves client sessions."""
 
 import collections.abc
+import math
 import typing
 
 from sassafrasridge_core import coldlimits
@@ -14,6 +15,7 @@
 from sassafrasridge_node import clocks
 from sassafrasridge_node import codec
 from sassafrasridge_node import entry
+from sassafrasridge_node import logs
 from sassafrasridge_node import loopdelay
 from sassafrasridge_node import sessionpool
 from sassafrasridge_node import targetload
@@ -187,7 +189,7 @@
     ) -> None:
         # Log positions of the former primary may refer to commits that were
         # discarded at the failover.
-        if view.primary != known.primary or view.changing:
+        if view.term != known.term or view.changing:
             self.timeline(view.group).forget()
             self._group_times(view.group).forget(targetload.COMMITTING)
         if view.changing or view.primary != known.primary:
@@ -199,8 +201,15 @@
         else:
             if view.primary != known.primary:
                 self.acknowledged.pop(view.group, None)
+            if view.term != known.term:
+                self._clear_lost_logs(view.group)
             self.primary_changes.end(clocks.boottime(), view.group)
 
+    def _clear_lost_logs(self, group: str) -> None:
+        for backend in self.members(group):
+            if isinstance(backend, sessionpool.SessionBackend):
+                backend.lost_log_at = math.inf
+
     def record_acknowledged(
         self, group: str, position: model.Position
     ) -> None:
@@ -249,6 +258,8 @@
         found = self.primary(group)
         if not isinstance(found, sessionpool.SessionBackend):
             return None
+        if found.lost_log_at != math.inf:
+            return None
         return found if found.pool.limit or found.drained else None
 
     def usable_primary(self, group: str) -> sessionpool.SessionBackend | None:
@@ -277,12 +288,12 @@
         Needed for sessions with regions: statements that may not run on the
         primary don't sample its position, and no replica could prove its age.
         """
+        backend = self.backends.get((group, server))
+        if not isinstance(backend, sessionpool.SessionBackend):
+            return
+        self.check_log(backend, backend.probed_position, sent)
         if self.regions_in_use:
-            backend = self.backends.get((group, server))
-            if isinstance(backend, sessionpool.SessionBackend):
-                self.sample_position(backend, backend.probed_position, sent)
-        else:
-            super().sample_primary(group, server, sent)
+            self.sample_position(backend, backend.probed_position, sent)
 
     def sample_position(
         self,
@@ -299,3 +310,43 @@
         self.timeline(info.group).sample(
             sent.sent_at, position.term, position.index
         )
+
+    def reported_position(
+        self, backend: sessionpool.SessionBackend
+    ) -> model.Position | None:
+        """Return the position that a read requires of the primary.
+
+        A primary that started again with less refuses the read.
+        """
+        return self.timeline(backend.info.group).newest()
+
+    def check_log(
+        self,
+        backend: sessionpool.SessionBackend,
+        position: model.Position | None,
+        sent: entry.SentRequest,
+    ) -> None:
+        """Stop using a primary that lacks what it reported before.
+
+        It has started again without its log, or with a part of it, under its
+        name. Control learns that the primary makes no progress any more, and
+        replaces it by a replica that has every acknowledged commit.
+        """
+        info, known = backend.info, sent.known_position
+        if position is None or known is None or position >= known:
+            return
+        if backend.lost_log_at != math.inf or not self.bounds_commits(
+            info.group, info.server, sent
+        ):
+            return
+        backend.lost_log_at = now = clocks.boottime()
+        self.primary_changes.suspect(now, info.group)
+        self.metrics.lost_logs.inc()
+        logs.log_event(
+            'primary_lost_log',
+            group=info.group,
+            server=info.server,
+            view_term=sent.primary_term,
+            position=model.position_text(position),
+            reported=model.position_text(known),
+        )
--- a/packages/node/src/sassafrasridge_node/sessiontargets.py
+++ b/packages/node/src/sassafrasridge_node/sessiontargets.py
@@ -217,6 +217,7 @@
         sent: entry.SentRequest,
     ) -> None:
         backend.answered(answer.position)
+        self._state.check_log(backend, answer.position, sent)
         now = clocks.boottime()
         if answer.result_code is ResultCode.NOT_PRIMARY:
             self._suspect_change(backend)
--- a/packages/node/src/sassafrasridge_node/sessiontransactions.py
+++ b/packages/node/src/sassafrasridge_node/sessiontransactions.py
@@ -135,7 +135,9 @@
             tx.term = self._view_term(access)
             conn = await self._acquire(backend, op, needs_primary=False)
         is_primary = self._state.primary(access.group) is backend
-        required = None if is_primary else floor
+        required = floor
+        if is_primary:
+            required = self._state.reported_position(backend)
         commands = self._build_setup(conn, None)
         commands.append(sessionpool.Begin(tx.read_only, required))
         decision = self._service.read_log.sending(
--- a/tests/node/test_readfloors.py
+++ b/tests/node/test_readfloors.py
@@ -30,7 +30,9 @@
         floors = [
             getattr(command, 'floor', None) for command in self.commands[-1]
         ]
-        if any(f is not None and self.position < f for f in floors):
+        if self.position is not None and any(
+            floor is not None and self.position < floor for floor in floors
+        ):
             return ResultCode.BEHIND
         self.ran_at.append(self.position)
         return super().next_result_code()
@@ -148,3 +150,91 @@
 
         asyncio.run(probe())
         assert state.timeline('g').floor(sent.sent_at, 0.0) is None
+
+
+class TestPrimaryWithoutLog:
+    """Pattern: a primary starts again under its name, without its log."""
+
+    def setup_method(self):
+        self.process = EntryProcess(
+            configuration.PRIMARY, p=Position(1, 100), r=Position(1, 100)
+        )
+        self.primary = self.process.targets['p']
+        self.process.run(front.read())
+        self.primary.ran_at.clear()
+
+    def restart(self):
+        self.primary.position = Position(1, 3)
+        for conn in list(self.process.backend('p').pool.connections):
+            conn.on_close = lambda: None
+            self.process.backend('p').pool.discard(conn)
+
+    def test_a_read_does_not_run_there(self):
+        """Guards against reads that miss all commits before the restart."""
+        self.restart()
+        (result,) = self.process.run(front.read())
+        assert result.failure is statements.StatementFailure.NO_PRIMARY
+        assert not self.primary.ran_at
+
+    def test_a_transaction_does_not_begin_there(self):
+        """Guards against the same in the reads of a transaction."""
+        self.restart()
+        begin = front.simple(statements.StatementKind.BEGIN)
+        _, result = self.process.run(begin, front.read())
+        assert result.failure is not None
+        assert not self.primary.ran_at
+
+    def test_a_write_there_is_not_acknowledged(self):
+        """Guards against commits that the next change of primary discards."""
+        self.restart()
+        (result,) = self.process.run(front.write())
+        assert result.failure is statements.StatementFailure.IN_DOUBT
+
+    def test_control_learns_that_it_does_not_work(self):
+        """Guards against a group without a primary for good."""
+        self.restart()
+        self.process.run(front.write())
+        backend = self.process.backend('p')
+        found_at = backend.lost_log_at
+        backend.answered(Position(1, 4))
+        assert backend.last_progress_at() == found_at
+
+    def test_a_probe_finds_it(self):
+        """Guards against waiting for a statement of each entry process."""
+        self.restart()
+        process, backend = self.process, self.process.backend('p')
+        backend.success_at = float('-inf')
+
+        async def probe():
+            sent = process.state.sent_request('g', 'p')
+            assert await backend.probe()
+            process.state.sample_primary('g', 'p', sent)
+
+        asyncio.run(probe())
+        assert process.state.usable_primary('g') is None
+
+    def test_the_next_view_uses_it_again(self):
+        """Guards against refusals after control has decided."""
+        self.restart()
+        self.process.run(front.read())
+        self.process.change_primary('p')
+        (result,) = self.process.run(front.read())
+        assert result.failure is None
+
+    def test_answers_in_another_order_are_no_loss(self, monkeypatch):
+        """Guards against giving up a primary that works."""
+        process, primary = self.process, self.primary
+
+        async def work():
+            held = HeldAnswer(monkeypatch, primary)
+            first = asyncio.ensure_future(
+                process.session().execute(front.read())
+            )
+            await held.arrived.wait()
+            primary.position = Position(1, 101)
+            await process.session().execute(front.read())
+            held.released.set()
+            return await first
+
+        assert asyncio.run(work()).failure is None
+        assert process.state.usable_primary('g') is not None
