--- a/packages/core/src/sassafrasridge_core/model.py
+++ b/packages/core/src/sassafrasridge_core/model.py
@@ -44,7 +44,7 @@
     >>> position_text(Position(2, 7)), position_text(None)
     ('2.7', None)
     """
-    return position and f'{position.term}.{position.index}'
+    return None if position is None else f'{position.term}.{position.index}'
 
 
 class Refusal:
