Pause replicas that leave, so that they confirm no more commits

Cause: a replica that leaves confirms commits until its end, and is then no longer among the targets that a proof compares.

The control leader now pauses a leaving replica once a replica that stays has the same commits, and resumes it if that one is lost.

--- a/packages/node/src/sassafrasridge_node/pausedreplicas.py
+++ b/packages/node/src/sassafrasridge_node/pausedreplicas.py
@@ -1,4 +1,8 @@
-"""Replicas that a change of primary left paused."""
+"""Replicas that are paused outside changes of primary.
+
+Those that a change left paused are resumed. Those that leave are paused, so
+that they confirm no commits which would leave with them.
+"""
 
 import asyncio
 import collections.abc
@@ -21,6 +25,10 @@
 
     An order to resume, or its answer, may be lost, and an earlier order to
     pause may arrive after it. A new control leader asks every replica once.
+
+    A replica that leaves is paused while another one follows the primary.
+    Commits that only the leaving one confirmed would be lost if the primary
+    failed after its end.
     """
 
     def __init__(
@@ -58,8 +66,11 @@
         replicas = [
             info
             for info in self._targets.targets()
-            if info.server not in self._receiving.get(info.group, ())
-            and self._is_replica(info)
+            if self._is_replica(info)
+            and (
+                info.leaving
+                or info.server not in self._receiving.get(info.group, ())
+            )
         ]
         replicas.sort(key=lambda info: self._asked_at.get(info.server, 0.0))
         await asyncio.gather(
@@ -76,12 +87,14 @@
         )
 
     async def _check(self, info: model.TargetInfo) -> None:
-        """Resume a replica that is still paused."""
+        """Resume a replica that is still paused; pause one that leaves."""
         self._asked_at[info.server] = clocks.boottime()
         status = await self._orders.status(info)
         if status is None or not self._is_replica(info):
             return
-        if status.held_term:
+        if info.leaving:
+            await self._check_leaving(info, status)
+        elif status.held_term:
             logs.log_event(
                 'replica_still_paused', group=info.group, server=info.server
             )
@@ -89,6 +102,47 @@
         else:
             self._note_receiving(info)
 
+    async def _check_leaving(
+        self, info: model.TargetInfo, status: grouporders.ServerStatus
+    ) -> None:
+        """Pause a replica that leaves while another one has its commits.
+
+        Without another one, commits need it until its end.
+        """
+        followers = [
+            other
+            for other in await self._request_others(info)
+            if not other.primary
+            and not other.held_term
+            and other.received >= status.received
+        ]
+        view = self._store.view(info.group)
+        if view is None or not self._is_replica(info):
+            return
+        if followers and not status.held_term:
+            logs.log_event(
+                'leaving_replica_paused', group=info.group, server=info.server
+            )
+            terms = [status.term, *(other.term for other in followers)]
+            await self._orders.pause(info, max(view.log_term, *terms) + 1)
+        elif status.held_term and not followers:
+            await self._resume(info)
+
+    async def _request_others(
+        self, info: model.TargetInfo
+    ) -> list[grouporders.ServerStatus]:
+        """Return the statuses of a group's other replicas that stay."""
+        statuses = await asyncio.gather(
+            *(
+                self._orders.status(other)
+                for other in self._targets.group(info.group).values()
+                if other.server != info.server
+                and not other.leaving
+                and self._is_replica(other)
+            )
+        )
+        return [status for status in statuses if status is not None]
+
     async def _resume(self, info: model.TargetInfo) -> None:
         status = await self._orders.resume(info)
         if status is not None and not status.held_term:
--- a/tests/node/test_failover.py
+++ b/tests/node/test_failover.py
@@ -817,6 +817,48 @@
         self.check(cluster)
 
 
+class TestLeavingReplica:
+    """Pattern: a replica leaves, and confirms commits until its end."""
+
+    @pytest.fixture
+    def cluster(self, servers):
+        cluster = Cluster(servers)
+        cluster.announce('c', servers['c'], 2, leaving=True)
+        return cluster
+
+    def check(self, cluster):
+        asyncio.run(cluster.reconciler.paused_replicas.check_all())
+        return cluster.orders.servers['c'].held_term
+
+    def test_it_is_paused_while_another_one_follows(self, cluster):
+        """Guards against commits that leave together with it."""
+        cluster.orders.servers['b'].received = Position(1, 9)
+        assert self.check(cluster) == 2
+        cluster.orders.sent_orders.clear()
+        assert self.check(cluster) == 2
+        assert not cluster.orders.sent_orders
+
+    def test_it_is_not_paused_before_the_other_one_has_its_commits(
+        self, cluster
+    ):
+        """Guards against writes that nobody confirms."""
+        assert self.check(cluster) == 0
+
+    def test_it_confirms_again_without_the_other_one(self, cluster):
+        """Guards against the same if the other one ends first."""
+        cluster.orders.servers['b'].received = Position(1, 9)
+        self.check(cluster)
+        cluster.orders.servers['b'].reachable = False
+        assert self.check(cluster) == 0
+
+    def test_a_change_of_primary_is_left_alone(self, cluster):
+        """Guards against orders that mix with those of a change."""
+        cluster.orders.servers['b'].received = Position(1, 9)
+        view = cluster.store.views['g']
+        cluster.store.views['g'] = view.replace(term=2, changing=True)
+        assert self.check(cluster) == 0
+
+
 class TestProofUntilEffect:
     """Pattern: a replica confirms commits between proof and promotion.
 
--- a/tests/node/test_promotion_fuzz.py
+++ b/tests/node/test_promotion_fuzz.py
@@ -369,3 +369,20 @@
         machine.change_leader(gap_s=1.0, lands=False)
         machine.advance(3.0)
         machine.no_commit_was_lost()
+
+    def test_a_replica_that_leaves_has_confirmed_the_last_commits(
+        self, machine
+    ):
+        """Guards against commits that only a replica that left has."""
+        leaving, other = 2, 1
+        machine.leave(after_s=4.8, index=leaving, seconds=5.0, start_s=9.0)
+        machine.cut_target(
+            after_s=0.0, index=other, peer='primary', seconds=9.0
+        )
+        machine.advance(0.15)
+        machine.cut_entries(
+            after_s=0.0, entries=set(ENTRIES), peer='control', seconds=9.0
+        )
+        machine.crash_primary(after_s=6.0, seconds=9.0)
+        assert machine.group.leading.name == 'b'
+        assert 'is lost' not in machine.history.text()
