Tell which incarnation of an entry process runs

With exclusive names, a renewal that was held up until after a change of leader and that came from a process that had ended retired the running process of the name: that one got no lease from this leader. Two more faults have the same cause. The shares and connections of the running process were given to others while it used them. And the delayed renewal alone ended the wait for leases of the earlier leader, although the running process hadn't renewed yet.

Cause: the leader took the incarnation that arrived last for the one that runs. Arrival tells nothing about when a message was sent.

Each reply now carries the leader's clock: its term and the number of incarnations it has heard. A renewal returns the clock of the last reply. The sender ran after that reply was sent. So it runs under this leader, and, as a name has one process at a time, every other incarnation of the name that had been heard before has ended. Only that retires an incarnation and frees its shares, only that makes a name count for the end of the wait, and only such a process reports unused rates. Leases of replaced processes count until they have run out, as before. Without proof, two incarnations hold shares like two processes, so nothing is held twice. Any number of delayed messages in any order is harmless.

Weighed: rising sequence numbers of the retired process (a frozen relay holds several renewals of an ended one); the time of the start as the incarnation (the clock of a VM may step); the incarnation in the replicated log (a commit per restart, and the order of commits is again one of arrival); a new incarnation for a process that is refused (it has no lease until then, and its shares are freed while it uses them).

Cost: 11 bytes each way before compression. A restart needs no commit and is served by its first renewal as before; what its predecessor held is freed by the second one, which a process that has held no shares sends as soon as it has a reply. Others return the clock at their next interval, so an election brings no extra renewals; the wait for earlier leases ends up to one interval (0.3 s) later than before, at its old bound at the latest. A process of an earlier release returns no clock: the leader then waits as it does without exclusive names.

Changed tests: test_replaced_incarnation_is_retired and test_complete_needs_every_registered_name took the order of arrival for the order of runs; they require the same now with the returned clock, and TestDelayedRenewals requires that arrival alone changes nothing. The fleet of test_startingfleet and the simulated entry processes return what the real ones do.

--- a/packages/node/src/sassafrasridge_node/control.py
+++ b/packages/node/src/sassafrasridge_node/control.py
@@ -527,7 +527,7 @@
             return relays.refusal(req, 'retired')
         if req.entry not in self.state.entries:
             await self._register_entry(req)
-            return relays.refusal(req, 'registering')
+            return relays.refusal(req, 'registering', current.clock())
         return current.renew(now, req, relayed)
 
     async def _register_entry(self, req: typing.Any) -> None:
--- a/packages/node/src/sassafrasridge_node/leadership.py
+++ b/packages/node/src/sassafrasridge_node/leadership.py
@@ -130,7 +130,7 @@
         self._order_connections = order_connections
         self._incarnations: incarnations.Incarnations | None = None
         if exclusive_names:
-            self._incarnations = incarnations.Incarnations()
+            self._incarnations = incarnations.Incarnations(term)
         self._all_holders_known = False
         self.term = term
         self.lease_table = leases.LeaseTable(times, now)
@@ -182,6 +182,7 @@
             reason='',
             leader_term=self.term,
             sequence=req.sequence,
+            leader_clock=self.clock(),
         )
         for obs in req.observations or []:
             self.detector.report(
@@ -274,16 +275,27 @@
             req.entry, req.incarnation
         )
 
+    def clock(self) -> int | None:
+        """Return the clock for the next reply, None if names aren't exclusive.
+
+        Processes return it with their next renewal.
+        """
+        return None if self._incarnations is None else self._incarnations.clock
+
     def _track_incarnation(self, now: float, req: typing.Any) -> None:
         known = self._incarnations
         if known is None:
             return
-        ended = known.renewed(req.entry, req.incarnation)
-        if ended is not None:
-            # A renewal that was held up may be from the one that ended, so
-            # the lease of the other counts until it has run out.
+        returned_clock = req.leader_clock
+        if returned_clock is None:
+            # The first renewal of a process, or one of an earlier release.
+            returned_clock = -1
+        for ended in known.renewed(req.entry, req.incarnation, returned_clock):
+            # Its lease still counts until it has run out.
             self._release_shares(now, req.entry, ended)
-        if self._all_holders_known:
+        if self._all_holders_known or not known.is_confirmed(
+            req.entry, req.incarnation
+        ):
             return
         known.report_unused(
             now, req.entry, req.incarnation, req.unused_s or 0.0
--- a/packages/node/src/sassafrasridge_node/relays.py
+++ b/packages/node/src/sassafrasridge_node/relays.py
@@ -17,10 +17,15 @@
 BATCH_TIMEOUT_S = 0.4
 
 
-def refusal(req: typing.Any, reason: str) -> typing.Any:
+def refusal(
+    req: typing.Any, reason: str, leader_clock: int | None = None
+) -> typing.Any:
     """Return a renewal reply that refuses the lease."""
     return rpc.idl.RenewReply(
-        granted=False, reason=reason, sequence=req.sequence
+        granted=False,
+        reason=reason,
+        sequence=req.sequence,
+        leader_clock=leader_clock,
     )
 
 
--- a/packages/node/src/sassafrasridge_node/renewal.py
+++ b/packages/node/src/sassafrasridge_node/renewal.py
@@ -5,6 +5,7 @@
 import math
 import typing
 
+from sassafrasridge_core import incarnations
 from sassafrasridge_core import memberchoice
 from sassafrasridge_core import promotion
 from sassafrasridge_node import clocks
@@ -57,6 +58,9 @@
         self._incarnation = incarnation
         self._address = rpc_address
         self._sequence = itertools.count(1)
+        # Clocks of the last reply and of the last request.
+        self._leader_clock: int | None = None
+        self._returned_clock: int | None = None
         self._wake = asyncio.Event()
         self._had_lease = False
         self._control_problem = ''
@@ -87,6 +91,8 @@
             await asyncio.sleep(URGENT_BATCH_DELAY_S)
 
     def _next_interval_s(self) -> float:
+        if self._is_first_reply() and not self._state.shares.ever_granted:
+            return 0.0
         if not self._state.lease_valid():
             return FAST_RENEW_INTERVAL_S
         now = clocks.boottime()
@@ -101,6 +107,19 @@
                 return min(FAST_RENEW_INTERVAL_S, self._regular_interval_s())
         return self._regular_interval_s()
 
+    def _is_first_reply(self) -> bool:
+        """Return whether a leader doesn't know yet that it was heard.
+
+        A leader that has just begun divides shares and connections once all
+        processes have returned its clock.
+        """
+        clock, returned = self._leader_clock, self._returned_clock
+        return clock is not None and (
+            returned is None
+            or incarnations.term_of_clock(returned)
+            != incarnations.term_of_clock(clock)
+        )
+
     def _regular_interval_s(self) -> float:
         return self._state.times.renew_interval_s
 
@@ -118,6 +137,8 @@
             reply = await client.call('renew', req, timeout_s=RENEW_TIMEOUT_S)
         except (rpc.RpcError, rpc.RemoteCallError):
             reply = None
+        if reply is not None and reply.leader_clock is not None:
+            self._leader_clock = reply.leader_clock
         if reply is None or not reply.granted:
             state.shares.apply_answer(
                 clocks.boottime(), req.sequence, False, ()
@@ -176,6 +197,7 @@
 
     def _build_request(self) -> typing.Any:
         state = self._state
+        self._returned_clock = self._leader_clock
         return rpc.idl.RenewRequest(
             entry=state.name,
             incarnation=self._incarnation,
@@ -190,6 +212,7 @@
             targets_revision=state.targets_revision,
             unused_s=self._unused_s(),
             acknowledged=codec.acknowledged_to_wire(state.acknowledged),
+            leader_clock=self._leader_clock,
         )
 
     def _unused_s(self) -> float:
--- a/packages/node/src/sassafrasridge_node/ridge.thrift
+++ b/packages/node/src/sassafrasridge_node/ridge.thrift
@@ -118,6 +118,7 @@
   12: i64 targets_revision, // revision of the list of targets it holds
   13: double unused_s,      // age of a process that has held no shares, else 0
   14: optional list<AcknowledgedCommit> acknowledged,
+  15: optional i64 leader_clock, // of the last reply that this process got
 }
 
 struct RenewReply {
@@ -139,6 +140,7 @@
   16: bool targets_complete,    // whether the list holds every live target
   17: list<string> members,     // thrift addresses of control, leader first
   18: string member_zone,       // zone of the member that answered
+  19: optional i64 leader_clock, // incarnations that the leader has heard
 }
 
 struct RenewBatch {
--- a/tests/core/test_incarnations.py
+++ b/tests/core/test_incarnations.py
@@ -13,18 +13,74 @@
     def test_replaced_incarnation_is_retired(self):
         """Guards against a delayed renewal that revives an ended lease."""
         tracker = incarnations.Incarnations()
-        tracker.renewed('a', 7)
-        assert tracker.renewed('a', 3) == 7
+        tracker.renewed('a', 7, -1)
+        tracker.renewed('a', 3, -1)
+        assert tracker.renewed('a', 3, tracker.clock) == [7]
         assert tracker.is_retired('a', 7)
         assert not tracker.is_retired('a', 3)
 
     def test_complete_needs_every_registered_name(self):
         tracker = incarnations.Incarnations()
-        tracker.renewed('a', 1)
+        tracker.renewed('a', 1, 0)
         assert not tracker.complete(['a', 'b'])
-        tracker.renewed('b', 1)
+        tracker.renewed('b', 1, 0)
         assert tracker.complete(['a', 'b'])
 
+    def test_a_clock_of_another_leader_counts_for_nothing(self):
+        """Guards against a message that was sent before the election."""
+        earlier, tracker = (incarnations.Incarnations(term) for term in (4, 5))
+        earlier.renewed('a', 1, -1)
+        earlier.renewed('a', 2, earlier.clock)
+        tracker.renewed('a', 1, -1)
+        assert tracker.renewed('a', 2, earlier.clock) == []
+        assert not tracker.complete(['a'])
+
+
+class TestDelayedRenewals:
+    """Pattern: renewals of an ended process arrive at any later time.
+
+    Two processes of a name ran one after the other: the first one got a reply
+    of this leader before it ended, and its last two renewals are held up.
+    """
+
+    def setup_method(self):
+        self.tracker = incarnations.Incarnations(5)
+        self.tracker.renewed('a', 1, -1)
+        self.held_up = self.tracker.clock
+
+    def test_they_never_retire_the_running_process(self):
+        """Guards against a running process that gets no lease."""
+        self.tracker.renewed('a', 2, -1)
+        clock = self.tracker.clock
+        for _ in range(2):
+            assert self.tracker.renewed('a', 1, self.held_up) == []
+        assert not self.tracker.is_retired('a', 2)
+        assert self.tracker.renewed('a', 2, clock) == [1]
+
+    def test_they_do_not_confirm_the_ended_process_again(self):
+        """Guards against counting the use of shares of an ended process."""
+        self.tracker.renewed('a', 2, -1)
+        self.tracker.renewed('a', 2, self.tracker.clock)
+        assert self.tracker.is_retired('a', 1)
+        assert self.tracker.is_confirmed('a', 2)
+
+    def test_an_unknown_one_is_retired_by_the_next_renewal(self):
+        """Guards against shares for an ended process that nobody takes back.
+
+        The one that is held up is of a process that this leader never heard.
+        """
+        self.tracker.renewed('a', 1, self.tracker.clock)
+        assert self.tracker.renewed('a', 0, -1) == []
+        assert self.tracker.renewed('a', 1, self.held_up) == []
+        assert self.tracker.renewed('a', 1, self.tracker.clock) == [0]
+
+    def test_a_bounded_number_is_remembered(self):
+        """Guards against memory that grows with every restart."""
+        for incarnation in range(2, 1000):
+            self.tracker.renewed('a', incarnation, -1)
+        ended = self.tracker.renewed('a', 999, self.tracker.clock)
+        assert len(ended) < incarnations.MAX_REMEMBERED
+
 
 class TestEarlyOpening:
     """Test ``open`` after all processes restarted and no share is held."""
--- a/tests/node/simulatedgroup.py
+++ b/tests/node/simulatedgroup.py
@@ -611,7 +611,15 @@
         if self.leader is not None:
             self.leader.directory.leave(server)
 
-    def renew(self, entry, sequence, revision, acknowledged, observations):
+    def renew(
+        self,
+        entry,
+        sequence,
+        revision,
+        acknowledged,
+        observations,
+        heard_leader,
+    ):
         """Grant a renewal; the reply takes the time of a message."""
         leader, now = self.leader, self.group.loop.time()
         if leader is None:
@@ -632,7 +640,8 @@
                     commit.reported_to.add(leader.name)
         for server, observation in observations(now).items():
             leader.detector.report(name, GROUP, server, observation)
-        leader.renewed.add(entry.name)
+        if heard_leader is leader:
+            leader.renewed.add(entry.name)
         if leader.renewed >= self.entry_names:
             leader.table.end_grace_period()
         self.group.loop.call_later(
@@ -641,6 +650,7 @@
             sequence,
             self.store.count,
             self.store.views[GROUP],
+            leader,
         )
 
     @staticmethod
@@ -678,6 +688,8 @@
         self.view = None
         self.acknowledged = None
         self.heard_at = {}
+        # Leader whose reply arrived last.
+        self.heard_leader = None
         self._renew(self.holder)
 
     def kill(self):
@@ -710,6 +722,7 @@
                 self.revision,
                 self.acknowledged,
                 self._observations,
+                self.heard_leader,
             )
 
     def _observations(self, now):
@@ -727,9 +740,10 @@
     def _refused_s(self, now, target):
         return 0.0 if target.running else now - target.stopped_at
 
-    def granted(self, sequence, revision, view):
+    def granted(self, sequence, revision, view, leader):
         if not self._reaches_control():
             return
+        self.heard_leader = leader
         if revision > self.revision:
             known, self.view = self.view, view
             self.revision = revision
--- a/tests/node/test_leadership.py
+++ b/tests/node/test_leadership.py
@@ -15,6 +15,8 @@
 
 TIMES = leases.LeaseTimes(0.3, 1.2, 4.0)
 COUNTERS = metrics.Metrics()
+# Connections of a target that control divides.
+BUDGET = 10
 
 
 def request(name, **fields):
@@ -110,6 +112,91 @@
         self.leader.renew(10.1, request('e1', incarnation=7, view_revision=5))
         assert not self.leader.lease_table.view_confirmed(10.2, 5)
 
+    def test_the_running_process_keeps_its_connections(self):
+        """Guards against connections that two processes use at once."""
+        held = self.limit('e1', 9)
+        assert held > 0
+        self.leader.renew(10.3, request('e1', incarnation=7))
+        assert held + self.limit('e2', 1) <= BUDGET
+
+    def test_the_running_process_retires_the_ended_one(self):
+        """Guards against shares for a process that has ended."""
+        clock = self.leader.renew(10.2, request('e1', incarnation=9))
+        returned = {'leader_clock': clock.leader_clock}
+        self.leader.renew(10.5, request('e1', incarnation=9, **returned))
+        assert self.leader.is_retired(request('e1', incarnation=7))
+
+    def limit(self, name, incarnation):
+        """Renew twice, as limits move; return the last one."""
+        version = connections = 0
+        for now in (10.2, 10.25):
+            obs = rpc.idl.Observation(
+                group='g',
+                server='s',
+                # Three of them are left for processes that restart.
+                connections=BUDGET + 3,
+                slots=5,
+                demand=20.0,
+                announcement_age_s=0.0,
+                success_age_s=0.0,
+                term=0,
+                position=0,
+                limit_version=version,
+                limit=connections,
+                serves=True,
+            )
+            reply = self.leader.renew(
+                now,
+                request(name, incarnation=incarnation, observations=[obs]),
+            )
+            (grant,) = reply.connections
+            version, connections = grant.version, grant.connections
+        return connections
+
+
+class TestCompleteHolders:
+    """Pattern: a new leader waits for the leases of its predecessor."""
+
+    def setup_method(self):
+        state = core_state.State()
+        command = {
+            'type': 'entry',
+            'action': 'register',
+            'entry': 'e1',
+            'zone': 'z1',
+            'address': 'e1:1',
+            'time': 1.0,
+        }
+        assert state.apply(1, orjson.dumps(command)).ok
+        self.leader = leadership.Leadership(
+            state, TIMES, 0.8, 3, 10.0, 'demand', COUNTERS, True
+        )
+
+    def knows_all(self, now):
+        return self.leader.lease_table.earlier_leases_expired(now)
+
+    def test_a_delayed_renewal_names_no_running_process(self):
+        """Guards against a promotion while an unknown lease runs."""
+        self.leader.renew(10.1, request('e1', incarnation=7))
+        self.leader.renew(10.1, request('e1', incarnation=7, sequence=2))
+        assert not self.knows_all(10.2)
+
+    def test_a_process_that_got_a_reply_runs(self):
+        """Guards against waiting for leases that nobody can hold."""
+        reply = self.leader.renew(10.1, request('e1'))
+        again = request('e1', leader_clock=reply.leader_clock)
+        self.leader.renew(10.15, again)
+        assert self.knows_all(10.2)
+
+    def test_a_reply_of_another_leader_does_not_count(self):
+        """Guards against a reply from before the election."""
+        earlier = leadership.Leadership(
+            core_state.State(), TIMES, 0.8, 2, 5.0, 'demand', COUNTERS, True
+        )
+        clock = earlier.renew(9.0, request('e1')).leader_clock
+        self.leader.renew(10.1, request('e1', leader_clock=clock))
+        assert not self.knows_all(10.2)
+
 
 class TestAcknowledgedCommits:
     def report(self, index):
--- a/tests/node/test_startingfleet.py
+++ b/tests/node/test_startingfleet.py
@@ -70,6 +70,8 @@
         )
         # Version and connections of the last grant, by process.
         self.grants = dict.fromkeys(self.names, (0, 0))
+        # Clocks of the last replies, by process.
+        self.clocks = {}
 
     def renew(self, now, name, serves=False, demand=0.0, draining=False):
         """Renew one lease; return the names that the reply lists."""
@@ -94,20 +96,27 @@
                 name,
                 draining=draining,
                 unused_s=0.3,
+                leader_clock=self.clocks.get(name),
                 observations=[obs] if serves else [],
             ),
         )
+        self.clocks[name] = reply.leader_clock
         for grant in reply.connections:
             self.grants[name] = grant.version, grant.connections
         return [record.entry for record in reply.entries]
 
     def start(self):
-        """Renew each lease once; return who believes to serve the group."""
+        """Renew each lease; return who believes to serve the group.
+
+        A process that starts renews again as soon as it has a reply.
+        """
         mistaken = []
         for number, name in enumerate(self.names):
             listed = self.renew(number * 1e-4, name)
             if name in placement.serving_set('g', listed):
                 mistaken.append(name)
+        for name in self.names:
+            self.renew(0.01, name)
         return mistaken
 
     def limits(self, names):
