Resume a leaving replica when the other one stops following

Cause: whether another replica follows the primary was judged by the position of the leaving one, which stands still once it is paused. If the other one was then cut off from the primary only, nobody confirmed commits until the leaving one ended. A leaving replica that was paused after it had answered, and then stayed, was never asked again.

The other replica must now have received by each check what the primary had at the one before, and a pause ends what is known of the replica. Found by a review. Both new tests of TestLeavingReplica failed before.

--- a/packages/node/src/sassafrasridge_node/pausedreplicas.py
+++ b/packages/node/src/sassafrasridge_node/pausedreplicas.py
@@ -42,12 +42,15 @@
         self._targets = targets
         # Replicas that answered since the last change, by group.
         self._receiving: dict[str, set[str]] = {}
+        # Positions of primaries when leaving replicas were last checked.
+        self._primary_positions: dict[str, model.Position] = {}
         # When a replica that hasn't answered was last asked.
         self._asked_at: dict[str, float] = {}
 
     def forget(self, group: str) -> None:
         """Forget the answers of a group, whose replicas are to be paused."""
         self._receiving.pop(group, None)
+        self._primary_positions.pop(group, None)
 
     async def resume(
         self, replicas: collections.abc.Iterable[model.TargetInfo]
@@ -107,38 +110,46 @@
     ) -> None:
         """Pause a replica that leaves while another one has its commits.
 
-        Without another one, commits need it until its end.
+        Without another one, commits need it until its end. The other one must
+        also have received what the primary had at the last check.
         """
+        statuses = await self._request_others(info)
+        least = self._primary_positions.get(info.group, status.received)
         followers = [
             other
-            for other in await self._request_others(info)
+            for other in statuses
             if not other.primary
             and not other.held_term
-            and other.received >= status.received
+            and other.received >= max(least, status.received)
         ]
+        for other in statuses:
+            if other.primary:
+                self._primary_positions[info.group] = other.received
         view = self._store.view(info.group)
         if view is None or not self._is_replica(info):
             return
         if followers and not status.held_term:
+            self._receiving.get(info.group, set()).discard(info.server)
             logs.log_event(
                 'leaving_replica_paused', group=info.group, server=info.server
             )
             terms = [status.term, *(other.term for other in followers)]
             await self._orders.pause(info, max(view.log_term, *terms) + 1)
         elif status.held_term and not followers:
+            logs.log_event(
+                'leaving_replica_resumed', group=info.group, server=info.server
+            )
             await self._resume(info)
 
     async def _request_others(
         self, info: model.TargetInfo
     ) -> list[grouporders.ServerStatus]:
-        """Return the statuses of a group's other replicas that stay."""
+        """Return the statuses of a group's other targets that stay."""
         statuses = await asyncio.gather(
             *(
                 self._orders.status(other)
                 for other in self._targets.group(info.group).values()
-                if other.server != info.server
-                and not other.leaving
-                and self._is_replica(other)
+                if other.server != info.server and not other.leaving
             )
         )
         return [status for status in statuses if status is not None]
--- a/tests/node/test_failover.py
+++ b/tests/node/test_failover.py
@@ -858,6 +858,25 @@
         cluster.store.views['g'] = view.replace(term=2, changing=True)
         assert self.check(cluster) == 0
 
+    def test_it_confirms_again_if_the_other_one_stops_following(self, cluster):
+        """Guards against the same if only the primary's link is cut."""
+        servers = cluster.orders.servers
+        servers['b'].received = Position(1, 9)
+        self.check(cluster)
+        servers['a'].received = Position(1, 12)
+        self.check(cluster)
+        assert self.check(cluster) == 0
+
+    def test_it_is_resumed_if_it_stays(self, cluster):
+        """Guards against a replica that stays paused for good."""
+        cluster.announce('c', cluster.orders.servers['c'], 3)
+        self.check(cluster)
+        cluster.announce('c', cluster.orders.servers['c'], 4, leaving=True)
+        cluster.orders.servers['b'].received = Position(1, 9)
+        assert self.check(cluster) == 2
+        cluster.announce('c', cluster.orders.servers['c'], 5)
+        assert self.check(cluster) == 0
+
 
 class TestProofUntilEffect:
     """Pattern: a replica confirms commits between proof and promotion.
