--- a/tests/core/test_directory.py
+++ b/tests/core/test_directory.py
@@ -91,3 +91,21 @@
             found.announce(now, announce(server, born, sequence, address))
         addresses = [info.address for info in found.targets()]
         assert len(addresses) == len(set(addresses))
+
+
+class TestLateDeparture:
+    def test_it_does_not_remove_the_next_incarnation(self):
+        """Guards against a replica that confirms commits and isn't listed.
+
+        The message that a server leaves arrives after it has started again
+        under its name.
+        """
+        found = directory.TargetDirectory(0.0)
+        info = model.TargetInfo(
+            'r', 'g', 'z', '10.0.0.1:1', 'replica', 0, 0, 5, 0
+        )
+        found.announce(1.0, directory.Announcement(info, 100, 7))
+        found.announce(2.0, directory.Announcement(info, 200, 1))
+        found.leave('r')
+        found.announce(3.0, directory.Announcement(info, 200, 2))
+        assert 'r' in found.group('g')
