Find a lost log in every process, and end the wait for a successor

- A process without statements of its own knew no position of the primary, so its probes reported one that had lost its log as working, and control had no majority to replace it.
Probes are samples in every process now.
- If no replica could replace it, nobody used it any more, also if it held every acknowledged commit.
It is used again after the time for which control waits for acknowledged commits.
Until then its positions are no samples.
- The least position of a commit was counted from a log that was lost.

The lines on reads after a change count from the change, not from the group's first read, and the pool of connections moves to a module of its own.

--- a/packages/node/src/sassafrasridge_node/entry.py
+++ b/packages/node/src/sassafrasridge_node/entry.py
@@ -322,7 +322,7 @@
             return None
         return view.term if self.lease_valid() else None
 
-    def bounds_commits(
+    def covers_commits(
         self, group: str, server: str, sent: SentRequest
     ) -> bool:
         """Return whether an answer covers commits acknowledged before.
@@ -341,7 +341,7 @@
     ) -> None:
         """Record a position of the primary, used to compute replica age."""
         backend = self.backends.get((group, server))
-        if backend is None or not self.bounds_commits(group, server, sent):
+        if backend is None or not self.covers_commits(group, server, sent):
             return
         if backend.log_term == sent.primary_term:
             self.timeline(group).sample(
--- a/packages/node/src/sassafrasridge_node/readlog.py
+++ b/packages/node/src/sassafrasridge_node/readlog.py
@@ -18,20 +18,11 @@
 MAX_LOGGED_READS = 20
 
 
-class _Change:
-    __slots__ = ('term', 'until', 'logged')
-
-    def __init__(self, term: int, until: float) -> None:
-        self.term = term
-        self.until = until
-        self.logged = 0
-
-
 class ReadDecision:
     """Hold what decided that a read was sent to a target.
 
-    ``floor`` is the position that the target's log must have, None if it only
-    has to be the primary. ``basis`` is one of ``metrics.READ_BASES``.
+    ``floor`` is the position that the target's log must have, None if a
+    primary has reported none yet. ``basis`` is one of ``metrics.READ_BASES``.
     """
 
     __slots__ = (
@@ -71,7 +62,8 @@
 
     def __init__(self, state: sessionstate.SessionEntryState) -> None:
         self._state = state
-        self._changes: dict[str, _Change] = {}
+        # Time of the last change, and reads logged since, by group.
+        self._logged: dict[str, tuple[float, int]] = {}
 
     def sending(
         self,
@@ -91,7 +83,7 @@
             basis = 'session' if floor == own_position else 'age'
         state.metrics.session_reads[basis].inc()
         now, view = clocks.boottime(), state.groups.get(group)
-        if view is None or not self._is_logged(now, view):
+        if view is None or not self._is_logged(now, group):
             return None
         seen = state.timeline(group).first_seen(floor) if floor else None
         return ReadDecision(
@@ -127,14 +119,15 @@
             answer_position=model.position_text(answer.position),
         )
 
-    def _is_logged(self, now: float, view: model.GroupView) -> bool:
+    def _is_logged(self, now: float, group: str) -> bool:
         """Return whether one more read of a group is logged."""
-        change = self._changes.get(view.group)
-        if change is None or view.term > change.term:
-            # The first view that a process learns follows no change.
-            until = now + LOGGED_AFTER_CHANGE_S if change else now
-            change = self._changes[view.group] = _Change(view.term, until)
-        if now >= change.until or change.logged >= MAX_LOGGED_READS:
+        changed_at = self._state.view_changed_at.get(group)
+        if changed_at is None or now > changed_at + LOGGED_AFTER_CHANGE_S:
+            return False
+        logged_at, count = self._logged.get(group, (changed_at, 0))
+        if logged_at != changed_at:
+            count = 0
+        if count >= MAX_LOGGED_READS:
             return False
-        change.logged += 1
+        self._logged[group] = changed_at, count + 1
         return True
--- a/packages/node/src/sassafrasridge_node/sessionpool.py
+++ b/packages/node/src/sassafrasridge_node/sessionpool.py
@@ -2,17 +2,18 @@
 
 import abc
 import asyncio
-import collections
 import functools
 import math
 import typing
 
+from sassafrasridge_core import directory
 from sassafrasridge_core import errors
 from sassafrasridge_core import model
 from sassafrasridge_core import scheduling
 from sassafrasridge_core import slots
 from sassafrasridge_core import statements
 from sassafrasridge_core import targetcapacity
+from sassafrasridge_node import accountpool
 from sassafrasridge_node import backends
 from sassafrasridge_node import clocks
 from sassafrasridge_node import coldtargets
@@ -67,9 +68,6 @@
 # used again.
 ACCOUNT_ACTIVE_WINDOW_S = 5.0
 
-# Targets close connections that are idle for one minute.
-MAX_IDLE_S = 45.0
-
 STATEMENT_STALL_S = sessionturns.STATEMENT_STALL_S
 
 # Round-trip time assumed before the first connection to a target.
@@ -175,97 +173,6 @@
         self.result_code = result_code
 
 
-class AccountPool:
-    """Hold the connections of all accounts, within one common limit."""
-
-    def __init__(self) -> None:
-        self.limit = 0
-        self.opening = 0
-        self.connections: set[SessionConnection] = set()
-        # Connections of all accounts, least recently used first.
-        self._idle: collections.OrderedDict[SessionConnection, None] = (
-            collections.OrderedDict()
-        )
-
-    @property
-    def held(self) -> int:
-        """Return how many connections are open or being opened."""
-        return len(self.connections) + self.opening
-
-    @property
-    def idle(self) -> int:
-        """Return how many connections are idle."""
-        return len(self._idle)
-
-    def has_idle(self, account: str) -> bool:
-        """Return whether an account has an idle connection."""
-        return any(conn.account == account for conn in self._idle)
-
-    def take(
-        self, account: str, values: dict[str, str]
-    ) -> SessionConnection | None:
-        """Take an idle connection of an account, or return None.
-
-        Prefers one with the same session values, then the most recently
-        used one.
-        """
-        found = None
-        for conn in reversed(self._idle):
-            if conn.account == account and not conn.closed:
-                found = found or conn
-                if conn.values == values:
-                    found = conn
-                    break
-        if found is not None:
-            del self._idle[found]
-        return found
-
-    def take_newest_idle(self) -> SessionConnection | None:
-        """Take the most recently used idle connection of any account."""
-        if not self._idle:
-            return None
-        conn, _ = self._idle.popitem()
-        return conn
-
-    def evict(self) -> bool:
-        """Close the longest idle connection; return whether there was one."""
-        if not self._idle:
-            return False
-        conn, _ = self._idle.popitem(last=False)
-        self.discard(conn)
-        return True
-
-    def give_back(self, conn: SessionConnection) -> None:
-        """Take back a clean connection; close it if above the limit."""
-        if conn.closed or conn not in self.connections:
-            self.discard(conn)
-        elif self.held > self.limit:
-            self.discard(conn)
-        else:
-            conn.used_at = clocks.boottime()
-            self._idle[conn] = None
-
-    def discard(self, conn: SessionConnection) -> None:
-        """Close a connection and remove it from the pool."""
-        conn.close()
-        self._idle.pop(conn, None)
-        self.connections.discard(conn)
-
-    def shrink(self) -> None:
-        """Close idle connections above the limit or idle for too long."""
-        while self.held > self.limit and self.evict():
-            continue
-        oldest = clocks.boottime() - MAX_IDLE_S
-        while self._idle and next(iter(self._idle)).used_at < oldest:
-            self.evict()
-
-    def close(self) -> None:
-        """Close all connections, failing their calls; allow no new ones."""
-        self.limit = 0
-        for conn in list(self.connections):
-            self.discard(conn)
-
-
 class SessionBackend(
     coldtargets.RateLimitedBackend, sessionturns.QueuedBackend
 ):
@@ -280,7 +187,7 @@
     ) -> None:
         super().__init__(info, connections.Dialer(), counters, lease_s)
         self._session_dialer = dialer
-        self.pool: AccountPool = AccountPool()  # type: ignore[assignment]
+        self.pool = accountpool.AccountPool()  # type: ignore[assignment]
         self.position: model.Position | None = None
         # Position in the answer to the last probe, if it had one.
         self.probed_position: model.Position | None = None
@@ -295,7 +202,7 @@
         # First refused connection since the last answer, if it is later.
         self._refused_at = float('-inf')
         # When the primary was found to lack positions that it had reported.
-        self.lost_log_at = math.inf
+        self.lost_log_at = -math.inf
         self.status_due = False
         self.serving = True
         self._full_until = float('-inf')
@@ -387,7 +294,18 @@
         oldest_write_at = min(self._pending_writes.values(), default=now)
         if now - oldest_write_at <= WRITE_SILENT_AFTER_S:
             oldest_write_at = now
-        return min(oldest_write_at, self.success_at, self.lost_log_at)
+        progress_at = min(oldest_write_at, self.success_at)
+        if self.has_lost_log(now):
+            progress_at = min(progress_at, self.lost_log_at)
+        return progress_at
+
+    def has_lost_log(self, now: float) -> bool:
+        """Return whether a primary lacks what it reported before.
+
+        It is used again if no replica can replace it within the time for
+        which control waits for acknowledged commits.
+        """
+        return now < self.lost_log_at + directory.EXPIRE_AFTER_S
 
     def avoid(self, seconds: float) -> None:
         """Prefer other targets for the given number of seconds."""
--- a/packages/node/src/sassafrasridge_node/sessionstate.py
+++ b/packages/node/src/sassafrasridge_node/sessionstate.py
@@ -40,6 +40,8 @@
     ) -> None:
         super().__init__(*args, **kwargs)
         self.primary_changes = primarywait.ChangeTracker()
+        # When the term of a group's view last changed.
+        self.view_changed_at: dict[str, float] = {}
         self.work_classes = workclasses.WorkClasses(self.config)
         self.learned_limits = learned_limits
         self.loop_delay = loopdelay.LoopDelay()
@@ -189,6 +191,9 @@
     ) -> None:
         # Log positions of the former primary may refer to commits that were
         # discarded at the failover.
+        if view.term != known.term:
+            self.view_changed_at[view.group] = clocks.boottime()
+        # The same primary may have been replaced in views missed here.
         if view.term != known.term or view.changing:
             self.timeline(view.group).forget()
             self._group_times(view.group).forget(targetload.COMMITTING)
@@ -208,7 +213,7 @@
     def _clear_lost_logs(self, group: str) -> None:
         for backend in self.members(group):
             if isinstance(backend, sessionpool.SessionBackend):
-                backend.lost_log_at = math.inf
+                backend.lost_log_at = -math.inf
 
     def record_acknowledged(
         self, group: str, position: model.Position
@@ -258,7 +263,7 @@
         found = self.primary(group)
         if not isinstance(found, sessionpool.SessionBackend):
             return None
-        if found.lost_log_at != math.inf:
+        if found.has_lost_log(clocks.boottime()):
             return None
         return found if found.pool.limit or found.drained else None
 
@@ -283,17 +288,16 @@
     def sample_primary(
         self, group: str, server: str, sent: entry.SentRequest
     ) -> None:
-        """Record the primary's log position that a probe reported.
+        """Check and record the log position that a probe reported.
 
-        Needed for sessions with regions: statements that may not run on the
-        primary don't sample its position, and no replica could prove its age.
+        A process whose statements don't go to the primary learns its position
+        from probes only.
         """
         backend = self.backends.get((group, server))
         if not isinstance(backend, sessionpool.SessionBackend):
             return
         self.check_log(backend, backend.probed_position, sent)
-        if self.regions_in_use:
-            self.sample_position(backend, backend.probed_position, sent)
+        self.sample_position(backend, backend.probed_position, sent)
 
     def sample_position(
         self,
@@ -303,7 +307,9 @@
     ) -> None:
         """Record the log position of an answer if the primary sent it."""
         info = backend.info
-        if position is None or not self.bounds_commits(
+        if backend.has_lost_log(clocks.boottime()):
+            return
+        if position is None or not self.covers_commits(
             info.group, info.server, sent
         ):
             return
@@ -332,14 +338,16 @@
         name. Control learns that the primary makes no progress any more, and
         replaces it by a replica that has every acknowledged commit.
         """
-        info, known = backend.info, sent.known_position
+        info, known, now = backend.info, sent.known_position, clocks.boottime()
         if position is None or known is None or position >= known:
             return
-        if backend.lost_log_at != math.inf or not self.bounds_commits(
+        if backend.has_lost_log(now) or not self.covers_commits(
             info.group, info.server, sent
         ):
             return
-        backend.lost_log_at = now = clocks.boottime()
+        backend.lost_log_at = now
+        # Later positions count from the shorter log.
+        self.timeline(info.group).forget()
         self.primary_changes.suspect(now, info.group)
         self.metrics.lost_logs.inc()
         logs.log_event(
--- a/packages/node/src/sassafrasridge_node/sessiontargets.py
+++ b/packages/node/src/sassafrasridge_node/sessiontargets.py
@@ -250,6 +250,9 @@
     """
     if before is None or after is None or before.term != after.term:
         return None
+    if after < before:
+        # The earlier position is of a log that the target has lost.
+        return None
     return model.Position(before.term, before.index + 1)
 
 
--- a/tests/node/test_accountplacement.py
+++ b/tests/node/test_accountplacement.py
@@ -12,11 +12,11 @@
 import pytest
 
 from sassafrasridge_core import leases
+from sassafrasridge_node import accountpool
 from sassafrasridge_node import connections
 from sassafrasridge_node import entry
 from sassafrasridge_node import metrics
 from sassafrasridge_node import rpc
-from sassafrasridge_node import sessionpool
 from sassafrasridge_node import sessionrelay
 
 ACCOUNTS = [f'account{n}' for n in range(82)]
@@ -135,7 +135,7 @@
         ]
         pools = {}
         for member in members:
-            pools[member] = sessionpool.AccountPool()
+            pools[member] = accountpool.AccountPool()
             pools[member].limit = 7 * CONNECTIONS // len(members)
         weights = [1 / (n + 4) for n in range(len(ACCOUNTS))]
         opened = 0
--- a/tests/node/test_readfloors.py
+++ b/tests/node/test_readfloors.py
@@ -3,9 +3,11 @@
 import asyncio
 
 from sassafrasridge_core import configuration
+from sassafrasridge_core import directory
 from sassafrasridge_core import model
 from sassafrasridge_core import statements
 from sassafrasridge_node import clocks
+from sassafrasridge_node import sessiontargets
 from tests.node import test_sessionfront as front
 
 Position = model.Position
@@ -238,3 +240,49 @@
 
         assert asyncio.run(work()).failure is None
         assert process.state.usable_primary('g') is not None
+
+    async def probe(self):
+        backend = self.process.backend('p')
+        backend.success_at = float('-inf')
+        sent = self.process.state.sent_request('g', 'p')
+        assert await backend.probe()
+        self.process.state.sample_primary('g', 'p', sent)
+
+    def test_a_process_that_only_probes_finds_it(self):
+        """Guards against a majority that reports a primary without a log."""
+        process = self.process
+        process.state.timeline('g').forget()
+
+        async def work():
+            await self.probe()
+            self.restart()
+            await self.probe()
+
+        asyncio.run(work())
+        assert process.state.usable_primary('g') is None
+
+    def test_it_is_used_again_if_nobody_replaces_it(self):
+        """Guards against a group without a primary for good."""
+        self.restart()
+        self.process.run(front.read())
+        backend = self.process.backend('p')
+        backend.lost_log_at -= directory.EXPIRE_AFTER_S
+        assert self.process.state.usable_primary('g') is backend
+        assert backend.last_progress_at() == backend.success_at
+        (result,) = self.process.run(front.read())
+        assert result.failure is None
+
+    def test_no_commit_beyond_the_log_is_reported(self):
+        """Guards against a change that waits for a commit that nobody has."""
+        process = self.process
+        process.change_primary('p')
+        self.restart()
+        process.run(front.write())
+        acknowledged = process.state.acknowledged.get('g')
+        assert acknowledged is None or acknowledged <= Position(1, 3)
+
+    def test_the_least_commit_is_not_above_the_answer(self):
+        """Guards against the same in the computation itself."""
+        before, after = Position(1, 9), Position(1, 4)
+        least = sessiontargets._least_commit(before, after)
+        assert least is None or least <= after
--- a/tests/node/test_readlog.py
+++ b/tests/node/test_readlog.py
@@ -55,3 +55,10 @@
         change_primary(process, 3, 'r')
         process.run(*[front.read()] * (readlog.MAX_LOGGED_READS + 5))
         assert len(lines) == readlog.MAX_LOGGED_READS
+
+    def test_the_first_read_of_a_group_may_follow_a_change(self, lines):
+        """Guards against a change without lines in a group seldom read."""
+        process = front.EntryProcess(configuration.SESSION)
+        change_primary(process, 3, 's')
+        process.run(front.read())
+        assert len(lines) == 1
