Don't publish a leaving target that had to lead for its log

Cause: a replica that is leaving is promoted when it alone has the last commits, and the change ended with a view that names it. Only the next step saw that it is leaving. Entry processes had its address for 0.6 s, and their requests arrived later still. The same held for drained zones.

Such a target isn't published while another usable target answers. Its term is recorded, the replicas receive from it, and when one has its log it steps down for that one. Nobody acknowledges commits between the confirmed changing view and the next publication, so both promotions prove the same set, and callers wait once. The target's log counts as acknowledged meanwhile, which covers its end. The bound is 3 s, as long as statements wait for a change; then, or if no other target answers, it is published and kept for 2 s. It is also published while an order to promote it may still take effect, since another target must not lead until then.

The fuzz test's invariants about commits are unchanged. The search for successors moved out of failover as it was.

--- a/packages/node/src/sassafrasridge_node/failover.py
+++ b/packages/node/src/sassafrasridge_node/failover.py
@@ -21,6 +21,7 @@
 from sassafrasridge_node import pausedreplicas
 from sassafrasridge_node import pendingorders
 from sassafrasridge_node import promotionproof
+from sassafrasridge_node import successors
 
 # Time after a change during which the new primary is not considered failed.
 # Entry processes learn of it and probe it within two renewals and two probes.
@@ -28,12 +29,8 @@
 # Longest wait for a promotion to take effect: twice the longest duration that
 # the users' specification states.
 PROMOTION_TIMEOUT_S = 2.5
-# Interval of status requests while waiting for a promotion.
-STATUS_POLL_INTERVAL_S = 0.1
-# Time within which a target that works answers a status request: three round
-# trips between regions and the time to open a connection. The status of a
-# failed primary is not waited for longer.
-STATUS_WAIT_S = 0.25
+STATUS_POLL_INTERVAL_S = grouporders.STATUS_POLL_INTERVAL_S
+STATUS_WAIT_S = grouporders.STATUS_WAIT_S
 # Interval between two orders to step down to the same target.
 STEP_DOWN_REPEAT_S = 0.3
 # Longest wait for a replica to reach the position of a primary whose zone is
@@ -71,8 +68,9 @@
         self._changed_at: dict[str, float] = {}
         # Since when no replica has every acknowledged commit, by group.
         self._lacking_since: dict[str, float] = {}
-        # Groups whose primary waits for a successor outside drained zones.
-        self._without_successor: set[str] = set()
+        self._successors = successors.Successors(
+            orders, self.paused_replicas, self._is_drained, self._may_use
+        )
 
     async def run(self) -> None:
         """Start a step for each group that needs one, until cancelled."""
@@ -169,6 +167,9 @@
         # A working primary isn't replaced while an order may promote it again.
         movable = not self._pending.may_take_effect(now, view)
         if movable and info is not None and info.leaving:
+            lacking = self._successors.is_lacking(view.group)
+            if lacking and self._changed_recently(view, now):
+                return None
             return 'primary_leaving'
         if movable and info is not None and self._is_drained(now, info):
             found = any(self._may_use(target) for target in others)
@@ -215,25 +216,50 @@
         statuses = await self._request_statuses(
             targets, self._failed_primary(view)
         )
-        highest_term = max(
-            view.log_term, *(max(s.term, s.held_term) for s in statuses), 0
-        )
         acting_primary = promotionproof.find_acting_primary(view, statuses)
         if (
             acting_primary is not None
             and acting_primary.server != view.primary
         ):
-            # An earlier promotion took effect, but its answer was lost.
-            await self._finish_change(view, targets, acting_primary, started)
-            return True
+            # An earlier promotion took effect, but its answer was lost, or
+            # its target isn't published.
+            return await self._complete_change(
+                view, targets, acting_primary, started
+            )
         if acting_primary is not None and await self._keep_working_primary(
             view, targets, acting_primary
         ):
             return True
-        if acting_primary is not None and not await self._has_successor(
-            targets, acting_primary, statuses
+        if (
+            acting_primary is not None
+            and not await self._successors.may_step_down(
+                targets, acting_primary, statuses, SUCCESSOR_WAIT_S
+            )
         ):
-            return False
+            if not self._successors.is_lacking(view.group):
+                return False
+            await self._finish_change(view, targets, acting_primary, started)
+            return True
+        return await self._promote_proved(
+            view, targets, statuses, acting_primary, started
+        )
+
+    async def _promote_proved(
+        self,
+        view: model.GroupView,
+        targets: dict[str, model.TargetInfo],
+        statuses: list[grouporders.ServerStatus],
+        acting_primary: grouporders.ServerStatus | None,
+        started: float,
+    ) -> bool:
+        """Promote a replica with every acknowledged commit, if one is proved.
+
+        The acting primary, if any, steps down for it. Returns False if the
+        change must be tried again.
+        """
+        highest_term = max(
+            view.log_term, *(max(s.term, s.held_term) for s in statuses), 0
+        )
         replicas = await self._demote_former_primaries(
             targets, statuses, acting_primary, highest_term + 1
         )
@@ -313,8 +339,7 @@
             status = await self._promote(view, info, status)
         if info is not None and status and _leads(status, view):
             await self._check_acknowledged(targets, order)
-            await self._finish_change(view, targets, status, started)
-            return True
+            return await self._complete_change(view, targets, status, started)
         if not self._pending.may_take_effect(clocks.boottime(), view):
             await self._commit_view(
                 view.replace(promotion=None), 'promotion_withdrawn'
@@ -428,60 +453,6 @@
         )
         return True
 
-    async def _has_successor(
-        self,
-        targets: dict[str, model.TargetInfo],
-        primary: grouporders.ServerStatus,
-        statuses: list[grouporders.ServerStatus],
-    ) -> bool:
-        """Return whether a working primary may step down.
-
-        One in a drained zone must not do so before a replica outside drained
-        zones is as far as any other: once it has stepped down, replicas
-        receive no more, and only the furthest one can be promoted.
-        """
-        now, info = clocks.boottime(), targets[primary.server]
-        if not self._is_drained(now, info):
-            return True
-        answered = {s.server for s in statuses}
-        if all(
-            self._may_use(other) and other.server in answered
-            for other in targets.values()
-            if other.server != primary.server
-        ):
-            return True
-        deadline = now + SUCCESSOR_WAIT_S
-        while self._is_drained(clocks.boottime(), info):
-            statuses = await self._request_statuses(targets)
-            found = {s.server: s.received for s in statuses}
-            if any(
-                received >= found.get(primary.server, primary.received)
-                for server, received in found.items()
-                if self._may_use(targets[server])
-                and not targets[server].leaving
-            ):
-                self._without_successor.discard(info.group)
-                return True
-            if clocks.boottime() > deadline:
-                self._log_no_successor(info, sorted(set(targets) - set(found)))
-                return False
-            await asyncio.sleep(STATUS_POLL_INTERVAL_S)
-        # The order was withdrawn, so the primary may keep its role.
-        return False
-
-    def _log_no_successor(
-        self, primary: model.TargetInfo, silent: list[str]
-    ) -> None:
-        """Log once for each planned change that it waits for a replica."""
-        if primary.group not in self._without_successor:
-            self._without_successor.add(primary.group)
-            logs.log_event(
-                'no_successor_outside_drained_zones',
-                group=primary.group,
-                primary=primary.server,
-                silent=silent,
-            )
-
     async def _demote_former_primaries(
         self,
         targets: dict[str, model.TargetInfo],
@@ -598,6 +569,50 @@
         )
         return None
 
+    async def _complete_change(
+        self,
+        view: model.GroupView,
+        targets: dict[str, model.TargetInfo],
+        promoted: grouporders.ServerStatus,
+        started: float,
+    ) -> bool:
+        """Publish a promoted target, or another one that replaces it.
+
+        Until then the view is the one of the former primary, so that nobody
+        acknowledges a commit of the promoted target. Returns False if the
+        change must be tried again.
+        """
+        # Targets may have joined, or begun to leave, since they were paused.
+        targets = {**targets, **self._group_targets(view)}
+        now = clocks.boottime()
+        if view.log_term >= promoted.term and not self._targets.complete(now):
+            if promoted.server not in self._targets.group(view.group):
+                # An earlier leader withheld it; this one doesn't know why yet.
+                return False
+        if self._pending.may_take_effect(
+            now, view
+        ) or not await self._successors.withhold(targets, promoted):
+            await self._finish_change(view, targets, promoted, started)
+            return True
+        self._lease_table.report_acknowledged({view.group: promoted.received})
+        if view.promotion is not None or view.log_term < promoted.term:
+            view = view.replace(
+                log_term=max(view.log_term, promoted.term), promotion=None
+            )
+            await self._commit_view(view, 'primary_withheld')
+        statuses = await self._successors.catch_up(
+            targets, promoted, self._failed_primary(view)
+        )
+        acting_primary = promotionproof.find_acting_primary(view, statuses)
+        if acting_primary is None or acting_primary.server != promoted.server:
+            return False
+        if not self._successors.found(targets, acting_primary, statuses):
+            await self._finish_change(view, targets, acting_primary, started)
+            return True
+        return await self._promote_proved(
+            view, targets, statuses, acting_primary, started
+        )
+
     async def _finish_change(
         self,
         view: model.GroupView,
@@ -614,6 +629,7 @@
         )
         self._changed_at[view.group] = clocks.boottime()
         self._lacking_since.pop(view.group, None)
+        self._successors.published(targets[chosen.server])
         reason = 'kept' if chosen.server == view.primary else 'changed'
         await self._commit_view(new_view, reason, clocks.boottime() - started)
         if chosen.server != view.primary:
--- a/packages/node/src/sassafrasridge_node/grouporders.py
+++ b/packages/node/src/sassafrasridge_node/grouporders.py
@@ -10,6 +10,13 @@
 from sassafrasridge_node import clocks
 from sassafrasridge_node import logs
 
+# Interval of status requests while waiting for a target.
+STATUS_POLL_INTERVAL_S = 0.1
+# Time within which a target that works answers a status request: three round
+# trips between regions and the time to open a connection. The status of a
+# failed primary is not waited for longer.
+STATUS_WAIT_S = 0.25
+
 
 class ServerStatus:
     """Hold the status that a target reports.
--- a/tests/node/simulatedgroup.py
+++ b/tests/node/simulatedgroup.py
@@ -158,7 +158,8 @@
 class ReplicatedGroup:
     """Replicate commits from primaries to replicas, and change the primary.
 
-    ``leading`` is the target whose promotion took effect last.
+    ``leading`` is the target whose promotion took effect last, ``led_at`` the
+    time of that.
     """
 
     def __init__(self, loop, links, history, count):
@@ -175,6 +176,7 @@
             self.add(list(first), f'10.0.0.{index}:1', f'z{index % 3}')
         self.leading = self.targets['a']
         self.leading.primary = True
+        self.led_at = loop.time()
 
     def add(self, log, address, zone):
         born = next(self._births)
@@ -192,7 +194,7 @@
             return
         if target is self.leading and target.primary:
             return
-        self.leading = target
+        self.leading, self.led_at = target, self.loop.time()
         target.primary, target.held_term = True, 0
         target.term = max(t.term for t in self.targets.values()) + 1
         self.history.add(f'{target.name} leads term {target.term}')
@@ -367,6 +369,11 @@
         until, *fate = self._fates.get((kind, target), (0.0, 'ok', 0.0))
         return fate if self._loop.time() < until else ('ok', 0.0)
 
+    def any_active(self):
+        """Return whether anything happens to orders of any kind."""
+        now = self._loop.time()
+        return any(now < until for until, *_ in self._fates.values())
+
 
 class SimulatedOrders(grouporders.GroupOrders):
     """Deliver a leader's orders; each may be lost, late or unanswered.
@@ -506,6 +513,8 @@
         self.views = {}
         self.count = 0
         self.drained = frozenset()
+        # Called with each view that is committed.
+        self.on_commit = lambda view: None
 
 
 class LeaderStore(groups.GroupStore):
@@ -539,6 +548,7 @@
         self.store.views[view.group] = view
         self.store.count += 1
         self.on_commit(view)
+        self.store.on_commit(view)
 
 
 class Leader:
--- a/tests/node/test_promotion_fuzz.py
+++ b/tests/node/test_promotion_fuzz.py
@@ -11,6 +11,7 @@
 
 import asyncio
 import functools
+import math
 
 import hypothesis
 from hypothesis import stateful
@@ -53,7 +54,8 @@
     """Guards against promoting a target that lacks an acknowledged commit.
 
     Also guards against acknowledging commits of a primary after another
-    target was promoted.
+    target was promoted, and against publishing a leaving target as the primary
+    while another one could lead.
     """
 
     def __init__(self):
@@ -77,6 +79,11 @@
         self.fates = simulatedgroup.Fates(self.loop)
         self.control = simulatedgroup.Control(self.group, self.fates)
         self.group.on_role_change = self.announce
+        # Since when each target has been reached, and has been able to lead.
+        self.reached_since, self.able_since = {}, {}
+        self.leaving_since = {}
+        self.last_primary = self.group.leading.name
+        self.control.store.on_commit = self.check_published
         self.control.elect(self.loop.time() - 100.0)
         self.entries = [
             simulatedgroup.Entry(name, self.group, self.control)
@@ -133,8 +140,59 @@
             self.turn += 1
             self.entries[self.turn % len(self.entries)].write()
             self.loop.advance(min(WRITE_INTERVAL_S, end - self.loop.time()))
+            self.track_able()
         assert not self.loop_errors, self.loop_errors
 
+    def track_able(self):
+        """Note which targets could replace any other as the primary."""
+        now, drained = self.loop.time(), self.control.store.drained
+        for target in self.group.targets.values():
+            reached = self.is_reached(target)
+            able = reached and not target.leaving
+            for since, holds in (
+                (self.reached_since, reached),
+                (self.able_since, able and target.zone not in drained),
+            ):
+                if holds:
+                    since.setdefault(target.name, now)
+                else:
+                    since.pop(target.name, None)
+
+    def is_reached(self, target):
+        """Return whether control and all targets reach a target."""
+        leader = self.control.leader
+        if leader is None or self.fates.any_active():
+            return False
+        others = (t for t in self.group.running() if t is not target)
+        return (
+            target.running
+            and target.name in leader.directory.group(simulatedgroup.GROUP)
+            and not target.extra_lag_s
+            and self.links.up(target.name, 'control')
+            and all(self.links.up(target.name, t.name) for t in others)
+        )
+
+    def check_published(self, view):
+        """Check the primary of a view that is committed."""
+        leader, primary = self.control.leader, view.primary
+        if view.changing:
+            return
+        former, self.last_primary = self.last_primary, primary
+        info = leader and leader.directory.group(view.group).get(primary)
+        if view.promotion is not None or not info or not info.leaving:
+            return
+        led_at = self.group.led_at
+        if self.reached_since.get(primary, math.inf) > led_at:
+            return
+        # Its announcement may still be under way when it is published.
+        if self.leaving_since[primary] > led_at:
+            return
+        able = [n for n, since in self.able_since.items() if since <= led_at]
+        if able and primary != former:
+            self.history.violation(
+                f'{primary} is leaving and published, {able} could lead'
+            )
+
     @stateful.rule(seconds=PAUSES)
     def wait(self, seconds):
         self.advance(seconds)
@@ -175,6 +233,7 @@
         if target.running and not target.leaving:
             self.history.add(f'{target.name} leaves in {seconds}')
             target.leaving = True
+            self.leaving_since[target.name] = self.loop.time()
             self.announce(target)
             self.loop.call_later(seconds, self.end, target, start_s)
 
@@ -355,6 +414,13 @@
         machine.set_lag(after_s=4.0, index=b, lag_s=1.0)
         machine.no_commit_was_lost()
 
+    def test_a_leaving_target_that_alone_has_the_last_commits(self, machine):
+        """Guards against publishing it while another target could lead."""
+        machine.leave(after_s=1.0, index=1, seconds=9.0, start_s=0.7)
+        machine.cut_target(after_s=0.5, index=2, peer='primary', seconds=9.0)
+        machine.crash_primary(after_s=4.0, seconds=9.0)
+        machine.no_commit_was_lost()
+
     def test_a_report_to_a_leader_that_ended(self, machine):
         """Guards against losing the report together with that leader."""
         machine.join(after_s=0.5, silent_s=9.0)
