Keep a leaving primary until a replica has its log

A group had no primary until a silent target was back, or dropped after 15 s. Found in the tests of withheld targets with a lost control leader; no caller reported it.

Cause: a leaving primary stepped down at once, although one other target was silent and the others were behind. Then neither proof is possible: no replica has its position, and not all members are paused. It wasn't the primary any more, so replicas received nothing from it.

It now steps down if all other targets answer, which makes the second proof possible, or once a replica that may lead has its log. If none has within 1 s, the change ends with the same primary and begins again after 2 s. A change in which all targets answer sends the same requests as before.

--- a/packages/node/src/sassafrasridge_node/successors.py
+++ b/packages/node/src/sassafrasridge_node/successors.py
@@ -71,32 +71,35 @@
     ) -> bool:
         """Return whether a working primary may step down.
 
-        One in a drained zone must not do so before a replica outside drained
-        zones is as far as any other: once it has stepped down, replicas
-        receive no more, and only the furthest one can be promoted. Nor must a
-        leaving one that had no successor before.
+        Once it has stepped down, replicas receive no more, and only the
+        furthest of all can be promoted. So one in a drained zone must not do
+        so before a replica outside is as far as any other, nor one that is
+        leaving before a replica has its log, if another target is silent.
         """
         now, info = clocks.boottime(), targets[primary.server]
         if not self._needs_successor(now, info):
             return True
+        drained = self._is_drained(now, info)
         answered = {s.server for s in statuses}
-        if self._is_drained(now, info) and all(
-            self._may_use(other) and other.server in answered
+        if info.group not in self._lacking and all(
+            other.server in answered and (self._may_use(other) or not drained)
             for other in targets.values()
             if other.server != primary.server
         ):
             return True
         deadline = now + timeout_s
         while self._needs_successor(clocks.boottime(), info):
-            statuses = await self._request_statuses(targets)
             if self.found(targets, primary, statuses):
                 self._logged.discard(info.group)
                 return True
             if clocks.boottime() > deadline:
                 found = {s.server for s in statuses}
                 self._log_no_successor(info, sorted(set(targets) - found))
+                if info.leaving:
+                    self._lacking.add(info.group)
                 return False
             await asyncio.sleep(grouporders.STATUS_POLL_INTERVAL_S)
+            statuses = await self._request_statuses(targets)
         # The order was withdrawn, so the primary may keep its role.
         return False
 
@@ -188,8 +191,7 @@
         return self._may_use(info) and not info.leaving
 
     def _needs_successor(self, now: float, primary: model.TargetInfo) -> bool:
-        lacking = primary.leaving and primary.group in self._lacking
-        return lacking or self._is_drained(now, primary)
+        return primary.leaving or self._is_drained(now, primary)
 
     async def _request_statuses(
         self, targets: dict[str, model.TargetInfo], failed: str = ''
@@ -205,7 +207,9 @@
         if primary.group not in self._logged:
             self._logged.add(primary.group)
             logs.log_event(
-                'no_successor_outside_drained_zones',
+                'no_successor_for_leaving_primary'
+                if primary.leaving
+                else 'no_successor_outside_drained_zones',
                 group=primary.group,
                 primary=primary.server,
                 silent=silent,
--- a/tests/node/test_successors.py
+++ b/tests/node/test_successors.py
@@ -194,6 +194,39 @@
         scenario.check()
 
 
+class TestLeavingPrimary:
+    """Pattern: a primary leaves while one replica is dark and one is behind.
+
+    After it has stepped down, no replica provably has every commit.
+    """
+
+    def leave(self, scenario, behind_s):
+        scenario.machine.crash(after_s=0.5, index=B, seconds=LONG_S)
+        scenario.machine.cut_target(
+            after_s=0.5, index=C, peer='primary', seconds=behind_s
+        )
+        scenario.leave(index=A)
+
+    def test_it_leads_until_a_replica_has_caught_up(self, scenario):
+        """Guards against a group without a primary until the other is back.
+
+        The replica is behind for longer than statements wait.
+        """
+        self.leave(scenario, behind_s=7.0)
+        scenario.advance(5.0)
+        assert scenario.target('a').primary, scenario.history()
+        scenario.advance(6.0)
+        assert scenario.published[-1:] == ['c'], scenario.history()
+        scenario.check()
+
+    def test_one_that_catches_up_soon_takes_over(self, scenario):
+        """Guards against keeping a leaving primary without need."""
+        self.leave(scenario, behind_s=0.9)
+        scenario.advance(4.0)
+        assert scenario.published[-1:] == ['c'], scenario.history()
+        scenario.check()
+
+
 class TestDrainedZone:
     """Pattern: only a replica of a drained zone has the last commits."""
 
