End a promotion order when its target is known to have ended

Cause: only time ended an order without an outcome. Orders to the target were answered with the name of another server, and nothing used that.

A promotion names its target, so it can't take effect once no process has that name. EndedTargets establishes this: another server answers on a connection that was opened for the question, or the target announced that it leaves and that it has left, and doesn't answer. Others may then be promoted if they are as far as the target was, since the successor may hold commits that only the target had. The former primary isn't kept, since the order may have taken effect before the target ended. Silence, a refused connection, an announcement of another server and a later start under the target's own name still wait.

The model of changes of primary gets targets that are replaced at their address with role and log, addresses that servers of another group use, announcements that arrive again, and late or lost connections. Its invariants are unchanged; a call to a name that no process will have again doesn't count as in flight.

--- a/packages/core/src/sassafrasridge_core/directory.py
+++ b/packages/core/src/sassafrasridge_core/directory.py
@@ -56,6 +56,7 @@
         '_started_at',
         '_entries',
         '_left_incarnations',
+        '_shut_down',
         '_expire_from',
         '_groups',
         '_groups_revision',
@@ -67,6 +68,8 @@
         self._entries: dict[str, _Entry] = {}
         # Start time of the last incarnation that left, by target.
         self._left_incarnations: dict[str, int] = {}
+        # Targets that had announced that they leave before they left.
+        self._shut_down: set[str] = set()
         # Earliest time at which a target can expire.
         self._expire_from = started_at + EXPIRE_AFTER_S
         # Targets by group, cached for ``_groups_revision``.
@@ -119,6 +122,9 @@
         entry = self._entries.pop(server, None)
         if entry is not None:
             self._left_incarnations[server] = entry.announcement.born
+            self._shut_down.discard(server)
+            if entry.announcement.info.leaving:
+                self._shut_down.add(server)
             self.revision += 1
 
     def has_left(self, server: str) -> bool:
@@ -127,6 +133,14 @@
             server not in self._entries
         )
 
+    def has_shut_down(self, server: str) -> bool:
+        """Return whether a target left after it announced that it would.
+
+        A late report of an earlier process under the same name reaches a
+        target that isn't leaving.
+        """
+        return server in self._shut_down and self.has_left(server)
+
     def expire(
         self,
         now: float,
--- a/packages/node/src/sassafrasridge_node/failover.py
+++ b/packages/node/src/sassafrasridge_node/failover.py
@@ -14,6 +14,7 @@
 from sassafrasridge_core import model
 from sassafrasridge_core import promotion
 from sassafrasridge_node import clocks
+from sassafrasridge_node import endedtargets
 from sassafrasridge_node import grouporders
 from sassafrasridge_node import groups
 from sassafrasridge_node import logs
@@ -29,8 +30,6 @@
 # Longest wait for a promotion to take effect: twice the longest duration that
 # the users' specification states.
 PROMOTION_TIMEOUT_S = 2.5
-STATUS_POLL_INTERVAL_S = grouporders.STATUS_POLL_INTERVAL_S
-STATUS_WAIT_S = grouporders.STATUS_WAIT_S
 # Interval between two orders to step down to the same target.
 STEP_DOWN_REPEAT_S = 0.3
 # Longest wait for a replica to reach the position of a primary whose zone is
@@ -64,7 +63,10 @@
         self.paused_replicas = pausedreplicas.PausedReplicas(
             orders, store, targets
         )
-        self._pending = pendingorders.PendingOrders(clocks.boottime())
+        self._ended = endedtargets.EndedTargets(orders, targets)
+        self._pending = pendingorders.PendingOrders(
+            clocks.boottime(), self._ended.has_ended
+        )
         self._changed_at: dict[str, float] = {}
         # Since when no replica has every acknowledged commit, by group.
         self._lacking_since: dict[str, float] = {}
@@ -211,11 +213,14 @@
         # effect, even if a replica is no longer paused by then.
         await self._wait_until_confirmed(self._store.revision())
         targets = self._group_targets(view)
-        if view.promotion and view.promotion.view_term == view.term:
+        ordered = pendingorders.is_ordered(view)
+        if ordered and not self._pending.target_ended(started, view):
             return await self._continue_promotion(view, targets, started)
         statuses = await self._request_statuses(
             targets, self._failed_primary(view)
         )
+        if self._pending.is_recent(clocks.boottime(), view):
+            await self._ended.check(view, {s.server for s in statuses})
         acting_primary = promotionproof.find_acting_primary(view, statuses)
         if (
             acting_primary is not None
@@ -280,7 +285,13 @@
             self._lacking_since.setdefault(view.group, clocks.boottime())
         chosen = self._choose_candidate(
             targets,
-            [s for s in proof.candidates if self._may_promote(view, s)],
+            [
+                s
+                for s in proof.candidates
+                if self._pending.may_promote(
+                    clocks.boottime(), view, s.server, s.received
+                )
+            ],
         )
         logs.log_event(
             'promotion_considered',
@@ -307,17 +318,11 @@
         )
         await self._commit_view(ordered_view, 'promotion_ordered')
         self._pending.recorded(clocks.boottime(), view)
+        self._ended.forget(view.group)
         return await self._continue_promotion(
             ordered_view, targets, started, chosen
         )
 
-    def _may_promote(
-        self, view: model.GroupView, candidate: grouporders.ServerStatus
-    ) -> bool:
-        """Return whether no earlier order may promote another target."""
-        ordered = self._pending.remaining(clocks.boottime(), view)
-        return ordered is None or ordered.server == candidate.server
-
     async def _continue_promotion(
         self,
         view: model.GroupView,
@@ -335,16 +340,22 @@
         order, info = view.promotion, targets.get(view.promotion.server)
         if info is not None and status is None:
             status = await self._orders.status(info)
-        if info is not None and status and not _leads(status, view):
+        if (
+            info is not None
+            and status
+            and not promotionproof.leads(status, view)
+        ):
             status = await self._promote(view, info, status)
-        if info is not None and status and _leads(status, view):
+        if info is not None and status and promotionproof.leads(status, view):
             await self._check_acknowledged(targets, order)
             return await self._complete_change(view, targets, status, started)
-        if not self._pending.may_take_effect(clocks.boottime(), view):
+        if not self._pending.is_recent(clocks.boottime(), view):
             await self._commit_view(
                 view.replace(promotion=None), 'promotion_withdrawn'
             )
             await self._resume_replicas(targets, [])
+        elif status is None:
+            await self._ended.check(view)
         return False
 
     async def _check_acknowledged(
@@ -428,7 +439,7 @@
     ) -> list[grouporders.ServerStatus]:
         """Return the statuses that arrive in time."""
         return await grouporders.request_statuses(
-            self._orders, targets, STATUS_WAIT_S, failed
+            self._orders, targets, grouporders.STATUS_WAIT_S, failed
         )
 
     async def _keep_working_primary(
@@ -442,6 +453,11 @@
         info = targets.get(view.primary or '')
         if info is None or info.leaving:
             return False
+        if pendingorders.is_ordered(view) and self._pending.is_recent(
+            now, view
+        ):
+            # The target may have led before it ended, and its successor does.
+            return False
         if self._is_drained(now, info) and any(
             self._may_use(t) and not t.leaving for t in targets.values()
         ):
@@ -557,11 +573,13 @@
         deadline = clocks.boottime() + PROMOTION_TIMEOUT_S
         while clocks.boottime() < deadline:
             found = await self._orders.status(info)
-            if found is not None and _leads(found, view):
+            if found is not None and promotionproof.leads(found, view):
                 if answer is grouporders.PromotionAnswer.UNKNOWN:
                     self._pending.unanswered(clocks.boottime(), info.group)
                 return found
-            await asyncio.sleep(STATUS_POLL_INTERVAL_S)
+            if found is None and await self._ended.check(view):
+                break
+            await asyncio.sleep(grouporders.STATUS_POLL_INTERVAL_S)
         self._pending.unanswered(clocks.boottime(), info.group)
         self._metrics.unknown_promotions.inc()
         logs.log_event(
@@ -675,11 +693,6 @@
         )
 
 
-def _leads(status: grouporders.ServerStatus, view: model.GroupView) -> bool:
-    """Return whether a target has taken over from the former primary."""
-    return status.primary and status.term > view.log_term
-
-
 def _addresses(
     targets: typing.Iterable[model.TargetInfo],
 ) -> dict[str, str]:
--- a/packages/node/src/sassafrasridge_node/grouporders.py
+++ b/packages/node/src/sassafrasridge_node/grouporders.py
@@ -50,6 +50,14 @@
     UNKNOWN = 'unknown'
 
 
+class Presence(enum.Enum):
+    """Enumerate who was found at a target's address."""
+
+    PRESENT = 'present'
+    REPLACED = 'replaced'
+    UNKNOWN = 'unknown'
+
+
 class GroupOrders(abc.ABC):
     """Interface to targets and to the service that promotes them.
 
@@ -60,6 +68,13 @@
     async def status(self, info: model.TargetInfo) -> ServerStatus | None:
         """Request the status of a target."""
 
+    @abc.abstractmethod
+    async def find_presence(self, info: model.TargetInfo) -> Presence:
+        """Find out whether a target still is at its address.
+
+        Opens a new connection: an earlier one may lead to an earlier process.
+        """
+
     @abc.abstractmethod
     async def pause(
         self, info: model.TargetInfo, term: int
@@ -149,6 +164,10 @@
         """Request the status of a target."""
         return await self._orders.status(info)
 
+    async def find_presence(self, info: model.TargetInfo) -> Presence:
+        """Find out whether a target still is at its address."""
+        return await self._orders.find_presence(info)
+
     async def pause(
         self, info: model.TargetInfo, term: int
     ) -> ServerStatus | None:
--- a/packages/node/src/sassafrasridge_node/promotionproof.py
+++ b/packages/node/src/sassafrasridge_node/promotionproof.py
@@ -92,3 +92,8 @@
     return next(
         (s for s in statuses if s.primary and s.term == newest_term), None
     )
+
+
+def leads(status: grouporders.ServerStatus, view: model.GroupView) -> bool:
+    """Return whether a target has taken over from the former primary."""
+    return status.primary and status.term > view.log_term
--- a/tests/core/test_directory.py
+++ b/tests/core/test_directory.py
@@ -43,6 +43,21 @@
         assert not found.announce(2.0, announce('a', 100, 2))
         assert found.announce(3.0, announce('a', 101, 1))
 
+    def test_only_a_leaving_target_shuts_down(self):
+        """Guards against late reports of an earlier process of the name."""
+        found = directory.TargetDirectory(0.0)
+        for name, leaving in (('a', True), ('b', False)):
+            address = f'10.0.0.1:{ord(name)}'
+            found.announce(1.0, announce(name, 100, 1, address, leaving))
+            found.leave(name)
+        assert [found.has_shut_down(name) for name in 'abc'] == [
+            True,
+            False,
+            False,
+        ]
+        found.announce(2.0, announce('a', 200, 1, '10.0.0.1:97'))
+        assert not found.has_shut_down('a')
+
     def test_only_published_changes_raise_the_revision(self):
         found = directory.TargetDirectory(0.0, 7)
         found.announce(1.0, announce('a', 100, 1))
--- a/tests/node/simulatedgroup.py
+++ b/tests/node/simulatedgroup.py
@@ -102,6 +102,8 @@
 class PromotionCall:
     """Represent a call that may still take effect.
 
+    It names a target, so it has no effect once no process will have that name.
+
     ``unlisted`` are the targets that its leader didn't know, and
     ``primary_silent`` tells whether the former primary didn't answer it.
     """
@@ -165,6 +167,8 @@
     def __init__(self, loop, links, history, count):
         self.loop, self.links, self.history = loop, links, history
         self.targets = {}
+        # Servers of another group, by address.
+        self.foreign = {}
         self.acknowledged = []
         self.calls_in_flight = []
         self.answer_delay_s = NETWORK_DELAY_S
@@ -184,6 +188,17 @@
         self.targets[target.name] = target
         return target
 
+    def server_at(self, address):
+        """Return the name of the server that accepts connections there."""
+        for target in self.running():
+            if target.address == address:
+                return target.name
+        return self.foreign.get(address)
+
+    def drop_call(self, call):
+        if call in self.calls_in_flight:
+            self.calls_in_flight.remove(call)
+
     def running(self):
         return [t for t in self.targets.values() if t.running]
 
@@ -326,19 +341,35 @@
         self.history.add(f'{target.name} restarts')
         self.touch()
 
-    def end(self, target):
-        """End a target that leaves; return its successor, which waits."""
+    def end(self, target, address=None, primary=False):
+        """End a target; return its successor, which waits.
+
+        The successor has its log, and its address if no other is given. No
+        other target starts under the name of the one that ended.
+        """
         del self.targets[target.name]
         target.running = False
         target.waiting.clear()
-        successor = self.add(target.log, target.address, target.zone)
+        for call in list(self.calls_in_flight):
+            if call.server == target.name:
+                self.calls_in_flight.remove(call)
+        successor = self.add(
+            target.log, address or target.address, target.zone
+        )
         successor.term = target.term
+        successor.primary = primary and target.primary
         successor.running = False
         if self.leading is target:
             self.leading = successor
         self.history.add(f'{target.name} ends, {successor.name} follows')
         return successor
 
+    def start_foreign(self, address):
+        """Start a server of another group at an address that is free."""
+        if self.server_at(address) is None:
+            self.foreign[address] = f'foreign{next(self._births)}'
+            self.history.add(f'{self.foreign[address]} starts at {address}')
+
     def join(self):
         """Start a new replica with the log of the primary."""
         number = next(self._births)
@@ -425,6 +456,19 @@
     async def status(self, info):
         return await self._order('status', info, lambda target: None)
 
+    async def find_presence(self, info):
+        """Open a connection that names a target."""
+        fate, delay_s = self.fates.get('connect', info.server)
+        name = self.group.server_at(info.address)
+        reachable = name is not None and self.group.links.up('control', name)
+        if not reachable or fate == 'lost':
+            await asyncio.sleep(NETWORK_DELAY_S)
+            return grouporders.Presence.UNKNOWN
+        await asyncio.sleep(delay_s or 2 * NETWORK_DELAY_S)
+        if name == info.server:
+            return grouporders.Presence.PRESENT
+        return grouporders.Presence.REPLACED
+
     async def pause(self, info, term):
         def handle(target):
             if not target.primary and term > target.term:
@@ -463,7 +507,7 @@
         call = self._new_call(info)
 
         def take_effect(target):
-            group.calls_in_flight.remove(call)
+            group.drop_call(call)
             group.lead(target, call)
 
         def arrive():
@@ -475,14 +519,15 @@
                     effect_s or USUAL_EFFECT_DELAY_S, take_effect, target
                 )
             else:
-                group.calls_in_flight.remove(call)
+                group.drop_call(call)
             if fate in ('ok', 'effect') and not fut.done():
                 fut.set_result(
                     answers.ACCEPTED if accepted else answers.REFUSED
                 )
 
-        if fate != 'lost':
+        if fate != 'lost' and info.server in group.targets:
             group.calls_in_flight.append(call)
+        if fate != 'lost':
             late_s = delay_s if fate == 'late' else 0.0
             loop.call_later(NETWORK_DELAY_S + late_s, arrive)
         try:
--- a/tests/node/test_failover.py
+++ b/tests/node/test_failover.py
@@ -67,6 +67,8 @@
         self.takes_effect = True
         # Targets whose status never arrives.
         self.hanging = set()
+        # Targets at whose addresses other servers answer.
+        self.replaced = set()
 
     def _status(self, name):
         server = self.servers[name]
@@ -85,6 +87,13 @@
             await asyncio.Event().wait()
         return self._status(info.server)
 
+    async def find_presence(self, info):
+        if info.server in self.replaced:
+            return grouporders.Presence.REPLACED
+        if self.servers[info.server].reachable:
+            return grouporders.Presence.PRESENT
+        return grouporders.Presence.UNKNOWN
+
     async def pause(self, info, term):
         self.sent_orders.append(('pause', info.server))
         if self.servers[info.server].reachable:
@@ -388,7 +397,7 @@
         cluster.fail('a')
         started = clocks.boottime()
         assert cluster.step().primary == 'c'
-        assert clocks.boottime() - started < failover.STATUS_WAIT_S
+        assert clocks.boottime() - started < grouporders.STATUS_WAIT_S
 
     def test_nothing_is_promoted_while_a_replica_is_silent_too(self, servers):
         """Guards against promoting a replica that lacks a commit."""
@@ -450,15 +459,11 @@
         assert not [o for o in cluster.orders.sent_orders if o[0] == 'promote']
 
 
-class TestUnknownOutcome:
-    """Pattern: the platform handles an order to promote late.
-
-    Clients write to the former primary, if the group goes back to it, until
-    the promotion takes effect. The promoted target lacks these commits.
-    """
+class UnansweredOrder:
+    """A cluster whose order to promote c has no effect and no answer."""
 
     @pytest.fixture
-    def cluster(self, servers, monkeypatch):
+    def unanswered(self, servers, monkeypatch):
         monkeypatch.setattr(failover, 'PROMOTION_TIMEOUT_S', 0.05)
         # Both replicas are as far; the first leader prefers c, its zone.
         servers['b'].received = Position(1, 9)
@@ -480,6 +485,18 @@
         orders = cluster.orders.sent_orders
         return {server for order, server in orders if order == 'promote'}
 
+
+class TestUnknownOutcome(UnansweredOrder):
+    """Pattern: the platform handles an order to promote late.
+
+    Clients write to the former primary, if the group goes back to it, until
+    the promotion takes effect. The promoted target lacks these commits.
+    """
+
+    @pytest.fixture
+    def cluster(self, unanswered):
+        return unanswered
+
     def test_the_former_primary_is_not_kept(self, cluster):
         """Guards against writes to it before the promotion takes effect."""
         self.return_former_primary(cluster)
@@ -618,6 +635,175 @@
         assert cluster.step().changing is False
 
 
+class TestEndedTarget(UnansweredOrder):
+    """Pattern: the target of an order ends before the order takes effect.
+
+    Its successor d has its address and its log.
+    """
+
+    @pytest.fixture
+    def cluster(self, unanswered):
+        cluster = unanswered
+        cluster.orders.takes_effect = True
+        cluster.orders.answer = grouporders.PromotionAnswer.ACCEPTED
+        cluster.orders.sent_orders.clear()
+        cluster.orders.servers['c'].reachable = False
+        return cluster
+
+    def start_successor(self, cluster, received=None, group='g'):
+        """Let d announce itself at the address of c."""
+        server = FakeServer(9)
+        server.received = received or server.received
+        cluster.orders.servers['d'] = server
+        cluster.orders.replaced.add('c')
+        info = model.TargetInfo(
+            'd', group, 'z', f'10.0.0.1:{ord("c")}', 'replica', 0, 0, 5, 0
+        )
+        cluster.directory.announce(
+            clocks.boottime(), directory.Announcement(info, 2, 1)
+        )
+
+    def test_its_successor_ends_the_order(self, cluster):
+        """Guards against a group without a primary for 15 s."""
+        self.start_successor(cluster)
+        cluster.step()
+        assert cluster.step().primary in ('b', 'd')
+        assert cluster.store.views['g'].promotion is None
+
+    def test_the_next_leader_learns_of_its_end(self, cluster):
+        """Guards against a wait that begins anew with each leader."""
+        cluster.start_leader('z')
+        self.start_successor(cluster)
+        cluster.step()
+        assert cluster.step().primary in ('b', 'd')
+
+    def test_the_wait_for_the_effect_ends_too(self, servers):
+        """Guards against 2.5 s without a primary for each such order."""
+        servers['b'].received = Position(1, 9)
+        cluster = Cluster(servers)
+        cluster.orders.takes_effect = False
+        servers['a'].reachable = False
+        cluster.fail('a')
+        promote = cluster.orders.promote
+
+        async def promote_and_end(info, token):
+            servers[info.server].reachable = False
+            cluster.orders.replaced.add(info.server)
+            return await promote(info, token)
+
+        cluster.orders.promote = promote_and_end
+        started = clocks.boottime()
+        assert cluster.step().changing
+        assert clocks.boottime() - started < 1.0
+
+    def test_a_target_that_left_ends_the_order(self, cluster):
+        """Guards against a wait for a target that has shut down."""
+        server = cluster.orders.servers['c']
+        cluster.announce('c', server, sequence=2, leaving=True)
+        cluster.directory.leave('c')
+        cluster.step()
+        assert cluster.step().primary == 'b'
+
+    def test_a_late_report_of_an_earlier_process_is_no_evidence(self, cluster):
+        """Guards against a report that c, which isn't leaving, has left."""
+        cluster.directory.leave('c')
+        cluster.step()
+        assert cluster.step().promotion.server == 'c'
+        assert not self.promoted(cluster)
+
+    def test_a_target_that_left_and_still_answers_is_waited_for(self, cluster):
+        """Guards against an order that takes effect before its exit."""
+        server = cluster.orders.servers['c']
+        cluster.announce('c', server, sequence=2, leaving=True)
+        cluster.directory.leave('c')
+        server.reachable, cluster.orders.hanging = True, {'c'}
+        presence = asyncio.run(
+            cluster.reconciler._ended.check(cluster.store.views['g'])
+        )
+        assert not presence
+
+    def test_silence_is_no_evidence(self, cluster):
+        """Guards against a promotion of b while c is only cut off."""
+        cluster.step()
+        assert cluster.step().promotion.server == 'c'
+        assert not self.promoted(cluster)
+
+    def test_a_start_under_its_name_is_no_evidence(self, cluster):
+        """Guards against the order, which the later process may execute."""
+        info = cluster.directory.group('g')['c']
+        cluster.directory.announce(
+            clocks.boottime(), directory.Announcement(info, 2, 1)
+        )
+        cluster.step()
+        assert cluster.step().promotion.server == 'c'
+        assert not self.promoted(cluster)
+
+    def test_an_announcement_alone_is_no_evidence(self, cluster):
+        """Guards against an ended server whose clock was ahead.
+
+        Its late announcement names the address that c has since.
+        """
+        self.start_successor(cluster)
+        cluster.orders.replaced.clear()
+        cluster.step()
+        assert cluster.step().promotion.server == 'c'
+        assert not self.promoted(cluster)
+
+    def test_a_later_announcement_of_it_ends_the_evidence(self, cluster):
+        """Guards against a target that runs again, at another address."""
+        cluster.orders.replaced.add('c')
+        cluster.step()
+        view = cluster.store.views['g']
+        assert cluster.reconciler._ended.has_ended(view)
+        info = cluster.directory.group('g')['c']
+        cluster.directory.announce(
+            clocks.boottime(), directory.Announcement(info, 2, 1)
+        )
+        assert not cluster.reconciler._ended.has_ended(view)
+
+    def test_a_successor_that_is_not_listed_yet_is_waited_for(self, cluster):
+        """Guards against the loss of commits that only its log has."""
+        cluster.orders.replaced.add('c')
+        cluster.orders.servers['b'].received = Position(1, 7)
+        for _ in range(3):
+            cluster.step()
+        assert not self.promoted(cluster)
+
+    def test_nobody_behind_the_target_is_promoted(self, cluster):
+        """Guards against the same if another group's server is there."""
+        cluster.orders.servers['b'].received = Position(1, 7)
+        self.start_successor(cluster, group='h')
+        for _ in range(3):
+            cluster.step()
+        assert not self.promoted(cluster)
+
+    def test_another_group_at_its_address_ends_the_order(self, cluster):
+        """Guards against a wait for a server that has been replaced."""
+        self.start_successor(cluster, group='h')
+        cluster.step()
+        assert cluster.step().primary == 'b'
+
+    def test_a_former_primary_that_works_steps_down(self, cluster):
+        """Guards against keeping it while the target's successor leads.
+
+        The promotion took effect just before the target ended.
+        """
+        self.return_former_primary(cluster)
+        self.start_successor(cluster)
+        cluster.step()
+        assert cluster.step().primary in ('b', 'd')
+        assert not cluster.orders.servers['a'].primary
+
+    def test_a_successor_that_leads_is_kept(self, cluster):
+        """Guards against another promotion if the order took effect."""
+        self.start_successor(cluster)
+        successor = cluster.orders.servers['d']
+        successor.primary, successor.term = True, 2
+        cluster.step()
+        assert cluster.step().primary == 'd'
+        assert not self.promoted(cluster)
+
+
 class TestBusyTarget:
     """Pattern: a target under load answers one status request with BUSY.
 
@@ -978,12 +1164,12 @@
     ):
         """Guards against a longer gap than the leases require."""
         promoted_s, _ = self.run_change(servers, begun_elsewhere, False)
-        assert promoted_s < failover.STATUS_WAIT_S
+        assert promoted_s < grouporders.STATUS_WAIT_S
 
     def test_nothing_is_waited_for_after_the_promotion(self, servers):
         """Guards against waiting for the leases twice."""
         _, committed_s = self.run_change(servers, False, True)
-        assert committed_s < failover.STATUS_WAIT_S
+        assert committed_s < grouporders.STATUS_WAIT_S
 
 
 class TestSilentPrimary:
--- a/tests/node/test_promotion_fuzz.py
+++ b/tests/node/test_promotion_fuzz.py
@@ -11,6 +11,7 @@
 
 import asyncio
 import functools
+import itertools
 import math
 
 import hypothesis
@@ -90,6 +91,9 @@
             for name in ENTRIES
         ]
         self.turn = 0
+        self.foreign_sequence = itertools.count(1)
+        # Delays after which announcements arrive once more.
+        self.late_announcements = ()
         self.announce_all()
         self.advance(0.4)
 
@@ -101,6 +105,16 @@
         )
         for target in self.group.running():
             self.announce(target)
+        for address, name in self.group.foreign.items():
+            self.announce_foreign(address, name)
+
+    def announce_foreign(self, address, name):
+        # Its number in the order of starts is part of its name.
+        born = int(name.removeprefix('foreign'))
+        info = model.TargetInfo(
+            name, 'h', 'z0', address, 'replica', 0, 0, 5, 0
+        )
+        self.control.announce(info, born, next(self.foreign_sequence))
 
     def announce(self, target):
         target.sequence += 1
@@ -126,6 +140,14 @@
             target.born,
             target.sequence,
         )
+        for delay_s in self.late_announcements:
+            self.loop.call_later(
+                delay_s,
+                self.control.announce,
+                info,
+                target.born,
+                target.sequence,
+            )
 
     # Rules.
 
@@ -245,6 +267,77 @@
             self.control.leave(target.name)
         self.loop.call_later(start_s, self.restart, successor)
 
+    @event(index=TARGETS, start_s=SECONDS)
+    def replace(self, index, start_s):
+        self.replace_by_successor(self.pick(index), start_s)
+
+    @event(start_s=SECONDS)
+    def replace_ordered(self, start_s):
+        order = self.control.store.views[simulatedgroup.GROUP].promotion
+        if order is not None and order.server in self.group.targets:
+            target = self.group.targets[order.server]
+            self.replace_by_successor(target, start_s)
+
+    def replace_by_successor(self, target, start_s):
+        """Crash a target that another one follows, with role and log."""
+        if target.running:
+            self.group.crash(target)
+            successor = self.group.end(target, primary=True)
+            self.loop.call_later(start_s, self.restart, successor)
+
+    @event(index=TARGETS, start_s=SECONDS, ordered=st.booleans())
+    def reuse_address(self, index, start_s, ordered):
+        """Replace a target by a server of another group.
+
+        Its successor starts at an address of its own, with its log.
+        """
+        target = self.pick(index)
+        order = self.control.store.views[simulatedgroup.GROUP].promotion
+        if ordered and order is not None:
+            target = self.group.targets.get(order.server, target)
+        if not target.running:
+            return
+        self.group.crash(target)
+        address = f'10.0.2.{target.born}:1'
+        successor = self.group.end(target, address=address)
+        self.loop.call_later(0.1, self.group.start_foreign, target.address)
+        self.loop.call_later(start_s, self.restart, successor)
+
+    @event(late=st.sets(st.sampled_from([0.5, 3.0, 8.0]), max_size=2))
+    def repeat_announcements(self, late):
+        """Let later announcements arrive again after these delays."""
+        self.history.add(f'announcements arrive again after {sorted(late)}')
+        self.late_announcements = tuple(sorted(late))
+
+    @event(
+        index=TARGETS,
+        seconds=SECONDS,
+        fate=st.sampled_from(['late', 'lost']),
+        delay_s=st.sampled_from([0.1, 0.4]),
+    )
+    def disturb_connections(self, index, seconds, fate, delay_s):
+        name = self.pick(index).name
+        self.history.add(f'connect {name}: {fate} {delay_s} for {seconds}')
+        self.fates.set('connect', name, seconds, fate, delay_s)
+
+    @event(
+        seconds=SECONDS,
+        delay_s=st.sampled_from([3.0, 6.0, 10.0]),
+        end_s=st.sampled_from([1.2, 1.6, 2.5]),
+        start_s=SECONDS,
+    )
+    def replace_ordered_while_platform_is_late(
+        self, seconds, delay_s, end_s, start_s
+    ):
+        self.history.add(f'platform: late {delay_s} for {seconds}')
+        self.fates.set('promote', '', seconds, 'late', delay_s)
+        self.crash_for(self.group.leading, seconds)
+        self.advance(end_s)
+        order = self.control.store.views[simulatedgroup.GROUP].promotion
+        if order is not None and order.server in self.group.targets:
+            target = self.group.targets[order.server]
+            self.replace_by_successor(target, start_s)
+
     @stateful.precondition(lambda self: len(self.group.targets) < 5)
     @event(silent_s=SECONDS)
     def join(self, silent_s):
@@ -452,3 +545,97 @@
         machine.crash_primary(after_s=6.0, seconds=9.0)
         assert machine.group.leading.name == 'b'
         assert 'is lost' not in machine.history.text()
+
+
+class TestEndedTargets:
+    """Sequences of events in which the target of an order ends."""
+
+    def order(self, machine, delay_s=None, crash_s=3.0):
+        """Crash the primary; return the target that is to follow it."""
+        if delay_s is not None:
+            machine.disturb_platform(
+                after_s=0.0, seconds=9.0, fate='late', delay_s=delay_s
+            )
+        machine.crash_for(machine.group.leading, crash_s)
+        return self.recorded_target(machine)
+
+    def recorded_target(self, machine):
+        """Return the target of the next order."""
+        views = machine.control.store.views
+        while views[simulatedgroup.GROUP].promotion is None:
+            machine.advance(0.02)
+        return machine.group.targets[
+            views[simulatedgroup.GROUP].promotion.server
+        ]
+
+    def time_without_primary(self, machine):
+        """Return the seconds until the group's view has a primary."""
+        started = machine.loop.time()
+        views = machine.control.store.views
+        while views[simulatedgroup.GROUP].changing:
+            machine.advance(0.02)
+            machine.no_commit_was_lost()
+            machine.orders_in_flight_are_recorded()
+        return machine.loop.time() - started
+
+    @pytest.mark.parametrize('leader_changes', [False, True])
+    def test_another_target_leads_within_seconds(
+        self, machine, leader_changes
+    ):
+        """Guards against 15 s without a primary, and 15 more for a leader."""
+        target = self.order(machine, delay_s=10.0, crash_s=30.0)
+        machine.advance(0.3)
+        machine.disturb_platform(
+            after_s=0.0, seconds=0.0, fate='late', delay_s=0.0
+        )
+        machine.replace_by_successor(target, start_s=0.6)
+        if leader_changes:
+            machine.advance(3.0)
+            machine.change_leader(gap_s=1.0, lands=False)
+        assert self.time_without_primary(machine) < 6.0
+        machine.advance(12.0)
+        machine.no_commit_was_lost()
+
+    def test_an_order_that_took_effect_before_the_end(self, machine):
+        """Guards against keeping the former primary beside the successor."""
+        machine.cut_entries(
+            after_s=0.0, entries=set(ENTRIES), peer='primary', seconds=2.5
+        )
+        for peer in ('control', 'b', 'c'):
+            machine.cut_target(after_s=0.0, index=0, peer=peer, seconds=2.5)
+        target = self.recorded_target(machine)
+        machine.links.cut(target.name, 'control', 9.0)
+        while machine.group.leading is not target:
+            machine.advance(0.02)
+        machine.replace_by_successor(target, start_s=0.2)
+        successor = machine.group.leading
+        machine.links.cut(successor.name, 'announcements', 6.0)
+        for other in ('a', 'c'):
+            machine.links.cut(successor.name, other, 6.0)
+        self.time_without_primary(machine)
+        machine.advance(9.0)
+        machine.no_commit_was_lost()
+
+    def test_commits_that_only_the_successor_has(self, machine):
+        """Guards against a target that is behind the one that has ended.
+
+        Nobody was told of the commits, and the successor isn't at the address.
+        """
+        machine.cut_entries(
+            after_s=0.0, entries=set(ENTRIES), peer='control', seconds=2.0
+        )
+        machine.set_lag(after_s=0.4, index=2, lag_s=1.0)
+        for index in range(len(ENTRIES)):
+            machine.kill_entry(after_s=0.0, index=index, seconds=2.0)
+        target = self.order(machine, delay_s=10.0, crash_s=30.0)
+        machine.advance(0.3)
+        machine.disturb_platform(
+            after_s=0.0, seconds=0.0, fate='late', delay_s=0.0
+        )
+        machine.group.crash(target)
+        successor = machine.group.end(target, address='10.0.2.9:1')
+        machine.group.start_foreign(target.address)
+        machine.loop.call_later(4.0, machine.restart, successor)
+        self.time_without_primary(machine)
+        assert machine.group.leading is successor
+        machine.no_commit_was_lost()
