Don't keep a primary that lacks an acknowledged commit

Cause: a change that finds the view's primary acting in the newest term kept it without a look at its position. One that started again under its name without its log got its role back if the processes that found the loss were no majority, or if a new control leader had no reports of its failure yet. Reads would then have missed acknowledged commits, and the next promotion would have lost them. Found by a review.

The commit that entry processes reported as acknowledged is now compared there as it is in the proof of a promotion. The test failed before: a was kept at 1.3 although 1.9 had been acknowledged.

--- a/packages/node/src/sassafrasridge_node/failover.py
+++ b/packages/node/src/sassafrasridge_node/failover.py
@@ -453,6 +453,10 @@
         info = targets.get(view.primary or '')
         if info is None or info.leaving:
             return False
+        acknowledged = self._acknowledged_commit(view.group)
+        if acknowledged and acting_primary.received < acknowledged:
+            # It has started again with a part of its log.
+            return False
         if pendingorders.is_ordered(view) and self._pending.is_recent(
             now, view
         ):
--- a/tests/node/test_failover.py
+++ b/tests/node/test_failover.py
@@ -379,6 +379,29 @@
         assert (len(view.members), view.log_term) == (4, 2)
 
 
+class TestPrimaryWithoutLog:
+    """Pattern: a primary starts again under its name without its log."""
+
+    def test_it_is_not_kept(self, servers):
+        """Guards against a change that gives it its role back.
+
+        The next leader has no reports of its failure yet, or the processes
+        that found the loss are no majority.
+        """
+        cluster = Cluster(servers)
+        servers['a'].received, servers['b'].received = (
+            Position(1, 3),
+            Position(1, 9),
+        )
+        now = clocks.boottime()
+        cluster.table.grant(now, 'e1#1', 'e1').view_revision = 99
+        cluster.table.report_acknowledged({'g': Position(1, 9)})
+        view = cluster.store.views['g']
+        cluster.store.views['g'] = view.replace(term=2, changing=True)
+        view = cluster.step()
+        assert (view.changing, view.primary) == (False, 'b')
+
+
 class TestFailoverReconciler:
     def test_a_failed_primary_is_replaced_by_the_latest_replica(self, servers):
         cluster = Cluster(servers)
