--- a/packages/core/src/sassafrasridge_core/directory.py
+++ b/packages/core/src/sassafrasridge_core/directory.py
@@ -207,6 +207,13 @@
         return dict(self._groups.get(group, {}))
 
 
+def addresses(
+    targets: collections.abc.Iterable[model.TargetInfo],
+) -> dict[str, str]:
+    """Return the addresses of targets by server name."""
+    return {info.server: info.address for info in targets}
+
+
 def _published_fields(info: model.TargetInfo) -> tuple[object, ...]:
     return (
         info.group,
--- a/packages/node/src/sassafrasridge_node/failover.py
+++ b/packages/node/src/sassafrasridge_node/failover.py
@@ -7,7 +7,6 @@
 """
 
 import asyncio
-import typing
 
 from sassafrasridge_core import directory
 from sassafrasridge_core import leases
@@ -32,9 +31,6 @@
 PROMOTION_TIMEOUT_S = 2.5
 # Interval between two orders to step down to the same target.
 STEP_DOWN_REPEAT_S = 0.3
-# Longest wait for a replica to reach the position of a primary whose zone is
-# drained, before the next attempt. The usual replication delay is below 0.1 s.
-SUCCESSOR_WAIT_S = 1.0
 # Delay before the next attempt after a change that could not be finished.
 RETRY_DELAY_S = 0.25
 
@@ -125,14 +121,20 @@
             return
         await self._commit_view(
             model.GroupView(
-                group, 1, primaries[0].server, _addresses(known.values())
+                group,
+                1,
+                primaries[0].server,
+                directory.addresses(known.values()),
             ),
             'adopted',
         )
 
     def _current_members(self, view: model.GroupView) -> dict[str, str]:
         """Return the members that the view should list."""
-        return _addresses(self._group_targets(view).values()) or view.members
+        return (
+            directory.addresses(self._group_targets(view).values())
+            or view.members
+        )
 
     def _changed_recently(self, view: model.GroupView, now: float) -> bool:
         """Return whether the primary was changed within the grace period."""
@@ -238,7 +240,7 @@
         if (
             acting_primary is not None
             and not await self._successors.may_step_down(
-                targets, acting_primary, statuses, SUCCESSOR_WAIT_S
+                targets, acting_primary, statuses
             )
         ):
             if not self._successors.is_lacking(view.group):
@@ -695,9 +697,3 @@
             reason=reason,
             seconds=round(seconds, 3),
         )
-
-
-def _addresses(
-    targets: typing.Iterable[model.TargetInfo],
-) -> dict[str, str]:
-    return {info.server: info.address for info in targets}
--- a/packages/node/src/sassafrasridge_node/successors.py
+++ b/packages/node/src/sassafrasridge_node/successors.py
@@ -19,6 +19,10 @@
 # for a change of primary for as long.
 MAX_WITHHELD_S = primarywait.MAX_EXPECTED_S
 
+# Longest wait for a replica to reach the position of a primary that is to step
+# down, before the next attempt. The usual replication delay is below 0.1 s.
+SUCCESSOR_WAIT_S = 1.0
+
 
 class Successors:
     """Decide whether acting primaries can be replaced by other targets."""
@@ -67,7 +71,6 @@
         targets: dict[str, model.TargetInfo],
         primary: grouporders.ServerStatus,
         statuses: list[grouporders.ServerStatus],
-        timeout_s: float,
     ) -> bool:
         """Return whether a working primary may step down.
 
@@ -87,7 +90,7 @@
             if other.server != primary.server
         ):
             return True
-        deadline = now + timeout_s
+        deadline = now + SUCCESSOR_WAIT_S
         while self._needs_successor(clocks.boottime(), info):
             if self.found(targets, primary, statuses):
                 self._logged.discard(info.group)
