--- a/tests/node/test_reads_fuzz.py
+++ b/tests/node/test_reads_fuzz.py
@@ -146,3 +146,11 @@
         machine.leave_primary(after_s=4.0, seconds=2.0, start_s=0.7)
         assert machine.group.leading.name == 'c'
         machine.no_read_missed_a_commit()
+
+    def test_a_primary_that_lost_its_log_during_its_change(self, machine):
+        """Guards against keeping it: processes know no position then."""
+        machine.advance(2.0)
+        machine.crash(after_s=0.0, index=2, seconds=5.0)
+        machine.lose_log_of_primary(after_s=9.0, seconds=2.0)
+        machine.no_read_missed_a_commit()
+        assert machine.group.leading.name == 'b'
