Make the model of reads meet late answers and frozen processes more often

Late answers also set how late replicas apply commits. Frozen processes that are killed run their cancellation at once.

--- a/tests/node/simulatedreads.py
+++ b/tests/node/simulatedreads.py
@@ -113,7 +113,10 @@
         if process.frozen(self.time()):
             self._thaw_later(process)
         else:
-            self._ready.extend(self._deferred.pop(process))
+            self.thaw(process)
+
+    def thaw(self, process):
+        self._ready.extend(self._deferred.pop(process, ()))
 
 
 class Read:
@@ -200,9 +203,9 @@
         super().crash(target)
         self.break_connections(target)
 
-    def end(self, target):
+    def end(self, target, **place):
         self.break_connections(target)
-        return super().end(target)
+        return super().end(target, **place)
 
     def restart(self, target):
         target.applied = list(self.visible(target))
@@ -428,6 +431,7 @@
 
     def stop(self):
         self.frozen_until = float('-inf')
+        self.group.loop.thaw(self)
         for task in list(self.tasks):
             task.cancel()
         for backend in self.state.backends.values():
@@ -479,6 +483,7 @@
                 entries=None,
                 members=None,
                 member_zone='',
+                leader_clock=None,
                 view_revision=revision,
                 groups=[codec.group_to_wire(view)],
                 targets=[codec.target_to_wire(info) for info in infos],
@@ -565,9 +570,9 @@
             await asyncio.sleep(THINK_TIME_S)
         self.service.remove(session)
 
-    async def serve(self, work):
+    async def serve(self, work, *args):
         try:
-            await work
+            await work(*args)
         except sessionbase.SessionError:
             # Nothing is in force at this process yet, or any more.
             return
@@ -586,6 +591,8 @@
         super().__init__(name, group, control)
 
     def start(self):
+        # Leader whose reply arrived last.
+        self.heard_leader = None
         self.holder = simulatedgroup.Holder(self.name, next(self.generation))
         self.running = True
         self.process = Process(self)
@@ -614,13 +621,14 @@
                     obs.server: codec.observation_from_wire(now, obs)
                     for obs in req.observations
                 },
+                self.heard_leader,
                 context=contextvars.Context(),
             )
 
-    def granted(self, sequence, revision, view):
-        leader = self.control.leader
-        if not self._reaches_control() or leader is None:
+    def granted(self, sequence, revision, view, leader):
+        if not self._reaches_control():
             return
+        self.heard_leader = leader
         self.holder.cut_off_at = float('inf')
         self.loop.call_soon(
             self.process.renewed,
@@ -639,9 +647,9 @@
         now, process = self.loop.time(), self.process
         begin, database = next(self.transactions)
         for work in (
-            process.write(now),
-            process.read(next(self.databases), now),
-            process.read(next(self.databases), now),
-            process.transact(database, begin, now),
+            process.serve(process.write, now),
+            process.serve(process.read, next(self.databases), now),
+            process.serve(process.read, next(self.databases), now),
+            process.serve(process.transact, database, begin, now),
         ):
-            process.start(process.serve(work))
+            process.start(work)
--- a/tests/node/test_reads_fuzz.py
+++ b/tests/node/test_reads_fuzz.py
@@ -19,7 +19,7 @@
     promotions.SECONDS,
     promotions.event,
 )
-DELAYS = st.sampled_from([0.0, 0.1, 0.7, 1.5, 4.0])
+DELAYS = st.sampled_from([0.0, 0.1, 0.7, 1.5, 2.7, 4.0])
 
 
 class ReadsMachine(promotions.PromotionMachine):
@@ -31,7 +31,9 @@
 
     @event(index=TARGETS, lag_s=DELAYS)
     def set_apply_lag(self, index, lag_s):
-        target = self.pick(index)
+        self.apply_after(self.pick(index), lag_s)
+
+    def apply_after(self, target, lag_s):
         self.history.add(f'{target.name} applies commits after {lag_s}')
         target.apply_lag_s = lag_s
 
@@ -62,11 +64,18 @@
                 entry.freeze(seconds)
 
     @event(
-        index=TARGETS, answer_s=DELAYS, seconds=SECONDS, leaves=st.booleans()
+        index=TARGETS,
+        lags_s=st.lists(DELAYS, min_size=4, max_size=4),
+        answer_s=DELAYS,
+        seconds=SECONDS,
+        leaves=st.booleans(),
     )
     def replace_primary_while_answers_are_late(
-        self, index, answer_s, seconds, leaves
+        self, index, lags_s, answer_s, seconds, leaves
     ):
+        for other, lag_s in enumerate(lags_s):
+            self.apply_after(self.pick(other), lag_s)
+        self.advance(4.0)
         target = self.pick(index)
         self.history.add(f'answers of {target.name} take {answer_s}')
         target.answer_delay_s = answer_s
@@ -154,3 +163,13 @@
         machine.lose_log_of_primary(after_s=9.0, seconds=2.0)
         machine.no_read_missed_a_commit()
         assert machine.group.leading.name == 'b'
+
+    def test_processes_that_start_again_together_with_their_primary(
+        self, machine
+    ):
+        """Guards against reads where no process knows a position."""
+        machine.advance(2.0)
+        for index in range(len(machine.entries)):
+            machine.kill_entry(after_s=0.0, index=index, seconds=0.2)
+        machine.lose_log_of_primary(after_s=2.0, seconds=0.2)
+        machine.no_read_missed_a_commit()
