--- a/tests/node/test_failover.py
+++ b/tests/node/test_failover.py
@@ -15,6 +15,7 @@
 from sassafrasridge_node import metrics
 from sassafrasridge_node import pendingorders
 from sassafrasridge_node import promotionproof
+from sassafrasridge_node import successors
 
 Position = model.Position
 
@@ -1324,7 +1325,7 @@
 
         The links to the other zone are cut. Then the order is withdrawn.
         """
-        monkeypatch.setattr(failover, 'SUCCESSOR_WAIT_S', 0.05)
+        monkeypatch.setattr(successors, 'SUCCESSOR_WAIT_S', 0.05)
         servers['c'].reachable = False
         cluster = self.cluster(servers)
         assert cluster.step().changing
