Keep a session's log position for each group

Cause: SessionBase.floor held the position of the session's last write, whichever group ran it, and reads compared it with the log of the route's present group. The reverse holds too: a higher position of another group was required of replicas that may never reach it.

Fix: OwnWrites holds a position for each group, recorded under the group in which the statement or transaction was authorized, and travels with its groups in relayed statements and their results. Messages from and to earlier builds keep the old field.

Ruled out: an old configuration in force at the read, and a change of primary; neither is in the record.

--- a/packages/node/src/sassafrasridge_node/readlog.py
+++ b/packages/node/src/sassafrasridge_node/readlog.py
@@ -6,6 +6,7 @@
 """
 
 from sassafrasridge_core import model
+from sassafrasridge_core import ownwrites
 from sassafrasridge_node import clocks
 from sassafrasridge_node import logs
 from sassafrasridge_node import sessionpool
@@ -70,17 +71,18 @@
         statement: str,
         target: sessionpool.SessionBackend,
         floor: model.Position | None,
-        own_position: model.Position | None,
+        own_writes: ownwrites.OwnWrites,
         as_primary: bool,
     ) -> ReadDecision | None:
         """Count a read; return what decided it if it is to be logged.
 
-        ``own_position`` is that of the session's last write.
+        ``own_writes`` are the writes of the session.
         """
         state, group = self._state, target.info.group
         basis = 'primary'
         if not as_primary:
-            basis = 'session' if floor == own_position else 'age'
+            is_own = floor == own_writes.position(group)
+            basis = 'session' if is_own else 'age'
         state.metrics.session_reads[basis].inc()
         now, view = clocks.boottime(), state.groups.get(group)
         if view is None or not self._is_logged(now, group):
--- a/packages/node/src/sassafrasridge_node/relayedsessions.py
+++ b/packages/node/src/sassafrasridge_node/relayedsessions.py
@@ -32,13 +32,14 @@
 
     ``ends_after_statement`` tells that the transaction is to end after the
     statement in progress. ``on_idle_end`` is called when the transaction has
-    ended because it was idle.
+    ended because it was idle. ``group`` is that of the statement.
     """
 
     ends_after_statement = False
     _arrived_at = 0.0
     _repeatable = False
     on_idle_end: typing.Callable[[], None]
+    group: str
 
     async def _charge(
         self, access: sessionrouting.Access, started: float
@@ -99,8 +100,10 @@
             text, writes = req.prepared
             name = req.statement.name
             self._prepared[name] = sessionbase.PreparedStatement(text, writes)
-        if req.floor is not None:
-            self.floor = req.floor
+        if req.own_writes is not None:
+            self.own_writes = req.own_writes
+        elif req.floor is not None:
+            self.own_writes.record(self.group, req.floor)
 
     def is_open(self) -> bool:
         """Return whether a transaction is open and not aborted."""
@@ -155,6 +158,7 @@
         session = RelayedSession(self._service, 0, req.database, req.digest)
         session.on_idle_end = lambda: self._end_idle(number, session)
         access = session.authorize()
+        session.group = access.group
         try:
             regionrules.require_own_region(self._service.state, access.regions)
         except regionrules.OutsideRegionsError as exc:
@@ -179,7 +183,12 @@
             if session.ends_after_statement or not session.is_open():
                 self._end(req.transaction, session)
         still_open = session.transaction is not None
-        return sessionrelay.RelayedResult(result, session.floor, still_open)
+        return sessionrelay.RelayedResult(
+            result,
+            session.own_writes,
+            session.own_writes.position(session.group),
+            still_open,
+        )
 
     def _roll_back(
         self, req: sessionrelay.RelayedStatement, session: RelayedSession
--- a/packages/node/src/sassafrasridge_node/sessionbase.py
+++ b/packages/node/src/sassafrasridge_node/sessionbase.py
@@ -13,6 +13,7 @@
 
 from sassafrasridge_core import configuration
 from sassafrasridge_core import model
+from sassafrasridge_core import ownwrites
 from sassafrasridge_core import regions
 from sassafrasridge_core import statements
 from sassafrasridge_node import admission
@@ -170,7 +171,7 @@
 class SessionBase:
     """Own the values, prepared statements and transaction of one client.
 
-    ``floor`` is the log position of the session's last write, if known.
+    ``own_writes`` are the log positions of the session's acknowledged writes.
     """
 
     def __init__(
@@ -186,7 +187,7 @@
         self._digest = digest
         self._values: dict[str, str] = {}
         self._prepared: dict[str, PreparedStatement] = {}
-        self.floor: model.Position | None = None
+        self.own_writes = ownwrites.OwnWrites()
         self._cleanup_tasks: set[asyncio.Task[None]] = set()
 
     def authorize(self) -> sessionrouting.Access:
--- a/packages/node/src/sassafrasridge_node/sessionprimary.py
+++ b/packages/node/src/sassafrasridge_node/sessionprimary.py
@@ -150,8 +150,7 @@
             raise sessionbase.SessionError(
                 StatementFailure.IN_DOUBT, 'the primary was replaced meanwhile'
             )
-        if answer.position is not None:
-            self.floor = answer.position
+        self.own_writes.record(access.group, answer.position)
         if answer.commit is not None:
             self._state.record_acknowledged(access.group, answer.commit)
         return sessiontargets.success(answer)
--- a/packages/node/src/sassafrasridge_node/sessionreads.py
+++ b/packages/node/src/sassafrasridge_node/sessionreads.py
@@ -75,7 +75,7 @@
                 required = self._state.reported_position(backend)
             commands = self._build_commands(conn, op, required)
             decision = self._service.read_log.sending(
-                op.stmt.id, backend, required, self.floor, is_primary
+                op.stmt.id, backend, required, self.own_writes, is_primary
             )
             sent_at = clocks.boottime()
             answer = await self._send(
--- a/packages/node/src/sassafrasridge_node/sessionregions.py
+++ b/packages/node/src/sassafrasridge_node/sessionregions.py
@@ -42,11 +42,11 @@
         take while no statement does.
         """
         while True:
-            floor = self._router.required_position(op.access, self.floor)
+            floor = self._router.required_position(op.access, self.own_writes)
             if (
                 floor is not None
                 or op.access.regions is None
-                or self._router.needs_primary(op.access)
+                or self._router.needs_primary(op.access, self.own_writes)
                 or self._router.usable_primary(op.access) is not None
                 or self._router.refusal_reason(op.access, primary=False)
                 or clocks.boottime() >= self._objective_at(op)
--- a/packages/node/src/sassafrasridge_node/sessionrelay.py
+++ b/packages/node/src/sassafrasridge_node/sessionrelay.py
@@ -13,6 +13,7 @@
 import orjson
 
 from sassafrasridge_core import model
+from sassafrasridge_core import ownwrites
 from sassafrasridge_core import regions
 from sassafrasridge_core import statements
 from sassafrasridge_node import clocks
@@ -55,6 +56,9 @@
     ``transaction`` is the number of its transaction, or 0 outside one. On the
     first relayed statement of a transaction, ``begin`` is the kind of the
     BEGIN statement. ``waited_s`` is the time since the statement arrived.
+
+    ``own_writes`` are the writes of the session, None from an earlier build.
+    Earlier builds know only ``floor``, the position of the last write.
     """
 
     __slots__ = (
@@ -63,6 +67,7 @@
         'statement',
         'values',
         'prepared',
+        'own_writes',
         'floor',
         'begin',
         'transaction',
@@ -76,6 +81,7 @@
         statement: statements.Statement,
         values: dict[str, str],
         prepared: tuple[str, bool] | None = None,
+        own_writes: ownwrites.OwnWrites | None = None,
         floor: model.Position | None = None,
         begin: StatementKind | None = None,
         transaction: int = 0,
@@ -86,6 +92,7 @@
         self.statement = statement
         self.values = values
         self.prepared = prepared
+        self.own_writes = own_writes
         self.floor = floor
         self.begin = begin
         self.transaction = transaction
@@ -106,6 +113,7 @@
                 'writes': stmt.writes,
                 'values': self.values,
                 'prepared': self.prepared,
+                'own_writes': self.own_writes and self.own_writes.dump(),
                 'floor': _position_to_json(self.floor),
                 'begin': self.begin and self.begin.value,
                 'transaction': self.transaction,
@@ -132,6 +140,7 @@
             stmt,
             found['values'],
             None if prepared is None else (prepared[0], prepared[1]),
+            _own_writes_from_json(found),
             _position_from_json(found['floor']),
             None if begin is None else StatementKind(begin),
             found['transaction'],
@@ -142,19 +151,22 @@
 class RelayedResult:
     """Hold a statement's result and the updated state of its session.
 
-    ``open`` tells whether the transaction may still be open at the other
-    process.
+    ``own_writes`` and ``floor`` are those of RelayedStatement, after the
+    statement. ``open`` tells whether the transaction may still be open at the
+    other process.
     """
 
-    __slots__ = ('result', 'floor', 'open')
+    __slots__ = ('result', 'own_writes', 'floor', 'open')
 
     def __init__(
         self,
         result: statements.Result,
+        own_writes: ownwrites.OwnWrites | None = None,
         floor: model.Position | None = None,
         open: bool = False,
     ) -> None:
         self.result = result
+        self.own_writes = own_writes
         self.floor = floor
         self.open = open
 
@@ -168,6 +180,7 @@
                 'failure': result.failure and result.failure.value,
                 'detail': result.detail,
                 'position': _position_to_json(result.position),
+                'own_writes': self.own_writes and self.own_writes.dump(),
                 'floor': _position_to_json(self.floor),
                 'open': self.open,
             }
@@ -186,7 +199,7 @@
             position=_position_from_json(found['position']),
         )
         floor = _position_from_json(found['floor'])
-        return cls(result, floor, found['open'])
+        return cls(result, _own_writes_from_json(found), floor, found['open'])
 
 
 def _position_to_json(
@@ -195,6 +208,14 @@
     return None if position is None else (position.term, position.index)
 
 
+def _own_writes_from_json(
+    found: dict[str, typing.Any],
+) -> ownwrites.OwnWrites | None:
+    """Return the field of a message, None from an earlier build."""
+    dumped = found.get('own_writes')
+    return None if dumped is None else ownwrites.OwnWrites.load(dumped)
+
+
 def _position_from_json(found: list[int] | None) -> model.Position | None:
     return None if found is None else model.Position(found[0], found[1])
 
--- a/packages/node/src/sassafrasridge_node/sessionrelaying.py
+++ b/packages/node/src/sassafrasridge_node/sessionrelaying.py
@@ -25,7 +25,8 @@
             op.stmt,
             self._values,
             prepared and (prepared.text, prepared.writes),
-            self.floor,
+            self.own_writes,
+            self.own_writes.position(op.access.group),
             waited_s=clocks.boottime() - op.started,
         )
 
@@ -36,7 +37,8 @@
             return self._service.relays.candidates(
                 access.group,
                 access.account,
-                needs_primary or self._router.needs_primary(access),
+                needs_primary
+                or self._router.needs_primary(access, self.own_writes),
                 access.regions,
             )
         except regionrules.OutsideRegionsError as exc:
@@ -54,7 +56,7 @@
             if op.writes
             else StatementFailure.FAILED,
         )
-        return self._accept_relay_result(answer)
+        return self._accept_relay_result(op.access.group, answer)
 
     async def _relay_in_transaction(
         self, op: sessionbase.Operation, tx: sessionbase.Transaction
@@ -88,15 +90,18 @@
             raise sessionbase.SessionError(
                 StatementFailure.ABORTED, 'the transaction has ended'
             )
-        return self._accept_relay_result(answer)
+        return self._accept_relay_result(tx.access.group, answer)
 
     def _accept_relay_result(
-        self, answer: sessionrelay.RelayedResult
+        self, group: str, answer: sessionrelay.RelayedResult
     ) -> Result:
         if answer.result.failure is not None:
             raise sessionbase.SessionError(
                 answer.result.failure, answer.result.detail
             )
-        if answer.floor is not None:
-            self.floor = answer.floor
+        if answer.own_writes is not None:
+            self.own_writes = answer.own_writes
+        elif answer.floor is not None:
+            # A process of an earlier build doesn't tell the group.
+            self.own_writes.record_unattributed(group, answer.floor)
         return answer.result
--- a/packages/node/src/sassafrasridge_node/sessionrouting.py
+++ b/packages/node/src/sassafrasridge_node/sessionrouting.py
@@ -5,6 +5,7 @@
 
 from sassafrasridge_core import configuration
 from sassafrasridge_core import model
+from sassafrasridge_core import ownwrites
 from sassafrasridge_core import regions
 from sassafrasridge_node import clocks
 from sassafrasridge_node import regionrules
@@ -70,25 +71,26 @@
         self._rng = rng
 
     def required_position(
-        self, access: Access, own_position: model.Position | None
+        self, access: Access, own_writes: ownwrites.OwnWrites
     ) -> model.Position | None:
         """Return the log position that a replica must have applied for a read.
 
-        Returns None if only the primary may serve the read.
+        Returns None if only the primary may serve the read, or none but the
+        primary as long as its position isn't known.
 
-        ``own_position`` is the position of the session's last write.
+        ``own_writes`` are the writes of the session.
         """
         route = access.route
-        if route.consistency == configuration.PRIMARY:
+        if self.needs_primary(access, own_writes):
             return None
         known = self._state.timeline(access.group).floor(
             clocks.boottime(), route.max_age_s - AGE_MARGIN_S
         )
         if known is None:
             return None
-        if route.consistency == configuration.SESSION and own_position:
-            return max(known, own_position)
-        return known
+        if route.consistency != configuration.SESSION:
+            return known
+        return max(known, own_writes.position(access.group) or known)
 
     def usable_primary(
         self, access: Access
@@ -101,12 +103,18 @@
             return None
         return found
 
-    def needs_primary(self, access: Access) -> bool:
-        """Return whether a replica can never serve a read of the route."""
+    def needs_primary(
+        self, access: Access, own_writes: ownwrites.OwnWrites
+    ) -> bool:
+        """Return whether no replica can serve a read of the session."""
         route = access.route
         return (
             route.consistency == configuration.PRIMARY
             or route.max_age_s <= AGE_MARGIN_S
+            or (
+                route.consistency == configuration.SESSION
+                and not own_writes.known(access.group)
+            )
         )
 
     def refusal_reason(self, access: Access, primary: bool) -> str:
--- a/packages/node/src/sassafrasridge_node/sessiontransactions.py
+++ b/packages/node/src/sassafrasridge_node/sessiontransactions.py
@@ -141,7 +141,7 @@
         commands = self._build_setup(conn, None)
         commands.append(sessionpool.Begin(tx.read_only, required))
         decision = self._service.read_log.sending(
-            op.stmt.id, backend, required, self.floor, is_primary
+            op.stmt.id, backend, required, self.own_writes, is_primary
         )
         answer = await self._send(
             backend, conn, commands, op.deadline, False, keep=True
--- a/tests/node/simulatedreads.py
+++ b/tests/node/simulatedreads.py
@@ -12,6 +12,7 @@
 import types
 
 from sassafrasridge_core import configuration
+from sassafrasridge_core import model
 from sassafrasridge_core import statements
 from sassafrasridge_node import admission
 from sassafrasridge_node import clocks
@@ -37,13 +38,28 @@
 # Connections of each process to each target.
 CONNECTIONS = 12
 # Maximum age of the data by database, 0 where only the primary may serve.
-MAX_AGES_S = {'primary': 0.0, 'age1': 1.5, 'age6': 6.0, 'session': 2.5}
+MAX_AGES_S = {
+    'primary': 0.0,
+    'age1': 1.5,
+    'age6': 6.0,
+    'session': 2.5,
+    'moving': 2.5,
+}
 # Timeouts of statements. The longest exceeds most changes of primary.
-TIMEOUTS_S = {'primary': 0.8, 'age1': 1.5, 'age6': 3.0, 'session': 0.8}
+TIMEOUTS_S = {
+    'primary': 0.8,
+    'age1': 1.5,
+    'age6': 3.0,
+    'session': 0.8,
+    'moving': 0.8,
+}
 CONSISTENCIES = {
     'primary': configuration.PRIMARY,
     'session': configuration.SESSION,
+    'moving': configuration.SESSION,
 }
+# Group of a process that the route of the database 'moving' may lead to.
+OTHER_GROUP = 'h'
 TRANSACTIONS = (
     (StatementKind.BEGIN_READ, 'age6'),
     (StatementKind.BEGIN, 'primary'),
@@ -297,12 +313,37 @@
             self.stale_reads.append(text)
 
 
+class OtherGroup(ReadGroup):
+    """Commit at a single target; reads aren't checked."""
+
+    def __init__(self, loop, links, history, entry_name):
+        super().__init__(loop, links, history, count=1)
+        target = self.leading
+        target.name = f'{OTHER_GROUP}-{entry_name}'
+        target.address = '10.0.9.0:1'
+        self.targets = {target.name: target}
+        self.view = model.GroupView(
+            OTHER_GROUP, 1, target.name, {target.name: target.address}
+        )
+        self.info = model.TargetInfo(
+            target.name, OTHER_GROUP, '', target.address, '', 0, 0, 5, 0
+        )
+
+    def commit(self, target, write):
+        super().commit(target, write)
+        target.waiting.remove(write)
+        write.answer()
+
+    def _check_read(self, target, stmt_id):
+        return
+
+
 class SimulatedConnection(sessionpool.SessionConnection):
     """Connect an entry process to one incarnation of a target."""
 
-    def __init__(self, entry, target, account):
+    def __init__(self, entry, group, target, account):
         super().__init__(account)
-        self.entry, self.target, self.group = entry, target, entry.group
+        self.entry, self.target, self.group = entry, target, group
         self.rtt_s = 2 * NETWORK_DELAY_S
         self.transaction = None
         self.context = entry.process.context
@@ -386,6 +427,7 @@
 
     def __init__(self, entry):
         self.entry, self.group = entry, entry.group
+        self.moved = False
         self.frozen_until = float('-inf')
         self.context = contextvars.Context()
         self.context.run(_running_process.set, self)
@@ -437,11 +479,17 @@
         for backend in self.state.backends.values():
             backend.close()
 
+    def services(self):
+        return [
+            configuration.Service(name, name, 5, 40, 'adaptive')
+            for name in (GROUP, OTHER_GROUP)
+        ]
+
     def routes(self, consistency):
         return [
             configuration.Route(
                 name,
-                'g',
+                OTHER_GROUP if name == 'moving' and self.moved else GROUP,
                 False,
                 False,
                 0,
@@ -453,6 +501,11 @@
             for name, max_age_s in MAX_AGES_S.items()
         ]
 
+    def move_route(self, moved):
+        """Apply a configuration with the route to the other group or back."""
+        self.moved = moved
+        self.configure(None)
+
     # Connections to control, in place of rpc.ClientPool.
 
     def get(self, member):
@@ -485,8 +538,14 @@
                 member_zone='',
                 leader_clock=None,
                 view_revision=revision,
-                groups=[codec.group_to_wire(view)],
-                targets=[codec.target_to_wire(info) for info in infos],
+                groups=[
+                    codec.group_to_wire(v)
+                    for v in (view, self.entry.other.view)
+                ],
+                targets=[
+                    codec.target_to_wire(info)
+                    for info in (*infos, self.entry.other.info)
+                ],
                 targets_revision=0,
                 targets_complete=complete,
                 connections=[
@@ -508,9 +567,11 @@
 
     async def open(self, info, account, timeout_s):
         await asyncio.sleep(2 * NETWORK_DELAY_S)
+        group = self.group
+        if info.group == OTHER_GROUP:
+            group = self.entry.other
         target = next(
-            (t for t in self.group.running() if t.address == info.address),
-            None,
+            (t for t in group.running() if t.address == info.address), None
         )
         if target is None:
             raise connections.ConnectionLostError(
@@ -521,7 +582,7 @@
             raise connections.ConnectionLostError('no answer', sent=False)
         if target.name != info.server:
             raise sessionpool.TargetRefusedError(ResultCode.WRONG_SERVER)
-        return SimulatedConnection(self.entry, target, account)
+        return SimulatedConnection(self.entry, group, target, account)
 
     # Clients.
 
@@ -553,6 +614,28 @@
             await self._execute(session, StatementKind.READ, now, read)
         self.service.remove(session)
 
+    async def write_across_move(self, started):
+        """Write, write in the other group, return and read the first write.
+
+        The routes of other clients of the process may move at the same time.
+        """
+        session = self.session('moving')
+        stmt_id, result = await self._execute(
+            session, StatementKind.WRITE, started
+        )
+        commit = self.group.commits.get(stmt_id)
+        if result.failure is None and commit is not None:
+            self.group.acknowledge(commit, self.entry.holder)
+            self.move_route(True)
+            await self._execute(
+                session, StatementKind.WRITE, clocks.boottime()
+            )
+            self.move_route(False)
+            now = clocks.boottime()
+            read = Read('moving', now, commit)
+            await self._execute(session, StatementKind.READ, now, read)
+        self.service.remove(session)
+
     async def transact(self, database, begin, started):
         """Read twice in a transaction."""
         session = self.session(database)
@@ -588,6 +671,7 @@
         self.transactions = itertools.cycle(TRANSACTIONS)
         # Processes with either kind of limits choose targets differently.
         self.learned_limits = name == 'e2'
+        self.other = OtherGroup(group.loop, group.links, group.history, name)
         super().__init__(name, group, control)
 
     def start(self):
@@ -620,11 +704,18 @@
                 lambda now: {
                     obs.server: codec.observation_from_wire(now, obs)
                     for obs in req.observations
+                    if obs.group == GROUP
                 },
                 self.heard_leader,
                 context=contextvars.Context(),
             )
 
+    def write_across_move(self):
+        """Let a client write in two groups and read its first write."""
+        if self.running:
+            work = self.process.write_across_move
+            self.process.start(self.process.serve(work, self.loop.time()))
+
     def granted(self, sequence, revision, view, leader):
         if not self._reaches_control():
             return
--- a/tests/node/test_reads_fuzz.py
+++ b/tests/node/test_reads_fuzz.py
@@ -52,6 +52,15 @@
         self.history.add(f'connections to {target.name} break')
         self.group.break_connections(target)
 
+    @event(index=st.sampled_from(range(3)), lag_s=DELAYS)
+    def move_route(self, index, lag_s):
+        """Move the route of a session away and back while replicas lag."""
+        for target in self.group.targets.values():
+            self.apply_after(target, lag_s)
+        entry = self.entries[index]
+        self.history.add(f'the route of a session of {entry.name} moves')
+        entry.write_across_move()
+
     @event(
         indices=st.sets(st.sampled_from(range(3)), min_size=1),
         seconds=SECONDS,
@@ -156,6 +165,15 @@
         assert machine.group.leading.name == 'c'
         machine.no_read_missed_a_commit()
 
+    @pytest.mark.parametrize('index', range(3))
+    def test_a_route_that_moves_to_another_group_and_returns(
+        self, machine, index
+    ):
+        """Guards against a session that loses sight of its own write."""
+        machine.advance(2.0)
+        machine.move_route(after_s=1.0, index=index, lag_s=4.0)
+        machine.no_read_missed_a_commit()
+
     def test_a_primary_that_lost_its_log_during_its_change(self, machine):
         """Guards against keeping it: processes know no position then."""
         machine.advance(2.0)
--- a/tests/node/test_sessionfront.py
+++ b/tests/node/test_sessionfront.py
@@ -150,12 +150,7 @@
                     'k', 'acme', hashlib.sha256(KEY.encode()).hexdigest()
                 ),
             ),
-            (
-                'service',
-                'g',
-                # A quarter of the connections is left for restarts.
-                configuration.Service('g', 'g', 5, 40, 'adaptive'),
-            ),
+            *(('service', s.name, s) for s in self.services()),
             *(('route', r.path, r) for r in self.routes(consistency)),
         ):
             tables.put(kind, key, configuration.as_dict(record))
@@ -169,6 +164,10 @@
             )
         )
 
+    def services(self):
+        # A quarter of the connections is left for restarts.
+        return [configuration.Service('g', 'g', 5, 40, 'adaptive')]
+
     def backend(self, name):
         return self.state.backends['g', name]
 
--- a/tests/node/test_sessionrelay.py
+++ b/tests/node/test_sessionrelay.py
@@ -7,6 +7,7 @@
 
 from sassafrasridge_core import configuration
 from sassafrasridge_core import model
+from sassafrasridge_core import ownwrites
 from sassafrasridge_core import statements
 from sassafrasridge_node import clocks
 from sassafrasridge_node import connections
@@ -153,7 +154,7 @@
             state.timeline('g').sample(clocks.boottime(), 1, 5)
         session = pair.near.session()
         pair.run(front.write(), session=session)
-        assert session.floor == model.Position(1, 10)
+        assert session.own_writes.position('g') == model.Position(1, 10)
         pair.first.faults = [UNREACHED]
         pair.run(front.read(), session=session)
         (req,) = forwarded(pair.second, 'r') or forwarded(pair.second, 'p')
@@ -406,6 +407,13 @@
         assert result.failure is StatementFailure.BUSY
 
 
+def own_writes():
+    writes = ownwrites.OwnWrites()
+    writes.record('g', model.Position(3, 4))
+    writes.record('h', None)
+    return writes
+
+
 class TestEncoding:
     def test_a_statement_survives_encoding_and_decoding(self):
         stmt = statements.Statement(
@@ -417,6 +425,7 @@
             stmt,
             {'a': 'b'},
             ('STORE s', True),
+            own_writes(),
             model.Position(3, 4),
             StatementKind.BEGIN_READ,
             5,
@@ -435,6 +444,7 @@
                 'd',
                 position=model.Position(1, 2),
             ),
+            own_writes(),
             model.Position(1, 2),
             True,
         )
