Count acknowledged commits, so that concurrent ones aren't lost

Cause: the reported last acknowledged commit was the position known when the write was sent, plus one. That is too low by the commits on their way at the time, and a replica within the gap was taken for one with every acknowledged commit. The first commit of a term reported nothing.

Fix: every commit of a term takes the next number and comes through an entry process. They report how many they acknowledged; the group's record holds where the term started; the start plus the count is a second lower bound, and the higher one is required. In the simulated group an answer no longer tells the position of its commit, and the model gets the event of a crash with commits on their way.

Ruled out: a report that arrives after the comparison.

The log_term of a group is recorded with its first view now. A test of the record of acknowledged commits got the additional argument.

--- a/packages/core/src/sassafrasridge_core/acknowledged.py
+++ b/packages/core/src/sassafrasridge_core/acknowledged.py
@@ -90,6 +90,47 @@
         return changed
 
 
+class CommitCounts:
+    """Count the commits of each group's newest term that were acknowledged.
+
+    Each holder reports how many it has acknowledged in a term. Commits of a
+    holder that never reported are missing, so the counts are lower bounds.
+
+    >>> counts = CommitCounts()
+    >>> counts.report('e1#1', {'g': (2, 7)})
+    >>> counts.report('e2#1', {'g': (2, 3)})
+    >>> counts.report('e1#1', {'g': (1, 9)})
+    >>> counts.total('g', 2), counts.total('g', 1), counts.total('h', 2)
+    (10, 0, 0)
+    """
+
+    __slots__ = ('_groups',)
+
+    def __init__(self) -> None:
+        # Newest term, and counts by holder, by group.
+        self._groups: dict[str, tuple[int, dict[str, int]]] = {}
+
+    def report(
+        self,
+        holder: str,
+        counts: collections.abc.Mapping[str, tuple[int, int]],
+    ) -> None:
+        """Record the terms and counts of a holder, by group."""
+        for group, (term, count) in counts.items():
+            newest, by_holder = self._groups.get(group, (-1, {}))
+            if term < newest:
+                continue
+            if term > newest:
+                by_holder = {}
+                self._groups[group] = term, by_holder
+            by_holder[holder] = max(by_holder.get(holder, 0), count)
+
+    def total(self, group: str, term: int) -> int:
+        """Return how many commits of a term were acknowledged at least."""
+        newest, by_holder = self._groups.get(group, (-1, {}))
+        return sum(by_holder.values()) if newest == term else 0
+
+
 def encode(positions: collections.abc.Mapping[str, model.Position]) -> bytes:
     """Return the encoded positions, the inverse of :func:`decode`."""
     return orjson.dumps(
--- a/packages/core/src/sassafrasridge_core/leases.py
+++ b/packages/core/src/sassafrasridge_core/leases.py
@@ -115,7 +115,13 @@
     renewed leases.
     """
 
-    __slots__ = ('_times', '_elected_at', '_acknowledged', 'holders')
+    __slots__ = (
+        '_times',
+        '_elected_at',
+        '_acknowledged',
+        '_counts',
+        'holders',
+    )
 
     def __init__(
         self,
@@ -129,6 +135,7 @@
         # Last commit that any holder acknowledged to a client, by group. It
         # outlives the lease: the client still relies on the commit.
         self._acknowledged = acknowledged or commits.AcknowledgedCommits()
+        self._counts = commits.CommitCounts()
 
     def end_grace_period(self) -> None:
         """End the grace period: all holders of earlier leases are known."""
@@ -182,6 +189,16 @@
         """Record the last commits that a holder acknowledged, by group."""
         self._acknowledged.report(positions)
 
+    def report_counts(
+        self, name: str, counts: dict[str, tuple[int, int]]
+    ) -> None:
+        """Record how many commits of a term a holder acknowledged."""
+        self._counts.report(name, counts)
+
+    def acknowledged_count(self, group: str, term: int) -> int:
+        """Return how many commits of a term holders acknowledged."""
+        return self._counts.total(group, term)
+
     def acknowledged(self, group: str) -> model.Position | None:
         """Return the last commit in a group that a holder acknowledged."""
         return self._acknowledged.get(group)
--- a/packages/core/src/sassafrasridge_core/model.py
+++ b/packages/core/src/sassafrasridge_core/model.py
@@ -142,7 +142,8 @@
 
     ``primary`` is None while no server may act as primary. ``members`` maps
     server names to addresses. ``starts`` maps a term to the log index at which
-    it began. ``changing`` is true from the decision to replace the primary
+    it began: terms of the view, or of the log if the group manages replication
+    itself. ``changing`` is true from the decision to replace the primary
     until the next one is chosen. ``log_term`` is the term that the primary of
     a group that manages replication itself began in its log, 0 if unknown.
     ``promotion`` is committed before its order is sent, and removed only when
--- a/packages/node/src/sassafrasridge_node/codec.py
+++ b/packages/node/src/sassafrasridge_node/codec.py
@@ -91,14 +91,26 @@
 
 def acknowledged_to_wire(
     positions: dict[str, model.Position],
+    counts: dict[str, tuple[int, int]],
 ) -> list[typing.Any]:
-    """Return the thrift records of the last acknowledged commits."""
-    return [
-        rpc.idl.AcknowledgedCommit(
-            group=group, term=position.term, index=position.index
+    """Return the thrift records of acknowledged commits.
+
+    ``counts`` holds a term and the number of its commits, by group.
+    """
+    records = []
+    for group in positions.keys() | counts.keys():
+        term, count = counts.get(group, (None, None))
+        position = positions.get(group) or model.Position(term or 0, 0)
+        records.append(
+            rpc.idl.AcknowledgedCommit(
+                group=group,
+                term=position.term,
+                index=position.index,
+                count_term=term,
+                count=count,
+            )
         )
-        for group, position in positions.items()
-    ]
+    return records
 
 
 def acknowledged_from_wire(
@@ -111,6 +123,17 @@
     }
 
 
+def commit_counts_from_wire(
+    records: list[typing.Any] | None,
+) -> dict[str, tuple[int, int]]:
+    """Return terms and numbers of their acknowledged commits by group."""
+    return {
+        record.group: (record.count_term, record.count)
+        for record in records or []
+        if record.count_term is not None and record.count is not None
+    }
+
+
 def report_to_wire(report: shares.Report) -> typing.Any:
     """Return the thrift report on a client account."""
     return rpc.idl.AccountReport(
--- a/packages/node/src/sassafrasridge_node/entry.py
+++ b/packages/node/src/sassafrasridge_node/entry.py
@@ -81,6 +81,8 @@
         self.groups: dict[str, model.GroupView] = {}
         # Last commits that a client was told of, by group.
         self.acknowledged: dict[str, model.Position] = {}
+        # Newest term of acknowledged commits, and their number, by group.
+        self.commit_counts: dict[str, tuple[int, int]] = {}
         self.view_revision = 0
         self.view_changed = asyncio.Event()
         # Set when the first lease that includes a configuration is granted.
--- a/packages/node/src/sassafrasridge_node/failover.py
+++ b/packages/node/src/sassafrasridge_node/failover.py
@@ -21,6 +21,7 @@
 from sassafrasridge_node import pausedreplicas
 from sassafrasridge_node import pendingorders
 from sassafrasridge_node import promotionproof
+from sassafrasridge_node import requiredcommits
 from sassafrasridge_node import successors
 
 # Time after a change during which the new primary is not considered failed.
@@ -64,8 +65,7 @@
             clocks.boottime(), self._ended.has_ended
         )
         self._changed_at: dict[str, float] = {}
-        # Since when no replica has every acknowledged commit, by group.
-        self._lacking_since: dict[str, float] = {}
+        self._required = requiredcommits.RequiredCommits(table)
         self._successors = successors.Successors(
             orders, self.paused_replicas, self._is_drained, self._may_use
         )
@@ -119,14 +119,16 @@
         primaries = [i for i in known.values() if i.role == 'primary']
         if len(primaries) != 1:
             return
+        # No entry process uses the group before this view, so its commits
+        # can be counted from the present end of the log.
+        status = await self._orders.status(primaries[0])
+        view = model.GroupView(
+            group, 1, members=directory.addresses(known.values())
+        )
+        if status is not None and status.primary:
+            view = requiredcommits.follow_log(view, status)
         await self._commit_view(
-            model.GroupView(
-                group,
-                1,
-                primaries[0].server,
-                directory.addresses(known.values()),
-            ),
-            'adopted',
+            view.replace(primary=primaries[0].server), 'adopted'
         )
 
     def _current_members(self, view: model.GroupView) -> dict[str, str]:
@@ -279,12 +281,12 @@
             stepped_down = await self._orders.step_down(
                 targets[acting_primary.server], highest_term + 1
             )
-        acknowledged = self._acknowledged_commit(view.group)
+        acknowledged = self._required.required(view)
         proof = promotionproof.prove_candidates(
             targets, view.primary, paused, stepped_down, acknowledged
         )
         if proof.reason == promotionproof.LACKS_ACKNOWLEDGED:
-            self._lacking_since.setdefault(view.group, clocks.boottime())
+            self._required.found_lacking(view.group)
         chosen = self._choose_candidate(
             targets,
             [
@@ -339,7 +341,7 @@
         is that of the target if it was just requested.
         """
         assert view.promotion is not None
-        order, info = view.promotion, targets.get(view.promotion.server)
+        info = targets.get(view.promotion.server)
         if info is not None and status is None:
             status = await self._orders.status(info)
         if (
@@ -349,7 +351,7 @@
         ):
             status = await self._promote(view, info, status)
         if info is not None and status and promotionproof.leads(status, view):
-            await self._check_acknowledged(targets, order)
+            await self._check_acknowledged(view, targets)
             return await self._complete_change(view, targets, status, started)
         if not self._pending.is_recent(clocks.boottime(), view):
             await self._commit_view(
@@ -362,12 +364,13 @@
 
     async def _check_acknowledged(
         self,
+        view: model.GroupView,
         compared: dict[str, model.TargetInfo],
-        order: model.PromotionOrder,
     ) -> None:
         """Log if a commit was acknowledged that the proof didn't include."""
-        group = compared[order.server].group
-        acknowledged = self._lease_table.acknowledged(group)
+        assert view.promotion is not None
+        group, order = view.group, view.promotion
+        acknowledged = self._required.last_known(view)
         if acknowledged is None or acknowledged <= order.position:
             return
         self._metrics.missing_commits.inc()
@@ -406,27 +409,6 @@
                 )
         return found
 
-    def _acknowledged_commit(self, group: str) -> model.Position | None:
-        """Return the commit that a replica must have, None if it is lost.
-
-        A target that has not announced itself for as long as the directory
-        lists silent ones is taken for gone, and the commits with it.
-        """
-        position = self._lease_table.acknowledged(group)
-        since = self._lacking_since.get(group)
-        if since is None or position is None:
-            return position
-        waited_s = clocks.boottime() - since
-        if waited_s <= directory.EXPIRE_AFTER_S:
-            return position
-        logs.log_event(
-            'acknowledged_commits_given_up',
-            group=group,
-            acknowledged=model.position_text(position),
-            waited_s=round(waited_s, 3),
-        )
-        return None
-
     def _failed_primary(self, view: model.GroupView) -> str:
         """Return the primary's name if it counts as failed, else ''."""
         now, name = clocks.boottime(), view.primary or ''
@@ -455,7 +437,7 @@
         info = targets.get(view.primary or '')
         if info is None or info.leaving:
             return False
-        acknowledged = self._acknowledged_commit(view.group)
+        acknowledged = self._required.required(view)
         if acknowledged and acting_primary.received < acknowledged:
             # It has started again with a part of its log.
             return False
@@ -620,9 +602,8 @@
             return True
         self._lease_table.report_acknowledged({view.group: promoted.received})
         if view.promotion is not None or view.log_term < promoted.term:
-            view = view.replace(
-                log_term=max(view.log_term, promoted.term), promotion=None
-            )
+            view = requiredcommits.follow_log(view, promoted)
+            view = view.replace(promotion=None)
             await self._commit_view(view, 'primary_withheld')
         statuses = await self._successors.catch_up(
             targets, promoted, self._failed_primary(view)
@@ -644,15 +625,14 @@
         chosen: grouporders.ServerStatus,
         started: float,
     ) -> None:
-        new_view = view.replace(
+        new_view = requiredcommits.follow_log(view, chosen).replace(
             term=view.term + 1,
             primary=chosen.server,
             changing=False,
-            log_term=max(view.log_term, chosen.term),
             promotion=self._pending.remaining(clocks.boottime(), view),
         )
         self._changed_at[view.group] = clocks.boottime()
-        self._lacking_since.pop(view.group, None)
+        self._required.change_finished(view.group)
         self._successors.published(targets[chosen.server])
         reason = 'kept' if chosen.server == view.primary else 'changed'
         await self._commit_view(new_view, reason, clocks.boottime() - started)
--- a/packages/node/src/sassafrasridge_node/leadership.py
+++ b/packages/node/src/sassafrasridge_node/leadership.py
@@ -178,7 +178,7 @@
         holder.revision = req.revision
         holder.view_revision = req.view_revision
         holder.draining = req.draining
-        self._record_acknowledged(req)
+        self._record_acknowledged(name, req)
         reply = rpc.idl.RenewReply(
             granted=True,
             reason='',
@@ -318,15 +318,18 @@
 
     def release(self, now: float, req: typing.Any) -> None:
         """Release the lease and all grants of a holder that shuts down."""
-        self._record_acknowledged(req)
-        self._release_shares(now, req.entry, req.incarnation)
         name = holder_name(req.entry, req.incarnation)
+        self._record_acknowledged(name, req)
+        self._release_shares(now, req.entry, req.incarnation)
         self.lease_table.release(name)
 
-    def _record_acknowledged(self, req: typing.Any) -> None:
+    def _record_acknowledged(self, name: str, req: typing.Any) -> None:
         self.lease_table.report_acknowledged(
             codec.acknowledged_from_wire(req.acknowledged)
         )
+        self.lease_table.report_counts(
+            name, codec.commit_counts_from_wire(req.acknowledged)
+        )
 
     def _release_shares(
         self, now: float, entry: str, incarnation: int
--- a/packages/node/src/sassafrasridge_node/renewal.py
+++ b/packages/node/src/sassafrasridge_node/renewal.py
@@ -211,7 +211,9 @@
             entries_revision=state.entries_revision,
             targets_revision=state.targets_revision,
             unused_s=self._unused_s(),
-            acknowledged=codec.acknowledged_to_wire(state.acknowledged),
+            acknowledged=codec.acknowledged_to_wire(
+                state.acknowledged, state.commit_counts
+            ),
             leader_clock=self._leader_clock,
         )
 
@@ -247,7 +249,9 @@
             accounts=[],
             observations=[],
             sequence=next(self._sequence),
-            acknowledged=codec.acknowledged_to_wire(self._state.acknowledged),
+            acknowledged=codec.acknowledged_to_wire(
+                self._state.acknowledged, self._state.commit_counts
+            ),
         )
         client = self._pool.get(self.choice.current)
         try:
--- a/packages/node/src/sassafrasridge_node/ridge.thrift
+++ b/packages/node/src/sassafrasridge_node/ridge.thrift
@@ -96,11 +96,14 @@
 }
 
 // The last commit in a group that an entry process acknowledged to a client,
-// by the least position that it can have.
+// by the least position that it can have, and how many of the commits of a term
+// it acknowledged.
 struct AcknowledgedCommit {
   1: string group,
   2: i64 term,
   3: i64 index,
+  4: optional i64 count_term,
+  5: optional i64 count,
 }
 
 struct RenewRequest {
--- a/packages/node/src/sassafrasridge_node/sessionprimary.py
+++ b/packages/node/src/sassafrasridge_node/sessionprimary.py
@@ -151,8 +151,10 @@
                 StatementFailure.IN_DOUBT, 'the primary was replaced meanwhile'
             )
         self.own_writes.record(access.group, answer.position)
-        if answer.commit is not None:
-            self._state.record_acknowledged(access.group, answer.commit)
+        if answer.position is not None:
+            self._state.record_acknowledged(
+                access.group, answer.position.term, answer.commit
+            )
         return sessiontargets.success(answer)
 
     def _raise_unless_retryable(
--- a/packages/node/src/sassafrasridge_node/sessionstate.py
+++ b/packages/node/src/sassafrasridge_node/sessionstate.py
@@ -216,12 +216,20 @@
                 backend.lost_log_at = -math.inf
 
     def record_acknowledged(
-        self, group: str, position: model.Position
+        self, group: str, term: int, least: model.Position | None
     ) -> None:
-        """Record the least position of a commit that a client is told of."""
+        """Record a commit of a term that a client is told of.
+
+        ``least`` is the least position that it can have, if known.
+        """
+        newest, count = self.commit_counts.get(group, (term, 0))
+        if term == newest:
+            self.commit_counts[group] = term, count + 1
+        elif term > newest:
+            self.commit_counts[group] = term, 1
         known = self.acknowledged.get(group)
-        if known is None or known < position:
-            self.acknowledged[group] = position
+        if least is not None and (known is None or known < least):
+            self.acknowledged[group] = least
 
     def primary_reached(self, backend: sessionpool.SessionBackend) -> None:
         """Record that a target answered; it matters if it is a primary."""
--- a/tests/core/test_acknowledged.py
+++ b/tests/core/test_acknowledged.py
@@ -80,3 +80,26 @@
         """Guards against a member that ends because of a message."""
         with pytest.raises(errors.BadRequestError):
             acknowledged.decode(data)
+
+
+class TestCommitCounts:
+    def test_counts_of_an_ended_process_remain(self):
+        """Guards against a bound that drops when a process starts again."""
+        counts = acknowledged.CommitCounts()
+        counts.report('e1#1', {'g': (2, 7)})
+        counts.report('e1#2', {'g': (2, 1)})
+        assert counts.total('g', 2) == 8
+
+    def test_a_report_that_arrives_late_lowers_nothing(self):
+        counts = acknowledged.CommitCounts()
+        counts.report('e1#1', {'g': (2, 7)})
+        counts.report('e1#1', {'g': (2, 5)})
+        assert counts.total('g', 2) == 7
+
+    def test_commits_of_an_earlier_term_are_not_counted(self):
+        """Guards against waiting for commits that don't exist."""
+        counts = acknowledged.CommitCounts()
+        counts.report('e1#1', {'g': (2, 7)})
+        counts.report('e1#1', {'g': (3, 1)})
+        counts.report('e2#1', {'g': (2, 4)})
+        assert (counts.total('g', 2), counts.total('g', 3)) == (0, 1)
--- a/tests/node/simulatedgroup.py
+++ b/tests/node/simulatedgroup.py
@@ -284,6 +284,10 @@
                 lag_s = target.lag_s(self.loop.time())
                 self.loop.call_later(lag_s, self._sync, target)
 
+    def touch_now(self, target):
+        """Let a target receive at once what it can."""
+        self._sync(target)
+
     def _sync(self, target):
         self._syncing.discard(target.name)
         if not target.running:
@@ -300,6 +304,8 @@
         target.term = source.term
         target.log[:] = source.log
         for write in source.waiting:
+            # The answer tells the end of the log, not the commit's position.
+            write.log_end = source.received
             self.loop.call_later(self.answer_delay_s, write.answer)
         source.waiting.clear()
 
@@ -675,7 +681,9 @@
         self.group, self.fates = group, fates
         self.store = SharedViews()
         addresses = {t.name: t.address for t in group.targets.values()}
-        self.store.views[GROUP] = model.GroupView(GROUP, 1, 'a', addresses)
+        self.store.views[GROUP] = model.GroupView(
+            GROUP, 1, 'a', addresses, log_term=1, starts={1: 1}
+        )
         # What the members that don't lead know of acknowledged commits.
         self.member_commits = acknowledged.AcknowledgedCommits()
         self.member_commits.follow(self.store.views.values())
@@ -712,9 +720,11 @@
     def renew(
         self,
         entry,
+        sent_at,
         sequence,
         revision,
         acknowledged,
+        count,
         observations,
         heard_leader,
     ):
@@ -728,14 +738,16 @@
         name = entry.holder.name
         holder = leader.table.grant(now, name, entry.name)
         holder.view_revision = revision
+        if count is not None:
+            leader.table.report_counts(name, {GROUP: count})
         if acknowledged is not None:
             self._record_acknowledged(leader, holder, acknowledged)
-            for commit in self.group.acknowledged:
-                if (
-                    commit.holder.name == name
-                    and commit.position <= acknowledged
-                ):
-                    commit.reported_to.add(leader.name)
+        for commit in self.group.acknowledged:
+            if (
+                commit.holder.name == name
+                and commit.acknowledged_at <= sent_at
+            ):
+                commit.reported_to.add(leader.name)
         for server, observation in observations(now).items():
             leader.detector.report(name, GROUP, server, observation)
         if heard_leader is leader:
@@ -761,6 +773,8 @@
 
     def __init__(self, entry):
         self.entry, self.view = entry, entry.view
+        # End of the log that the process knew when it sent the write.
+        self.known = entry.known
         self.commit = None
 
     def answer(self):
@@ -785,6 +799,10 @@
         self.revision = -1
         self.view = None
         self.acknowledged = None
+        # Term of the last commits that were acknowledged, and their number.
+        self.count = None
+        # End of the primary's log in the last answer.
+        self.known = None
         self.heard_at = {}
         # Leader whose reply arrived last.
         self.heard_leader = None
@@ -816,9 +834,11 @@
                 NETWORK_DELAY_S,
                 self.control.renew,
                 self,
+                now,
                 self.sequence,
                 self.revision,
                 self.acknowledged,
+                self.count,
                 self._observations,
                 self.heard_leader,
             )
@@ -872,7 +892,11 @@
         same_term = self.may_write() and self.view.term == write.view.term
         if not same_term:
             return
-        position = write.commit.position
-        if self.acknowledged is None or self.acknowledged < position:
-            self.acknowledged = position
+        position, known = write.commit.position, write.known
+        if known is not None and known.term == position.term:
+            least = model.Position(known.term, known.index + 1)
+            self.acknowledged = max(self.acknowledged or least, least)
+        self.known = max(self.known or write.log_end, write.log_end)
+        term, count = self.count or (position.term, 0)
+        self.count = position.term, (count if term == position.term else 0) + 1
         self.group.acknowledge(write.commit, self.holder)
--- a/tests/node/simulatedreads.py
+++ b/tests/node/simulatedreads.py
@@ -694,13 +694,16 @@
     def send_renewal(self, req):
         if self._reaches_control():
             positions = codec.acknowledged_from_wire(req.acknowledged)
+            counts = codec.commit_counts_from_wire(req.acknowledged)
             self.loop.call_later(
                 NETWORK_DELAY_S,
                 self.control.renew,
                 self,
+                self.loop.time(),
                 req.sequence,
                 req.view_revision,
                 positions.get(GROUP),
+                counts.get(GROUP),
                 lambda now: {
                     obs.server: codec.observation_from_wire(now, obs)
                     for obs in req.observations
--- a/tests/node/test_failover.py
+++ b/tests/node/test_failover.py
@@ -250,6 +250,29 @@
         assert len(proof.candidates) == 2
 
 
+class TestStartOfTerm:
+    def test_the_first_view_holds_the_end_of_the_log(self, servers):
+        """Guards against commits that can't be counted from anything."""
+        cluster = Cluster(servers)
+        cluster.store.views.clear()
+        view = cluster.step()
+        assert (view.primary, view.log_term, view.starts) == ('a', 1, {1: 9})
+
+    def test_a_primary_that_does_not_answer_is_adopted(self, servers):
+        cluster = Cluster(servers)
+        cluster.store.views.clear()
+        servers['a'].reachable = False
+        view = cluster.step()
+        assert (view.primary, view.log_term, view.starts) == ('a', 0, {})
+
+    def test_a_promoted_target_begins_a_term(self, servers):
+        cluster = Cluster(servers)
+        servers['a'].reachable = False
+        cluster.fail('a')
+        view = cluster.step()
+        assert (view.primary, view.log_term, view.starts) == ('c', 2, {2: 9})
+
+
 class TestUnlistedReplica:
     """Pattern: a primary is replaced before control knows its newest replica.
 
@@ -299,6 +322,37 @@
         cluster.announce('d', servers['d'])
         assert cluster.step().primary == 'd'
 
+    def test_commits_that_were_on_their_way_together_are_counted(
+        self, servers
+    ):
+        """Guards against a report that is too low by concurrent commits."""
+        cluster = Cluster(servers)
+        servers['d'] = FakeServer(12)
+        servers['a'].reachable = False
+        view = cluster.store.views['g']
+        cluster.store.views['g'] = view.replace(log_term=1, starts={1: 4})
+        cluster.fail('a')
+        cluster.table.report_acknowledged({'g': Position(1, 9)})
+        cluster.table.report_counts('e1#1', {'g': (1, 5)})
+        cluster.table.report_counts('e2#1', {'g': (1, 3)})
+        assert cluster.step().changing
+        assert not [o for o in cluster.orders.sent_orders if o[0] == 'promote']
+        cluster.announce('d', servers['d'])
+        assert cluster.step().primary == 'd'
+
+    def test_commits_without_an_answer_are_not_waited_for(self, servers):
+        """Guards against 15 s without a primary after a usual crash.
+
+        Replicas have received commits that nobody was told of.
+        """
+        cluster = Cluster(servers)
+        servers['a'].reachable = False
+        view = cluster.store.views['g']
+        cluster.store.views['g'] = view.replace(log_term=1, starts={1: 4})
+        cluster.fail('a')
+        cluster.table.report_counts('e1#1', {'g': (1, 5)})
+        assert cluster.step().primary == 'c'
+
     def test_a_replica_that_is_gone_is_not_waited_for(self, servers):
         """Guards against a group that never has a primary again."""
         cluster = self.cluster(servers)
@@ -306,7 +360,7 @@
         cluster.fail('a')
         assert cluster.step().changing
         since = clocks.boottime() - directory.EXPIRE_AFTER_S - 1.0
-        cluster.reconciler._lacking_since['g'] = since
+        cluster.reconciler._required._lacking_since['g'] = since
         assert cluster.step().primary == 'c'
 
 
--- a/tests/node/test_promotion_fuzz.py
+++ b/tests/node/test_promotion_fuzz.py
@@ -236,6 +236,38 @@
     def crash(self, index, seconds):
         self.crash_for(self.pick(index), seconds)
 
+    @event(
+        gap_s=st.sampled_from([0.0, 0.012, 0.05]),
+        seconds=SECONDS,
+        silent_s=SECONDS,
+    )
+    def crash_primary_during_writes(self, gap_s, seconds, silent_s):
+        """Crash it while commits of several processes are on their way.
+
+        A new replica that control doesn't know yet receives all of them, the
+        others only the first ones.
+        """
+        primary, others = self.group.leading, self.group.running()
+        if len(self.group.targets) < 5:
+            self.links.cut(self.group.join().name, 'announcements', silent_s)
+            self.advance(0.3)
+        first, *later = self.entries
+        first.write()
+        self.loop.advance(gap_s)
+        self.stop_replication(others, seconds)
+        for entry in later:
+            entry.write()
+        self.loop.advance(0.3)
+        self.crash_for(primary, seconds)
+
+    def stop_replication(self, targets, seconds):
+        """Let targets receive what there is, and nothing for some time."""
+        primary = self.group.leading
+        for target in targets:
+            if target is not primary:
+                self.group.touch_now(target)
+                self.links.cut(target.name, primary.name, seconds)
+
     def crash_for(self, target, seconds):
         if target.running:
             self.group.crash(target)
@@ -517,6 +549,15 @@
         machine.crash_primary(after_s=4.0, seconds=9.0)
         machine.no_commit_was_lost()
 
+    def test_commits_that_are_on_their_way_together(self, machine):
+        """Guards against a bound that is too low by concurrent commits."""
+        machine.advance(2.0)
+        machine.crash_primary_during_writes(
+            after_s=7.0, gap_s=0.012, seconds=9.0, silent_s=5.0
+        )
+        machine.no_commit_was_lost()
+        assert machine.group.leading.name == 'e'
+
     def test_a_report_to_a_leader_that_ended(self, machine):
         """Guards against losing the report together with that leader."""
         machine.join(after_s=0.5, silent_s=9.0)
--- a/tests/node/test_reads_fuzz.py
+++ b/tests/node/test_reads_fuzz.py
@@ -165,6 +165,33 @@
         assert machine.group.leading.name == 'c'
         machine.no_read_missed_a_commit()
 
+    def test_commits_that_are_on_their_way_together(self, machine):
+        """Guards against a bound that is too low by concurrent commits."""
+        machine.advance(2.0)
+        machine.crash_primary_during_writes(
+            after_s=7.0, gap_s=0.012, seconds=9.0, silent_s=5.0
+        )
+        assert not machine.history.violations, machine.history.text()
+        assert machine.group.leading.name == 'e'
+
+    def test_commits_whose_answers_were_lost(self, machine):
+        """Guards against a bound that is too low by those commits."""
+        machine.advance(2.0)
+        others = machine.group.running()
+        machine.links.cut(machine.group.join().name, 'announcements', 5.0)
+        machine.advance(0.3)
+        first, *later = machine.entries
+        first.write()
+        first.write()
+        machine.loop.advance(0.007)
+        machine.stop_replication(others, 9.0)
+        machine.links.cut(first.name, 'a', 9.0)
+        for entry in later:
+            entry.write()
+        machine.loop.advance(0.3)
+        machine.crash(after_s=7.0, index=0, seconds=9.0)
+        assert not machine.history.violations, machine.history.text()
+
     @pytest.mark.parametrize('index', range(3))
     def test_a_route_that_moves_to_another_group_and_returns(
         self, machine, index
--- a/tests/node/test_sessionfront.py
+++ b/tests/node/test_sessionfront.py
@@ -267,6 +267,7 @@
         process = EntryProcess()
         process.run(read(), write(), write())
         assert process.state.acknowledged['g'].term == 1
+        assert process.state.commit_counts['g'] == (1, 2)
 
     def test_a_commit_is_not_recorded_beyond_its_least_position(self):
         """Guards against a proof that waits for commits that nobody has.
@@ -285,7 +286,7 @@
         """Guards against positions of a log that was replaced."""
         process = EntryProcess()
         state = process.state
-        state.record_acknowledged('g', Position(1, 5))
+        state.record_acknowledged('g', 1, Position(1, 5))
         changing = model.GroupView('g', 3, 'p', changing=True)
         state._on_primary_change(state.groups['g'], changing)
         assert state.acknowledged
