Count commits of a former primary that is promoted again

Acknowledged commits could still be lost with an unlisted replica in the term of such a primary: its record got no start, so nothing was counted and the position known before the write decided alone.

Only a record of an earlier build, which holds no term, leaves open whether the primary was in use in its term.

--- a/packages/node/src/sassafrasridge_node/requiredcommits.py
+++ b/packages/node/src/sassafrasridge_node/requiredcommits.py
@@ -71,11 +71,12 @@
     """Return a view with the term that its next primary leads in its log.
 
     The start of the term is known only if no entry process has used the
-    target in it.
+    target in it. A record of an earlier build doesn't tell whether the primary
+    led its term before.
     """
     if primary.term <= view.log_term:
         return view
     starts = {}
-    if primary.server != view.primary:
+    if view.log_term or primary.server != view.primary:
         starts = {primary.term: primary.received.index}
     return view.replace(log_term=primary.term, starts=starts)
--- a/tests/node/test_requiredcommits.py
+++ b/tests/node/test_requiredcommits.py
@@ -67,6 +67,12 @@
         found = requiredcommits.follow_log(view, self.status('b', 2, 90))
         assert found.starts == {2: 40}
 
+    def test_a_former_primary_that_is_promoted_again_begins_a_term(self):
+        """Guards against a term in which nothing is counted."""
+        view = model.GroupView('g', 5, 'a', log_term=1, starts={1: 3})
+        found = requiredcommits.follow_log(view, self.status('a', 2, 84))
+        assert (found.log_term, found.starts) == (2, {2: 84})
+
     def test_a_primary_in_use_gets_no_start(self):
         """Guards against the same with a record of an earlier build."""
         view = model.GroupView('g', 5, 'b')
