Ignore the late report of an earlier process that a target has left

Cause: the report that a target has left names no process. One that a cut link held up removed the next process of the name, and its start time was noted as the one that had left, so that the directory ignored its announcements until the next leader. It confirmed commits all the while, and after 15 s the leader took them for lost.

Fix: a target announces that it leaves before it does, so the report counts only if the listed process has announced that. A leaving process that is removed by mistake is listed again by the second of its later announcements, a second or more after the first; one, or several that arrive together, may have been held up.

Ruled out: a late announcement, and a leader that knew too little.

A departure now always is that of a leaving target, so has_left serves what has_shut_down served.

--- a/packages/core/src/sassafrasridge_core/directory.py
+++ b/packages/core/src/sassafrasridge_core/directory.py
@@ -1,7 +1,9 @@
 """Directory of the targets that announced themselves to control.
 
 Announcements are ordered by the target's start time and sequence number. A
-late announcement from an earlier incarnation is ignored.
+late announcement from an earlier incarnation is ignored. The report that a
+target has left names no incarnation, so what is known of the listed one tells
+whether it can be its own.
 """
 
 import collections.abc
@@ -16,6 +18,10 @@
 # Time within which every live target has announced itself: three times the
 # longest interval between announcements.
 COMPLETE_AFTER_S = 4.0
+# Shortest time between two announcements which show that a target that is held
+# to have left still runs. Those of a process that has ended were held up on a
+# link and arrive together.
+RETURN_AFTER_S = 1.0
 
 
 class Announcement:
@@ -43,6 +49,37 @@
         self.heard_at = heard_at
 
 
+class _Departure:
+    """Hold the last announcement of an incarnation before it left."""
+
+    __slots__ = ('born', '_sequence', '_later', '_later_heard_at')
+
+    def __init__(self, last: Announcement) -> None:
+        self.born = last.born
+        self._sequence = last.sequence
+        # First announcement of the same incarnation since, and its time.
+        self._later: Announcement | None = None
+        self._later_heard_at = 0.0
+
+    def is_refuted(self, now: float, found: Announcement) -> bool:
+        """Return whether an announcement shows that the target runs.
+
+        One of a later incarnation does. One of the same may have been sent
+        before it left and held up, so it takes a second one some time after.
+        """
+        if found.born != self.born:
+            return found.born > self.born
+        if found.sequence <= self._sequence:
+            return False
+        if self._later is None:
+            self._later, self._later_heard_at = found, now
+            return False
+        return (
+            found.sequence > self._later.sequence
+            and now - self._later_heard_at >= RETURN_AFTER_S
+        )
+
+
 class TargetDirectory:
     """Store the newest announcement of every target.
 
@@ -55,8 +92,7 @@
         'revision',
         '_started_at',
         '_entries',
-        '_left_incarnations',
-        '_shut_down',
+        '_departures',
         '_expire_from',
         '_groups',
         '_groups_revision',
@@ -66,10 +102,8 @@
         self.revision = revision
         self._started_at = started_at
         self._entries: dict[str, _Entry] = {}
-        # Start time of the last incarnation that left, by target.
-        self._left_incarnations: dict[str, int] = {}
-        # Targets that had announced that they leave before they left.
-        self._shut_down: set[str] = set()
+        # Last incarnation that left, by target.
+        self._departures: dict[str, _Departure] = {}
         # Earliest time at which a target can expire.
         self._expire_from = started_at + EXPIRE_AFTER_S
         # Targets by group, cached for ``_groups_revision``.
@@ -82,7 +116,10 @@
         False means that it is not newer than what is known.
         """
         info = announcement.info
-        if announcement.born <= self._left_incarnations.get(info.server, -1):
+        departure = self._departures.get(info.server)
+        if departure is not None and not departure.is_refuted(
+            now, announcement
+        ):
             return False
         known = self._entries.get(info.server)
         if known is not None:
@@ -100,6 +137,8 @@
             else _published_fields(known.announcement.info)
         )
         self._entries[info.server] = _Entry(announcement, now)
+        if departure is not None and departure.born == announcement.born:
+            del self._departures[info.server]
         if before != _published_fields(info):
             self.revision += 1
         return True
@@ -117,29 +156,24 @@
             self.revision += 1
         return False
 
-    def leave(self, server: str) -> None:
-        """Remove a target that reported that it has left."""
-        entry = self._entries.pop(server, None)
-        if entry is not None:
-            self._left_incarnations[server] = entry.announcement.born
-            self._shut_down.discard(server)
-            if entry.announcement.info.leaving:
-                self._shut_down.add(server)
-            self.revision += 1
-
-    def has_left(self, server: str) -> bool:
-        """Return whether a target reported that it has left."""
-        return server in self._left_incarnations and (
-            server not in self._entries
-        )
-
-    def has_shut_down(self, server: str) -> bool:
-        """Return whether a target left after it announced that it would.
+    def leave(self, server: str) -> bool:
+        """Remove a target that reported that it has left.
 
-        A late report of an earlier process under the same name reaches a
-        target that isn't leaving.
+        A target announces that it leaves before it does. The report of one
+        that hasn't is a late one of an earlier incarnation, and is ignored.
+        Returns whether a target was removed.
         """
-        return server in self._shut_down and self.has_left(server)
+        entry = self._entries.get(server)
+        if entry is None or not entry.announcement.info.leaving:
+            return False
+        del self._entries[server]
+        self._departures[server] = _Departure(entry.announcement)
+        self.revision += 1
+        return True
+
+    def has_left(self, server: str) -> bool:
+        """Return whether a target announced that it leaves, then left."""
+        return server in self._departures and server not in self._entries
 
     def expire(
         self,
--- a/packages/node/src/sassafrasridge_node/endedtargets.py
+++ b/packages/node/src/sassafrasridge_node/endedtargets.py
@@ -74,7 +74,7 @@
             evidence = 'another_server_answers'
         elif (
             presence is grouporders.Presence.UNKNOWN
-            and self._targets.has_shut_down(server)
+            and self._targets.has_left(server)
         ):
             evidence = 'left'
         else:
--- a/packages/node/src/sassafrasridge_node/leadership.py
+++ b/packages/node/src/sassafrasridge_node/leadership.py
@@ -266,9 +266,9 @@
 
     def unregister(self, server: str) -> None:
         """Remove a target that shut down."""
-        self.directory.leave(server)
+        removed = self.directory.leave(server)
         self._count_cold_targets()
-        logs.log_event('target_left', server=server)
+        logs.log_event('target_left', server=server, removed=removed)
 
     def is_retired(self, req: typing.Any) -> bool:
         """Return whether a renewal is from a replaced incarnation."""
--- a/tests/core/test_directory.py
+++ b/tests/core/test_directory.py
@@ -38,25 +38,25 @@
 
     def test_target_that_left_is_ignored_until_it_restarts(self):
         found = directory.TargetDirectory(0.0)
-        found.announce(1.0, announce('a', 100, 1))
-        found.leave('a')
+        found.announce(1.0, announce('a', 100, 1, leaving=True))
+        assert found.leave('a')
         assert not found.announce(2.0, announce('a', 100, 2))
         assert found.announce(3.0, announce('a', 101, 1))
 
-    def test_only_a_leaving_target_shuts_down(self):
+    def test_only_a_leaving_target_leaves(self):
         """Guards against late reports of an earlier process of the name."""
         found = directory.TargetDirectory(0.0)
         for name, leaving in (('a', True), ('b', False)):
             address = f'10.0.0.1:{ord(name)}'
             found.announce(1.0, announce(name, 100, 1, address, leaving))
             found.leave(name)
-        assert [found.has_shut_down(name) for name in 'abc'] == [
+        assert [found.has_left(name) for name in 'abc'] == [
             True,
             False,
             False,
         ]
         found.announce(2.0, announce('a', 200, 1, '10.0.0.1:97'))
-        assert not found.has_shut_down('a')
+        assert not found.has_left('a')
 
     def test_only_published_changes_raise_the_revision(self):
         found = directory.TargetDirectory(0.0, 7)
@@ -124,3 +124,43 @@
         found.leave('r')
         found.announce(3.0, directory.Announcement(info, 200, 2))
         assert 'r' in found.group('g')
+
+    def test_it_does_not_remove_it_twice(self):
+        """Guards against a report that arrives more than once."""
+        found = directory.TargetDirectory(0.0)
+        found.announce(1.0, announce('a', 100, 7, leaving=True))
+        assert found.leave('a')
+        found.announce(2.0, announce('a', 200, 1))
+        assert not found.leave('a')
+        assert not found.has_left('a') and 'a' in found.group('g')
+
+    def test_a_leaving_target_that_still_runs_is_listed_again(self):
+        """Guards against a late report that meets the next departure.
+
+        A leaving target confirms commits until its end.
+        """
+        found = directory.TargetDirectory(0.0)
+        found.announce(1.0, announce('a', 200, 5, leaving=True))
+        found.leave('a')
+        assert not found.announce(2.0, announce('a', 200, 6, leaving=True))
+        assert found.announce(3.2, announce('a', 200, 7, leaving=True))
+        assert not found.has_left('a')
+
+    def test_late_announcements_bring_no_ended_target_back(self):
+        """Guards against announcements that a link held up until its end."""
+        found = directory.TargetDirectory(0.0)
+        found.announce(1.0, announce('a', 200, 5, leaving=True))
+        found.leave('a')
+        for now, sequence in ((2.0, 6), (2.1, 8), (4.0, 5), (5.0, 6)):
+            late = announce('a', 200, sequence, leaving=True)
+            assert not found.announce(now, late)
+        assert found.has_left('a')
+
+    def test_a_late_announcement_of_a_target_that_left_before(self):
+        """Guards against listing it once its successor is gone as well."""
+        found = directory.TargetDirectory(0.0)
+        found.announce(1.0, announce('a', 100, 5, leaving=True))
+        found.leave('a')
+        found.announce(2.0, announce('a', 200, 1))
+        assert found.expire(18.0) == ['a']
+        assert not found.announce(19.0, announce('a', 100, 4))
--- a/tests/node/test_failover.py
+++ b/tests/node/test_failover.py
@@ -530,6 +530,7 @@
         """Guards against a proof from an incomplete directory."""
         cluster = Cluster(servers)
         cluster.directory._started_at = clocks.boottime()
+        cluster.announce('c', servers['c'], sequence=2, leaving=True)
         cluster.directory.leave('c')
         servers['a'].reachable = servers['c'].reachable = False
         cluster.fail('a')
@@ -980,7 +981,7 @@
             view = cluster.store.views['g']
             view.members['c'] = view.members['b']
         else:
-            cluster.announce('c', servers['c'])
+            cluster.announce('c', servers['c'], leaving=True)
             cluster.directory.leave('c')
         cluster.start_leader('z')
         servers['a'].reachable = servers['c'].reachable = False
--- a/tests/node/test_promotion_fuzz.py
+++ b/tests/node/test_promotion_fuzz.py
@@ -302,6 +302,40 @@
             self.control.leave(target.name)
         self.loop.call_later(start_s, self.restart, successor)
 
+    @event(
+        index=TARGETS,
+        seconds=SECONDS,
+        start_s=SECONDS,
+        late_s=st.sets(st.sampled_from([0.0, 1.0, 2.5, 6.0]), max_size=2),
+    )
+    def restart_under_its_name(self, index, seconds, start_s, late_s):
+        """Let a target leave and start again, with its log.
+
+        Its report that it has left arrives after each of the given delays.
+        """
+        target = self.pick(index)
+        if target.running and not target.leaving:
+            self.history.add(
+                f'{target.name} leaves in {seconds}, starts again after'
+                f' {start_s}, its end is reported after {sorted(late_s)}'
+            )
+            target.leaving = True
+            self.leaving_since[target.name] = self.loop.time()
+            self.announce(target)
+            self.loop.call_later(
+                seconds, self.stop_and_restart, target, start_s, sorted(late_s)
+            )
+
+    def stop_and_restart(self, target, start_s, late_s):
+        if target.name not in self.group.targets:
+            return
+        if target.running:
+            self.group.crash(target)
+        target.leaving = False
+        for delay_s in late_s:
+            self.loop.call_later(delay_s, self.control.leave, target.name)
+        self.loop.call_later(start_s, self.restart, target)
+
     @event(index=TARGETS, start_s=SECONDS)
     def replace(self, index, start_s):
         self.replace_by_successor(self.pick(index), start_s)
@@ -558,6 +592,20 @@
         machine.no_commit_was_lost()
         assert machine.group.leading.name == 'e'
 
+    def test_a_late_departure_of_a_replica_that_runs_again(self, machine):
+        """Guards against a running replica that control doesn't list."""
+        again, other = 1, 2
+        machine.restart_under_its_name(
+            after_s=5.0, index=again, seconds=2.0, start_s=0.2, late_s={2.5}
+        )
+        machine.cut_target(
+            after_s=1.5, index=other, peer='primary', seconds=6.0
+        )
+        machine.crash_primary(after_s=9.0, seconds=30.0)
+        assert machine.group.leading.name == 'b'
+        machine.advance(12.0)
+        machine.no_commit_was_lost()
+
     def test_a_report_to_a_leader_that_ended(self, machine):
         """Guards against losing the report together with that leader."""
         machine.join(after_s=0.5, silent_s=9.0)
