--- a/packages/core/src/sassafrasridge_core/directory.py
+++ b/packages/core/src/sassafrasridge_core/directory.py
@@ -61,8 +61,8 @@
         self._later: Announcement | None = None
         self._later_heard_at = 0.0
 
-    def is_refuted(self, now: float, found: Announcement) -> bool:
-        """Return whether an announcement shows that the target runs.
+    def note_announcement(self, now: float, found: Announcement) -> bool:
+        """Note an announcement; return whether it shows that the target runs.
 
         One of a later incarnation does. One of the same may have been sent
         before it left and held up, so it takes a second one some time after.
@@ -117,7 +117,7 @@
         """
         info = announcement.info
         departure = self._departures.get(info.server)
-        if departure is not None and not departure.is_refuted(
+        if departure is not None and not departure.note_announcement(
             now, announcement
         ):
             return False
