Wire the pair of processes of two tests in one place

The pair for moved routes repeated the wiring of the pair for relayed statements; it now sets only the type of its processes. No assertion changed. The tests of both modules and of session drains pass.

--- a/tests/node/test_movedroutes.py
+++ b/tests/node/test_movedroutes.py
@@ -135,19 +135,16 @@
 
 
 class Pair(relay.Pair):
-    """Connect a process to one that serves its groups."""
+    """Connect a process to those that serve its groups.
+
+    Its statements go to the first one, ``far``.
+    """
+
+    process_type = TwoGroupProcess
 
     def __init__(self):
-        self.near = TwoGroupProcess()
-        self.far = TwoGroupProcess()
-        self.peers = {'s1': relay.Peer(self.far)}
-        state = self.near.state
-        state.serves = lambda group: False
-        state.relay_order = lambda group, account, zone: list(self.peers)
-        state.entries = {name: name for name in self.peers}
-        self.near.service.relays = sessionrelay.StatementRelay(
-            state, self, front.random.Random(1)
-        )
+        super().__init__(configuration.SESSION)
+        self.far = self.first.process
 
     def move_route(self, service):
         self.near.move_route(service)
--- a/tests/node/test_sessionrelay.py
+++ b/tests/node/test_sessionrelay.py
@@ -52,11 +52,12 @@
 class Pair:
     """Connect a process with client sessions to two that serve the group."""
 
+    process_type = front.EntryProcess
+
     def __init__(self, consistency=configuration.PRIMARY):
-        self.near = front.EntryProcess(consistency)
+        self.near = self.process_type(consistency)
         self.peers = {
-            name: Peer(front.EntryProcess(consistency))
-            for name in ('s1', 's2')
+            name: Peer(self.process_type(consistency)) for name in ('s1', 's2')
         }
         state = self.near.state
         state.serves = lambda group: False
