review: add case 12, one frozen entry machine stops every change of primary

Cause: the changes that the machine lacks exceed the frame limit, its lease is renewed all the same, and a change of primary waits for its confirmation.

--- a/review/deployment_3.py
+++ b/review/deployment_3.py
@@ -340,6 +340,27 @@
                 raise CannotRun(f'not within {timeout_s} s: {what}')
             time.sleep(0.1)
 
+    # The stand-in servers.
+
+    def order_platform(self, body: Fields) -> None:
+        """Send an order to the stand-in servers."""
+        data = json.dumps(body).encode()
+        if http_call(self.platform_address, 'POST', '/faults', data)[0] != 200:
+            raise CannotRun(f'the stand-in refused {body}')
+
+    def primaries(self) -> list[str]:
+        """Return the running servers that act as primary."""
+        status, raw = http_call(self.platform_address, 'GET', '/state')
+        if status != 200:
+            raise CannotRun('the stand-in gave no answer')
+        servers = json.loads(raw)['servers']
+        return [s['server'] for s in servers if s['primary'] and s['running']]
+
+    def new_address(self) -> str:
+        """Return a free address for one more server."""
+        ip = f'{self._server_ips[0].rpartition(".")[0]}.120'
+        return f'{ip}:{_free_ports([ip], 1)[0]}'
+
     # The operator.
 
     def next_configuration(self, **changes: typing.Any) -> Fields:
@@ -579,6 +600,48 @@
             self.outcomes.append((started, served))
 
 
+# A storm of large configurations.
+
+# Routes beside those of the clients, in a body below 262,144 bytes.
+IDLE_ROUTES = 1400
+# The dose of the site's day scale-1: 25 changes in 1.5 s. A storm takes longer
+# if the answers do, but not as long as the site's freeze.
+STORM_GAP_S = 0.06
+STORM_CHANGES = 25
+STORM_S = 3.2
+
+
+def large_configuration(
+    deployment: Deployment,
+) -> Fields:
+    """Return the next version, with many routes and another idle time-out."""
+    body = deployment.next_configuration()
+    for number in range(IDLE_ROUTES):
+        route = dict(body['routes'][0])
+        route['name'], route['host'] = f'r{number:04}', f'idle{number:04}'
+        del route['maxStalenessMs']
+        body['routes'].append(route)
+    body['limits']['txIdleMs'] = 3000 + body['version']
+    return body
+
+
+def storm(deployment: Deployment) -> int:
+    """Send changes in quick succession; return how many were accepted."""
+    accepted = 0
+    deadline = time.monotonic() + STORM_S
+    for _ in range(STORM_CHANGES):
+        if time.monotonic() > deadline:
+            break
+        begun = time.monotonic()
+        body = large_configuration(deployment)
+        if deployment.put_configuration(body):
+            accepted += 1
+            deployment.record.write(f'configuration {body["version"]}: 200')
+        rest_s = STORM_GAP_S - (time.monotonic() - begun)
+        time.sleep(max(0.0, rest_s))
+    return accepted
+
+
 # The check of RECOVER, and the frame of a case.
 
 RECOVERY_S = 12.0
