--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -1,8 +1,11 @@
 #!/usr/bin/env bash
-# Prepares the stand-ins of the cases of REPORT-3.md. They are Python modules
-# of the test kit and of this folder, so there is nothing to compile: this
-# checks that they can be imported with what the deploy file's build installs.
+# Builds the stand-ins that the scripts of this review start: those of the
+# first review, the project's own, and deployment_3.py. They need the build of
+# the deploy file, which provides their libraries.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-export PYTHONPATH=target/deps:packages/testkit/src:review
-python3 -B -c 'import deployment_3, sassafrasridge_testkit.linegroup'
+bash review/build.sh
+python3 -m compileall -q packages/testkit/src review/deployment_3.py \
+    review/{11,12,13}/case.py
+PYTHONPATH=target/deps:packages/testkit/src \
+    python3 -c 'import sassafrasridge_testkit.linegroup'
