Acknowledge a commit once a listed replica has received it

Cause: clients were told of a commit as soon as any replica had it, and control derived afterwards how far a candidate must be from two lower bounds. The count of acknowledged commits lacks those whose answers were lost and those of processes that ended before their report; the known position lacks commits on their way together. A replica that control doesn't list may have confirmed the difference.

Ruled out: a report that arrives after the comparison (every lease confirms the change before it). A count from a later position that all know would repair the case, but still lacks answers lost since, and commits on their way.

Fix: the answer to a commit tells the end of the primary's log. The client is told once a listed replica has received that end, and the end is what control requires. So the bound isn't below any acknowledged commit, and a listed replica has it, whatever was lost, killed or not reported.

--- a/packages/node/src/sassafrasridge_node/metrics.py
+++ b/packages/node/src/sassafrasridge_node/metrics.py
@@ -51,6 +51,8 @@
 # Reasons to refuse a statement of a session at a target; others are counted
 # as the last.
 REFUSAL_REASONS = ('deadline', 'queue_full', 'zone_drained', 'other')
+# Values of ``confirmations.Confirmation``.
+CONFIRMATION_RESULTS = ('received', 'unanswered', 'lacking')
 # Priorities used as label values; less urgent ones count as the last.
 PRIORITIES = range(10)
 # What lets a target serve a read: that it is the primary, or that its log has
@@ -203,6 +205,15 @@
             'drained_transactions',
             'Transactions aborted because the zone of their target is drained',
         )
+        commit_confirmations = self.counter(
+            'commit_confirmations',
+            'Commits of sessions by what listed replicas told of them',
+            ('result',),
+        )
+        self._confirmations = {
+            result: commit_confirmations.labels(result)
+            for result in CONFIRMATION_RESULTS
+        }
         self.lost_logs = self.counter(
             'lost_logs',
             'Primaries found to lack log positions that they had reported',
@@ -227,6 +238,10 @@
         other = self._refusals[REFUSAL_REASONS[-1]]
         self._refusals.get(reason, other).inc()
 
+    def count_confirmation(self, result: str) -> None:
+        """Count a commit by what listed replicas told of it."""
+        self._confirmations[result].inc()
+
     def count_served(self, priority: int) -> None:
         """Count a statement of a priority that a target has run."""
         self._served[priority_label(priority)].inc()
--- a/packages/node/src/sassafrasridge_node/requiredcommits.py
+++ b/packages/node/src/sassafrasridge_node/requiredcommits.py
@@ -9,15 +9,14 @@
 
 
 class RequiredCommits:
-    """Find a lower bound of the last commit that a client was told of.
+    """Find a position that includes the last commit a client was told of.
 
-    The position in a target's answer may include commits that no replica has
-    received, so it can't be required. Two bounds are known. A commit is behind
-    the position that was known when it was sent. And every commit of a term
-    has a number of its own, so as many acknowledged commits as were counted
-    need as many positions from the start of the term on. The second one also
-    holds for commits that were on their way at the same time; it is too low by
-    those whose answers were lost or that were never reported.
+    Entry processes report the end of the log in the answer to each commit
+    that they acknowledge. They acknowledge it only once a listed replica has
+    received that end (see ``confirmations``), so requiring it costs no time
+    unless that replica is lost as well. Processes of earlier builds report
+    the least position of a commit and the number of commits, which are too
+    low by commits on their way and by those whose answers were lost.
     """
 
     def __init__(self, table: leases.LeaseTable) -> None:
@@ -26,7 +25,7 @@
         self._lacking_since: dict[str, float] = {}
 
     def last_known(self, view: model.GroupView) -> model.Position | None:
-        """Return the last acknowledged commit's least position, if any."""
+        """Return a position that includes the last acknowledged commit."""
         reported = self._table.acknowledged(view.group)
         start = view.starts.get(view.log_term)
         count = self._table.acknowledged_count(view.group, view.log_term)
--- a/packages/node/src/sassafrasridge_node/ridge.thrift
+++ b/packages/node/src/sassafrasridge_node/ridge.thrift
@@ -96,8 +96,9 @@
 }
 
 // The last commit in a group that an entry process acknowledged to a client,
-// by the least position that it can have, and how many of the commits of a term
-// it acknowledged.
+// by the end of the primary's log in the answer to it, and how many of the
+// commits of a term it acknowledged. Earlier builds send the least position that
+// the commit can have.
 struct AcknowledgedCommit {
   1: string group,
   2: i64 term,
--- a/packages/node/src/sassafrasridge_node/sessionpool.py
+++ b/packages/node/src/sassafrasridge_node/sessionpool.py
@@ -78,7 +78,6 @@
     """Hold a target's answer to the last command of a batch.
 
     ``failed_setup`` tells whether an earlier command of the batch failed.
-    ``commit`` is the least position that the commit of a write can have.
     """
 
     __slots__ = (
@@ -89,7 +88,6 @@
         'state',
         'position',
         'failed_setup',
-        'commit',
     )
 
     def __init__(
@@ -109,7 +107,6 @@
         self.state = state
         self.position = position
         self.failed_setup = failed_setup
-        self.commit: model.Position | None = None
 
 
 class SessionConnection(abc.ABC):
@@ -118,7 +115,8 @@
     ``values`` and ``prepared`` mirror the session values and the names of
     prepared statements that the target holds for the connection.
     ``answer_pending`` is true while an answer is outstanding. ``position`` is
-    the end of the target's log in its last status, if known.
+    the end of the log that statements at the target see, and ``received`` the
+    end of the log that it has received, as of its last status if known.
     """
 
     def __init__(self, account: str) -> None:
@@ -129,6 +127,7 @@
         self.rtt_s = DEFAULT_RTT_S
         self.closed = False
         self.position: model.Position | None = None
+        self.received: model.Position | None = None
         self.answer_pending = False
         # Set if the target closed the connection.
         self.broke = False
@@ -191,6 +190,10 @@
         self.position: model.Position | None = None
         # Position in the answer to the last probe, if it had one.
         self.probed_position: model.Position | None = None
+        # End of the log that the target had received at its last status.
+        self.received: model.Position | None = None
+        # Whether the target didn't answer the last request for it.
+        self.status_failed = False
         # Set if the limit of statements is learned.
         self.load: targetload.TargetLoad | None = None
         self.avoid_until = float('-inf')
@@ -275,6 +278,18 @@
         if position is not None:
             self.position = position
 
+    def has_received(self, position: model.Position) -> bool:
+        """Return whether the target told that it has received a position.
+
+        The log of another term may lack it.
+        """
+        return any(
+            known is not None
+            and known.term == position.term
+            and known >= position
+            for known in (self.received, self.position)
+        )
+
     def write_started(self, token: object) -> None:
         """Record a write that was sent and awaits its answer."""
         self._pending_writes[token] = clocks.boottime()
@@ -599,6 +614,17 @@
         finally:
             self._probing = False
 
+    async def request_received(self) -> model.Position | None:
+        """Ask a replica for the end of the log that it has received.
+
+        Returns None if it doesn't answer, or if all connections are in use.
+        """
+        if not self.pool.idle and self._room(clocks.boottime()) <= 0:
+            return None
+        answered = await self._probe_status()
+        self.status_failed = not answered
+        return self.received if answered else None
+
     async def _probe_status(self) -> bool:
         conn = self.pool.take_newest_idle()
         try:
@@ -618,10 +644,10 @@
         if conn is not None:
             if answered:
                 self.probed_position = conn.position
+                self.received = conn.received
                 self.answered(conn.position)
                 self.circuit.success(self.success_at)
-                self.pool.give_back(conn)
-            else:
-                self.pool.discard(conn)
+            # Closes a connection that was lost; a refusal leaves it usable.
+            self.pool.give_back(conn)
             self._dispatch_waiting()
         return answered
--- a/packages/node/src/sassafrasridge_node/sessionprimary.py
+++ b/packages/node/src/sassafrasridge_node/sessionprimary.py
@@ -6,10 +6,10 @@
 
 from sassafrasridge_core import statements
 from sassafrasridge_node import clocks
+from sassafrasridge_node import confirmations
 from sassafrasridge_node import sessionbase
 from sassafrasridge_node import sessionpool
 from sassafrasridge_node import sessionregions
-from sassafrasridge_node import sessionrouting
 from sassafrasridge_node import sessiontargets
 
 ResultCode = statements.ResultCode
@@ -30,7 +30,7 @@
                 backend, conn, commands, op.deadline, True
             )
             if answer.result_code is ResultCode.DONE:
-                return self._acknowledge(backend, op.access, term, answer)
+                return await self._acknowledge(backend, op, term, answer)
             self._raise_unless_retryable(answer)
             error = sessiontargets.target_error(answer)
             limited = answer.result_code is not ResultCode.NOT_PRIMARY
@@ -135,26 +135,38 @@
                 min(until - now, sessionbase.RETRY_PAUSE_S)
             )
 
-    def _acknowledge(
+    async def _acknowledge(
         self,
         backend: sessionpool.SessionBackend,
-        access: sessionrouting.Access,
+        op: sessionbase.Operation,
         term: int,
         answer: sessionpool.TargetAnswer,
     ) -> Result:
-        """Return a write's result, or raise if the primary changed.
+        """Return a write's result once a listed replica has received it.
 
-        Raises SessionError.
+        Raises SessionError if that isn't certain or the primary changed.
         """
+        access = op.access
+        if answer.position is not None:
+            found = await self._state.confirmations.wait(
+                access.group,
+                answer.position,
+                op.deadline,
+                lambda: self._is_same_primary(backend, access, term),
+            )
+            self._service.metrics.count_confirmation(found.value)
+            if found is confirmations.Confirmation.LACKING:
+                raise sessionbase.SessionError(
+                    StatementFailure.IN_DOUBT,
+                    'no listed replica is known to have received the commit',
+                )
         if not self._is_same_primary(backend, access, term):
             raise sessionbase.SessionError(
                 StatementFailure.IN_DOUBT, 'the primary was replaced meanwhile'
             )
         self.own_writes.record(access.group, answer.position)
         if answer.position is not None:
-            self._state.record_acknowledged(
-                access.group, answer.position.term, answer.commit
-            )
+            self._state.record_acknowledged(access.group, answer.position)
         return sessiontargets.success(answer)
 
     def _raise_unless_retryable(
--- a/packages/node/src/sassafrasridge_node/sessionstate.py
+++ b/packages/node/src/sassafrasridge_node/sessionstate.py
@@ -14,6 +14,7 @@
 from sassafrasridge_node import backends
 from sassafrasridge_node import clocks
 from sassafrasridge_node import codec
+from sassafrasridge_node import confirmations
 from sassafrasridge_node import entry
 from sassafrasridge_node import logs
 from sassafrasridge_node import loopdelay
@@ -40,6 +41,7 @@
     ) -> None:
         super().__init__(*args, **kwargs)
         self.primary_changes = primarywait.ChangeTracker()
+        self.confirmations = confirmations.CommitConfirmations(self)
         # When the term of a group's view last changed.
         self.view_changed_at: dict[str, float] = {}
         self.work_classes = workclasses.WorkClasses(self.config)
@@ -216,20 +218,22 @@
                 backend.lost_log_at = -math.inf
 
     def record_acknowledged(
-        self, group: str, term: int, least: model.Position | None
+        self, group: str, position: model.Position
     ) -> None:
-        """Record a commit of a term that a client is told of.
+        """Record a commit that a client is told of.
 
-        ``least`` is the least position that it can have, if known.
+        ``position`` is the end of the log in the primary's answer, so the
+        commit isn't behind it.
         """
+        term = position.term
         newest, count = self.commit_counts.get(group, (term, 0))
         if term == newest:
             self.commit_counts[group] = term, count + 1
         elif term > newest:
             self.commit_counts[group] = term, 1
         known = self.acknowledged.get(group)
-        if least is not None and (known is None or known < least):
-            self.acknowledged[group] = least
+        if known is None or known < position:
+            self.acknowledged[group] = position
 
     def primary_reached(self, backend: sessionpool.SessionBackend) -> None:
         """Record that a target answered; it matters if it is a primary."""
--- a/packages/node/src/sassafrasridge_node/sessiontargets.py
+++ b/packages/node/src/sassafrasridge_node/sessiontargets.py
@@ -165,7 +165,6 @@
         info = backend.info
         sent = self._state.sent_request(info.group, info.server)
         token = object()
-        position_before = backend.position
         if writes:
             backend.write_started(token)
         kind = _statement_kind(self.database, commands, writes, keep)
@@ -198,8 +197,6 @@
             backend.statement_ended(conn, ended_with)
         if answer.result_code is ResultCode.DONE:
             backend.statement_done(conn, clocks.boottime() - sent.sent_at)
-            if writes:
-                answer.commit = _least_commit(position_before, answer.position)
         self._record_answer(backend, answer, sent)
         clean = (
             answer.state is TransactionState.IDLE and not answer.failed_setup
@@ -240,22 +237,6 @@
             self._state.primary_changes.suspect(clocks.boottime(), group)
 
 
-def _least_commit(
-    before: model.Position | None, after: model.Position | None
-) -> model.Position | None:
-    """Return the least position of a commit, None if it isn't known.
-
-    ``before`` and ``after`` are positions of the log before the write was sent
-    and with its answer. The latter may include commits that no replica has.
-    """
-    if before is None or after is None or before.term != after.term:
-        return None
-    if after < before:
-        # The earlier position is of a log that the target has lost.
-        return None
-    return model.Position(before.term, before.index + 1)
-
-
 def _statement_kind(
     database: str,
     commands: list[sessionpool.Command],
--- a/packages/node/src/sassafrasridge_node/sessiontransactions.py
+++ b/packages/node/src/sassafrasridge_node/sessiontransactions.py
@@ -81,7 +81,7 @@
             backend.release(conn, clean=False)
             tx.conn = None
         if commits:
-            return self._finish_commit(tx, backend, answer)
+            return await self._finish_commit(tx, op, backend, answer)
         if answer.result_code is ResultCode.DONE:
             if lost:
                 # The target rolls the transaction back, so a later COMMIT
@@ -153,9 +153,10 @@
         backend.release(conn, clean=False)
         raise self._statement_error(answer)
 
-    def _finish_commit(
+    async def _finish_commit(
         self,
         tx: sessionbase.Transaction,
+        op: sessionbase.Operation,
         backend: sessionpool.SessionBackend,
         answer: sessionpool.TargetAnswer,
     ) -> Result:
@@ -169,7 +170,7 @@
         if answer.result_code is ResultCode.DONE:
             if not tx.has_writes:
                 return sessiontargets.success(answer)
-            return self._acknowledge(backend, tx.access, tx.term, answer)
+            return await self._acknowledge(backend, op, tx.term, answer)
         if not tx.has_writes and answer.result_code is not ResultCode.REFUSED:
             raise sessionbase.SessionError(
                 StatementFailure.ABORTED, answer.detail
