Suspend grants to a process that doesn't receive the replies

Cause: a change of primary waits until all live leases confirm it. The leader counted a lease as renewed with each answer that it sent, also to a process that never receives one. That process has no lease by its own account and never confirms, so the wait had no end.

Ruled out: the final fault of the case (the primary isn't replaced before it either), and leases of an earlier leader, which end.

Fix: a renewal names the last reply of a leader that arrived. A lease still counts from the last grant that was sent, so nothing is taken for ended earlier than before.

--- a/packages/core/src/sassafrasridge_core/leases.py
+++ b/packages/core/src/sassafrasridge_core/leases.py
@@ -8,6 +8,7 @@
 
 from sassafrasridge_core import acknowledged as commits
 from sassafrasridge_core import model
+from sassafrasridge_core import replytracking
 
 # Highest tolerated relative difference between the rates of two clocks.
 MAX_CLOCK_DRIFT = 0.02
@@ -120,6 +121,7 @@
         '_elected_at',
         '_acknowledged',
         '_counts',
+        '_replies',
         'holders',
     )
 
@@ -136,6 +138,8 @@
         # outlives the lease: the client still relies on the commit.
         self._acknowledged = acknowledged or commits.AcknowledgedCommits()
         self._counts = commits.CommitCounts()
+        # Replies to holders; they outlive the lease of one that gets none.
+        self._replies: dict[str, replytracking.ReplyTracker] = {}
 
     def end_grace_period(self) -> None:
         """End the grace period: all holders of earlier leases are known."""
@@ -152,6 +156,27 @@
         """Return whether all shares from earlier leaders have expired."""
         return self._expired(self._elected_at, self._times.config_ttl_s, now)
 
+    def may_grant(
+        self, now: float, name: str, sequence: int, received: int | None
+    ) -> bool:
+        """Return whether a holder receives grants, so that one may be sent.
+
+        ``received`` is the sequence of the last reply that the holder got,
+        None if its build doesn't tell.
+        """
+        if received is None:
+            return True
+        replies = self._replies.get(name)
+        if replies is None:
+            replies = replytracking.ReplyTracker(self._times.lease_s)
+            self._replies[name] = replies
+        return replies.may_grant(now, sequence, received)
+
+    def is_suspended(self, name: str) -> bool:
+        """Return whether a holder gets no grants for want of receipts."""
+        replies = self._replies.get(name)
+        return replies is not None and replies.suspended
+
     def grant(self, now: float, name: str, entry: str) -> LeaseHolder:
         """Grant or extend the lease of a holder."""
         holder = self.holders.get(name)
@@ -177,8 +202,19 @@
         ]
         for holder in expired:
             del self.holders[holder.name]
+        if expired:
+            self._forget_replies(now)
         return expired
 
+    def _forget_replies(self, now: float) -> None:
+        """Drop what is known of holders that no longer renew."""
+        since = now - self._times.config_ttl_s
+        self._replies = {
+            name: replies
+            for name, replies in self._replies.items()
+            if replies.renewed_at >= since
+        }
+
     def release(self, name: str) -> None:
         """Remove a holder that returned its lease."""
         self.holders.pop(name, None)
@@ -210,6 +246,9 @@
     def view_confirmed(self, now: float, view_revision: int) -> bool:
         """Return whether all live holders have at least this view revision.
 
+        A holder that doesn't receive it gets no further grants, so it is live
+        for a limited time only.
+
         Return False until the leases from earlier leaders have expired,
         because a new leader does not know their holders.
         """
--- a/packages/node/src/sassafrasridge_node/control.py
+++ b/packages/node/src/sassafrasridge_node/control.py
@@ -524,6 +524,10 @@
         if req.entry not in self.state.entries:
             await self._register_entry(req)
             return relays.refusal(req, 'registering', current.clock())
+        if not current.may_grant(now, req):
+            return relays.refusal(
+                req, 'replies_lost', current.clock(), current.term
+            )
         return current.renew(now, req, relayed)
 
     async def _register_entry(self, req: typing.Any) -> None:
--- a/packages/node/src/sassafrasridge_node/leadership.py
+++ b/packages/node/src/sassafrasridge_node/leadership.py
@@ -161,6 +161,31 @@
         self._no_earlier_changes = not len(state.answers)
         self._count_cold_targets()
 
+    def may_grant(self, now: float, req: typing.Any) -> bool:
+        """Return whether a process gets a lease with the next reply.
+
+        It gets none while it doesn't receive the replies.
+        """
+        name = holder_name(req.entry, req.incarnation)
+        was_suspended = self.lease_table.is_suspended(name)
+        granted = self.lease_table.may_grant(
+            now, name, req.sequence, req.received_sequence
+        )
+        suspended = self.lease_table.is_suspended(name)
+        if suspended != was_suspended:
+            logs.log_event(
+                'grants_suspended' if suspended else 'grants_resumed',
+                entry=req.entry,
+                sequence=req.sequence,
+                received_sequence=req.received_sequence,
+                revision=req.revision,
+                view_revision=req.view_revision,
+            )
+        if not granted:
+            # Its reports of commits matter as long as clients rely on them.
+            self._record_acknowledged(name, req)
+        return granted
+
     def renew(
         self, now: float, req: typing.Any, relayed: bool = False
     ) -> typing.Any:
--- a/packages/node/src/sassafrasridge_node/relays.py
+++ b/packages/node/src/sassafrasridge_node/relays.py
@@ -18,12 +18,19 @@
 
 
 def refusal(
-    req: typing.Any, reason: str, leader_clock: int | None = None
+    req: typing.Any,
+    reason: str,
+    leader_clock: int | None = None,
+    leader_term: int = 0,
 ) -> typing.Any:
-    """Return a renewal reply that refuses the lease."""
+    """Return a renewal reply that refuses the lease.
+
+    The sender reports that it got the reply if ``leader_term`` is set.
+    """
     return rpc.idl.RenewReply(
         granted=False,
         reason=reason,
+        leader_term=leader_term,
         sequence=req.sequence,
         leader_clock=leader_clock,
     )
--- a/packages/node/src/sassafrasridge_node/renewal.py
+++ b/packages/node/src/sassafrasridge_node/renewal.py
@@ -61,6 +61,8 @@
         # Clocks of the last reply and of the last request.
         self._leader_clock: int | None = None
         self._returned_clock: int | None = None
+        # Sequence of the last reply that came from a leader.
+        self._received_sequence = 0
         self._wake = asyncio.Event()
         self._had_lease = False
         self._control_problem = ''
@@ -139,6 +141,8 @@
             reply = None
         if reply is not None and reply.leader_clock is not None:
             self._leader_clock = reply.leader_clock
+        if reply is not None and reply.leader_term:
+            self._received_sequence = reply.sequence
         if reply is None or not reply.granted:
             state.shares.apply_answer(
                 clocks.boottime(), req.sequence, False, ()
@@ -215,6 +219,7 @@
                 state.acknowledged, state.commit_counts
             ),
             leader_clock=self._leader_clock,
+            received_sequence=self._received_sequence,
         )
 
     def _unused_s(self) -> float:
--- a/packages/node/src/sassafrasridge_node/ridge.thrift
+++ b/packages/node/src/sassafrasridge_node/ridge.thrift
@@ -123,6 +123,7 @@
   13: double unused_s,      // age of a process that has held no shares, else 0
   14: optional list<AcknowledgedCommit> acknowledged,
   15: optional i64 leader_clock, // of the last reply that this process got
+  16: optional i64 received_sequence, // of the last reply of a leader, or 0
 }
 
 struct RenewReply {
--- a/tests/node/simulatedgroup.py
+++ b/tests/node/simulatedgroup.py
@@ -746,6 +746,7 @@
         count,
         observations,
         heard_leader,
+        received_sequence,
     ):
         """Grant a renewal; the reply takes the time of a message."""
         leader, now = self.leader, self.group.loop.time()
@@ -755,12 +756,17 @@
         for holder in leader.table.expire(now):
             leader.detector.forget(holder.name)
         name = entry.holder.name
-        holder = leader.table.grant(now, name, entry.name)
-        holder.view_revision = revision
         if count is not None:
             leader.table.report_counts(name, {GROUP: count})
         if acknowledged is not None:
-            self._record_acknowledged(leader, holder, acknowledged)
+            leader.table.report_acknowledged({GROUP: acknowledged})
+        if not leader.table.may_grant(now, name, sequence, received_sequence):
+            self.group.loop.call_later(
+                NETWORK_DELAY_S, entry.refused, sequence
+            )
+            return
+        holder = leader.table.grant(now, name, entry.name)
+        holder.view_revision = revision
         for commit in self.group.acknowledged:
             if (
                 commit.holder.name == name
@@ -782,10 +788,6 @@
             leader,
         )
 
-    @staticmethod
-    def _record_acknowledged(leader, holder, acknowledged):
-        leader.table.report_acknowledged({GROUP: acknowledged})
-
 
 class Write:
     """Represent one write of an entry process."""
@@ -805,6 +807,8 @@
         self.name, self.group, self.control = name, group, control
         self.loop = group.loop
         self.generation = itertools.count(1)
+        # Until when replies of control are lost, all or only the grants.
+        self.loses_replies_until = self.loses_grants_until = 0.0
         control.entry_names.add(name)
         self.start()
 
@@ -812,7 +816,7 @@
         self.holder = Holder(self.name, next(self.generation))
         self.running = True
         self.lease = leases.HolderLease(TIMES)
-        self.sequence = 0
+        self.sequence = self.received_sequence = 0
         self.revision = -1
         self.view = None
         self.acknowledged = None
@@ -856,8 +860,20 @@
                 self.count,
                 self._observations,
                 self.heard_leader,
+                self.received_sequence,
             )
 
+    def receives(self, is_grant):
+        """Return whether a reply of control arrives."""
+        now = self.loop.time()
+        if now < self.loses_replies_until:
+            return False
+        return not is_grant or now >= self.loses_grants_until
+
+    def refused(self, sequence):
+        if self._reaches_control() and self.receives(is_grant=False):
+            self.received_sequence = sequence
+
     def _observations(self, now):
         return {
             name: promotion.TargetObservation(
@@ -874,8 +890,9 @@
         return 0.0 if target.running else now - target.stopped_at
 
     def granted(self, sequence, revision, view, leader):
-        if not self._reaches_control():
+        if not self._reaches_control() or not self.receives(is_grant=True):
             return
+        self.received_sequence = sequence
         self.heard_leader = leader
         if revision > self.revision:
             known, self.view = self.view, view
--- a/tests/node/simulatedreads.py
+++ b/tests/node/simulatedreads.py
@@ -522,6 +522,19 @@
         except TimeoutError:
             raise rpc.RpcError('no answer', sent=True)
 
+    def refused(self, sequence):
+        req, fut = self.awaited_renewal
+        if req.sequence == sequence and not fut.done():
+            fut.set_result(
+                types.SimpleNamespace(
+                    granted=False,
+                    reason='replies_lost',
+                    sequence=sequence,
+                    leader_clock=None,
+                    leader_term=1,
+                )
+            )
+
     def renewed(self, sequence, revision, view, infos, complete):
         req, fut = self.awaited_renewal
         if req.sequence != sequence or fut.done():
@@ -529,6 +542,7 @@
         fut.set_result(
             types.SimpleNamespace(
                 granted=True,
+                leader_term=1,
                 sequence=sequence,
                 revision=0,
                 deltas=None,
@@ -724,6 +738,7 @@
                     if obs.group == GROUP
                 },
                 self.heard_leader,
+                req.received_sequence,
                 context=contextvars.Context(),
             )
 
@@ -733,8 +748,14 @@
             work = self.process.write_across_move
             self.process.start(self.process.serve(work, self.loop.time()))
 
+    def refused(self, sequence):
+        if self._reaches_control() and self.receives(is_grant=False):
+            self.loop.call_soon(
+                self.process.refused, sequence, context=self.process.context
+            )
+
     def granted(self, sequence, revision, view, leader):
-        if not self._reaches_control():
+        if not self._reaches_control() or not self.receives(is_grant=True):
             return
         self.heard_leader = leader
         self.holder.cut_off_at = float('inf')
--- a/tests/node/test_leadership.py
+++ b/tests/node/test_leadership.py
@@ -259,6 +259,21 @@
         assert not reply.deltas
 
 
+class TestProcessWithoutReplies:
+    def test_its_commits_are_known_while_it_gets_no_grants(self):
+        """Guards against a promotion without a commit that it told."""
+        known = leader()
+        commit = rpc.idl.AcknowledgedCommit(group='g', term=1, index=9)
+        sequence, granted = 0, True
+        while granted:
+            sequence += 1
+            req = request('e1', sequence=sequence, received_sequence=0)
+            req.acknowledged = [commit]
+            granted = known.may_grant(sequence * 0.45, req)
+            assert sequence < 9
+        assert known.lease_table.acknowledged('g') == model.Position(1, 9)
+
+
 class TestConnectionsOfControl:
     """Pattern: entry processes use a target's connections up to its limit."""
 
--- a/tests/node/test_promotion_fuzz.py
+++ b/tests/node/test_promotion_fuzz.py
@@ -469,6 +469,27 @@
                 if peer == 'control':
                     entry.cut_off()
 
+    @event(
+        entries=st.sets(st.sampled_from(ENTRIES), min_size=1),
+        seconds=SECONDS,
+        small_arrive=st.booleans(),
+    )
+    def lose_replies(self, entries, seconds, small_arrive):
+        """Lose replies to renewals, which arrive; all, or only the grants.
+
+        Grants exceed the limit of a message if many changes are missing.
+        """
+        until = self.loop.time() + seconds
+        for entry in self.entries:
+            if entry.name in entries:
+                kind = 'grants' if small_arrive else 'replies'
+                self.history.add(f'{entry.name} gets no {kind} for {seconds}')
+                if small_arrive:
+                    entry.loses_grants_until = until
+                else:
+                    entry.loses_replies_until = until
+                entry.cut_off()
+
     @event(index=st.sampled_from(range(3)), seconds=SECONDS)
     def kill_entry(self, index, seconds):
         entry = self.entries[index]
@@ -624,6 +645,22 @@
         machine.advance(7.0)
         machine.no_commit_was_lost()
 
+    @pytest.mark.parametrize('small_arrive', [False, True])
+    def test_a_process_that_gets_no_replies(self, machine, small_arrive):
+        """Guards against a change that waits for it without an end."""
+        machine.advance(2.0)
+        machine.lose_replies(
+            after_s=0.5,
+            entries={'e1'},
+            seconds=60.0,
+            small_arrive=small_arrive,
+        )
+        machine.crash_primary(after_s=9.0, seconds=30.0)
+        views = machine.control.store.views
+        assert not views[simulatedgroup.GROUP].changing
+        assert machine.group.leading.name != 'a'
+        machine.no_commit_was_lost()
+
     def test_a_late_departure_of_a_replica_that_runs_again(self, machine):
         """Guards against a running replica that control doesn't list."""
         again, other = 1, 2
--- a/tests/node/test_renewal.py
+++ b/tests/node/test_renewal.py
@@ -25,6 +25,8 @@
         self.loop = loop
         self.clock = 3 << 32
         self.requests = []
+        # Which calls get no reply.
+        self.is_lost = lambda req: False
 
     def get(self, _address):
         return self
@@ -32,8 +34,11 @@
     async def call(self, _method, req, timeout_s):
         self.requests.append((self.loop.time(), req))
         await asyncio.sleep(ROUND_TRIP_S)
+        if self.is_lost(req):
+            raise rpc.RpcError('lost', sent=True)
         return rpc.idl.RenewReply(
             granted=True,
+            leader_term=3,
             sequence=req.sequence,
             revision=0,
             view_revision=0,
@@ -87,6 +92,13 @@
         self.loop.advance(0.8)
         assert self.clocks()[-1] == self.leader.clock
 
+    def test_the_last_reply_that_arrived_is_reported(self):
+        """Guards against a leader that waits for a process without replies."""
+        self.leader.is_lost = lambda req: 3 <= req.sequence < 6
+        self.loop.advance(4.0)
+        received = [req.received_sequence for _, req in self.leader.requests]
+        assert received[:8] == [0, 1, 2, 2, 2, 2, 6, 7]
+
     def test_a_process_with_shares_keeps_its_interval(self):
         """Guards against twice the renewals right after an election."""
         self.loop.advance(0.4)
