Send missed configuration changes in steps

Cause: the reply to a renewal carried all changes that the process lacked. Together they exceeded the limit of a message between daemons, so the process closed the connection at each reply and asked again. The replies to a batch of relayed renewals weren't limited either.

Fix: the changes in a reply, and in all replies of a batch, are cut to a quarter of a message, and a process that is behind renews again at once. The relaying member adds what a batch has no room for. A reply that is too large all the same is an error of its call, and the connection stays open for the others.

--- a/packages/node/src/sassafrasridge_node/control.py
+++ b/packages/node/src/sassafrasridge_node/control.py
@@ -496,21 +496,25 @@
                 codec.acknowledged_from_wire(req.acknowledged)
             )
             reply = await self._relay.renew(req)
-            if reply.granted and reply.revision > req.revision:
-                self._add_full_copy(reply)
+            if reply.granted:
+                self._add_own_changes(req, reply)
         reply.member_zone = self._zone
         return reply
 
     async def renew_batch(self, batch: typing.Any) -> typing.Any:
         """Process a batch of renewals that another member relayed."""
-        replies = [
-            await self._renew_as_leader(req, relayed=True)
-            for req in batch.requests
-        ]
+        replies, config_bytes = [], leadership.MAX_CONFIG_BYTES
+        for req in batch.requests:
+            reply = await self._renew_as_leader(req, True, config_bytes)
+            config_bytes -= sum(map(len, reply.deltas or ()))
+            replies.append(reply)
         return rpc.idl.RenewBatchReply(replies=replies)
 
     async def _renew_as_leader(
-        self, req: typing.Any, relayed: bool = False
+        self,
+        req: typing.Any,
+        relayed: bool = False,
+        config_bytes: int = leadership.MAX_CONFIG_BYTES,
     ) -> typing.Any:
         now = clocks.boottime()
         current = self.leadership
@@ -528,7 +532,7 @@
             return relays.refusal(
                 req, 'replies_lost', current.clock(), current.term
             )
-        return current.renew(now, req, relayed)
+        return current.renew(now, req, relayed, config_bytes)
 
     async def _register_entry(self, req: typing.Any) -> None:
         if req.entry in self._registering_entries:
@@ -550,13 +554,17 @@
         finally:
             self._registering_entries.discard(req.entry)
 
-    def _add_full_copy(self, reply: typing.Any) -> None:
-        # The leader sends no full copy in a relayed reply, to save its own
-        # bandwidth, so the relay adds its copy if that is recent enough.
-        if not reply.deltas and not reply.full:
-            if self.state.revision >= reply.revision:
-                reply.full = self.state.full()
-                reply.revision = self.state.revision
+    def _add_own_changes(self, req: typing.Any, reply: typing.Any) -> None:
+        """Add configuration changes that the leader left out.
+
+        It leaves out full copies, and changes that don't fit into the frame
+        of a batch. This member has them too if it is recent enough.
+        """
+        if reply.deltas or reply.full or reply.revision <= req.revision:
+            return
+        if self.state.revision >= reply.revision:
+            leadership.add_changes(reply, req.revision, self.state)
+            reply.revision = self.state.revision
 
     def _leader_client(self) -> rpc.Client | None:
         leader = self.log.leader
--- a/packages/node/src/sassafrasridge_node/leadership.py
+++ b/packages/node/src/sassafrasridge_node/leadership.py
@@ -31,6 +31,10 @@
 # A revision holds a counter in this many low bits and the term above them, so
 # that lists of different leaders never have the same revision.
 REVISION_COUNTER_BITS = 32
+# Limit of the configuration changes in a reply, and in the replies to a batch
+# of renewals. A change that exceeds it is sent alone. The rest of a frame is
+# for that change and the other parts of the replies.
+MAX_CONFIG_BYTES = rpc.MAX_FRAME_BYTES // 4
 
 
 class LiveEntries:
@@ -187,12 +191,17 @@
         return granted
 
     def renew(
-        self, now: float, req: typing.Any, relayed: bool = False
+        self,
+        now: float,
+        req: typing.Any,
+        relayed: bool = False,
+        config_bytes: int = MAX_CONFIG_BYTES,
     ) -> typing.Any:
         """Grant a renewal and return its reply.
 
-        A relayed reply has no full copy of the configuration; the relaying
-        member adds it. The copies of one batch would not fit into a frame.
+        A relayed reply has no full copy of the configuration, and no changes
+        if ``config_bytes`` is 0; the relaying member adds what is missing. The
+        copies of one batch would not fit into a frame.
         """
         self.expire(now)
         self._track_incarnation(now, req)
@@ -221,7 +230,7 @@
         self.detector.drop_unwatched(
             name, {(o.group, o.server) for o in req.observations or []}
         )
-        self._add_config(reply, req, relayed)
+        self._add_config(reply, req, relayed, config_bytes)
         reply.shares = [
             codec.grant_to_wire(grant)
             for grant in self._allocator.renew(
@@ -515,18 +524,20 @@
         return self._announced_budgets.get(key, (1, 1))
 
     def _add_config(
-        self, reply: typing.Any, req: typing.Any, relayed: bool
+        self,
+        reply: typing.Any,
+        req: typing.Any,
+        relayed: bool,
+        config_bytes: int,
     ) -> None:
         reply.revision = self._state.revision
         reply.deltas = []
-        if req.revision < self._state.revision:
-            deltas = None
-            if req.revision > 0:
-                deltas = self._state.deltas_since(req.revision)
-            if deltas is not None:
-                reply.deltas = deltas
-            elif not relayed:
-                reply.full = self._state.full()
+        if not relayed:
+            add_changes(reply, req.revision, self._state)
+        elif req.revision > 0 and config_bytes > 0:
+            reply.deltas = (
+                self._state.deltas_since(req.revision, config_bytes) or []
+            )
         reply.view_revision = self._state.groups_revision
         reply.groups = [
             codec.group_to_wire(view)
@@ -534,6 +545,25 @@
         ]
 
 
+def add_changes(
+    reply: typing.Any, revision: int, state: core_state.State
+) -> None:
+    """Add the configuration changes after a revision to a renewal reply.
+
+    They are cut to what fits into a frame, so that a process which missed many
+    of them gets the rest with its next renewals.
+    """
+    if revision >= state.revision:
+        return
+    deltas = None
+    if revision > 0:
+        deltas = state.deltas_since(revision, MAX_CONFIG_BYTES)
+    if deltas is None:
+        reply.full = state.full()
+    else:
+        reply.deltas = deltas
+
+
 def holder_name(entry: str, incarnation: int) -> str:
     """Return the name of a lease holder, one process incarnation."""
     return f'{entry}#{incarnation}'
--- a/packages/node/src/sassafrasridge_node/renewal.py
+++ b/packages/node/src/sassafrasridge_node/renewal.py
@@ -67,6 +67,8 @@
         self._had_lease = False
         self._control_problem = ''
         self._sent_at = 0.0
+        # Whether the last reply had only a part of the missing changes.
+        self._is_behind = False
         state.renew_now = self._wake.set
 
     async def run(self) -> None:
@@ -95,7 +97,7 @@
     def _next_interval_s(self) -> float:
         if self._is_first_reply() and not self._state.shares.ever_granted:
             return 0.0
-        if not self._state.lease_valid():
+        if self._is_behind or not self._state.lease_valid():
             return FAST_RENEW_INTERVAL_S
         now = clocks.boottime()
         for group in self._state.served_groups():
@@ -175,6 +177,7 @@
         state.apply_targets(reply)
         self._follow_members(reply.members or [])
         current = state.apply_config(reply)
+        self._is_behind = not current
         state.shares.apply_answer(
             clocks.boottime(), reply.sequence, current, reply.shares or ()
         )
--- a/packages/node/src/sassafrasridge_node/rpc.py
+++ b/packages/node/src/sassafrasridge_node/rpc.py
@@ -23,11 +23,15 @@
 
 from sassafrasridge_core import errors
 from sassafrasridge_node import idl as ridge_idl
+from sassafrasridge_node import logs
 from sassafrasridge_node import meters
 from sassafrasridge_node import thriftcheck
 
 MAX_FRAME_BYTES = 4 * 1024 * 1024
 DIGEST_BYTES = 16
+# The rest of a frame holds the digest and the mark, and what compression adds
+# to a message that can't be compressed.
+MAX_MESSAGE_BYTES = MAX_FRAME_BYTES - 4096
 CONNECT_TIMEOUT_S = 0.5
 _HEADER = struct.Struct('>I')
 
@@ -274,7 +278,23 @@
             )
         if result.oneway or writer.is_closing():
             return
-        writer.write(codec.pack(encode_message(method, kind, seqid, body)))
+        message = encode_message(method, kind, seqid, body)
+        if len(message) > MAX_MESSAGE_BYTES:
+            # The caller would close the connection, and all calls on it fail.
+            logs.log_event(
+                'reply_too_large', method=method, bytes=len(message)
+            )
+            message = encode_message(
+                method,
+                thrift.TMessageType.EXCEPTION,
+                seqid,
+                thrift.TApplicationException(
+                    thrift.TApplicationException.INTERNAL_ERROR,
+                    f'the reply has {len(message)} bytes, the limit is '
+                    f'{MAX_MESSAGE_BYTES}',
+                ),
+            )
+        writer.write(codec.pack(message))
 
 
 class _Connection:
--- a/tests/node/test_leadership.py
+++ b/tests/node/test_leadership.py
@@ -1,5 +1,8 @@
 """Tests of the control leader's state and of its renewal replies."""
 
+import asyncio
+import types
+
 import orjson
 
 from sassafrasridge_core import directory
@@ -8,9 +11,11 @@
 from sassafrasridge_core import state as core_state
 from sassafrasridge_node import codec
 from sassafrasridge_node import connections
+from sassafrasridge_node import control
 from sassafrasridge_node import entry
 from sassafrasridge_node import leadership
 from sassafrasridge_node import metrics
+from sassafrasridge_node import relays
 from sassafrasridge_node import rpc
 
 TIMES = leases.LeaseTimes(0.3, 1.2, 4.0)
@@ -259,6 +264,74 @@
         assert not reply.deltas
 
 
+class TestManyMissedChanges:
+    """Pattern: processes were frozen while the configuration changed often."""
+
+    CHANGE_BYTES, CHANGES = 300_000, 25
+
+    def setup_method(self):
+        self.state = core_state.State()
+        self.state.revision = self.CHANGES + 1
+        self.state._deltas.extend(
+            bytes(self.CHANGE_BYTES) for _ in range(self.CHANGES)
+        )
+        self.leader = leadership.Leadership(
+            self.state, TIMES, 0.8, 3, 0.0, 'demand', COUNTERS
+        )
+        # Another member with the same state.
+        self.member = types.SimpleNamespace(
+            state=self.state, leadership=self.leader
+        )
+
+    def size(self, message):
+        return len(rpc.encode_message('renew', 2, 1, message))
+
+    def test_they_arrive_in_steps_that_fit_into_a_frame(self):
+        """Guards against a process that never gets them."""
+        revision, steps = 1, 0
+        while revision < self.state.revision:
+            reply = self.leader.renew(10.0, request('e1', revision=revision))
+            assert self.size(reply) <= rpc.MAX_MESSAGE_BYTES
+            assert reply.deltas
+            revision += len(reply.deltas)
+            steps += 1
+        assert steps < self.CHANGES / 2
+
+    def test_a_batch_of_replies_fits_into_a_frame(self):
+        """Guards against renewals that fail together with those of others."""
+
+        async def renew(req, relayed, config_bytes):
+            return self.leader.renew(10.0, req, relayed, config_bytes)
+
+        self.member._renew_as_leader = renew
+        requests = [
+            request(f'e{number}', revision=1)
+            for number in range(relays.MAX_BATCH)
+        ]
+        found = asyncio.run(
+            control.ControlMember.renew_batch(
+                self.member, rpc.idl.RenewBatch(requests=requests)
+            )
+        )
+        assert self.size(found) <= rpc.MAX_MESSAGE_BYTES
+        assert len(found.replies) == relays.MAX_BATCH
+
+    def test_the_relaying_member_adds_what_is_left_out(self):
+        """Guards against a relayed process that makes no progress."""
+        req = request('e1', revision=1)
+        reply = self.leader.renew(10.0, req, relayed=True, config_bytes=0)
+        assert not reply.deltas and not reply.full
+        control.ControlMember._add_own_changes(self.member, req, reply)
+        assert reply.deltas
+        assert self.size(reply) <= rpc.MAX_MESSAGE_BYTES
+
+    def test_a_process_without_any_gets_a_full_copy_of_the_member(self):
+        req = request('e1', revision=0)
+        reply = self.leader.renew(10.0, req, relayed=True)
+        control.ControlMember._add_own_changes(self.member, req, reply)
+        assert reply.full == self.state.full()
+
+
 class TestProcessWithoutReplies:
     def test_its_commits_are_known_while_it_gets_no_grants(self):
         """Guards against a promotion without a commit that it told."""
--- a/tests/node/test_renewal.py
+++ b/tests/node/test_renewal.py
@@ -25,7 +25,8 @@
         self.loop = loop
         self.clock = 3 << 32
         self.requests = []
-        # Which calls get no reply.
+        # Revision of the leader, and which calls get no reply.
+        self.revision = 0
         self.is_lost = lambda req: False
 
     def get(self, _address):
@@ -40,7 +41,7 @@
             granted=True,
             leader_term=3,
             sequence=req.sequence,
-            revision=0,
+            revision=self.revision,
             view_revision=0,
             deltas=[],
             groups=[],
@@ -99,6 +100,16 @@
         received = [req.received_sequence for _, req in self.leader.requests]
         assert received[:8] == [0, 1, 2, 2, 2, 2, 6, 7]
 
+    def test_missing_changes_are_fetched_without_delay(self):
+        """Guards against a process that stays behind while it catches up."""
+        self.loop.advance(0.4)
+        self.state.shares.ever_granted = True
+        self.leader.revision = 9
+        self.loop.advance(0.9)
+        times = [at for at, _ in self.leader.requests][-4:]
+        gaps = [b - a for a, b in zip(times, times[1:], strict=False)]
+        assert max(gaps) < TIMES.renew_interval_s / 2
+
     def test_a_process_with_shares_keeps_its_interval(self):
         """Guards against twice the renewals right after an election."""
         self.loop.advance(0.4)
--- a/tests/node/test_rpc.py
+++ b/tests/node/test_rpc.py
@@ -106,6 +106,36 @@
 
 
 class TestServer:
+    def test_a_reply_above_the_limit_is_an_error_of_the_call(self):
+        """Guards against failing the other calls on the connection."""
+
+        class Handler:
+            async def renew(self, req):
+                if req.entry == 'slow':
+                    await asyncio.sleep(0.1)
+                    return rpc.idl.RenewReply(granted=True)
+                return rpc.idl.RenewReply(full=bytes(rpc.MAX_FRAME_BYTES))
+
+        async def run():
+            server = rpc.Server(rpc.idl.Control, Handler(), SECRET)
+            await server.start('127.0.0.1', 0)
+            client = rpc.Client(rpc.idl.Control, server.address, SECRET)
+            slow = asyncio.ensure_future(
+                client.call(
+                    'renew', rpc.idl.RenewRequest(entry='slow'), timeout_s=2
+                )
+            )
+            with pytest.raises(rpc.RemoteCallError, match='limit'):
+                await client.call(
+                    'renew', rpc.idl.RenewRequest(entry='a'), timeout_s=2
+                )
+            reply = await slow
+            client.close()
+            await server.stop()
+            return reply.granted
+
+        assert asyncio.run(run())
+
     def test_unknown_method_is_an_error_of_the_call(self):
         """Guards against a crash on a call that a newer release added."""
 
