Don't count ended targets as able to lead in the model

The check of published primaries took a target that had ended for one that could lead: the model forgot since when it had been able to only while it existed. A running target counts as before, so the check is as strict.

--- a/tests/node/test_promotion_fuzz.py
+++ b/tests/node/test_promotion_fuzz.py
@@ -212,7 +212,11 @@
         # Its announcement may still be under way when it is published.
         if self.leaving_since[primary] > led_at:
             return
-        able = [n for n, since in self.able_since.items() if since <= led_at]
+        able = [
+            name
+            for name, since in self.able_since.items()
+            if since <= led_at and name in self.group.targets
+        ]
         if able and primary != former:
             self.history.violation(
                 f'{primary} is leaving and published, {able} could lead'
