--- a/tests/node/test_promotion_fuzz.py
+++ b/tests/node/test_promotion_fuzz.py
@@ -264,6 +264,15 @@
         self.loop.advance(0.3)
         self.crash_for(primary, seconds)
 
+    def crash_while_an_unlisted_replica_is_ahead(self):
+        """Crash the primary; return the commits that only the replica had."""
+        self.crash_primary_during_writes(
+            after_s=0.0, gap_s=0.012, seconds=9.0, silent_s=5.0
+        )
+        only_there = self.commits_of_unlisted_replica()
+        self.advance(7.0)
+        return only_there
+
     def commits_of_unlisted_replica(self):
         """Return the commits that only the newest target has received."""
         *others, newest = sorted(
@@ -629,11 +638,7 @@
     def test_commits_that_are_on_their_way_together(self, machine):
         """Guards against a bound that is too low by concurrent commits."""
         machine.advance(2.0)
-        machine.crash_primary_during_writes(
-            after_s=0.0, gap_s=0.012, seconds=9.0, silent_s=5.0
-        )
-        only_there = machine.commits_of_unlisted_replica()
-        machine.advance(7.0)
+        only_there = machine.crash_while_an_unlisted_replica_is_ahead()
         machine.no_commit_was_lost()
         assert machine.group.leading.name == 'b'
         assert only_there
@@ -642,11 +647,7 @@
     def test_answers_that_were_lost_earlier_in_the_term(self, machine):
         """Guards against a bound that is too low by their commits."""
         machine.lose_answers_of_primary(after_s=4.0, seconds=2.0)
-        machine.crash_primary_during_writes(
-            after_s=0.0, gap_s=0.012, seconds=9.0, silent_s=5.0
-        )
-        assert machine.commits_of_unlisted_replica()
-        machine.advance(7.0)
+        assert machine.crash_while_an_unlisted_replica_is_ahead()
         machine.no_commit_was_lost()
 
     @pytest.mark.parametrize('small_arrive', [False, True])
--- a/tests/node/test_reads_fuzz.py
+++ b/tests/node/test_reads_fuzz.py
@@ -168,11 +168,7 @@
     def test_commits_that_are_on_their_way_together(self, machine):
         """Guards against a bound that is too low by concurrent commits."""
         machine.advance(2.0)
-        machine.crash_primary_during_writes(
-            after_s=0.0, gap_s=0.012, seconds=9.0, silent_s=5.0
-        )
-        only_there = machine.commits_of_unlisted_replica()
-        machine.advance(7.0)
+        only_there = machine.crash_while_an_unlisted_replica_is_ahead()
         assert not machine.history.violations, machine.history.text()
         assert only_there
         assert not any(c.acknowledged_at for c in only_there)
@@ -180,11 +176,7 @@
     def test_answers_that_were_lost_earlier_in_the_term(self, machine):
         """Guards against a bound that is too low by their commits."""
         machine.lose_answers_of_primary(after_s=4.0, seconds=2.0)
-        machine.crash_primary_during_writes(
-            after_s=0.0, gap_s=0.012, seconds=9.0, silent_s=5.0
-        )
-        assert machine.commits_of_unlisted_replica()
-        machine.advance(7.0)
+        assert machine.crash_while_an_unlisted_replica_is_ahead()
         assert not machine.history.violations, machine.history.text()
 
     def test_commits_whose_answers_were_lost(self, machine):
