--- a/tests/integration/test_missed_changes.py
+++ b/tests/integration/test_missed_changes.py
@@ -12,8 +12,7 @@
 # message between daemons several times.
 ROUTES = 700
 CHANGES = 25
-# Longest change of primary that the users accept, and the time for which the
-# grant of a lease that its holder never learns of counts.
+# Longest change of primary that the users accept.
 MAX_CHANGE_S = 8.0
 
 
